Serve a request end to end through separate processes

The thin whole path: caller, entry node, target's node, server, answer; the store spoken by the JSON gateway of etcd's v3 API, a stand-in for it and for backend servers, settings by flags and environment, two HTTP libraries behind the interfaces Server and Sender.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: each is one documented command; see docs/measurements/."""
--- /dev/null
+++ b/src/radishwind/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line: `python -m radishwind`."""
+
+from radishwind.cli import main
+
+main()
--- /dev/null
+++ b/src/radishwind/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line `radishwind`."""
+
+from radishwind.cli.app import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/radishwind/cli/node.py
@@ -0,0 +1,24 @@
+"""`radishwind node`."""
+
+import anyio
+import typer
+
+from radishwind.cli.options import settings_command
+from radishwind.core.clock import SystemClock
+from radishwind.settings import NodeSettings
+
+
+def _run(settings: NodeSettings) -> None:
+    from radishwind.node import Node
+
+    async def main() -> None:
+        await Node(settings, SystemClock()).run()
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+def add_to(app: typer.Typer) -> None:
+    """Adds the command to `app`."""
+    app.command("node", help="Run the node beside one backend server.")(
+        settings_command(NodeSettings, _run)
+    )
--- /dev/null
+++ b/src/radishwind/config/__init__.py
@@ -0,0 +1,25 @@
+"""What operators accept: the inventory, the rules, and their revision.
+
+`model` holds the values; every node routes by one `Configuration`, adopted
+whole and replaced only by one of a higher revision.
+"""
+
+from radishwind.config.model import Configuration
+from radishwind.config.model import FailureDomain
+from radishwind.config.model import Inventory
+from radishwind.config.model import Link
+from radishwind.config.model import Rules
+from radishwind.config.model import Service
+from radishwind.config.model import ServiceRules
+from radishwind.config.model import Target
+
+__all__ = [
+    "Configuration",
+    "FailureDomain",
+    "Inventory",
+    "Link",
+    "Rules",
+    "Service",
+    "ServiceRules",
+    "Target",
+]
--- /dev/null
+++ b/src/radishwind/core/__init__.py
@@ -0,0 +1,15 @@
+"""What every slice shares: the clock, result codes, the root of errors."""
+
+from radishwind.core.clock import Clock
+from radishwind.core.clock import ManualClock
+from radishwind.core.clock import SystemClock
+from radishwind.core.codes import ResultCode
+from radishwind.core.errors import RadishwindError
+
+__all__ = [
+    "Clock",
+    "ManualClock",
+    "RadishwindError",
+    "ResultCode",
+    "SystemClock",
+]
--- /dev/null
+++ b/src/radishwind/http/__init__.py
@@ -0,0 +1,39 @@
+"""HTTP behind two small interfaces, `Server` and `Sender`.
+
+The libraries stay behind them: aiohttp on the hot path, hypercorn and httpx as
+the house style asks; `docs/design/01-http-libraries.md` has the figures.
+"""
+
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import SendError
+from radishwind.http.factory import HttpLibrary
+from radishwind.http.factory import make_sender
+from radishwind.http.factory import make_server
+from radishwind.http.sender import Sender
+from radishwind.http.server import Handler
+from radishwind.http.server import Server
+from radishwind.http.types import Address
+from radishwind.http.types import Body
+from radishwind.http.types import BodyStream
+from radishwind.http.types import Headers
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+
+__all__ = [
+    "Address",
+    "Body",
+    "BodyStream",
+    "ConnectFailedError",
+    "ExchangeBrokenError",
+    "Handler",
+    "Headers",
+    "HttpLibrary",
+    "Request",
+    "Response",
+    "SendError",
+    "Sender",
+    "Server",
+    "make_sender",
+    "make_server",
+]
--- /dev/null
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -0,0 +1,134 @@
+"""`Sender` by aiohttp's client."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import yarl
+from multidict import CIMultiDict
+
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.sender import Sender
+from radishwind.http.types import Address
+from radishwind.http.types import Body
+from radishwind.http.types import BodyStream
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.http.types import SMALL_BODY_BYTES
+
+#: Idle connections are closed by us before a usual server closes them (5 s),
+#: so that a request is rarely written to a connection that is going away.
+KEEPALIVE_S = 4.0
+
+_SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
+
+
+class _ResponseStream(BodyStream):
+    """The body of an answer that is still arriving."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        finished = False
+        try:
+            async for piece in self._response.content.iter_chunked(
+                SMALL_BODY_BYTES
+            ):
+                yield piece
+            finished = True
+        except (aiohttp.ClientError, OSError) as exc:
+            raise ExchangeBrokenError(f"answer cut: {exc}") from exc
+        finally:
+            if not finished:
+                self._response.close()
+
+    def abort(self) -> None:
+        self._response.close()
+
+
+class AiohttpSender(Sender):
+    """Sends by aiohttp; see `Sender` for what it promises."""
+
+    def __init__(self, connections: int) -> None:
+        self._connections = connections
+        self._sessions: dict[float, aiohttp.ClientSession] = {}
+
+    def _session(self, connect_timeout_s: float) -> aiohttp.ClientSession:
+        session = self._sessions.get(connect_timeout_s)
+        if session is not None:
+            return session
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self._connections,
+                keepalive_timeout=KEEPALIVE_S,
+                use_dns_cache=False,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=connect_timeout_s
+            ),
+        )
+        # aiohttp sends GET, PUT and DELETE again by itself when a kept
+        # connection dies under them. Whether to send again is ours to decide.
+        session._retry_connection = False
+        self._sessions[connect_timeout_s] = session
+        return session
+
+    async def send(
+        self, address: Address, request: Request, connect_timeout_s: float
+    ) -> Response:
+        session = self._session(connect_timeout_s)
+        url = yarl.URL(
+            f"http://{address.host}:{address.port}{request.path}", encoded=True
+        )
+        try:
+            response = await session.request(
+                request.method,
+                url,
+                headers=CIMultiDict(request.headers),
+                data=_payload(request.body),
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            raise ConnectFailedError(f"{address}: {exc}") from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise ExchangeBrokenError(f"{address}: {exc!r}") from exc
+        return await _received(response)
+
+    async def close(self) -> None:
+        for session in self._sessions.values():
+            await session.close()
+
+
+def _payload(body: Body) -> bytes | AsyncIterator[bytes] | None:
+    if isinstance(body, BodyStream):
+        return aiter(body)
+    return body or None
+
+
+async def _received(response: aiohttp.ClientResponse) -> Response:
+    headers = tuple(
+        (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
+        for key, value in response.raw_headers
+    )
+    length = response.content_length
+    if length is None or length > SMALL_BODY_BYTES:
+        return Response(
+            response.status, headers, _ResponseStream(response), length
+        )
+    try:
+        body = await response.read()
+    except (aiohttp.ClientError, OSError) as exc:
+        response.close()
+        raise ExchangeBrokenError(f"answer cut: {exc!r}") from exc
+    except BaseException:
+        response.close()
+        raise
+    return Response(response.status, headers, body, len(body))
--- /dev/null
+++ b/src/radishwind/http/factory.py
@@ -0,0 +1,35 @@
+"""Chooses the HTTP library; the import waits until the choice is known."""
+
+import enum
+
+from radishwind.http.sender import Sender
+from radishwind.http.server import Server
+
+
+class HttpLibrary(enum.StrEnum):
+    """The libraries that implement `Server` and `Sender`."""
+
+    AIOHTTP = "aiohttp"
+    HYPERCORN_HTTPX = "hypercorn-httpx"
+
+
+def make_server(library: HttpLibrary) -> Server:
+    """Returns a server that does not listen yet."""
+    if library is HttpLibrary.HYPERCORN_HTTPX:
+        from radishwind.http.hypercorn_server import HypercornServer
+
+        return HypercornServer()
+    from radishwind.http.aiohttp_server import AiohttpServer
+
+    return AiohttpServer()
+
+
+def make_sender(library: HttpLibrary, connections: int) -> Sender:
+    """Returns a sender with at most `connections` connections an address."""
+    if library is HttpLibrary.HYPERCORN_HTTPX:
+        from radishwind.http.httpx_sender import HttpxSender
+
+        return HttpxSender(connections)
+    from radishwind.http.aiohttp_sender import AiohttpSender
+
+    return AiohttpSender(connections)
--- /dev/null
+++ b/src/radishwind/http/hypercorn_server.py
@@ -0,0 +1,159 @@
+"""`Server` by hypercorn, through ASGI."""
+
+import socket
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import TypeAlias
+
+import anyio
+import anyio.abc
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.server import Handler
+from radishwind.http.server import Server
+from radishwind.http.types import Address
+from radishwind.http.types import BodyStream
+from radishwind.http.types import header
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.http.types import SMALL_BODY_BYTES
+
+#: Kept longer than any sender of ours keeps an idle connection.
+KEEPALIVE_S = 75.0
+
+_Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
+_Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class _RequestStream(BodyStream):
+    """The body of a request that is still arriving."""
+
+    def __init__(self, receive: _Receive) -> None:
+        self._receive = receive
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        while True:
+            message = await self._receive()
+            if message["type"] != "http.request":
+                raise ExchangeBrokenError("request cut")
+            yield message.get("body", b"")
+            if not message.get("more_body", False):
+                return
+
+    def abort(self) -> None:
+        """Nothing to do: hypercorn ends what is left unread."""
+
+
+class HypercornServer(Server):
+    """Receives by hypercorn; see `Server` for what it promises."""
+
+    def __init__(self) -> None:
+        self._stop = anyio.Event()
+        self._done = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._cfg = Config()
+
+    async def start(self, handler: Handler, listen: Address) -> Address:
+        listener = socket.create_server(listen, backlog=1024)
+        listener.setblocking(False)
+        host, port = listener.getsockname()[:2]
+        self._cfg.bind = [f"fd://{listener.detach()}"]
+        self._cfg.keep_alive_timeout = KEEPALIVE_S
+        self._cfg.keep_alive_max_requests = 2**31
+        self._cfg.accesslog = None
+        self._cfg.errorlog = None
+        self._cfg.include_server_header = False
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        self._tasks.start_soon(self._serve, handler)
+        return Address(host, port)
+
+    async def _serve(self, handler: Handler) -> None:
+        async def app(
+            scope: dict[str, Any], receive: _Receive, send: _Send
+        ) -> None:
+            if scope["type"] == "http":
+                await _exchange(handler, scope, receive, send)
+
+        try:
+            await serve(app, self._cfg, shutdown_trigger=self._stop.wait)  # type: ignore[arg-type]
+        finally:
+            self._done.set()
+
+    async def stop_listening(self) -> None:
+        self._stop.set()
+
+    async def close(self, grace_s: float) -> None:
+        if self._tasks is None:
+            return
+        self._cfg.graceful_timeout = grace_s
+        self._stop.set()
+        with anyio.move_on_after(grace_s + 1.0):
+            await self._done.wait()
+        self._tasks.cancel_scope.cancel()
+        await self._tasks.__aexit__(None, None, None)
+        self._tasks = None
+
+
+async def _exchange(
+    handler: Handler, scope: dict[str, Any], receive: _Receive, send: _Send
+) -> None:
+    response = await handler(await _received(scope, receive))
+    headers = [
+        (key.lower().encode(), value.encode("utf-8", "surrogateescape"))
+        for key, value in response.headers
+        if key.lower() != "content-length"
+    ]
+    length = response.body_bytes
+    if isinstance(response.body, bytes):
+        length = len(response.body)
+    if length is not None:
+        headers.append((b"content-length", str(length).encode()))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+    )
+    await _send_body(response, send)
+
+
+async def _send_body(response: Response, send: _Send) -> None:
+    if isinstance(response.body, bytes):
+        await send({"type": "http.response.body", "body": response.body})
+        return
+    try:
+        async for piece in response.body:
+            await send(
+                {"type": "http.response.body", "body": piece, "more_body": True}
+            )
+    except BaseException:
+        response.body.abort()
+        raise
+    await send({"type": "http.response.body", "body": b""})
+
+
+async def _received(scope: dict[str, Any], receive: _Receive) -> Request:
+    headers = tuple(
+        (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
+        for key, value in scope["headers"]
+    )
+    text = header(headers, "content-length")
+    length = int(text) if text is not None else None
+    chunked = header(headers, "transfer-encoding") is not None
+    if length is None and not chunked:
+        length = 0
+    stream = _RequestStream(receive)
+    body: bytes | BodyStream = stream
+    if length is not None and length <= SMALL_BODY_BYTES:
+        body = b"".join([piece async for piece in stream])
+    path = scope["raw_path"].decode("ascii")
+    if scope["query_string"]:
+        path += "?" + scope["query_string"].decode("ascii")
+    client = scope.get("client") or ("", 0)
+    return Request(scope["method"], path, headers, body, length, client[0])
--- /dev/null
+++ b/src/radishwind/membership/__init__.py
@@ -0,0 +1,7 @@
+"""Which nodes there are, where, and whether they take new work."""
+
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.membership.directory import MemberState
+
+__all__ = ["Directory", "Member", "MemberState"]
--- /dev/null
+++ b/src/radishwind/node/app.py
@@ -0,0 +1,181 @@
+"""Composes a node and runs it until it is told to stop."""
+
+import os
+import random
+import signal
+
+import anyio
+import anyio.abc
+import msgspec
+
+from radishwind.admission import FifoAdmission
+from radishwind.config.index import ConfigIndex
+from radishwind.config.model import Configuration
+from radishwind.core import Clock
+from radishwind.core import ResultCode
+from radishwind.entry import EntryPipeline
+from radishwind.http import make_sender
+from radishwind.http import make_server
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.hygiene import end_to_end
+from radishwind.membership.polled import PolledDirectory
+from radishwind.outcomes import problem
+from radishwind.peers import ForwardRunner
+from radishwind.peers import PeerListener
+from radishwind.peers.forward import without_node_fields
+from radishwind.retries import RetryNotRun
+from radishwind.routing import FewestOwnRequests
+from radishwind.settings import NodeSettings
+from radishwind.store import EtcdStore
+from radishwind.store import StoreError
+from radishwind.target import TargetPipeline
+
+CONFIG_KEY = "/radishwind/config"
+_POLL_S = 0.5
+
+
+class Node:
+    """One node: three listeners, the data path, and the control tasks."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        seed = settings.seed or int.from_bytes(os.urandom(8), "big")
+        self._rng = random.Random(seed)
+        self._index = ConfigIndex(Configuration())
+        self._stopping = anyio.Event()
+        self._build()
+
+    def _build(self) -> None:
+        library = self._settings.http_library
+        self._sender = make_sender(library, connections=250)
+        self._store = EtcdStore(
+            make_sender(library, connections=4), self._settings.store
+        )
+        self._directory = PolledDirectory(lambda: self._index)
+        self._admission = FifoAdmission(0, 0, 0.0)
+        assert self._settings.server is not None
+        self._target = TargetPipeline(
+            clock=self._clock,
+            admission=self._admission,
+            sender=self._sender,
+            server=self._settings.server,
+        )
+        self._entry = EntryPipeline(
+            node_name=self._settings.target,
+            clock=self._clock,
+            rng=self._rng,
+            index=lambda: self._index,
+            directory=self._directory,
+            chooser=FewestOwnRequests(self._rng),
+            retries=RetryNotRun(),
+            runner=ForwardRunner(
+                node_name=self._settings.target,
+                clock=self._clock,
+                target=self._target,
+                sender=self._sender,
+            ),
+        )
+        self._peers = PeerListener(
+            node_name=self._settings.target,
+            clock=self._clock,
+            index=lambda: self._index,
+            target=self._target,
+        )
+        self._servers = [make_server(library) for _ in range(3)]
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT; then finishes what is in progress."""
+        async with anyio.create_task_group() as tasks:
+            callers, peers, admin = self._servers
+            await peers.start(self._peers.handle, self._settings.peer_listen)
+            await admin.start(self._handle_admin, self._settings.admin_listen)
+            tasks.start_soon(self._poll_store)
+            tasks.start_soon(self._wait_for_signal)
+            await callers.start(
+                self._handle_caller, self._settings.caller_listen
+            )
+            await self._stopping.wait()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+
+    async def _stop(self) -> None:
+        self._target.leave()
+        await self._servers[0].stop_listening()
+        with anyio.move_on_after(self._settings.stop_grace_s):
+            await self._target.drained()
+        for server in self._servers:
+            await server.close(1.0)
+        await self._sender.close()
+        await self._store.close()
+
+    async def _wait_for_signal(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                self._stopping.set()
+
+    async def _handle_caller(self, request: Request) -> Response:
+        clean = Request(
+            request.method,
+            request.path,
+            without_node_fields(end_to_end(request.headers)),
+            request.body,
+            request.body_bytes,
+            request.remote,
+        )
+        response = await self._entry.handle(clean)
+        return Response(
+            response.status,
+            end_to_end(response.headers),
+            response.body,
+            response.body_bytes,
+        )
+
+    async def _handle_admin(self, request: Request) -> Response:
+        if request.path != "/v1/status":
+            return problem(
+                ResultCode.REQUEST_MALFORMED,
+                f"expected /v1/status, got {request.path[:80]!r}",
+                "not-run",
+            )
+        status = {
+            "target": self._settings.target,
+            "config_revision": self._index.cfg.revision,
+            "members": len(self._directory.members()),
+            "leaving": self._target.leaving,
+        }
+        return Response(
+            200,
+            (("Content-Type", "application/json"),),
+            msgspec.json.encode(status),
+        )
+
+    async def _poll_store(self) -> None:
+        while True:
+            try:
+                await self._read_config()
+                await self._directory.refresh(
+                    self._store, self._settings, self._target.leaving
+                )
+            except StoreError:
+                pass
+            await anyio.sleep(_POLL_S)
+
+    async def _read_config(self) -> None:
+        entry = await self._store.get(CONFIG_KEY)
+        if entry is None:
+            return
+        cfg = msgspec.json.decode(entry.value, type=Configuration)
+        if cfg.revision <= self._index.cfg.revision:
+            return
+        self._index = ConfigIndex(cfg)
+        own = self._index.targets.get(self._settings.target)
+        rules = cfg.rules.for_service(self._settings.service)
+        self._admission.resize(
+            own.slots if own else 0,
+            rules.queue_length,
+            rules.queue_wait_ms / 1000,
+        )
--- /dev/null
+++ b/src/radishwind/outcomes/model.py
@@ -0,0 +1,53 @@
+"""The three outcomes of an attempt, as types.
+
+A request that is not idempotent may be tried again only after `NotRun`. The
+result code and the caller's text are made from these values alone.
+"""
+
+import dataclasses
+from typing import TypeAlias
+
+from radishwind.core.codes import ResultCode
+from radishwind.http.types import Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """No byte of the request reached the server, or the server refused it.
+
+    Attributes:
+      code: why, from the 2000 or 3000 family.
+      detail: a sentence for the caller.
+      retry_after_s: when to come back (s), if that can help.
+    """
+
+    code: ResultCode
+    detail: str
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The server answered.
+
+    Attributes:
+      response: the server's answer; its body may still be streaming.
+    """
+
+    response: Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run; nothing tells whether it did.
+
+    Attributes:
+      code: why, from the 4000 family.
+      detail: a sentence for the caller.
+    """
+
+    code: ResultCode
+    detail: str
+
+
+Outcome: TypeAlias = NotRun | Done | Unknown
--- /dev/null
+++ b/src/radishwind/peers/forward.py
@@ -0,0 +1,333 @@
+"""Forwards attempts to the node beside the chosen target.
+
+A forwarded attempt is the caller's request plus fields that only nodes send;
+the answer echoes the attempt's id and says which of the three outcomes it is.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeAlias
+
+import anyio
+import msgspec
+
+from radishwind.config.index import ConfigIndex
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.entry.pipeline import AttemptResult
+from radishwind.entry.pipeline import AttemptRunner
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.sender import Sender
+from radishwind.http.types import abort_body
+from radishwind.http.types import header
+from radishwind.http.types import Headers
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.membership.directory import Member
+from radishwind.outcomes import answer
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Outcome
+from radishwind.outcomes import problem
+from radishwind.outcomes import Unknown
+from radishwind.routing.chooser import LoadReport
+from radishwind.target.pipeline import TargetPipeline
+
+#: Fields that start so are removed from callers' requests.
+NODE_FIELD_PREFIX = "radishwind-node-"
+ATTEMPT_FIELD = "Radishwind-Node-Attempt"
+ANSWER_FIELD = "Radishwind-Node-Answer"
+
+#: Paths below this one on the peer listener are control messages.
+CONTROL_PREFIX = "/radishwind/v1/"
+
+CONNECT_TIMEOUT_S = 0.5
+
+ControlHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
+
+
+class AttemptInfo(msgspec.Struct, frozen=True, array_like=True):
+    """What the entry node tells the target's node of an attempt.
+
+    Attributes:
+      attempt_id: unique over nodes and restarts.
+      target: the name of the target meant.
+      service: the service of the call.
+      idempotent: whether the call may run more than once.
+      remaining_ms: time left to its deadline when it was sent (ms).
+      expires_ms: its deadline as wall-clock time (ms since the epoch, UTC).
+      caller: who asks.
+      depth: how many calls it is nested in.
+    """
+
+    attempt_id: str
+    target: str
+    service: str
+    idempotent: bool
+    remaining_ms: int
+    expires_ms: int
+    caller: str
+    depth: int
+
+
+class AnswerInfo(msgspec.Struct, frozen=True, array_like=True):
+    """What the target's node tells the entry node with an answer.
+
+    Attributes:
+      attempt_id: the attempt it answers.
+      outcome: `done`, `not-run` or `unknown`.
+      code: the result code; 0 for `done`.
+      detail: a sentence for the caller; empty for `done`.
+      retry_after_s: when to come back (s).
+      load: the target's load.
+    """
+
+    attempt_id: str
+    outcome: str
+    code: int
+    detail: str
+    retry_after_s: float | None
+    load: LoadReport
+
+
+_attempt_decoder = msgspec.json.Decoder(AttemptInfo)
+_answer_decoder = msgspec.json.Decoder(AnswerInfo)
+_encoder = msgspec.json.Encoder()
+
+
+class ForwardRunner(AttemptRunner):
+    """Runs attempts here if the target is ours, else at the target's node."""
+
+    def __init__(
+        self,
+        *,
+        node_name: str,
+        clock: Clock,
+        target: TargetPipeline,
+        sender: Sender,
+    ) -> None:
+        self._node_name = node_name
+        self._clock = clock
+        self._target = target
+        self._sender = sender
+
+    async def run(
+        self, call: Call, member: Member, attempt_id: str
+    ) -> AttemptResult:
+        if member.name == self._node_name:
+            return await self._target.run(call)
+        remaining_s = call.deadline - self._clock.monotonic()
+        if remaining_s <= 0:
+            return AttemptResult(
+                NotRun(ResultCode.DEADLINE_PASSED, "The deadline had passed.")
+            )
+        request = _forwarded(call, member, attempt_id, remaining_s)
+        try:
+            with anyio.fail_after(remaining_s):
+                response = await self._sender.send(
+                    member.address, request, CONNECT_TIMEOUT_S
+                )
+        except ConnectFailedError:
+            return AttemptResult(
+                NotRun(
+                    ResultCode.CONNECT_FAILED,
+                    "The target's node takes no connection.",
+                    1.0,
+                )
+            )
+        except ExchangeBrokenError:
+            return AttemptResult(
+                Unknown(
+                    ResultCode.EXCHANGE_BROKEN,
+                    "The answer of the target's node broke off.",
+                )
+            )
+        except TimeoutError:
+            return AttemptResult(
+                Unknown(
+                    ResultCode.EXCHANGE_TIMEOUT,
+                    "The target did not answer in time.",
+                )
+            )
+        return _result(response, attempt_id)
+
+
+class PeerListener:
+    """Serves the peer listener: forwarded attempts and control messages."""
+
+    def __init__(
+        self,
+        *,
+        node_name: str,
+        clock: Clock,
+        index: Callable[[], ConfigIndex],
+        target: TargetPipeline,
+    ) -> None:
+        self._node_name = node_name
+        self._clock = clock
+        self._index = index
+        self._target = target
+        self._control: dict[str, ControlHandler] = {}
+
+    def add_control(self, name: str, handler: ControlHandler) -> None:
+        """Routes the control path `/radishwind/v1/NAME` to `handler`."""
+        self._control[CONTROL_PREFIX + name] = handler
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request of a peer."""
+        field = header(request.headers, ATTEMPT_FIELD.lower())
+        if field is None:
+            return await self._handle_control(request)
+        try:
+            info = _attempt_decoder.decode(field)
+        except msgspec.MsgspecError as exc:
+            return problem(ResultCode.PEER_MALFORMED, str(exc), "not-run")
+        if info.target != self._node_name:
+            # The address has passed to another target since the peer heard.
+            outcome: Outcome = NotRun(
+                ResultCode.NO_TARGET,
+                f"expected target {self._node_name}, got {info.target}",
+            )
+            return self._answered(info.attempt_id, outcome)
+        result = await self._target.run(self._call(info, request))
+        return self._answered(info.attempt_id, result.outcome)
+
+    async def _handle_control(self, request: Request) -> Response:
+        handler = self._control.get(request.path.partition("?")[0])
+        if handler is None:
+            return problem(
+                ResultCode.PEER_MALFORMED,
+                f"expected a known path, got {request.path[:80]!r}",
+                "not-run",
+            )
+        return await handler(request)
+
+    def _call(self, info: AttemptInfo, request: Request) -> Call:
+        return Call(
+            call_id=info.attempt_id,
+            service=info.service,
+            request=Request(
+                request.method,
+                request.path,
+                without_node_fields(request.headers),
+                request.body,
+                request.body_bytes,
+            ),
+            rules=self._index().cfg.rules.for_service(info.service),
+            idempotent=info.idempotent,
+            deadline=self._clock.monotonic() + info.remaining_ms / 1000,
+            expires_ms=info.expires_ms,
+            caller=info.caller,
+            depth=info.depth,
+        )
+
+    def _answered(self, attempt_id: str, outcome: Outcome) -> Response:
+        response = answer(outcome)
+        info = _answer_info(attempt_id, outcome, self._target.load())
+        field = _encoder.encode(info).decode()
+        return Response(
+            response.status,
+            (*response.headers, (ANSWER_FIELD, field)),
+            response.body,
+            response.body_bytes,
+        )
+
+
+def without_node_fields(headers: Headers) -> Headers:
+    """Returns `headers` without the fields that only nodes may send."""
+    return tuple(
+        item
+        for item in headers
+        if not item[0].lower().startswith(NODE_FIELD_PREFIX)
+    )
+
+
+def _forwarded(
+    call: Call, member: Member, attempt_id: str, remaining_s: float
+) -> Request:
+    info = AttemptInfo(
+        attempt_id,
+        member.name,
+        call.service,
+        call.idempotent,
+        max(1, int(remaining_s * 1000)),
+        call.expires_ms,
+        call.caller,
+        call.depth,
+    )
+    request = call.request
+    field = _encoder.encode(info).decode()
+    return Request(
+        request.method,
+        request.path,
+        (*request.headers, (ATTEMPT_FIELD, field)),
+        request.body,
+        request.body_bytes,
+    )
+
+
+def _answer_info(
+    attempt_id: str, outcome: Outcome, load: LoadReport
+) -> AnswerInfo:
+    if isinstance(outcome, Done):
+        return AnswerInfo(attempt_id, "done", 0, "", None, load)
+    code = int(outcome.code)
+    if isinstance(outcome, NotRun):
+        return AnswerInfo(
+            attempt_id,
+            "not-run",
+            code,
+            outcome.detail,
+            outcome.retry_after_s,
+            load,
+        )
+    return AnswerInfo(attempt_id, "unknown", code, outcome.detail, None, load)
+
+
+def _result(response: Response, attempt_id: str) -> AttemptResult:
+    """Reads the outcome that the target's node tells.
+
+    Anything that is not plainly the answer to this attempt is `Unknown`.
+    """
+    info = _read_answer(response, attempt_id)
+    if info is None:
+        abort_body(response.body)
+        return AttemptResult(
+            Unknown(
+                ResultCode.ANSWER_MISMATCH,
+                "The answer was not to this attempt.",
+            )
+        )
+    if info.outcome == "done":
+        clean = Response(
+            response.status,
+            without_node_fields(response.headers),
+            response.body,
+            response.body_bytes,
+        )
+        return AttemptResult(Done(clean), info.load)
+    abort_body(response.body)
+    try:
+        code = ResultCode(info.code)
+    except ValueError:
+        code = ResultCode.ANSWER_MISMATCH
+    if info.outcome == "not-run":
+        outcome: Outcome = NotRun(code, info.detail, info.retry_after_s)
+    else:
+        outcome = Unknown(code, info.detail)
+    return AttemptResult(outcome, info.load)
+
+
+def _read_answer(response: Response, attempt_id: str) -> AnswerInfo | None:
+    field = header(response.headers, ANSWER_FIELD.lower())
+    if field is None:
+        return None
+    try:
+        info = _answer_decoder.decode(field)
+    except msgspec.MsgspecError:
+        return None
+    if info.attempt_id != attempt_id:
+        return None
+    return info
--- /dev/null
+++ b/src/radishwind/routing/baselines.py
@@ -0,0 +1,84 @@
+"""Simple policies: random, round robin, fewest own requests."""
+
+import collections
+import random
+from collections.abc import Sequence
+
+from radishwind.membership.directory import Member
+from radishwind.outcomes.model import Outcome
+from radishwind.routing.chooser import LoadReport
+from radishwind.routing.chooser import TargetChooser
+
+
+class _CountingChooser(TargetChooser):
+    """Counts the own requests in flight at each target."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._in_flight: collections.Counter[str] = collections.Counter()
+
+    def started(self, name: str, now: float) -> None:
+        self._in_flight[name] += 1
+
+    def finished(
+        self,
+        name: str,
+        now: float,
+        elapsed_s: float,
+        outcome: Outcome | None,
+        load: LoadReport | None,
+    ) -> None:
+        self._in_flight[name] -= 1
+        if not self._in_flight[name]:
+            del self._in_flight[name]
+
+
+class RandomChooser(_CountingChooser):
+    """Any candidate with the same chance."""
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Member | None:
+        fit = [m for m in members if m.name not in exclude]
+        return self._rng.choice(fit) if fit else None
+
+
+class RoundRobin(_CountingChooser):
+    """The candidates in turn."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._turn = rng.randrange(1 << 16)
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Member | None:
+        fit = [m for m in members if m.name not in exclude]
+        if not fit:
+            return None
+        self._turn += 1
+        return fit[self._turn % len(fit)]
+
+
+class FewestOwnRequests(_CountingChooser):
+    """The candidate with the fewest of this node's requests in flight."""
+
+    def choose(
+        self,
+        members: Sequence[Member],
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Member | None:
+        fit = [m for m in members if m.name not in exclude]
+        if not fit:
+            return None
+        least = min(self._in_flight[m.name] for m in fit)
+        return self._rng.choice(
+            [m for m in fit if self._in_flight[m.name] == least]
+        )
--- /dev/null
+++ b/src/radishwind/settings/__init__.py
@@ -0,0 +1,8 @@
+"""Settings by flags and environment: typed, with units, checked at start."""
+
+from radishwind.settings.loader import load
+from radishwind.settings.loader import setting
+from radishwind.settings.loader import SettingError
+from radishwind.settings.node import NodeSettings
+
+__all__ = ["NodeSettings", "SettingError", "load", "setting"]
--- /dev/null
+++ b/src/radishwind/settings/node.py
@@ -0,0 +1,70 @@
+"""The settings of `radishwind node`."""
+
+import dataclasses
+
+from radishwind.http.factory import HttpLibrary
+from radishwind.http.types import Address
+from radishwind.settings import parsers
+from radishwind.settings.loader import setting
+
+
+def _library(text: str) -> HttpLibrary:
+    try:
+        return HttpLibrary(text)
+    except ValueError:
+        known = ", ".join(HttpLibrary)
+        raise ValueError(f"expected one of {known}") from None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeSettings:
+    """What a node learns from outside; the rest comes from the store."""
+
+    target: str = setting(
+        parsers.name, "Name of the target beside, as in the inventory."
+    )
+    service: str = setting(parsers.name, "Service of the target beside.")
+    failure_domain: str = setting(
+        parsers.name, "Failure domain this instance stands in."
+    )
+    store: Address = setting(
+        parsers.address, "The platform's key-value store.", unit="HOST:PORT"
+    )
+    caller_listen: Address = setting(
+        parsers.address,
+        "Where callers' requests are received.",
+        default=Address("127.0.0.1", 8080),
+        unit="HOST:PORT",
+    )
+    peer_listen: Address = setting(
+        parsers.address,
+        "Where other nodes are received.",
+        default=Address("127.0.0.1", 8081),
+        unit="HOST:PORT",
+    )
+    admin_listen: Address = setting(
+        parsers.address,
+        "Where the server beside and operators are received.",
+        default=Address("127.0.0.1", 8082),
+        unit="HOST:PORT",
+    )
+    server: Address | None = setting(
+        parsers.optional_address,
+        "The server beside, if it does not announce itself.",
+        default=None,
+        unit="HOST:PORT",
+    )
+    stop_grace_s: float = setting(
+        parsers.number(0, 3600),
+        "How long a planned stop waits for requests in progress.",
+        default=30.0,
+        unit="s",
+    )
+    http_library: HttpLibrary = setting(
+        _library, "HTTP library.", default=HttpLibrary.AIOHTTP
+    )
+    seed: int = setting(
+        parsers.whole_number(0, 2**63 - 1),
+        "Seed of the random source; 0 takes one from the system.",
+        default=0,
+    )
--- /dev/null
+++ b/src/radishwind/settings/parsers.py
@@ -0,0 +1,64 @@
+"""Parsers of settings; each says what it expected in its `ValueError`."""
+
+import re
+from collections.abc import Callable
+
+from radishwind.http.types import Address
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+
+def address(text: str) -> Address:
+    """Parses `HOST:PORT`."""
+    return Address.parse(text)
+
+
+def optional_address(text: str) -> Address | None:
+    """Parses `HOST:PORT`; empty for none."""
+    return Address.parse(text) if text else None
+
+
+def addresses(text: str) -> tuple[Address, ...]:
+    """Parses a list of `HOST:PORT`, separated by commas."""
+    return tuple(Address.parse(part) for part in text.split(",") if part)
+
+
+def name(text: str) -> str:
+    """Parses a name as used in the inventory."""
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            "expected 1 to 63 letters, digits, dots, dashes or underscores, "
+            "a letter or digit first"
+        )
+    return text
+
+
+def number(low: float, high: float) -> Callable[[str], float]:
+    """Returns a parser of numbers from `low` to `high`, both included."""
+
+    def parse(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            raise ValueError(
+                f"expected a number from {low} to {high}"
+            ) from None
+        if not low <= value <= high:
+            raise ValueError(f"expected a number from {low} to {high}")
+        return value
+
+    return parse
+
+
+def whole_number(low: int, high: int) -> Callable[[str], int]:
+    """Returns a parser of whole numbers from `low` to `high`."""
+
+    def parse(text: str) -> int:
+        if not re.fullmatch(r"-?[0-9]{1,18}", text):
+            raise ValueError(f"expected a whole number from {low} to {high}")
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(f"expected a whole number from {low} to {high}")
+        return value
+
+    return parse
--- /dev/null
+++ b/src/radishwind/store/base.py
@@ -0,0 +1,157 @@
+"""The interface of the store: compare-and-swap, leases and watches."""
+
+import abc
+import dataclasses
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+from typing import TypeAlias
+
+from radishwind.core.codes import ResultCode
+from radishwind.core.errors import RadishwindError
+
+
+class StoreError(RadishwindError):
+    """A call of the store failed."""
+
+
+class StoreUnavailableError(StoreError):
+    """The call certainly had no effect: no connection, or refused unread."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
+class StoreAnswerLostError(StoreError):
+    """The call may have had its effect; its answer never came."""
+
+    code = ResultCode.STORE_ANSWER_LOST
+
+
+class StoreAnswerMalformedError(StoreAnswerLostError):
+    """The answer cannot be read, so what the call did is unknown."""
+
+    code = ResultCode.STORE_ANSWER_MALFORMED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEntry:
+    """A key with its value.
+
+    Attributes:
+      key: the key.
+      value: the value, at most 1 MB.
+      create_revision: the store's revision at which the key was created.
+      mod_revision: the store's revision of the last change of the key.
+      lease_id: the lease it hangs on; 0 for none.
+    """
+
+    key: str
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    lease_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Compare:
+    """A condition on one key.
+
+    Attributes:
+      key: the key.
+      mod_revision: what its last change must be; 0 for "does not exist".
+      create_revision: what its creation must be, instead of `mod_revision`.
+    """
+
+    key: str
+    mod_revision: int | None = None
+    create_revision: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Sets a key, on a lease where `lease_id` (ID, not 0) is given."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delete:
+    """Removes a key."""
+
+    key: str
+
+
+Operation: TypeAlias = Put | Delete
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TxnResult:
+    """What a transaction did.
+
+    Attributes:
+      succeeded: whether every condition held, so that the changes were made.
+      revision: the store's revision after it.
+    """
+
+    succeeded: bool
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """A change seen by a watch.
+
+    Attributes:
+      key: the key changed.
+      entry: its new value, `None` if it was removed.
+      revision: the store's revision of the change.
+    """
+
+    key: str
+    entry: StoreEntry | None
+    revision: int
+
+
+class Store(abc.ABC):
+    """The part of the store that is used; every method is one call of it.
+
+    Every method raises `StoreUnavailableError` where the call certainly had no
+    effect, and `StoreAnswerLostError` where that cannot be told.
+    """
+
+    @abc.abstractmethod
+    async def get(self, key: str) -> StoreEntry | None:
+        """Returns the entry of `key`, if it exists."""
+
+    @abc.abstractmethod
+    async def list(self, prefix: str) -> tuple[StoreEntry, ...]:
+        """Returns the entries whose key starts with `prefix`, by key."""
+
+    @abc.abstractmethod
+    async def transact(
+        self, compares: Sequence[Compare], operations: Sequence[Operation]
+    ) -> TxnResult:
+        """Makes all changes at once if every condition holds, else none."""
+
+    @abc.abstractmethod
+    async def grant(self, ttl_s: int) -> int:
+        """Returns the ID of a new lease that lapses after `ttl_s` (s)."""
+
+    @abc.abstractmethod
+    async def keep_alive(self, lease_id: int) -> int:
+        """Renews a lease; returns its new time to live (s), 0 if lapsed."""
+
+    @abc.abstractmethod
+    async def revoke(self, lease_id: int) -> None:
+        """Ends a lease; the keys on it are removed."""
+
+    @abc.abstractmethod
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator[WatchEvent]:
+        """Yields changes below `prefix` from a revision on, until it fails."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes the connections."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What tests share: processes on loopback and waits on conditions."""
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,169 @@
+"""Starts the real processes on loopback and waits on conditions.
+
+Every wait is bounded and on a condition; nothing sleeps for a guessed time.
+"""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from typing import Any
+
+SRC = str(pathlib.Path(__file__).resolve().parents[2] / "src")
+
+#: The most a condition may take (s); far above what any of them needs.
+LIMIT_S = 30.0
+_STEP_S = 0.05
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports of 127.0.0.1 that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+def wait_until(
+    condition: Callable[[], Any], what: str, limit_s: float = LIMIT_S
+) -> Any:
+    """Returns the first true value of `condition`; fails after `limit_s`."""
+    pause = threading.Event()
+    steps = int(limit_s / _STEP_S)
+    for _ in range(steps):
+        with contextlib.suppress(OSError):
+            value = condition()
+            if value:
+                return value
+        pause.wait(_STEP_S)
+    raise AssertionError(f"gave up waiting for {what}")
+
+
+def fetch(
+    url: str,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, dict[str, str], bytes]:
+    """Returns status, header (names in lower case) and body of an exchange."""
+    request = urllib.request.Request(
+        url, data=body, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=LIMIT_S) as answer:
+            fields = {k.lower(): v for k, v in answer.headers.items()}
+            return answer.status, fields, answer.read()
+    except urllib.error.HTTPError as exc:
+        with exc:
+            fields = {k.lower(): v for k, v in exc.headers.items()}
+            return exc.code, fields, exc.read()
+
+
+class Process:
+    """One `radishwind` process; it is ended by its id and by nothing else."""
+
+    def __init__(self, *arguments: str, **environ: str) -> None:
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", "radishwind", *arguments],
+            env={**os.environ, "PYTHONPATH": SRC, **environ},
+            stderr=subprocess.PIPE,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        self._popen.send_signal(number)
+
+    def wait(self) -> int:
+        return self._popen.wait(LIMIT_S)
+
+    def running(self) -> bool:
+        return self._popen.poll() is None
+
+    def pid(self) -> int:
+        return self._popen.pid
+
+    def end(self) -> None:
+        """Kills the process if it still runs."""
+        if self.running():
+            self.send(signal.SIGCONT)
+            self._popen.kill()
+        self._popen.communicate()
+
+
+class Fleet:
+    """A store stand-in, and pairs of a backend stand-in and its node."""
+
+    def __init__(self) -> None:
+        self.store_port = free_ports(1)[0]
+        self.store = f"127.0.0.1:{self.store_port}"
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, list[int]] = {}
+        self.start_store()
+
+    def start_store(self) -> None:
+        self.processes["store"] = Process(
+            "standin", "store", "--listen", self.store
+        )
+
+    def start_backend(self, target: str, *options: str) -> None:
+        ports = self.ports.setdefault(target, free_ports(4))
+        self.processes[f"backend {target}"] = Process(
+            *("standin", "backend", "--name", target),
+            *("--listen", f"127.0.0.1:{ports[0]}"),
+            *options,
+        )
+
+    def start_node(
+        self, target: str, service: str, domain: str, *options: str
+    ) -> None:
+        ports = self.ports.setdefault(target, free_ports(4))
+        self.processes[f"node {target}"] = Process(
+            *("node", "--target", target, "--service", service),
+            *("--failure-domain", domain, "--store", self.store),
+            *("--server", f"127.0.0.1:{ports[0]}"),
+            *("--caller-listen", f"127.0.0.1:{ports[1]}"),
+            *("--peer-listen", f"127.0.0.1:{ports[2]}"),
+            *("--admin-listen", f"127.0.0.1:{ports[3]}"),
+            *options,
+        )
+
+    def caller_url(self, target: str) -> str:
+        return f"http://127.0.0.1:{self.ports[target][1]}"
+
+    def admin_url(self, target: str) -> str:
+        return f"http://127.0.0.1:{self.ports[target][3]}"
+
+    def status(self, target: str) -> dict[str, Any]:
+        body = fetch(self.admin_url(target) + "/v1/status")[2]
+        status: dict[str, Any] = json.loads(body)
+        return status
+
+    def apply(self, kind: str, file: pathlib.Path) -> None:
+        """Runs `radishwind KIND apply`, again until the store answers."""
+
+        def accepted() -> bool:
+            process = Process(kind, "apply", "--store", self.store, str(file))
+            try:
+                return process.wait() == 0
+            finally:
+                process.end()
+
+        wait_until(accepted, f"{kind} to be accepted")
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.end()
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
