--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 
+from radishwind.claims.guard import ClaimGuard
 from radishwind.config.index import ConfigIndex
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
@@ -62,6 +63,7 @@
         chooser: TargetChooser,
         retries: RetryPolicy,
         runner: AttemptRunner,
+        claims: ClaimGuard,
     ) -> None:
         self._clock = clock
         self._index = index
@@ -69,6 +71,7 @@
         self._chooser = chooser
         self._retries = retries
         self._runner = runner
+        self._claims = claims
         # Unique over restarts: the name alone is not.
         self._id_prefix = f"{node_name}-{rng.getrandbits(64):016x}"
         self._calls = itertools.count(1)
@@ -85,7 +88,7 @@
             )
         except CallRejectedError as exc:
             return problem(exc.code, exc.args[0], "not-run")
-        return answer(await self._run(call))
+        return answer(await self._claims.run(call, self._run))
 
     async def _run(self, call: Call) -> Outcome:
         tried: frozenset[str] = frozenset()
--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -95,6 +95,13 @@
     body_bytes: int | None = None
 
 
+async def whole_body(body: Body) -> bytes:
+    """Returns the whole of `body`; for messages known to be small."""
+    if isinstance(body, bytes):
+        return body
+    return b"".join([piece async for piece in body])
+
+
 def abort_body(body: Body) -> None:
     """Aborts `body` if it is a stream."""
     if isinstance(body, BodyStream):
--- /dev/null
+++ b/src/radishwind/node/admin.py
@@ -0,0 +1,59 @@
+"""The admin listener: for the server beside and for operators."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import TypeAlias
+
+import msgspec
+
+from radishwind.core import ResultCode
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.outcomes import problem
+
+AdminHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
+StatusPart: TypeAlias = Callable[[], dict[str, Any]]
+
+_JSON: tuple[tuple[str, str], ...] = (("Content-Type", "application/json"),)
+
+
+class AdminListener:
+    """Routes admin requests; each slice adds its paths and status fields."""
+
+    def __init__(self) -> None:
+        self._routes: dict[tuple[str, str], AdminHandler] = {}
+        self._status: list[StatusPart] = []
+        self.add("GET", "/v1/status", self._handle_status)
+
+    def add(self, method: str, path: str, handler: AdminHandler) -> None:
+        """Routes `method` and `path` to `handler`."""
+        self._routes[method, path] = handler
+
+    def add_status(self, part: StatusPart) -> None:
+        """Adds the fields that `part` returns to the status."""
+        self._status.append(part)
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one admin request."""
+        path = request.path.partition("?")[0]
+        handler = self._routes.get((request.method, path))
+        if handler is None:
+            known = ", ".join(sorted(" ".join(r) for r in self._routes))
+            return problem(
+                ResultCode.REQUEST_MALFORMED,
+                f"expected one of {known}; got {request.method} {path[:80]}",
+                "not-run",
+            )
+        return await handler(request)
+
+    async def _handle_status(self, request: Request) -> Response:
+        status: dict[str, Any] = {}
+        for part in self._status:
+            status.update(part())
+        return json_response(status)
+
+
+def json_response(value: Any, status: int = 200) -> Response:
+    """Returns `value` as JSON."""
+    return Response(status, _JSON, msgspec.json.encode(value))
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -3,16 +3,17 @@
 import os
 import random
 import signal
+from typing import Any
 
 import anyio
 import anyio.abc
 import msgspec
 
 from radishwind.admission import FifoAdmission
+from radishwind.claims import NoClaims
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
 from radishwind.core import Clock
-from radishwind.core import ResultCode
 from radishwind.entry import EntryPipeline
 from radishwind.http import make_sender
 from radishwind.http import make_server
@@ -20,7 +21,7 @@
 from radishwind.http import Response
 from radishwind.http.hygiene import end_to_end
 from radishwind.membership.polled import PolledDirectory
-from radishwind.outcomes import problem
+from radishwind.node.admin import AdminListener
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
 from radishwind.peers.forward import without_node_fields
@@ -76,6 +77,7 @@
                 target=self._target,
                 sender=self._sender,
             ),
+            claims=NoClaims(),
         )
         self._peers = PeerListener(
             node_name=self._settings.target,
@@ -83,6 +85,8 @@
             index=lambda: self._index,
             target=self._target,
         )
+        self._admin = AdminListener()
+        self._admin.add_status(self._status)
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
@@ -90,7 +94,7 @@
         async with anyio.create_task_group() as tasks:
             callers, peers, admin = self._servers
             await peers.start(self._peers.handle, self._settings.peer_listen)
-            await admin.start(self._handle_admin, self._settings.admin_listen)
+            await admin.start(self._admin.handle, self._settings.admin_listen)
             tasks.start_soon(self._poll_store)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
@@ -134,24 +138,13 @@
             response.body_bytes,
         )
 
-    async def _handle_admin(self, request: Request) -> Response:
-        if request.path != "/v1/status":
-            return problem(
-                ResultCode.REQUEST_MALFORMED,
-                f"expected /v1/status, got {request.path[:80]!r}",
-                "not-run",
-            )
-        status = {
+    def _status(self) -> dict[str, Any]:
+        return {
             "target": self._settings.target,
             "config_revision": self._index.cfg.revision,
             "members": len(self._directory.members()),
             "leaving": self._target.leaving,
         }
-        return Response(
-            200,
-            (("Content-Type", "application/json"),),
-            msgspec.json.encode(status),
-        )
 
     async def _poll_store(self) -> None:
         while True:
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -32,6 +32,7 @@
 from radishwind.outcomes import Outcome
 from radishwind.outcomes import problem
 from radishwind.outcomes import Unknown
+from radishwind.peers.client import CONTROL_PREFIX
 from radishwind.routing.chooser import LoadReport
 from radishwind.target.pipeline import TargetPipeline
 
@@ -40,9 +41,6 @@
 ATTEMPT_FIELD = "Radishwind-Node-Attempt"
 ANSWER_FIELD = "Radishwind-Node-Answer"
 
-#: Paths below this one on the peer listener are control messages.
-CONTROL_PREFIX = "/radishwind/v1/"
-
 CONNECT_TIMEOUT_S = 0.5
 
 ControlHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
--- a/src/radishwind/standins/store.py
+++ b/src/radishwind/standins/store.py
@@ -13,6 +13,7 @@
 from radishwind.core.clock import Clock
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.http.types import whole_body
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,9 +50,7 @@
             return _json(404, {"error": "not found", "code": 5})
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         self._lapse()
-        body = request.body
-        if not isinstance(body, bytes):
-            body = b"".join([piece async for piece in body])
+        body = await whole_body(request.body)
         try:
             answer = handler(msgspec.json.decode(body))
         except (KeyError, TypeError, ValueError) as exc:
--- a/src/radishwind/store/etcd.py
+++ b/src/radishwind/store/etcd.py
@@ -12,8 +12,8 @@
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
 from radishwind.http.types import Address
-from radishwind.http.types import BodyStream
 from radishwind.http.types import Request
+from radishwind.http.types import whole_body
 from radishwind.store.base import Compare
 from radishwind.store.base import Operation
 from radishwind.store.base import Put
@@ -107,7 +107,7 @@
                 response = await self._sender.send(
                     self._address, request, _CONNECT_TIMEOUT_S
                 )
-                content = await _content(response.body)
+                content = await whole_body(response.body)
         except ConnectFailedError as exc:
             raise StoreUnavailableError(f"{name}: {exc}") from exc
         except (ExchangeBrokenError, TimeoutError) as exc:
@@ -125,12 +125,6 @@
         return answer
 
 
-async def _content(body: bytes | BodyStream) -> bytes:
-    if isinstance(body, bytes):
-        return body
-    return b"".join([piece async for piece in body])
-
-
 def _entry(kv: dict[str, Any]) -> StoreEntry:
     return StoreEntry(
         base64.b64decode(kv["key"]).decode(),
