--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,94 @@
+"""Prints a table and keeps it with its JSON under docs/measurements/."""
+
+import json
+import os
+import pathlib
+import platform
+import subprocess
+from collections.abc import Sequence
+from typing import Any
+
+_FOLDER = pathlib.Path(__file__).parents[1] / "docs" / "measurements"
+
+
+def commit() -> str:
+    """Returns the commit the bench runs on, `+` for uncommitted changes."""
+    root = _FOLDER.parents[1]
+    revision = _git(root, "rev-parse", "--short=12", "HEAD")
+    changed = _git(root, "status", "--porcelain", "--", "src", "bench")
+    return revision + ("+" if changed else "")
+
+
+def _git(root: pathlib.Path, *arguments: str) -> str:
+    done = subprocess.run(
+        ["git", "-C", str(root), *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return done.stdout.strip()
+
+
+def table(rows: Sequence[dict[str, Any]]) -> str:
+    """Returns `rows` as a Markdown table; the first row names the columns."""
+    if not rows:
+        return "(no rows)\n"
+    columns = list(rows[0])
+    lines = [
+        "| " + " | ".join(columns) + " |",
+        "|" + "---|" * len(columns),
+    ]
+    for row in rows:
+        cells = [_cell(row.get(column, "")) for column in columns]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    if isinstance(value, dict):
+        return ", ".join(f"{k}: {v}" for k, v in value.items())
+    return str(value)
+
+
+def keep(
+    name: str,
+    title: str,
+    command: str,
+    sections: Sequence[tuple[str, Sequence[dict[str, Any]]]],
+    notes: str = "",
+) -> None:
+    """Prints the sections and writes NAME.md and NAME.json.
+
+    Args:
+      name: of the files.
+      title: of the page.
+      command: that makes them again.
+      sections: heading and rows of each table.
+      notes: what the reader must know of the run.
+    """
+    about = {
+        "command": command,
+        "commit": commit(),
+        "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "load_at_end": os.getloadavg()[0],
+    }
+    lines = [f"# {title}\n", f"    {command}\n"]
+    lines.append(
+        f"Commit {about['commit']}, Python {about['python']}, "
+        f"{about['cores']} cores, load average at the end "
+        f"{about['load_at_end']:.1f}.\n"
+    )
+    if notes:
+        lines.append(notes + "\n")
+    for heading, rows in sections:
+        lines.append(f"## {heading}\n")
+        lines.append(table(rows))
+    text = "\n".join(lines)
+    print(text)
+    _FOLDER.mkdir(parents=True, exist_ok=True)
+    (_FOLDER / f"{name}.md").write_text(text)
+    content = {**about, "sections": {h: list(r) for h, r in sections}}
+    (_FOLDER / f"{name}.json").write_text(json.dumps(content, indent=1) + "\n")
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -90,6 +90,17 @@
     def pid(self) -> int:
         return self._popen.pid
 
+    def cpu_s(self) -> float:
+        """Returns the processor time used so far (s)."""
+        stat = pathlib.Path(f"/proc/{self.pid()}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Returns the resident memory (bytes)."""
+        statm = pathlib.Path(f"/proc/{self.pid()}/statm").read_text()
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def end(self) -> None:
         """Kills the process if it still runs."""
         if self.running():
