Guard the listeners: limits, numbered errors, nothing forged or ambiguous

Cause: what aiohttp could not parse got its own plain answer, slow and endless bodies were unbounded, HEAD lost the server's length, and paths with dot segments could be routed as one service and served as another. Ruled out: half-closed callers as a fault of ours; the event loop treats an ended sending side as a caller that is gone, so the tests no longer half-close.

--- a/src/radishwind/http/__init__.py
+++ b/src/radishwind/http/__init__.py
@@ -10,6 +10,7 @@
 from radishwind.http.factory import HttpLibrary
 from radishwind.http.factory import make_sender
 from radishwind.http.factory import make_server
+from radishwind.http.limits import ServerLimits
 from radishwind.http.sender import Sender
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
@@ -34,6 +35,7 @@
     "SendError",
     "Sender",
     "Server",
+    "ServerLimits",
     "make_sender",
     "make_server",
 ]
--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -1,13 +1,22 @@
 """`Server` by aiohttp's low-level web server."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
+import anyio
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_protocol import RequestPayloadError
 from multidict import CIMultiDict
 
+from radishwind.core.codes import ResultCode
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import RequestRejectedError
+from radishwind.http.errors import RequestTooLargeError
+from radishwind.http.errors import SenderTooSlowError
+from radishwind.http.limits import ServerLimits
+from radishwind.http.problems import problem_body
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
 from radishwind.http.types import Address
@@ -16,24 +25,35 @@
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
 
-#: Kept longer than any sender of ours keeps an idle connection.
-KEEPALIVE_S = 75.0
+_SERVER_NAME = "radishwind"
 
-MAX_FIELD_BYTES = 8190
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class _RequestStream(BodyStream):
     """The body of a request that is still arriving."""
 
-    def __init__(self, request: web.BaseRequest) -> None:
+    def __init__(self, request: web.BaseRequest, limits: ServerLimits) -> None:
         self._request = request
+        self._limits = limits
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
+        taken = 0
+        while True:
+            piece = await self._read()
+            if not piece:
+                return
+            taken += len(piece)
+            if taken > self._limits.body_bytes:
+                raise _too_large(self._limits)
+            yield piece
+
+    async def _read(self) -> bytes:
         try:
-            async for piece in self._request.content.iter_chunked(
-                SMALL_BODY_BYTES
-            ):
-                yield piece
+            with anyio.fail_after(self._limits.body_pause_s):
+                return await self._request.content.readany()
+        except TimeoutError as exc:
+            raise _too_slow(self._limits) from exc
         except (RequestPayloadError, OSError) as exc:
             raise ExchangeBrokenError(f"request cut: {exc!r}") from exc
 
@@ -43,26 +63,70 @@
             transport.abort()
 
 
+class _Protocol(RequestHandler):
+    """Answers what cannot be parsed with a numbered error."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        if status == 400:
+            code, detail = ResultCode.REQUEST_MALFORMED, message or str(exc)
+            outcome = "not-run"
+        else:
+            code, detail = ResultCode.INTERNAL_ERROR, "The node failed."
+            outcome = "unknown"
+        response = problem_body(code, status, detail, outcome)
+        out = _whole(response)
+        out.force_close()
+        return out
+
+
+class _WebServer(web.Server):
+    """Makes our protocol, and closes connections above the limit."""
+
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            return await _serve(handler, request, limits)
+
+        super().__init__(serve, handler_cancellation=True)
+        self._limits = limits
+
+    def __call__(self) -> RequestHandler:
+        return _Protocol(
+            self,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=self._limits.idle_s,
+            access_log=None,  # type: ignore[arg-type]
+            max_line_size=self._limits.field_bytes,
+            max_field_size=self._limits.field_bytes,
+            max_headers=self._limits.fields,
+            auto_decompress=False,
+        )
+
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        super().connection_made(handler, transport)
+        if len(self.connections) > self._limits.connections:
+            transport.abort()
+
+
 class AiohttpServer(Server):
     """Receives by aiohttp; see `Server` for what it promises."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ServerLimits) -> None:
+        self._limits = limits
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
 
     async def start(self, handler: Handler, listen: Address) -> Address:
-        async def serve(request: web.BaseRequest) -> web.StreamResponse:
-            return await _serve(handler, request)
-
-        server = web.Server(
-            serve,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
-            access_log=None,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
-            auto_decompress=False,
-        )
+        server = _WebServer(handler, self._limits)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await self._runner.setup()
         self._site = web.TCPSite(
@@ -86,31 +150,35 @@
 
 
 async def _serve(
-    handler: Handler, request: web.BaseRequest
+    handler: Handler, request: web.BaseRequest, limits: ServerLimits
 ) -> web.StreamResponse:
-    response = await handler(await _received(request))
-    headers = CIMultiDict(response.headers)
+    try:
+        received = await _received(request, limits)
+    except RequestRejectedError as exc:
+        return _rejected(exc)
+    response = await handler(received)
     if isinstance(response.body, BodyStream):
-        return await _stream(request, response, response.body, headers)
-    headers.popall("Content-Length", None)
-    return web.Response(
-        status=response.status, headers=headers, body=response.body
-    )
+        return await _stream(request, response, response.body)
+    return _whole(response, request.method == "HEAD")
 
 
-async def _received(request: web.BaseRequest) -> Request:
+async def _received(request: web.BaseRequest, limits: ServerLimits) -> Request:
     length = request.content_length
+    if length is not None and length > limits.body_bytes:
+        raise _too_large(limits)
+    headers = tuple(
+        (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
+        for key, value in request.raw_headers
+    )
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(_CONTINUE)
     body: bytes | BodyStream = b""
     if not request.body_exists:
         length = 0
     elif length is not None and length <= SMALL_BODY_BYTES:
-        body = await request.content.read(-1)
+        body = await _small_body(request, limits)
     else:
-        body = _RequestStream(request)
-    headers = tuple(
-        (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
-        for key, value in request.raw_headers
-    )
+        body = _RequestStream(request, limits)
     return Request(
         request.method,
         request.raw_path,
@@ -121,12 +189,58 @@
     )
 
 
+async def _small_body(request: web.BaseRequest, limits: ServerLimits) -> bytes:
+    content = request.content
+    if content.is_eof() or content.total_bytes == request.content_length:
+        return await content.read(-1)
+    try:
+        with anyio.fail_after(limits.body_pause_s):
+            return await content.read(-1)
+    except TimeoutError as exc:
+        raise _too_slow(limits) from exc
+    except (RequestPayloadError, OSError) as exc:
+        raise RequestRejectedError("expected a whole body, got a part") from exc
+
+
+def _too_slow(limits: ServerLimits) -> SenderTooSlowError:
+    return SenderTooSlowError(
+        f"expected more of the body within {limits.body_pause_s:g} s"
+    )
+
+
+def _too_large(limits: ServerLimits) -> RequestTooLargeError:
+    return RequestTooLargeError(
+        f"expected a body of at most {limits.body_bytes} bytes, got more"
+    )
+
+
+def _rejected(exc: RequestRejectedError) -> web.Response:
+    status = {
+        ResultCode.REQUEST_TOO_LARGE: 413,
+        ResultCode.SENDER_TOO_SLOW: 408,
+    }.get(exc.code, 400)
+    response = problem_body(exc.code, status, exc.args[0], "not-run")
+    out = _whole(response)
+    out.force_close()
+    return out
+
+
+def _whole(response: Response, head: bool = False) -> web.Response:
+    headers = CIMultiDict(response.headers)
+    if not head:
+        headers.popall("Content-Length", None)
+    headers.setdefault("Server", _SERVER_NAME)
+    assert isinstance(response.body, bytes)
+    return web.Response(
+        status=response.status, headers=headers, body=response.body
+    )
+
+
 async def _stream(
-    request: web.BaseRequest,
-    response: Response,
-    body: BodyStream,
-    headers: CIMultiDict[str],
+    request: web.BaseRequest, response: Response, body: BodyStream
 ) -> web.StreamResponse:
+    headers = CIMultiDict(response.headers)
+    headers.setdefault("Server", _SERVER_NAME)
     out = web.StreamResponse(status=response.status, headers=headers)
     try:
         await out.prepare(request)
--- a/src/radishwind/http/errors.py
+++ b/src/radishwind/http/errors.py
@@ -24,3 +24,15 @@
     """A received request breaks the rules or limits of HTTP."""
 
     code = ResultCode.REQUEST_MALFORMED
+
+
+class RequestTooLargeError(RequestRejectedError):
+    """The body is larger than the limit."""
+
+    code = ResultCode.REQUEST_TOO_LARGE
+
+
+class SenderTooSlowError(RequestRejectedError):
+    """The sender paused too long within the body."""
+
+    code = ResultCode.SENDER_TOO_SLOW
--- a/src/radishwind/http/factory.py
+++ b/src/radishwind/http/factory.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from radishwind.http.limits import ServerLimits
 from radishwind.http.sender import Sender
 from radishwind.http.server import Server
 
@@ -13,15 +14,18 @@
     HYPERCORN_HTTPX = "hypercorn-httpx"
 
 
-def make_server(library: HttpLibrary) -> Server:
+def make_server(
+    library: HttpLibrary, limits: ServerLimits | None = None
+) -> Server:
     """Returns a server that does not listen yet."""
+    limits = limits or ServerLimits()
     if library is HttpLibrary.HYPERCORN_HTTPX:
         from radishwind.http.hypercorn_server import HypercornServer
 
-        return HypercornServer()
+        return HypercornServer(limits)
     from radishwind.http.aiohttp_server import AiohttpServer
 
-    return AiohttpServer()
+    return AiohttpServer(limits)
 
 
 def make_sender(library: HttpLibrary, connections: int) -> Sender:
--- a/src/radishwind/http/hygiene.py
+++ b/src/radishwind/http/hygiene.py
@@ -1,11 +1,22 @@
-"""Removes the fields that belong to one connection only (RFC 9110, 7.6.1)."""
+"""What is taken from a received message and what is refused.
 
+Fields that belong to one connection only are removed (RFC 9110, 7.6.1).
+Requests that two parsers could read differently are refused.
+"""
+
+import re
+
+import yarl
+
+from radishwind.http.errors import RequestRejectedError
 from radishwind.http.types import header
 from radishwind.http.types import Headers
+from radishwind.http.types import Request
 
 _HOP_BY_HOP = frozenset(
     {
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -17,6 +28,15 @@
     }
 )
 
+#: Methods that make no sense for a backend server behind a node.
+_REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
+
+#: Fields that must not be given twice: receivers differ on which counts.
+_SINGLE = ("host", "content-length", "idempotency-key")
+
+_DOT_SEGMENT = re.compile(r"/(\.|%2e){1,2}(/|$)", re.IGNORECASE)
+_PATH = re.compile(r"/[\x21-\x7e]*")
+
 
 def end_to_end(headers: Headers) -> Headers:
     """Returns `headers` without hop-by-hop fields, listed or well known."""
@@ -24,4 +44,51 @@
     dropped = _HOP_BY_HOP
     if named is not None:
         dropped |= {token.strip().lower() for token in named.split(",")}
+        dropped -= {"host", "content-length"}
     return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def origin_path(path: str) -> str:
+    """Returns the request target in origin form, `/PATH?QUERY`.
+
+    Raises:
+      RequestRejectedError: it has another form, characters that must be
+        percent-encoded, or dot segments, which a server may resolve to a path
+        of another service.
+    """
+    if path.startswith(("http://", "https://")):
+        try:
+            path = yarl.URL(path, encoded=True).raw_path_qs
+        except ValueError as exc:
+            raise RequestRejectedError(f"expected a valid URL: {exc}") from exc
+    if not _PATH.fullmatch(path):
+        raise RequestRejectedError(
+            f"expected a path of visible ASCII characters, got {path[:80]!r}"
+        )
+    if _DOT_SEGMENT.search(path.partition("?")[0]):
+        raise RequestRejectedError(
+            f"expected a path without dot segments, got {path[:80]!r}"
+        )
+    return path
+
+
+def check_request(request: Request) -> None:
+    """Checks what the parser lets pass.
+
+    Raises:
+      RequestRejectedError: the method is refused, a field is given twice that
+        must not be, or a value is not UTF-8.
+    """
+    if request.method in _REFUSED_METHODS:
+        raise RequestRejectedError(
+            f"expected a method for a backend server, got {request.method}"
+        )
+    names = [name.lower() for name, _ in request.headers]
+    for name in _SINGLE:
+        if names.count(name) > 1:
+            raise RequestRejectedError(f"expected one field {name}, got more")
+    for name, value in request.headers:
+        if not value.isprintable() and "\t" not in value:
+            raise RequestRejectedError(
+                f"expected printable text in {name[:40]!r}"
+            )
--- a/src/radishwind/http/hypercorn_server.py
+++ b/src/radishwind/http/hypercorn_server.py
@@ -13,6 +13,7 @@
 from hypercorn.config import Config
 
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.limits import ServerLimits
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
 from radishwind.http.types import Address
@@ -22,9 +23,6 @@
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
 
-#: Kept longer than any sender of ours keeps an idle connection.
-KEEPALIVE_S = 75.0
-
 _Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 _Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -51,7 +49,8 @@
 class HypercornServer(Server):
     """Receives by hypercorn; see `Server` for what it promises."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ServerLimits) -> None:
+        self._limits = limits
         self._stop = anyio.Event()
         self._done = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -62,7 +61,7 @@
         listener.setblocking(False)
         host, port = listener.getsockname()[:2]
         self._cfg.bind = [f"fd://{listener.detach()}"]
-        self._cfg.keep_alive_timeout = KEEPALIVE_S
+        self._cfg.keep_alive_timeout = self._limits.idle_s
         self._cfg.keep_alive_max_requests = 2**31
         self._cfg.accesslog = None
         self._cfg.errorlog = None
--- /dev/null
+++ b/src/radishwind/http/limits.py
@@ -0,0 +1,25 @@
+"""Limits of a listener, so that no sender can exhaust a node."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a listener takes.
+
+    Attributes:
+      connections: connections at once; more are closed at once.
+      body_bytes: the largest body (bytes).
+      field_bytes: the longest request line or field line (bytes).
+      fields: the most field lines.
+      body_pause_s: the longest pause within a body (s).
+      idle_s: the longest wait for a request on a connection, also for the rest
+        of a header begun (s).
+    """
+
+    connections: int = 4096
+    body_bytes: int = 1 << 30
+    field_bytes: int = 8190
+    fields: int = 100
+    body_pause_s: float = 10.0
+    idle_s: float = 30.0
--- /dev/null
+++ b/src/radishwind/http/tests/test_hygiene.py
@@ -0,0 +1,58 @@
+"""What is removed from messages and what is refused."""
+
+import pytest
+
+from radishwind.http import Request
+from radishwind.http.errors import RequestRejectedError
+from radishwind.http.hygiene import check_request
+from radishwind.http.hygiene import end_to_end
+from radishwind.http.hygiene import origin_path
+from radishwind.node.callers import cleaned
+
+
+def test_hop_by_hop_fields_and_those_they_name_are_removed():
+    headers = (
+        ("Host", "a"),
+        ("Connection", "close, X-Mine, Host"),
+        ("X-Mine", "1"),
+        ("Keep-Alive", "5"),
+        ("X-Yours", "2"),
+    )
+
+    assert end_to_end(headers) == (("Host", "a"), ("X-Yours", "2"))
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["/a/../b", "/a/%2e%2E/b", "/..", "/a/.", "*", "a", "/a b", "/\xe9", ""],
+)
+def test_paths_that_servers_may_read_differently_are_refused(path):
+    with pytest.raises(RequestRejectedError):
+        origin_path(path)
+
+
+def test_absolute_form_becomes_origin_form():
+    assert origin_path("http://other:80/a/b?c=%20d") == "/a/b?c=%20d"
+    assert origin_path("/a/..b/c?x=/../") == "/a/..b/c?x=/../"
+
+
+@pytest.mark.parametrize(
+    "request_",
+    [
+        Request("CONNECT", "/"),
+        Request("GET", "/", (("Host", "a"), ("host", "b"))),
+        Request("GET", "/", (("Idempotency-Key", "1"),) * 2),
+        Request("GET", "/", (("X", "\udce9"),)),
+    ],
+)
+def test_ambiguous_requests_are_refused(request_):
+    with pytest.raises(RequestRejectedError):
+        check_request(request_)
+
+
+def test_callers_cannot_forge_fields_that_only_nodes_send():
+    request = Request(
+        "GET", "/a", (("RADISHWIND-Node-Attempt", "x"), ("Accept", "*/*"))
+    )
+
+    assert cleaned(request).headers == (("Accept", "*/*"),)
--- /dev/null
+++ b/src/radishwind/http/tests/test_server_edges.py
@@ -0,0 +1,226 @@
+"""What a listener does with callers that break the rules, over sockets."""
+
+import contextlib
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from radishwind.http import Address
+from radishwind.http import BodyStream
+from radishwind.http import ExchangeBrokenError
+from radishwind.http import HttpLibrary
+from radishwind.http import make_sender
+from radishwind.http import make_server
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http import ServerLimits
+from radishwind.http.types import whole_body
+
+pytestmark = pytest.mark.anyio
+
+GOOD = b"GET /on HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+LENGTH = (("Content-Length", "100000"),)
+LIMITS = ServerLimits(body_bytes=200_000, connections=8)
+
+
+class CutStream(BodyStream):
+    """Breaks off after one piece."""
+
+    async def __aiter__(self):
+        yield b"x" * 100
+        raise ExchangeBrokenError("cut")
+
+    def abort(self):
+        pass
+
+
+async def echo(request):
+    if request.path == "/cut":
+        return Response(200, LENGTH, CutStream(), 100_000)
+    if request.method == "HEAD":
+        return Response(200, LENGTH)
+    if request.path == "/fails":
+        raise RuntimeError("a fault of ours")
+    body = await whole_body(request.body)
+    return Response(200, (), request.path.encode() + b" " + body)
+
+
+@contextlib.asynccontextmanager
+async def listening():
+    server = make_server(HttpLibrary.AIOHTTP, LIMITS)
+    address = await server.start(echo, Address("127.0.0.1", 0))
+    try:
+        yield address
+    finally:
+        await server.close(0.0)
+
+
+async def exchange(address, raw, leave=False):
+    """Sends `raw` and returns all that comes back until the server closes.
+
+    With `leave` the sending side is ended first, as by a caller that is gone.
+    """
+    stream = await anyio.connect_tcp(*address)
+    async with stream:
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await stream.send(raw)
+            if leave:
+                await stream.send_eof()
+        got = b""
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                got += await stream.receive()
+        return got
+
+
+async def test_malformed_request_gets_a_numbered_error_and_others_go_on():
+    async with listening() as address:
+        answer = await exchange(address, b"GET / HTTP/9.9\r\n\r\n")
+
+        assert b" 400 " in answer.splitlines()[0]
+        assert b"Radishwind-Code: 2001" in answer
+        assert b"Radishwind-Outcome: not-run" in answer
+        good = await exchange(address, GOOD)
+        assert good.endswith(b"/on ")
+
+
+async def test_a_fault_of_ours_is_told_as_unknown():
+    async with listening() as address:
+        raw = b"GET /fails HTTP/1.1\r\nHost: a\r\n\r\n"
+
+        answer = await exchange(address, raw)
+
+        assert b"Radishwind-Code: 4006" in answer
+        assert b"Radishwind-Outcome: unknown" in answer
+
+
+async def test_a_cut_answer_does_not_end_neatly():
+    async with listening() as address:
+        sender = make_sender(HttpLibrary.AIOHTTP, 4)
+        response = await sender.send(address, Request("GET", "/cut"), 1.0)
+
+        with pytest.raises(ExchangeBrokenError):
+            await whole_body(response.body)
+        await sender.close()
+
+
+@pytest.mark.parametrize(
+    ("head", "code"),
+    [
+        (b"Content-Length: 300000\r\n\r\n", b"2002"),
+        (b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", b"2001"),
+        (b"Content-Length: x\r\n\r\n", b"2001"),
+        (b"X: " + b"y" * 9000 + b"\r\n\r\n", b"2001"),
+    ],
+)
+async def test_bodies_and_fields_beyond_the_rules_are_refused(head, code):
+    async with listening() as address:
+        raw = b"POST /x HTTP/1.1\r\nHost: a\r\n" + head
+
+        answer = await exchange(address, raw)
+
+        assert b" 200 " not in answer[:20]
+        assert b"Radishwind-Code: " + code in answer
+
+
+async def test_a_request_cut_within_its_body_is_not_handled():
+    async with listening() as address:
+        raw = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nshort"
+
+        answer = await exchange(address, raw, leave=True)
+
+    assert answer == b""
+
+
+async def test_the_length_told_for_head_is_the_servers():
+    async with listening() as address:
+        raw = GOOD.replace(b"GET", b"HEAD")
+
+        answer = await exchange(address, raw)
+
+    assert b"Content-Length: 100000\r\n" in answer
+    assert answer.endswith(b"\r\n\r\n")
+
+
+async def test_expect_continue_is_answered_before_the_body():
+    async with listening() as address:
+        stream = await anyio.connect_tcp(*address)
+        async with stream:
+            await stream.send(
+                b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                b"Expect: 100-continue\r\n\r\n"
+            )
+            first = await stream.receive()
+            await stream.send(b"ok")
+            second = await stream.receive()
+
+    assert first.startswith(b"HTTP/1.1 100 Continue")
+    assert second.endswith(b"/x ok")
+
+
+async def test_connections_above_the_limit_are_closed():
+    async with listening() as address, contextlib.AsyncExitStack() as stack:
+        for _ in range(LIMITS.connections):
+            stream = await anyio.connect_tcp(*address)
+            await stack.enter_async_context(stream)
+            await stream.send(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            await stream.receive()
+
+        answer = await exchange(
+            address, b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        )
+
+    assert answer == b""
+
+
+@pytest.mark.parametrize("library", list(HttpLibrary))
+async def test_both_libraries_carry_a_streamed_body_whole(library):
+    body = b"abc" * 50_000
+    server = make_server(library, LIMITS)
+    address = await server.start(echo, Address("127.0.0.1", 0))
+    sender = make_sender(library, 4)
+
+    request = Request("POST", "/x?y=1", (("Host", "a"),), body, len(body))
+    response = await sender.send(address, request, 1.0)
+
+    assert await whole_body(response.body) == b"/x?y=1 " + body
+    await sender.close()
+    await server.close(0.0)
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=60),
+            st.sampled_from(
+                [
+                    b"GET / HTTP/1.1\r\n",
+                    b"Host: a\r\n",
+                    b"\r\n",
+                    b"Transfer-Encoding: chunked\r\n",
+                    b"Content-Length: 3\r\n",
+                    b"5\r\nhello\r\n",
+                ]
+            ),
+        ),
+        max_size=8,
+    )
+)
+def test_no_bytes_end_the_listener(pieces):
+    async def run():
+        async with listening() as address:
+            await exchange(address, b"".join(pieces), leave=True)
+            good = await exchange(address, GOOD)
+            assert good.endswith(b"/on ")
+
+    anyio.run(run)
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -17,14 +17,11 @@
 from radishwind.entry import EntryPipeline
 from radishwind.http import make_sender
 from radishwind.http import make_server
-from radishwind.http import Request
-from radishwind.http import Response
-from radishwind.http.hygiene import end_to_end
 from radishwind.membership.polled import PolledDirectory
 from radishwind.node.admin import AdminListener
+from radishwind.node.callers import CallerListener
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
-from radishwind.peers.forward import without_node_fields
 from radishwind.retries import RetryNotRun
 from radishwind.routing import FewestOwnRequests
 from radishwind.settings import NodeSettings
@@ -98,7 +95,7 @@
             tasks.start_soon(self._poll_store)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
-                self._handle_caller, self._settings.caller_listen
+                CallerListener(self._entry).handle, self._settings.caller_listen
             )
             await self._stopping.wait()
             await self._stop()
@@ -121,23 +118,6 @@
             async for _ in signals:
                 self._stopping.set()
 
-    async def _handle_caller(self, request: Request) -> Response:
-        clean = Request(
-            request.method,
-            request.path,
-            without_node_fields(end_to_end(request.headers)),
-            request.body,
-            request.body_bytes,
-            request.remote,
-        )
-        response = await self._entry.handle(clean)
-        return Response(
-            response.status,
-            end_to_end(response.headers),
-            response.body,
-            response.body_bytes,
-        )
-
     def _status(self) -> dict[str, Any]:
         return {
             "target": self._settings.target,
--- /dev/null
+++ b/src/radishwind/node/callers.py
@@ -0,0 +1,49 @@
+"""The caller listener: takes a request clean, gives the answer clean."""
+
+from radishwind.entry import EntryPipeline
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.errors import RequestRejectedError
+from radishwind.http.hygiene import check_request
+from radishwind.http.hygiene import end_to_end
+from radishwind.http.hygiene import origin_path
+from radishwind.outcomes import problem
+from radishwind.peers.forward import without_node_fields
+
+
+class CallerListener:
+    """Keeps callers from sending what only nodes may send."""
+
+    def __init__(self, entry: EntryPipeline) -> None:
+        self._entry = entry
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one caller."""
+        try:
+            clean = cleaned(request)
+        except RequestRejectedError as exc:
+            return problem(exc.code, exc.args[0], "not-run")
+        response = await self._entry.handle(clean)
+        return Response(
+            response.status,
+            end_to_end(without_node_fields(response.headers)),
+            response.body,
+            response.body_bytes,
+        )
+
+
+def cleaned(request: Request) -> Request:
+    """Returns `request` with only what may go on to a server.
+
+    Raises:
+      RequestRejectedError: it breaks a rule of `radishwind.http.hygiene`.
+    """
+    check_request(request)
+    return Request(
+        request.method,
+        origin_path(request.path),
+        without_node_fields(end_to_end(request.headers)),
+        request.body,
+        request.body_bytes,
+        request.remote,
+    )
