Choose targets by expected answer time, retry and hedge from budgets

The node took the target with the fewest of its own requests, looked at every member for it, and repeated refusals without a budget. The server gets the time left and its depth.

Ruled out: a work list per target sorted by load (cost grows with targets).

--- a/src/radishwind/config/index.py
+++ b/src/radishwind/config/index.py
@@ -22,7 +22,7 @@
         for prefix, hosts, service in self._routes:
             if hosts and name not in hosts:
                 continue
-            if _under(path, prefix):
+            if path_is_under(path, prefix):
                 return service
         return None
 
@@ -51,7 +51,8 @@
     return latencies
 
 
-def _under(path: str, prefix: str) -> bool:
+def path_is_under(path: str, prefix: str) -> bool:
+    """Returns whether `path` is `prefix` or below it, by whole segments."""
     if not path.startswith(prefix):
         return False
     rest = path[len(prefix) :]
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -1,6 +1,5 @@
-"""Runs the attempts of a call and answers its caller."""
+"""Answers callers: classify, run once by claim, answer."""
 
-import abc
 import dataclasses
 import itertools
 import random
@@ -9,44 +8,28 @@
 from radishwind.claims.guard import ClaimGuard
 from radishwind.config.index import ConfigIndex
 from radishwind.core.clock import Clock
-from radishwind.core.codes import ResultCode
+from radishwind.entry.attempts import Attempts
 from radishwind.entry.call import Call
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.call import classify
+from radishwind.entry.runner import AttemptResult
+from radishwind.entry.runner import AttemptRunner
+from radishwind.hedging.policy import HedgePolicy
+from radishwind.hedging.policy import NoHedges
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Directory
-from radishwind.membership.directory import Member
 from radishwind.outcomes import answer
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
 from radishwind.outcomes import problem
 from radishwind.retries.policy import RetryPolicy
-from radishwind.routing.chooser import LoadReport
 from radishwind.routing.chooser import TargetChooser
 
+__all__ = ["AttemptResult", "AttemptRunner", "EntryPipeline"]
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """What became of one attempt.
-
-    Attributes:
-      outcome: the outcome.
-      load: the target's load, where it told it.
-    """
-
-    outcome: Outcome
-    load: LoadReport | None = None
-
-
-class AttemptRunner(abc.ABC):
-    """Runs one attempt at one target."""
-
-    @abc.abstractmethod
-    async def run(
-        self, call: Call, member: Member, attempt_id: str
-    ) -> AttemptResult:
-        """Runs `call` at `member`; never raises for what a peer does."""
+#: When to come back after a refusal that does not say (s).
+DEFAULT_RETRY_S = 1.0
 
 
 class EntryPipeline:
@@ -64,14 +47,19 @@
         retries: RetryPolicy,
         runner: AttemptRunner,
         claims: ClaimGuard,
+        hedges: HedgePolicy | None = None,
     ) -> None:
         self._clock = clock
         self._index = index
-        self._directory = directory
-        self._chooser = chooser
-        self._retries = retries
-        self._runner = runner
         self._claims = claims
+        self._attempts = Attempts(
+            clock=clock,
+            directory=directory,
+            chooser=chooser,
+            retries=retries,
+            hedges=hedges or NoHedges(),
+            runner=runner,
+        )
         # Unique over restarts: the name alone is not.
         self._id_prefix = f"{node_name}-{rng.getrandbits(64):016x}"
         self._calls = itertools.count(1)
@@ -91,40 +79,11 @@
         return answer(await self._claims.run(call, self._run))
 
     async def _run(self, call: Call) -> Outcome:
-        tried: frozenset[str] = frozenset()
-        last: Outcome | None = None
-        for number in itertools.count(1):
-            members = self._directory.of_service(call.service)
-            now = self._clock.monotonic()
-            member = self._chooser.choose(members, now, tried)
-            if member is None:
-                return last or NotRun(
-                    ResultCode.NO_TARGET,
-                    f"No target of {call.service} takes requests now.",
-                    1.0,
-                )
-            last = await self._attempt(call, member, f"{call.call_id}.{number}")
-            tried |= {member.name}
-            now = self._clock.monotonic()
-            if not self._retries.again(call, last, number, now):
-                return last
-        raise AssertionError("unreachable: count() does not end")
+        return _with_retry_after(await self._attempts.run(call))
 
-    async def _attempt(
-        self, call: Call, member: Member, attempt_id: str
-    ) -> Outcome:
-        began = self._clock.monotonic()
-        self._chooser.started(member.name, began)
-        result: AttemptResult | None = None
-        try:
-            result = await self._runner.run(call, member, attempt_id)
-        finally:
-            now = self._clock.monotonic()
-            self._chooser.finished(
-                member.name,
-                now,
-                now - began,
-                result.outcome if result else None,
-                result.load if result else None,
-            )
-        return result.outcome
+
+def _with_retry_after(outcome: Outcome) -> Outcome:
+    """Returns `outcome` saying when to come back, if it is a refusal."""
+    if not isinstance(outcome, NotRun) or outcome.retry_after_s is not None:
+        return outcome
+    return dataclasses.replace(outcome, retry_after_s=DEFAULT_RETRY_S)
--- /dev/null
+++ b/src/radishwind/hedging/policy.py
@@ -0,0 +1,65 @@
+"""The interface of the hedging policy."""
+
+import abc
+from typing import TYPE_CHECKING
+
+from radishwind.outcomes.model import Outcome
+from radishwind.routing.chooser import LoadReport
+
+if TYPE_CHECKING:
+    from radishwind.entry.call import Call
+
+
+class HedgePolicy(abc.ABC):
+    """Decides when a second attempt begins beside one without an answer."""
+
+    @abc.abstractmethod
+    def delay_s(self, call: "Call", now: float) -> float | None:
+        """Returns how long to wait for the first attempt (s).
+
+        `None` where the call gets no hedge. Called once per call, as its
+        first attempt begins.
+        """
+
+    @abc.abstractmethod
+    def spend(self, call: "Call", now: float) -> bool:
+        """Returns whether the hedge, now due, may begin; it is then paid."""
+
+    @abc.abstractmethod
+    def finished(
+        self,
+        call: "Call",
+        now: float,
+        elapsed_s: float,
+        outcome: Outcome | None,
+        load: LoadReport | None,
+    ) -> None:
+        """Notes that an attempt of `call` ended.
+
+        Args:
+          call: the call.
+          now: monotonic time (s).
+          elapsed_s: how long the attempt took (s).
+          outcome: what became of it; `None` if it was cancelled by us.
+          load: the target's report, where the answer carried one.
+        """
+
+
+class NoHedges(HedgePolicy):
+    """Hedges nothing."""
+
+    def delay_s(self, call: "Call", now: float) -> float | None:
+        return None
+
+    def spend(self, call: "Call", now: float) -> bool:
+        return False
+
+    def finished(
+        self,
+        call: "Call",
+        now: float,
+        elapsed_s: float,
+        outcome: Outcome | None,
+        load: LoadReport | None,
+    ) -> None:
+        """Does nothing."""
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -15,6 +15,7 @@
 from radishwind.config.model import Configuration
 from radishwind.core import Clock
 from radishwind.entry import EntryPipeline
+from radishwind.hedging import HedgeAfterQuantile
 from radishwind.http import make_sender
 from radishwind.http import make_server
 from radishwind.http import Request
@@ -22,11 +23,11 @@
 from radishwind.http.hygiene import end_to_end
 from radishwind.membership.polled import PolledDirectory
 from radishwind.node.admin import AdminListener
+from radishwind.node.entry import node_chooser
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
 from radishwind.peers.forward import without_node_fields
-from radishwind.retries import RetryNotRun
-from radishwind.routing import FewestOwnRequests
+from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
 from radishwind.store import EtcdStore
 from radishwind.store import StoreError
@@ -69,8 +70,11 @@
             rng=self._rng,
             index=lambda: self._index,
             directory=self._directory,
-            chooser=FewestOwnRequests(self._rng),
-            retries=RetryNotRun(),
+            chooser=node_chooser(
+                self._settings, self._rng, lambda: self._index, self._target
+            ),
+            retries=RetryBudget(),
+            hedges=HedgeAfterQuantile(),
             runner=ForwardRunner(
                 node_name=self._settings.target,
                 clock=self._clock,
--- /dev/null
+++ b/src/radishwind/node/entry.py
@@ -0,0 +1,27 @@
+"""Wires the entry side of a node."""
+
+import random
+from collections.abc import Callable
+
+from radishwind.config.index import ConfigIndex
+from radishwind.routing import make_chooser
+from radishwind.routing import TargetChooser
+from radishwind.settings import NodeSettings
+from radishwind.target import TargetPipeline
+
+
+def node_chooser(
+    settings: NodeSettings,
+    rng: random.Random,
+    index: Callable[[], ConfigIndex],
+    target: TargetPipeline,
+) -> TargetChooser:
+    """Returns the routing policy that the settings name."""
+    return make_chooser(
+        settings.routing,
+        rng,
+        node_name=settings.target,
+        failure_domain=settings.failure_domain,
+        index=index,
+        own_load=target.load,
+    )
--- a/src/radishwind/retries/policy.py
+++ b/src/radishwind/retries/policy.py
@@ -15,6 +15,14 @@
 class RetryPolicy(abc.ABC):
     """Decides after each attempt whether there is another."""
 
+    def first(self, call: "Call", now: float) -> None:  # noqa: B027
+        """Notes that the first attempt of `call` begins.
+
+        Args:
+          call: the call.
+          now: monotonic time (s).
+        """
+
     @abc.abstractmethod
     def again(
         self, call: "Call", outcome: Outcome, attempts: int, now: float
--- a/src/radishwind/routing/__init__.py
+++ b/src/radishwind/routing/__init__.py
@@ -1,11 +1,19 @@
 """Which target a request goes to.
 
-`TargetChooser` is the interface; `radishwind.routing.baselines` holds the
-simple policies that ours is measured against.
+`TargetChooser` is the interface and `BalancedChooser` our policy;
+`radishwind.routing.baselines` holds the simple ones it is measured against.
 """
 
-from radishwind.routing.baselines import FewestOwnRequests
+from radishwind.routing.balanced import BalancedChooser
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.chooser import TargetChooser
+from radishwind.routing.factory import make_chooser
+from radishwind.routing.factory import RoutingPolicy
 
-__all__ = ["FewestOwnRequests", "LoadReport", "TargetChooser"]
+__all__ = [
+    "BalancedChooser",
+    "LoadReport",
+    "RoutingPolicy",
+    "TargetChooser",
+    "make_chooser",
+]
--- /dev/null
+++ b/src/radishwind/routing/sample.py
@@ -0,0 +1,97 @@
+"""Draws a few candidates, near ones first, at a cost free of their number."""
+
+import random
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from radishwind.membership.directory import Member
+
+#: Candidates drawn from the nearest, the second nearest, and the rest.
+DRAWS = (2, 2, 1)
+
+#: Members looked at in turn when none of those drawn is fit.
+_FALLBACK_STEPS = 16
+
+
+class Candidates:
+    """The members of one service by distance, derived once per change.
+
+    Attributes:
+      members: what it was derived from.
+      own: the member of this node, if it is one of them.
+      version: grows with each change.
+      typical_s: smoothed answer time of the service's targets (s).
+    """
+
+    __slots__ = ("_tiers", "members", "own", "typical_s", "version")
+
+    def __init__(self) -> None:
+        self.members: Sequence[Member] = ()
+        self.own: Member | None = None
+        self.version = 0
+        self.typical_s = 0.0
+        self._tiers: list[list[Member]] = []
+
+    def update(
+        self,
+        members: Sequence[Member],
+        own_name: str,
+        distance_s: Callable[[str], float],
+    ) -> None:
+        """Takes new members.
+
+        Args:
+          members: the members.
+          own_name: the name of this node's own target.
+          distance_s: returns the latency to a failure domain (s).
+        """
+        self.members = members
+        self.own = next((m for m in members if m.name == own_name), None)
+        self.version += 1
+        self._tiers = _tiers(members, distance_s)
+
+    def draw(self, rng: random.Random, exclude: frozenset[str]) -> list[Member]:
+        """Returns a few members that are not in `exclude`."""
+        drawn = [self.own] if self.own is not None else []
+        for tier, count in zip(self._tiers, DRAWS, strict=False):
+            drawn += _draw_from(tier, count, rng)
+        if exclude:
+            drawn = [m for m in drawn if m.name not in exclude]
+        return drawn
+
+    def scan(self, rng: random.Random, exclude: frozenset[str]) -> list[Member]:
+        """Returns members in turn from a random one on, a bounded number."""
+        size = len(self.members)
+        if not size:
+            return []
+        start = int(rng.random() * size)
+        steps = min(size, _FALLBACK_STEPS + len(exclude))
+        turn = [self.members[(start + i) % size] for i in range(steps)]
+        return [m for m in turn if m.name not in exclude]
+
+
+def _tiers(
+    members: Sequence[Member], distance_s: Callable[[str], float]
+) -> list[list[Member]]:
+    """Groups by distance; what is beyond the second group is one group."""
+    by_distance: dict[float, list[Member]] = {}
+    for member in members:
+        distance = distance_s(member.failure_domain)
+        by_distance.setdefault(distance, []).append(member)
+    groups = [by_distance[d] for d in sorted(by_distance)]
+    rest = [m for group in groups[2:] for m in group]
+    return [*groups[:2], rest] if rest else groups[:2]
+
+
+def _draw_from(
+    tier: list[Member], count: int, rng: random.Random
+) -> list[Member]:
+    """Draws one or two different members of `tier`, or all if it is small."""
+    size = len(tier)
+    if size <= count:
+        return tier
+    first = int(rng.random() * size)
+    if count == 1:
+        return [tier[first]]
+    second = int(rng.random() * (size - 1))
+    return [tier[first], tier[second + (second >= first)]]
--- /dev/null
+++ b/src/radishwind/routing/state.py
@@ -0,0 +1,160 @@
+"""What one node remembers of the targets it uses, bounded and forgotten."""
+
+import dataclasses
+import math
+from collections.abc import Iterator
+
+from radishwind.routing.chooser import LoadReport
+from radishwind.routing.sample import Candidates
+
+#: How fast a load report loses weight against its long-run mean (s). Load
+#: swings within milliseconds, so it is short.
+REPORT_FADE_S = 0.1
+
+#: How fast what was learned fades towards "as any other" without news (s).
+RECOVERY_S = 2.0
+
+#: Weight of one answer in the smoothed answer time.
+ANSWER_WEIGHT = 0.2
+
+#: A target is forgotten once unused for so long (s).
+FORGET_S = 60.0
+
+#: Targets remembered at most; the longest unused goes first.
+MAX_TARGETS = 4096
+
+_MEAN_FADE_S = 1.0
+_SWEEP_STEPS = 2
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TargetState:
+    """One target as this node sees it.
+
+    Attributes:
+      service: the candidates it is one of.
+      derived: the version of those that `hop_s` was derived from.
+      hop_s: network time to the target and back (s), not part of answer times.
+      slots: requests it runs at once.
+      in_flight: own attempts without an answer yet.
+      starts_s: sum of the start times of those (s), for their mean age.
+      answer_s: smoothed answer time (s) as of `answered`; 0 before the first.
+      answered: when `answer_s` last changed (s).
+      failures: failed attempts in a row.
+      others: requests of others there, by the last report.
+      others_mean: the same, smoothed over a second.
+      reported: when the last report came (s).
+      warm: 0 for a server just started to 1 for a warm one.
+      leaving_until: it takes no new work before this time (s).
+      used: when an attempt last began or ended (s).
+    """
+
+    service: Candidates
+    derived: int
+    hop_s: float
+    slots: int
+    in_flight: int = 0
+    starts_s: float = 0.0
+    answer_s: float = 0.0
+    answered: float = -math.inf
+    failures: int = 0
+    others: float = 0.0
+    others_mean: float = 0.0
+    reported: float = -math.inf
+    warm: float = 1.0
+    leaving_until: float = -math.inf
+    used: float = -math.inf
+
+    def begin(self, now: float) -> None:
+        """Notes that an attempt began."""
+        self.in_flight += 1
+        self.starts_s += now
+        self.used = now
+
+    def end(self, now: float, elapsed_s: float) -> None:
+        """Notes that an attempt ended that began `elapsed_s` ago."""
+        self.in_flight -= 1
+        self.starts_s -= now - elapsed_s
+        self.used = now
+        if not self.in_flight:
+            # Drops what rounding left over.
+            self.starts_s = 0.0
+
+    def mean_age_s(self, now: float) -> float:
+        """Returns the mean age of the attempts in flight (s)."""
+        if not self.in_flight:
+            return 0.0
+        return now - self.starts_s / self.in_flight
+
+    def answer_now_s(self, typical_s: float, now: float) -> float:
+        """Returns the answer time to expect (s), before this moment's load.
+
+        Args:
+          typical_s: the answer time of the service's targets (s).
+          now: monotonic time (s).
+        """
+        if not self.answer_s:
+            return typical_s
+        fade = math.exp((self.answered - now) / RECOVERY_S)
+        return typical_s + (self.answer_s - typical_s) * fade
+
+    def learn(self, sample_s: float, typical_s: float, now: float) -> None:
+        """Takes one answer time (s) into the smoothed one."""
+        before = self.answer_now_s(typical_s, now) or sample_s
+        self.answer_s = before + ANSWER_WEIGHT * (sample_s - before)
+        self.answered = now
+
+    def report(self, load: LoadReport, now: float) -> None:
+        """Takes a load report; call it after `end`."""
+        others = max(0.0, load.in_flight + load.queued - self.in_flight)
+        kept = math.exp((self.reported - now) / _MEAN_FADE_S)
+        self.others_mean = others + (self.others_mean - others) * kept
+        self.others = others
+        self.reported = now
+        self.slots = max(1, load.slots)
+        self.warm = min(1.0, max(0.0, load.warm))
+
+    def others_now(self, now: float) -> float:
+        """Returns the requests of others to expect there."""
+        age_s = now - self.reported
+        mean = self.others_mean * math.exp(-age_s / RECOVERY_S)
+        return mean + (self.others - mean) * math.exp(-age_s / REPORT_FADE_S)
+
+
+class TargetTable:
+    """The states of the targets used recently, the longest unused first."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, TargetState] = {}
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._states)
+
+    def get(self, name: str) -> TargetState | None:
+        """Returns the state of the target `name`, if there is one."""
+        return self._states.get(name)
+
+    def use(self, name: str, state: TargetState, now: float) -> None:
+        """Keeps `state` as the most recently used and sweeps a little."""
+        self._states.pop(name, None)
+        self._states[name] = state
+        state.used = now
+        for _ in range(_SWEEP_STEPS):
+            if not self._sweep_oldest(now):
+                return
+
+    def _sweep_oldest(self, now: float) -> bool:
+        """Forgets the longest unused target if it is due."""
+        name, state = next(iter(self._states.items()))
+        if state.in_flight:
+            # Its place in the order tells when an attempt began, not ended.
+            del self._states[name]
+            self._states[name] = state
+            return True
+        due = now - state.used > FORGET_S or len(self._states) > MAX_TARGETS
+        if due:
+            del self._states[name]
+        return due
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -4,6 +4,7 @@
 
 from radishwind.http.factory import HttpLibrary
 from radishwind.http.types import Address
+from radishwind.routing.factory import RoutingPolicy
 from radishwind.settings import parsers
 from radishwind.settings.loader import setting
 
@@ -63,6 +64,11 @@
     http_library: HttpLibrary = setting(
         _library, "HTTP library.", default=HttpLibrary.AIOHTTP
     )
+    routing: RoutingPolicy = setting(
+        RoutingPolicy.parse,
+        "Routing policy; all but balanced are baselines for measurements.",
+        default=RoutingPolicy.BALANCED,
+    )
     seed: int = setting(
         parsers.whole_number(0, 2**63 - 1),
         "Seed of the random source; 0 takes one from the system.",
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -10,6 +10,7 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.call import nested_request
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
@@ -136,7 +137,7 @@
         try:
             with anyio.fail_after(call.deadline - now):
                 response = await self._sender.send(
-                    self._server, call.request, CONNECT_TIMEOUT_S
+                    self._server, nested_request(call, now), CONNECT_TIMEOUT_S
                 )
         except ConnectFailedError:
             return NotRun(
