Complete the store client and its stand-in

Cause: the client lacked watches, pages and a budget; the stand-in could not fail on request. Ruled out: waiting for a token of the budget (a caller of a claim would wait for a store that is away); a call beyond the budget fails at once instead.

--- a/src/radishwind/cli/standins.py
+++ b/src/radishwind/cli/standins.py
@@ -30,7 +30,13 @@
     """Run the stand-in of the platform's key-value store."""
     from radishwind.standins.store import StoreStandin
 
-    _serve(StoreStandin(SystemClock()).handle, listen)
+    async def main() -> None:
+        standin = StoreStandin(SystemClock())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(standin.run)
+            await _serve_forever(standin.handle, listen)
+
+    anyio.run(main, backend_options={"use_uvloop": True})
 
 
 @_app.command("backend")
@@ -54,12 +60,6 @@
     anyio.run(main, backend_options={"use_uvloop": True})
 
 
-def _serve(handler: Handler, listen: str) -> None:
-    anyio.run(
-        _serve_forever, handler, listen, backend_options={"use_uvloop": True}
-    )
-
-
 async def _serve_forever(handler: Handler, listen: str) -> None:
     server = make_server(HttpLibrary.AIOHTTP)
     await server.start(handler, Address.parse(listen))
--- a/src/radishwind/standins/store.py
+++ b/src/radishwind/standins/store.py
@@ -1,154 +1,230 @@
 """A stand-in for the platform's store, in memory.
 
-It speaks the part of etcd's v3 JSON gateway that the product uses.
+It speaks the part of etcd's v3 JSON gateway that the product uses, counts each
+call, and can be told at run time to fail in the ways the platform's does.
 """
 
 import base64
-import dataclasses
-from collections.abc import Callable
+from collections.abc import AsyncIterator
 from typing import Any
+from typing import NoReturn
 
+import anyio
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.types import BodyStream
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import whole_body
-
-
-@dataclasses.dataclass(slots=True)
-class _Value:
-    value: str
-    create_revision: int
-    mod_revision: int
-    version: int
-    lease: int
+from radishwind.standins.store_state import CallError
+from radishwind.standins.store_state import StoreState
+
+FAULTS_PATH = "/standin/faults"
+COUNTERS_PATH = "/standin/counters"
+
+#: The kind under which each path is counted.
+_KINDS = {
+    "/v3/kv/range": "range",
+    "/v3/kv/txn": "txn",
+    "/v3/lease/grant": "grant",
+    "/v3/lease/keepalive": "keepalive",
+    "/v3/lease/revoke": "revoke",
+    "/v3/watch": "watch",
+}
+_LAPSE_STEP_S = 0.1
+
+
+class StoreFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What goes wrong, until told otherwise.
+
+    Attributes:
+      down: empty, `refuse` (connections are cut and calls not carried out) or
+        `hang` (calls get no answer and are not carried out).
+      delay_ms: how long each call waits before it is carried out (ms).
+      lose_answers: how many of the next calls of `lose_kind` are carried out
+        and get no answer.
+      lose_kind: the kind of call meant, `txn` if not given.
+      lapse_leases: leases that end now, by ID; `[-1]` for all.
+    """
+
+    down: str = ""
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+    lose_kind: str = "txn"
+    lapse_leases: tuple[int, ...] = ()
 
 
 class StoreStandin:
-    """Keeps keys, revisions and leases."""
+    """Receives calls; its state is in `StoreState`.
+
+    Attributes:
+      calls: calls received, by kind; a waiting watch counts as one.
+      watching: watches that wait now.
+    """
 
     def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._revision = 1
-        self._values: dict[bytes, _Value] = {}
-        self._leases: dict[int, tuple[int, float]] = {}
-        self._next_lease = 1
+        self.state = StoreState(clock)
         self.calls: dict[str, int] = {}
-        self._handlers: dict[str, Callable[[dict[str, Any]], Any]] = {
-            "/v3/kv/range": self._range,
-            "/v3/kv/txn": self._txn,
-            "/v3/lease/grant": self._grant,
-            "/v3/lease/keepalive": self._keep_alive,
-            "/v3/lease/revoke": self._revoke,
-        }
+        self.watching = 0
+        self._faults = StoreFaults()
+        self._lose_answers = 0
+        self._faults_changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Lets leases lapse in time; runs until cancelled."""
+        while True:
+            self.state.lapse()
+            await anyio.sleep(_LAPSE_STEP_S)
+
+    def set_faults(self, faults: StoreFaults) -> None:
+        """Replaces the faults in force."""
+        self._faults = faults
+        self._lose_answers = faults.lose_answers
+        for lease_id in faults.lapse_leases:
+            if lease_id == -1:
+                self.state.end_all_leases()
+            self.state.end_lease(lease_id)
+        self._faults_changed.set()
+        self._faults_changed = anyio.Event()
 
     async def handle(self, request: Request) -> Response:
         """Answers one call."""
-        handler = self._handlers.get(request.path)
-        if handler is None:
-            return _json(404, {"error": "not found", "code": 5})
-        self.calls[request.path] = self.calls.get(request.path, 0) + 1
-        self._lapse()
+        if request.path == COUNTERS_PATH:
+            return _json(200, self._counters())
+        if request.path == FAULTS_PATH:
+            return await self._handle_faults(request)
+        kind = _KINDS.get(request.path)
+        if kind is None:
+            return _error(404, 5, "not found")
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        body = await whole_body(request.body)
+        if not await self._reachable():
+            return Response(200, (), _CutBody())
+        self.state.lapse()
+        try:
+            response = self._answer(kind, msgspec.json.decode(body))
+        except CallError as exc:
+            return _error(exc.status, exc.code, str(exc))
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            return _error(400, 3, repr(exc))
+        if kind == self._faults.lose_kind and self._lose_answers > 0:
+            self._lose_answers -= 1
+            return Response(200, (), _CutBody())
+        return response
+
+    def _answer(self, kind: str, body: dict[str, Any]) -> Response:
+        if kind != "watch":
+            return _json(200, self.state.handlers[kind](body))
+        create = body["create_request"]
+        key = base64.b64decode(create["key"])
+        end = base64.b64decode(create["range_end"])
+        start = int(create.get("start_revision", 0))
+        stream = _WatchBody(self, key, end, start or self.state.revision + 1)
+        return Response(200, (("Content-Type", "application/json"),), stream)
+
+    async def _reachable(self) -> bool:
+        """Waits as told; returns whether the call is to be carried out."""
+        if self._faults.delay_ms:
+            await anyio.sleep(self._faults.delay_ms / 1000)
+        if self._faults.down == "hang":
+            while self._faults.down == "hang":
+                await self._faults_changed.wait()
+            return False
+        return not self._faults.down
+
+    async def _handle_faults(self, request: Request) -> Response:
         body = await whole_body(request.body)
         try:
-            answer = handler(msgspec.json.decode(body))
-        except (KeyError, TypeError, ValueError) as exc:
-            return _json(400, {"error": repr(exc), "code": 3})
-        return _json(200, answer)
-
-    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
-        key = base64.b64decode(body["key"])
-        end = base64.b64decode(body.get("range_end", ""))
-        keys = [key] if not end else [k for k in self._values if key <= k < end]
-        kvs = [self._kv(k) for k in sorted(keys) if k in self._values]
-        return {"header": self._header(), "kvs": kvs, "count": str(len(kvs))}
-
-    def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
-        holds = all(self._holds(c) for c in body.get("compare", ()))
-        operations = body.get("success" if holds else "failure", ())
-        if operations:
-            self._revision += 1
-        for op in operations:
-            self._apply(op)
-        return {"header": self._header(), "succeeded": holds}
-
-    def _holds(self, compare: dict[str, Any]) -> bool:
-        value = self._values.get(base64.b64decode(compare["key"]))
-        if compare["target"] == "CREATE":
-            got = value.create_revision if value else 0
-            return got == int(compare["create_revision"])
-        got = value.mod_revision if value else 0
-        return got == int(compare["mod_revision"])
-
-    def _apply(self, op: dict[str, Any]) -> None:
-        if "request_delete_range" in op:
-            key = base64.b64decode(op["request_delete_range"]["key"])
-            self._values.pop(key, None)
-            return
-        put = op["request_put"]
-        key = base64.b64decode(put["key"])
-        old = self._values.get(key)
-        self._values[key] = _Value(
-            put["value"],
-            old.create_revision if old else self._revision,
-            self._revision,
-            old.version + 1 if old else 1,
-            int(put.get("lease", 0)),
-        )
-
-    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
-        lease_id = self._next_lease
-        self._next_lease += 1
-        ttl_s = int(body["TTL"])
-        self._leases[lease_id] = (ttl_s, self._clock.monotonic() + ttl_s)
+            faults = msgspec.json.decode(body, type=StoreFaults)
+        except msgspec.MsgspecError as exc:
+            return _error(400, 3, str(exc))
+        if faults.down not in ("", "refuse", "hang"):
+            return _error(400, 3, "down: expected '', 'refuse' or 'hang'")
+        self.set_faults(faults)
+        return _json(200, faults)
+
+    def _counters(self) -> dict[str, Any]:
         return {
-            "header": self._header(),
-            "ID": str(lease_id),
-            "TTL": str(ttl_s),
+            "calls": self.calls,
+            "watching": self.watching,
+            "revision": self.state.revision,
         }
 
-    def _keep_alive(self, body: dict[str, Any]) -> dict[str, Any]:
-        lease_id = int(body["ID"])
-        result: dict[str, Any] = {"header": self._header(), "ID": str(lease_id)}
-        if lease_id in self._leases:
-            ttl_s = self._leases[lease_id][0]
-            self._leases[lease_id] = (ttl_s, self._clock.monotonic() + ttl_s)
-            result["TTL"] = str(ttl_s)
-        return {"result": result}
-
-    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
-        self._end_lease(int(body["ID"]))
-        return {"header": self._header()}
-
-    def _lapse(self) -> None:
-        now = self._clock.monotonic()
-        for lease_id, (_, until) in list(self._leases.items()):
-            if until <= now:
-                self._end_lease(lease_id)
-
-    def _end_lease(self, lease_id: int) -> None:
-        if self._leases.pop(lease_id, None) is None:
-            return
-        keys = [k for k, v in self._values.items() if v.lease == lease_id]
-        if keys:
-            self._revision += 1
-        for key in keys:
-            del self._values[key]
-
-    def _header(self) -> dict[str, Any]:
-        return {"revision": str(self._revision)}
-
-    def _kv(self, key: bytes) -> dict[str, Any]:
-        value = self._values[key]
-        return {
-            "key": base64.b64encode(key).decode(),
-            "value": value.value,
-            "create_revision": str(value.create_revision),
-            "mod_revision": str(value.mod_revision),
-            "version": str(value.version),
-            "lease": str(value.lease),
-        }
+    async def watch_lines(
+        self, key: bytes, end: bytes, start: int
+    ) -> AsyncIterator[bytes]:
+        """Yields the messages of one watch until the store is down."""
+        header = {"header": self.state.header(), "created": True}
+        if start <= self.state.compacted:
+            compacted = str(self.state.compacted)
+            header |= {"canceled": True, "compact_revision": compacted}
+        yield _line({"result": header})
+        while not self._faults.down:
+            changed = self.state.changed()
+            changes = self.state.changes(start, key, end)
+            if changes:
+                start = changes[-1].revision + 1
+                events = [c.message for c in changes]
+                result = {"header": self.state.header(), "events": events}
+                yield _line({"result": result})
+                continue
+            await self._either(changed, self._faults_changed)
+        _cut()
+
+    async def _either(self, first: anyio.Event, second: anyio.Event) -> None:
+        async with anyio.create_task_group() as tasks:
+
+            async def wait(event: anyio.Event) -> None:
+                await event.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(wait, first)
+            tasks.start_soon(wait, second)
+
+
+class _WatchBody(BodyStream):
+    """The endless answer of a watch."""
+
+    def __init__(
+        self, standin: StoreStandin, key: bytes, end: bytes, start: int
+    ) -> None:
+        self._standin = standin
+        self._range = (key, end)
+        self._start = start
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        self._standin.watching += 1
+        try:
+            async for line in self._standin.watch_lines(
+                *self._range, self._start
+            ):
+                yield line
+        finally:
+            self._standin.watching -= 1
+
+    def abort(self) -> None:
+        """Does nothing; the reader stops reading."""
+
+
+class _CutBody(BodyStream):
+    """An answer whose connection breaks at once."""
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        _cut()
+        yield b""  # pragma: no cover
+
+    def abort(self) -> None:
+        """Does nothing."""
+
+
+def _cut() -> NoReturn:
+    raise ExchangeBrokenError("told to break")
+
+
+def _line(message: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(message) + b"\n"
 
 
 def _json(status: int, body: Any) -> Response:
@@ -157,3 +233,7 @@
         (("Content-Type", "application/json"),),
         msgspec.json.encode(body),
     )
+
+
+def _error(status: int, code: int, text: str) -> Response:
+    return _json(status, {"error": text, "code": code, "message": text})
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -32,6 +32,16 @@
     code = ResultCode.STORE_ANSWER_MALFORMED
 
 
+class StoreCompactedError(StoreError):
+    """The store no longer has the revision that a watch was to start from."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
+class StoreBudgetError(StoreUnavailableError):
+    """The call was not sent: this node's budget of store calls is spent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreEntry:
     """A key with its value.
@@ -125,8 +135,16 @@
         """Returns the entry of `key`, if it exists."""
 
     @abc.abstractmethod
-    async def list(self, prefix: str) -> tuple[StoreEntry, ...]:
-        """Returns the entries whose key starts with `prefix`, by key."""
+    async def list(self, prefix: str, limit: int = 0) -> tuple[StoreEntry, ...]:
+        """Returns the entries whose key starts with `prefix`, by key.
+
+        It is read in pages, each a call of the store, so a key changed
+        meanwhile may be seen in either state.
+
+        Args:
+          prefix: what the keys start with, not empty.
+          limit: how many entries at most, the first by key; 0 for all.
+        """
 
     @abc.abstractmethod
     async def transact(
@@ -150,7 +168,18 @@
     def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncIterator[WatchEvent]:
-        """Yields changes below `prefix` from a revision on, until it fails."""
+        """Yields changes below `prefix` until the watch fails.
+
+        It is one waiting call of the store.
+
+        Args:
+          prefix: what the keys start with, not empty.
+          from_revision: the first revision told; 0 for the next change.
+
+        Raises:
+          StoreCompactedError: `from_revision` is too old: read anew.
+          StoreError: the watch broke or was refused.
+        """
 
     @abc.abstractmethod
     async def close(self) -> None:
