Claim keyed calls in the store before their first attempt

Cause: a caller that sends a booking again with the same Idempotency-Key ran it again; the node remembered nothing.

A call that has a key and is not idempotent is claimed by compare-and-swap (create only if absent) at the entry node; one claim covers its attempts. It runs in a task of the node's own, so that a caller who goes away does not cut it. The result is written behind, in groups, conditional on the claim's own revision; a call that did not run gives its claim back the same way.

Ruled out: telling "not run" while the store is down. So the answer is "unknown" with the new code 4006 (claim-unchecked), status 503 and Retry-After. Unknown gains retry_after_s for that.

--- /dev/null
+++ b/src/radishwind/claims/keyed.py
@@ -0,0 +1,198 @@
+"""The guard that runs a keyed call at most once, by claims in the store."""
+
+import dataclasses
+
+import anyio
+import anyio.abc
+import msgspec
+
+from radishwind.claims.capture import capture
+from radishwind.claims.guard import ClaimGuard
+from radishwind.claims.guard import Execute
+from radishwind.claims.memory import ClaimMemory
+from radishwind.claims.record import ClaimRecord
+from radishwind.claims.record import ClaimState
+from radishwind.claims.record import repeat_outcome
+from radishwind.claims.record import Sending
+from radishwind.claims.registry import ClaimRegistry
+from radishwind.claims.registry import HeldClaim
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.types import abort_body
+from radishwind.outcomes.model import Done
+from radishwind.outcomes.model import NotRun
+from radishwind.outcomes.model import Outcome
+from radishwind.outcomes.model import Unknown
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Job:
+    """A keyed call that runs to its end whether or not its caller waits."""
+
+    call: Call
+    execute: Execute
+    finished: anyio.Event
+    outcome: Outcome | None = None
+    error: Exception | None = None
+    abandoned: bool = False
+
+
+class KeyedClaims(ClaimGuard):
+    """Claims a key before its call's first attempt; answers repeats.
+
+    Args:
+      clock: the clock.
+      registry: the claims in the store.
+      memory: what this node remembers of them.
+      answer_bytes: the most of an answer that is recorded (bytes).
+      repeat_wait_s: how long a repeat waits here for the first to end (s).
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        registry: ClaimRegistry,
+        memory: ClaimMemory,
+        answer_bytes: int,
+        repeat_wait_s: float,
+    ) -> None:
+        self._clock = clock
+        self._registry = registry
+        self._memory = memory
+        self._answer_bytes = answer_bytes
+        self._repeat_wait_s = repeat_wait_s
+        self._running: dict[tuple[str, str], anyio.Event] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._jobs = 0
+        self._idle = anyio.Event()
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Takes the group that keyed calls run in."""
+        self._tasks = tasks
+
+    @property
+    def running(self) -> int:
+        """How many keyed calls are in progress."""
+        return self._jobs
+
+    async def finished(self) -> None:
+        """Returns once no keyed call is in progress."""
+        while self._jobs:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def run(self, call: Call, execute: Execute) -> Outcome:
+        if call.key is None or call.idempotent:
+            return await execute(call)
+        if self._tasks is None:
+            return NotRun(
+                ResultCode.CLAIM_UNAVAILABLE, "The node is starting.", 1.0
+            )
+        job = _Job(call, execute, anyio.Event())
+        self._tasks.start_soon(self._work, job)
+        try:
+            await job.finished.wait()
+        except BaseException:
+            job.abandoned = True
+            raise
+        if job.error is not None:
+            raise job.error
+        assert job.outcome is not None
+        return job.outcome
+
+    async def _work(self, job: _Job) -> None:
+        self._jobs += 1
+        try:
+            job.outcome = await self._one_at_a_time(job)
+        except Exception as exc:
+            job.error = exc
+        except BaseException:
+            job.outcome = Unknown(
+                ResultCode.EXCHANGE_BROKEN, "The node was stopped meanwhile."
+            )
+            raise
+        finally:
+            self._jobs -= 1
+            job.finished.set()
+            if not self._jobs:
+                self._idle.set()
+        if job.abandoned and isinstance(job.outcome, Done):
+            abort_body(job.outcome.response.body)
+
+    async def _one_at_a_time(self, job: _Job) -> Outcome:
+        """Lets one sending of a key at a time pass in this node."""
+        sending = Sending.of(job.call)
+        slot = (sending.service, sending.key)
+        if not await self._wait_for_turn(slot, job.call):
+            return Unknown(
+                ResultCode.CLAIM_RUNNING,
+                "An earlier sending with this key still runs.",
+                1.0,
+            )
+        known = self._memory.get(sending, self._clock.monotonic())
+        if known is not None:
+            wall_ms = int(self._clock.now().timestamp() * 1000)
+            return repeat_outcome(known, sending, wall_ms)
+        turn = self._running[slot] = anyio.Event()
+        try:
+            return await self._claimed(job, sending)
+        finally:
+            del self._running[slot]
+            turn.set()
+
+    async def _wait_for_turn(self, slot: tuple[str, str], call: Call) -> bool:
+        left_s = call.deadline - self._clock.monotonic()
+        with anyio.move_on_after(max(0.0, min(left_s, self._repeat_wait_s))):
+            while slot in self._running:
+                await self._running[slot].wait()
+            return True
+        return False
+
+    async def _claimed(self, job: _Job, sending: Sending) -> Outcome:
+        claim = await self._registry.claim(job.call, sending)
+        if not isinstance(claim, HeldClaim):
+            return claim
+        # From here on it may run, whatever becomes of this task.
+        ended = msgspec.structs.replace(claim.record, expires_ms=0)
+        self._remember(sending, claim, ended)
+        outcome = await job.execute(job.call)
+        if isinstance(outcome, NotRun):
+            self._memory.forget(sending)
+            self._registry.release(claim)
+            return outcome
+        if isinstance(outcome, Done):
+            return await self._record(job.call, sending, claim, outcome)
+        return outcome
+
+    async def _record(
+        self, call: Call, sending: Sending, claim: HeldClaim, done: Done
+    ) -> Outcome:
+        left_s = call.deadline - self._clock.monotonic()
+        try:
+            with anyio.fail_after(max(0.0, left_s)):
+                got = await capture(done.response, self._answer_bytes)
+        except ExchangeBrokenError:
+            return Unknown(
+                ResultCode.EXCHANGE_BROKEN, "The server's answer broke off."
+            )
+        except TimeoutError:
+            abort_body(done.response.body)
+            return Unknown(
+                ResultCode.EXCHANGE_TIMEOUT,
+                "The server's answer did not end in time.",
+            )
+        record = msgspec.structs.replace(
+            claim.record, state=ClaimState.DONE, answer=got.kept
+        )
+        self._remember(sending, claim, record)
+        self._registry.record(claim, record)
+        return Done(got.response)
+
+    def _remember(
+        self, sending: Sending, claim: HeldClaim, record: ClaimRecord
+    ) -> None:
+        until = self._clock.monotonic() + claim.ttl_s
+        self._memory.put(sending, record, until)
--- /dev/null
+++ b/src/radishwind/claims/record.py
@@ -0,0 +1,172 @@
+"""What is written of a claim, and what a repeat is told of it."""
+
+import dataclasses
+import enum
+
+import msgspec
+import xxhash
+
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http.types import header
+from radishwind.http.types import Headers
+from radishwind.http.types import Response
+from radishwind.outcomes.model import Done
+from radishwind.outcomes.model import NotRun
+from radishwind.outcomes.model import Outcome
+from radishwind.outcomes.model import Unknown
+
+CLAIM_PREFIX = "/radishwind/claims/"
+
+#: Tells a caller that the answer is the recorded one of an earlier sending.
+REPLAY_FIELD = "Radishwind-Replayed"
+
+CALLER_FIELD = "radishwind-caller"
+
+#: The longest a repeat of a running call is asked to wait (s).
+_RUNNING_RETRY_S = 1.0
+
+
+class ClaimState(enum.StrEnum):
+    """How far a claimed call has come, as far as is written."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """A server's answer, small enough to keep.
+
+    Attributes:
+      status: the HTTP status.
+      headers: the field lines in order.
+      body: the whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def size_bytes(self) -> int:
+        """Returns roughly what it takes to keep (bytes)."""
+        fields = sum(len(k) + len(v) + 4 for k, v in self.headers)
+        return len(self.body) + fields
+
+
+class ClaimRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A claim as the store keeps it, in JSON.
+
+    Attributes:
+      key: the caller's idempotency key, whole.
+      nonce: names the writing of this claim, unique.
+      node: the entry node that holds it.
+      fingerprint: of the request, see `fingerprint`.
+      expires_ms: the call's deadline (ms since the epoch, UTC); nothing runs
+        under this claim afterwards.
+      caller: the name the caller gave itself, empty for none.
+      state: how far it has come.
+      answer: what the server answered, `None` if not done or too large.
+    """
+
+    key: str
+    nonce: str
+    node: str
+    fingerprint: str
+    expires_ms: int
+    caller: str = ""
+    state: ClaimState = ClaimState.CLAIMED
+    answer: RecordedAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sending:
+    """One sending of a keyed request.
+
+    Attributes:
+      service: the service it is for.
+      key: the caller's idempotency key.
+      fingerprint: of the request.
+      caller: the name the caller gave itself, empty for none.
+    """
+
+    service: str
+    key: str
+    fingerprint: str
+    caller: str
+
+    @classmethod
+    def of(cls, call: Call) -> "Sending":
+        """Returns the sending that `call`, which has a key, is."""
+        assert call.key is not None
+        name = header(call.request.headers, CALLER_FIELD) or ""
+        return cls(call.service, call.key, fingerprint(call), name)
+
+    def store_key(self) -> str:
+        """Returns the key of the store that its claim is written at."""
+        digest = xxhash.xxh3_128_hexdigest(self.key.encode())
+        return f"{CLAIM_PREFIX}{self.service}/{digest}"
+
+
+def fingerprint(call: Call) -> str:
+    """Returns a digest of method, path and body.
+
+    Of a body that is streamed only its length counts: the claim is written
+    before the body has been read.
+    """
+    request = call.request
+    digest = xxhash.xxh3_128(f"{request.method} {request.path}\n".encode())
+    if isinstance(request.body, bytes):
+        digest.update(request.body)
+    else:
+        digest.update(f"stream of {request.body_bytes}".encode())
+    return digest.hexdigest()
+
+
+def repeat_outcome(
+    record: ClaimRecord, sending: Sending, wall_ms: int
+) -> Outcome:
+    """Returns what a sending is told whose key is claimed already.
+
+    Args:
+      record: the claim found.
+      sending: the new sending.
+      wall_ms: wall-clock time (ms since the epoch, UTC).
+    """
+    if record.key != sending.key:
+        return Unknown(
+            ResultCode.CLAIM_UNKNOWN, "Another key has the same digest."
+        )
+    if record.fingerprint != sending.fingerprint:
+        return NotRun(
+            ResultCode.KEY_REUSED,
+            "The idempotency key was used for another request.",
+        )
+    if record.caller and sending.caller and record.caller != sending.caller:
+        # Neither another caller's answer nor "not run" may be told.
+        return Unknown(
+            ResultCode.CLAIM_UNKNOWN, "Another caller has used the key."
+        )
+    if record.state is ClaimState.DONE:
+        return _finished(record)
+    left_s = (record.expires_ms - wall_ms) / 1000
+    if left_s > 0:
+        return Unknown(
+            ResultCode.CLAIM_RUNNING,
+            "An earlier sending with this key may still run.",
+            max(0.1, min(left_s, _RUNNING_RETRY_S)),
+        )
+    return Unknown(
+        ResultCode.CLAIM_UNKNOWN,
+        "An earlier sending with this key may have run.",
+    )
+
+
+def _finished(record: ClaimRecord) -> Outcome:
+    kept = record.answer
+    if kept is None:
+        return Unknown(
+            ResultCode.CLAIM_UNKNOWN,
+            "An earlier sending ran; its answer was too large to keep.",
+        )
+    headers = (*kept.headers, (REPLAY_FIELD, "true"))
+    return Done(Response(kept.status, headers, kept.body, len(kept.body)))
--- /dev/null
+++ b/src/radishwind/claims/registry.py
@@ -0,0 +1,282 @@
+"""Claims in the store: one compare-and-swap before anything runs."""
+
+import dataclasses
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+
+import anyio
+import msgspec
+
+from radishwind.claims.budget import WriteBudget
+from radishwind.claims.gate import StoreGate
+from radishwind.claims.record import ClaimRecord
+from radishwind.claims.record import repeat_outcome
+from radishwind.claims.record import Sending
+from radishwind.claims.settler import ClaimSettler
+from radishwind.claims.settler import Settlement
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.leases.shared import SharedLease
+from radishwind.outcomes.model import NotRun
+from radishwind.outcomes.model import Outcome
+from radishwind.outcomes.model import Unknown
+from radishwind.store.base import Compare
+from radishwind.store.base import Put
+from radishwind.store.base import Store
+from radishwind.store.base import StoreAnswerLostError
+from radishwind.store.base import StoreEntry
+from radishwind.store.base import StoreError
+
+#: How often a claim that is released under our eyes is tried again.
+_TRIES = 3
+
+#: A claim lives at least so many times the longest deadline of its service.
+_TTL_DEADLINES = 10
+
+_T = TypeVar("_T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """A claim that this node has written and nobody else may run under.
+
+    Attributes:
+      record: as written.
+      store_key: where.
+      mod_revision: the store's revision of it.
+      lease_id: the lease it hangs on.
+      ttl_s: how long it lives at least (s).
+    """
+
+    record: ClaimRecord
+    store_key: str
+    mod_revision: int
+    lease_id: int
+    ttl_s: int
+
+
+def claim_ttl_s(call: Call) -> int:
+    """Returns how long the claim of `call` must live at least (s).
+
+    A rule may shorten it, but never near the longest deadline: what was
+    claimed before a pause must be too late before its claim is gone.
+    """
+    longest_s = call.rules.max_deadline_ms / 1000
+    return max(call.rules.claim_ttl_s, int(longest_s * _TTL_DEADLINES) + 60)
+
+
+class ClaimRegistry:
+    """Writes, reads and settles claims.
+
+    Args:
+      store: the store.
+      clock: the clock.
+      rng: makes the nonces.
+      node_name: the node, for whoever reads a claim.
+      gate: keeps calls from a store that failed.
+      budget: of the store's writes.
+      reads: of the store's reads, for telling repeats when writes are spent.
+      settler: writes what became of claims.
+      lease: the lease that claims hang on.
+      wait_s: how long a caller may wait for the store (s).
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        node_name: str,
+        gate: StoreGate,
+        budget: WriteBudget,
+        reads: WriteBudget,
+        settler: ClaimSettler,
+        lease: SharedLease,
+        wait_s: float,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._node_name = node_name
+        self._gate = gate
+        self._budget = budget
+        self._reads = reads
+        self._settler = settler
+        self._lease = lease
+        self._wait_s = wait_s
+
+    async def claim(self, call: Call, sending: Sending) -> HeldClaim | Outcome:
+        """Returns the claim if it is ours now, else what the caller is told.
+
+        Nothing has been dispatched under any claim that is not returned.
+        """
+        now = self._clock.monotonic()
+        if not self._gate.enter(now):
+            return _unchecked(self._gate.wait_s(now))
+        try:
+            outcome = await self._claim(call, sending)
+        except StoreError:
+            self._lease.forget()
+            self._gate.failed(self._clock.monotonic())
+            return _unchecked(self._gate.wait_s(self._clock.monotonic()))
+        except BaseException:
+            self._gate.failed(self._clock.monotonic())
+            raise
+        self._gate.succeeded()
+        return outcome
+
+    def release(self, claim: HeldClaim) -> None:
+        """Gives a claim back under which nothing ran."""
+        self._settler.note_undispatched(claim.record.nonce)
+        self._settler.add(
+            Settlement(claim.store_key, claim.mod_revision, None, 0)
+        )
+
+    def record(self, claim: HeldClaim, record: ClaimRecord) -> None:
+        """Writes what the server answered."""
+        self._settler.add(
+            Settlement(
+                claim.store_key,
+                claim.mod_revision,
+                msgspec.json.encode(record),
+                claim.lease_id,
+            )
+        )
+
+    async def _claim(self, call: Call, sending: Sending) -> HeldClaim | Outcome:
+        store_key = sending.store_key()
+        for _ in range(_TRIES):
+            if not self._budget.take(self._clock.monotonic()):
+                return await self._over_budget(sending, store_key)
+            claim = await self._write(call, sending, store_key, 0)
+            if claim is not None:
+                return claim
+            entry = await self._read(store_key)
+            if entry is None:
+                continue
+            told = self._told(entry, sending)
+            if told is not None:
+                return told
+            claim = await self._write(
+                call, sending, store_key, entry.mod_revision
+            )
+            if claim is not None:
+                return claim
+        return _unchecked(1.0)
+
+    async def _write(
+        self, call: Call, sending: Sending, store_key: str, revision: int
+    ) -> HeldClaim | None:
+        """Writes a claim if the key's last revision is `revision`."""
+        ttl_s = claim_ttl_s(call)
+        lease_id = await self._lease_id(ttl_s)
+        record = ClaimRecord(
+            sending.key,
+            f"{self._node_name}-{self._rng.getrandbits(96):024x}",
+            self._node_name,
+            sending.fingerprint,
+            call.expires_ms,
+            sending.caller,
+        )
+        put = Put(store_key, msgspec.json.encode(record), lease_id)
+        compare = Compare(store_key, mod_revision=revision)
+        try:
+            result = await self._bounded(
+                lambda: self._store.transact((compare,), (put,))
+            )
+        except StoreAnswerLostError:
+            mod_revision = await self._settle(record, store_key)
+        except BaseException:
+            # Cancelled: it may be written and will never be dispatched.
+            self._lose(record, store_key)
+            raise
+        else:
+            mod_revision = result.revision if result.succeeded else None
+        if mod_revision is None:
+            return None
+        return HeldClaim(record, store_key, mod_revision, lease_id, ttl_s)
+
+    async def _settle(self, record: ClaimRecord, store_key: str) -> int | None:
+        """Returns the revision of our claim if it was written, else `None`.
+
+        Never writes: a second write could not tell its own conflict from a
+        claim of somebody else. Where the store does not say, or the claim is
+        not there yet, it is given up: nothing will be dispatched under it.
+        """
+        try:
+            entry = await self._read(store_key)
+        except BaseException:
+            self._lose(record, store_key)
+            raise
+        if entry is not None and record.nonce.encode() in entry.value:
+            return entry.mod_revision
+        self._lose(record, store_key)
+        return None
+
+    def _lose(self, record: ClaimRecord, store_key: str) -> None:
+        self._settler.note_undispatched(record.nonce)
+        self._settler.add_lost(store_key, record.nonce)
+
+    async def _lease_id(self, ttl_s: int) -> int:
+        if not self._lease.ready(ttl_s):
+            self._budget.charge(self._clock.monotonic())
+        return await self._bounded(lambda: self._lease.lease_id(ttl_s))
+
+    async def _over_budget(self, sending: Sending, store_key: str) -> Outcome:
+        """Tells a repeat what is known, by a read; a first one is not run."""
+        now = self._clock.monotonic()
+        wait_s = self._budget.wait_s(now)
+        if not self._reads.take(now):
+            return _unchecked(wait_s)
+        entry = await self._read(store_key)
+        told = self._told(entry, sending) if entry is not None else None
+        if told is not None:
+            return told
+        return NotRun(
+            ResultCode.CLAIM_UNAVAILABLE,
+            "This node's share of the store's writes is spent.",
+            wait_s,
+        )
+
+    def _told(self, entry: StoreEntry, sending: Sending) -> Outcome | None:
+        """Returns what a repeat is told, `None` if nothing ran or will."""
+        try:
+            record = msgspec.json.decode(entry.value, type=ClaimRecord)
+        except msgspec.MsgspecError as exc:
+            return Unknown(
+                ResultCode.CLAIM_UNKNOWN, f"The claim cannot be read: {exc}"
+            )
+        if self._settler.undispatched(record.nonce):
+            return None
+        wall_ms = int(self._clock.now().timestamp() * 1000)
+        return repeat_outcome(record, sending, wall_ms)
+
+    async def _read(self, store_key: str) -> StoreEntry | None:
+        return await self._bounded(lambda: self._store.get(store_key))
+
+    async def _bounded(self, ask: Callable[[], Awaitable[_T]]) -> _T:
+        try:
+            with anyio.fail_after(self._wait_s):
+                return await ask()
+        except TimeoutError as exc:
+            raise StoreAnswerLostError(
+                f"expected an answer within {self._wait_s} s, got none"
+            ) from exc
+
+
+def _unchecked(retry_after_s: float) -> Outcome:
+    """The answer where the store does not say whether the key has run.
+
+    Not `NotRun`: this sending was not dispatched, but an earlier one with the
+    same key may have run, and the caller asks about the request.
+    """
+    return Unknown(
+        ResultCode.CLAIM_UNCHECKED,
+        "This sending was not run; whether an earlier one with this key was "
+        "cannot be told now. Send again with the same key.",
+        retry_after_s,
+    )
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from radishwind.admission import FifoAdmission
-from radishwind.claims import NoClaims
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
 from radishwind.core import Clock
@@ -22,6 +21,7 @@
 from radishwind.http.hygiene import end_to_end
 from radishwind.membership.polled import PolledDirectory
 from radishwind.node.admin import AdminListener
+from radishwind.node.claims import make_claims
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
 from radishwind.peers.forward import without_node_fields
@@ -63,6 +63,13 @@
             sender=self._sender,
             server=self._settings.server,
         )
+        self._claims = make_claims(
+            self._settings,
+            self._clock,
+            self._rng,
+            self._store,
+            lambda: len(self._directory.members()),
+        )
         self._entry = EntryPipeline(
             node_name=self._settings.target,
             clock=self._clock,
@@ -77,7 +84,7 @@
                 target=self._target,
                 sender=self._sender,
             ),
-            claims=NoClaims(),
+            claims=self._claims.guard,
         )
         self._peers = PeerListener(
             node_name=self._settings.target,
@@ -87,12 +94,14 @@
         )
         self._admin = AdminListener()
         self._admin.add_status(self._status)
+        self._admin.add_status(self._claims.status)
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT; then finishes what is in progress."""
         async with anyio.create_task_group() as tasks:
             callers, peers, admin = self._servers
+            self._claims.start(tasks)
             await peers.start(self._peers.handle, self._settings.peer_listen)
             await admin.start(self._admin.handle, self._settings.admin_listen)
             tasks.start_soon(self._poll_store)
@@ -109,6 +118,7 @@
         await self._servers[0].stop_listening()
         with anyio.move_on_after(self._settings.stop_grace_s):
             await self._target.drained()
+            await self._claims.finished()
         for server in self._servers:
             await server.close(1.0)
         await self._sender.close()
--- a/src/radishwind/outcomes/answers.py
+++ b/src/radishwind/outcomes/answers.py
@@ -24,6 +24,7 @@
     ResultCode.EXCHANGE_TIMEOUT: 504,
     ResultCode.CLAIM_RUNNING: 409,
     ResultCode.CLAIM_UNKNOWN: 409,
+    ResultCode.CLAIM_UNCHECKED: 503,
     ResultCode.PEER_UNAUTHENTICATED: 401,
     ResultCode.PEER_MALFORMED: 400,
 }
@@ -59,7 +60,9 @@
         return problem(
             outcome.code, outcome.detail, "not-run", outcome.retry_after_s
         )
-    return problem(outcome.code, outcome.detail, "unknown")
+    return problem(
+        outcome.code, outcome.detail, "unknown", outcome.retry_after_s
+    )
 
 
 def problem(
--- a/src/radishwind/outcomes/model.py
+++ b/src/radishwind/outcomes/model.py
@@ -44,10 +44,12 @@
     Attributes:
       code: why, from the 4000 family.
       detail: a sentence for the caller.
+      retry_after_s: when asking again may tell more (s), if it can.
     """
 
     code: ResultCode
     detail: str
+    retry_after_s: float | None = None
 
 
 Outcome: TypeAlias = NotRun | Done | Unknown
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -68,3 +68,46 @@
         "Seed of the random source; 0 takes one from the system.",
         default=0,
     )
+    claim_store_wait_s: float = setting(
+        parsers.number(0.01, 10),
+        "How long a keyed call may wait for the store.",
+        default=0.5,
+        unit="s",
+    )
+    claim_repeat_wait_s: float = setting(
+        parsers.number(0, 30),
+        "How long a repeat waits for a first sending that runs here.",
+        default=1.0,
+        unit="s",
+    )
+    claim_writes_per_s: float = setting(
+        parsers.number(0, 10_000),
+        "Writes of the store that all nodes together may make for claims.",
+        default=150.0,
+        unit="calls/s",
+    )
+    claim_reads_per_s: float = setting(
+        parsers.number(0, 10_000),
+        "Reads of the store that all nodes together may make for repeats "
+        "once the writes are spent.",
+        default=500.0,
+        unit="calls/s",
+    )
+    claim_answer_bytes: int = setting(
+        parsers.whole_number(0, 256 * 1024),
+        "The largest answer that is recorded for repeats.",
+        default=32 * 1024,
+        unit="bytes",
+    )
+    claim_memory_bytes: int = setting(
+        parsers.whole_number(64 * 1024, 2**32),
+        "What a node remembers of claims, and again what waits to be written.",
+        default=4 * 1024 * 1024,
+        unit="bytes",
+    )
+    claim_lease_bucket_s: float = setting(
+        parsers.number(1, 86_400),
+        "How long claims are put on the same lease of the store.",
+        default=600.0,
+        unit="s",
+    )
--- /dev/null
+++ b/tests/support/keyed.py
@@ -0,0 +1,261 @@
+"""Entry nodes, targets, a store and counting servers in one process.
+
+Every fault and every interleaving is drawn from one seeded generator, and time
+moves only by hand, so that a run can be repeated from its seed.
+"""
+
+import collections
+import random
+from collections.abc import Callable
+
+import anyio
+import anyio.lowlevel
+
+from radishwind.admission import FifoAdmission
+from radishwind.claims import ClaimGuard
+from radishwind.config.index import ConfigIndex
+from radishwind.config.model import Configuration
+from radishwind.config.model import Inventory
+from radishwind.config.model import Rules
+from radishwind.config.model import Service
+from radishwind.config.model import ServiceRules
+from radishwind.core import Clock
+from radishwind.core import ManualClock
+from radishwind.entry import EntryPipeline
+from radishwind.http import Address
+from radishwind.http import ConnectFailedError
+from radishwind.http import ExchangeBrokenError
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.types import header
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.node.claims import make_claims
+from radishwind.node.claims import NodeClaims
+from radishwind.peers import ForwardRunner
+from radishwind.peers import PeerListener
+from radishwind.retries import RetryNotRun
+from radishwind.retries import RetryPolicy
+from radishwind.routing.baselines import RandomChooser
+from radishwind.settings import NodeSettings
+from radishwind.standins.store import StoreStandin
+from radishwind.store import EtcdStore
+from radishwind.store import Store
+from radishwind.target import TargetPipeline
+from tests.support.direct import DirectSender
+
+STORE = Address("10.0.0.1", 2379)
+RULES = ServiceRules(deadline_ms=2_000, max_deadline_ms=5_000)
+CONFIG = Configuration(
+    1,
+    inventory=Inventory(services=(Service("prenota"),)),
+    rules=Rules(defaults=RULES),
+)
+
+#: Wraps or replaces the guard of a node; for the weak variants.
+GuardMaker = Callable[[ClaimGuard, Store, Clock], ClaimGuard]
+
+
+class FaultyStore:
+    """The stand-in of the store behind a network drawn from a seed."""
+
+    def __init__(self, clock: ManualClock, rng: random.Random) -> None:
+        self.standin = StoreStandin(clock)
+        self._clock = clock
+        self._rng = rng
+        self.fault_share = 0.0
+        self.down = False
+        self._late: list[Request] = []
+
+    async def handle(self, request: Request) -> Response:
+        if self.down:
+            raise ConnectFailedError("the store is down")
+        for _ in range(self._rng.randrange(4)):
+            await anyio.lowlevel.checkpoint()
+        if self._rng.random() >= self.fault_share:
+            return await self.standin.handle(request)
+        kind = self._rng.choice(("refused", "lost", "late", "slow"))
+        if kind == "refused":
+            raise ConnectFailedError("refused")
+        if kind == "slow":
+            self._clock.advance(self._rng.uniform(0.0, 3.0))
+            return await self.standin.handle(request)
+        if kind == "lost":
+            await self.standin.handle(request)
+        else:
+            self._late.append(request)
+        raise ExchangeBrokenError(f"answer {kind}")
+
+    async def deliver_late(self) -> None:
+        """Handles the requests that were under way for long."""
+        late, self._late = self._late, []
+        for request in late:
+            await self.standin.handle(request)
+
+
+class CountingServers:
+    """Backend servers that count what ran, by key and body."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.fault_share = 0.0
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.runs_by_body: collections.Counter[bytes] = collections.Counter()
+
+    async def handle(self, request: Request) -> Response:
+        fault = ""
+        if self._rng.random() < self.fault_share:
+            fault = self._rng.choice(("refused", "shed", "before", "after"))
+        if fault == "refused":
+            raise ConnectFailedError("refused")
+        if fault == "shed":
+            return Response(503, (("Radishwind-Shed", "1"),), b"")
+        await anyio.lowlevel.checkpoint()
+        if fault == "before":
+            raise ExchangeBrokenError("cut before it ran")
+        key = header(request.headers, "idempotency-key") or ""
+        assert isinstance(request.body, bytes)
+        self.runs[key] += 1
+        self.runs_by_body[request.body] += 1
+        for _ in range(self._rng.randrange(6)):
+            await anyio.lowlevel.checkpoint()
+        if fault == "after":
+            raise ExchangeBrokenError("cut after it ran")
+        return Response(200, (), b"booked " + request.body)
+
+
+class StaticDirectory(Directory):
+    """The members given."""
+
+    def __init__(self, members: tuple[Member, ...]) -> None:
+        self._members = members
+
+    def of_service(self, service: str) -> tuple[Member, ...]:
+        return self._members
+
+    def members(self) -> tuple[Member, ...]:
+        return self._members
+
+
+class PausableSender(DirectSender):
+    """Holds sends back while the process that sends is paused."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.paused: anyio.Event | None = None
+
+    async def send(
+        self, address: Address, request: Request, connect_timeout_s: float
+    ) -> Response:
+        if self.paused is not None:
+            await self.paused.wait()
+        return await super().send(address, request, connect_timeout_s)
+
+
+class EntryNode:
+    """One node's entry side; `crash` loses all it remembers."""
+
+    def __init__(self, cluster: "Cluster", name: str) -> None:
+        self.sender = PausableSender()
+        self.sender.handlers = cluster.handlers
+        cfg = NodeSettings(
+            target=name,
+            service="prenota",
+            failure_domain="savona",
+            store=STORE,
+            claim_store_wait_s=cluster.store_wait_s,
+            claim_repeat_wait_s=cluster.repeat_wait_s,
+            claim_writes_per_s=10_000.0,
+            claim_memory_bytes=64 * 1024,
+        )
+        store = EtcdStore(cluster.sender, STORE)
+        self.claims: NodeClaims = make_claims(
+            cfg, cluster.clock, cluster.rng, store, lambda: 1
+        )
+        guard: ClaimGuard = self.claims.guard
+        if cluster.guard is not None:
+            guard = cluster.guard(guard, store, cluster.clock)
+        self._entry = EntryPipeline(
+            node_name=name,
+            clock=cluster.clock,
+            rng=cluster.rng,
+            index=lambda: cluster.index,
+            directory=cluster.directory,
+            chooser=RandomChooser(cluster.rng),
+            retries=cluster.retries,
+            runner=ForwardRunner(
+                node_name=name,
+                clock=cluster.clock,
+                target=cluster.targets[0],
+                sender=self.sender,
+            ),
+            claims=guard,
+        )
+        self._scope = anyio.CancelScope()
+
+    async def main(self) -> None:
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                self.claims.guard.start(tasks)
+                await anyio.sleep_forever()
+
+    def crash(self) -> None:
+        self._scope.cancel()
+
+    async def send(
+        self, key: str, body: bytes, *fields: tuple[str, str]
+    ) -> Response:
+        headers = (("Idempotency-Key", key), *fields)
+        request = Request("POST", "/prenota/x", headers, body, len(body))
+        return await self._entry.handle(request)
+
+
+class Cluster:
+    """Two targets, some entry nodes, one store; all from one seed."""
+
+    def __init__(
+        self,
+        seed: int,
+        guard: GuardMaker | None = None,
+        retries: RetryPolicy | None = None,
+        store_wait_s: float = 10.0,
+        repeat_wait_s: float = 0.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.guard = guard
+        self.retries = retries or RetryNotRun()
+        self.store_wait_s = store_wait_s
+        self.repeat_wait_s = repeat_wait_s
+        self.index = ConfigIndex(CONFIG)
+        self.sender = DirectSender()
+        self.handlers = self.sender.handlers
+        self.store = FaultyStore(self.clock, self.rng)
+        self.handlers[STORE] = self.store.handle
+        self.servers = CountingServers(self.rng)
+        self.targets: list[TargetPipeline] = []
+        members = [self._add_target(number) for number in (1, 2)]
+        self.directory = StaticDirectory(tuple(members))
+
+    def node(self, name: str) -> EntryNode:
+        return EntryNode(self, name)
+
+    def _add_target(self, number: int) -> Member:
+        name = f"prenota-{number}"
+        server, peer = (Address(f"10.0.1.{number}", p) for p in (80, 81))
+        target = TargetPipeline(
+            clock=self.clock,
+            admission=FifoAdmission(100, 10, 1.0),
+            sender=self.sender,
+            server=server,
+        )
+        listener = PeerListener(
+            node_name=name,
+            clock=self.clock,
+            index=lambda: self.index,
+            target=target,
+        )
+        self.targets.append(target)
+        self.handlers[server] = self.servers.handle
+        self.handlers[peer] = listener.handle
+        return Member(name, "prenota", "savona", peer)
