--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -165,7 +165,7 @@
             store=STORE,
             claim_store_wait_s=cluster.store_wait_s,
             claim_repeat_wait_s=cluster.repeat_wait_s,
-            claim_writes_per_s=10_000.0,
+            claim_writes_per_s=cluster.writes_per_s,
             claim_memory_bytes=64 * 1024,
         )
         store = EtcdStore(cluster.sender, STORE)
@@ -203,10 +203,14 @@
         self._scope.cancel()
 
     async def send(
-        self, key: str, body: bytes, *fields: tuple[str, str]
+        self,
+        key: str,
+        body: bytes,
+        *fields: tuple[str, str],
+        method: str = "POST",
     ) -> Response:
-        headers = (("Idempotency-Key", key), *fields)
-        request = Request("POST", "/prenota/x", headers, body, len(body))
+        headers = (("Idempotency-Key", key), *fields) if key else fields
+        request = Request(method, "/prenota/x", headers, body, len(body))
         return await self._entry.handle(request)
 
 
@@ -220,6 +224,7 @@
         retries: RetryPolicy | None = None,
         store_wait_s: float = 10.0,
         repeat_wait_s: float = 0.0,
+        writes_per_s: float = 10_000.0,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = ManualClock()
@@ -227,6 +232,7 @@
         self.retries = retries or RetryNotRun()
         self.store_wait_s = store_wait_s
         self.repeat_wait_s = repeat_wait_s
+        self.writes_per_s = writes_per_s
         self.index = ConfigIndex(CONFIG)
         self.sender = DirectSender()
         self.handlers = self.sender.handlers
