--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -72,6 +72,7 @@
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Takes the group that keyed calls run in."""
         self._tasks = tasks
+        tasks.start_soon(self._registry.run)
 
     @property
     def running(self) -> int:
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -16,6 +16,7 @@
 from radishwind.claims.record import Sending
 from radishwind.claims.settler import ClaimSettler
 from radishwind.claims.settler import Settlement
+from radishwind.claims.writer import ClaimWriter
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
@@ -79,6 +80,7 @@
       gate: keeps calls from a store that failed.
       budget: of the store's writes.
       reads: of the store's reads, for telling repeats when writes are spent.
+      writer: writes the claims.
       settler: writes what became of claims.
       lease: the lease that claims hang on.
       wait_s: how long a caller may wait for the store (s).
@@ -94,6 +96,7 @@
         gate: StoreGate,
         budget: WriteBudget,
         reads: WriteBudget,
+        writer: ClaimWriter,
         settler: ClaimSettler,
         lease: SharedLease,
         wait_s: float,
@@ -105,6 +108,7 @@
         self._gate = gate
         self._budget = budget
         self._reads = reads
+        self._writer = writer
         self._settler = settler
         self._lease = lease
         self._wait_s = wait_s
@@ -129,6 +133,10 @@
         self._gate.succeeded()
         return outcome
 
+    async def run(self) -> None:
+        """Does what is to be done between claims, for ever."""
+        await self._writer.run()
+
     def release(self, claim: HeldClaim) -> None:
         """Gives a claim back under which nothing ran."""
         self._settler.note_undispatched(claim.record.nonce)
@@ -186,7 +194,7 @@
         compare = Compare(store_key, mod_revision=revision)
         try:
             result = await self._bounded(
-                lambda: self._store.transact((compare,), (put,))
+                lambda: self._writer.write(compare, put)
             )
         except StoreAnswerLostError:
             mod_revision = await self._settle(record, store_key)
--- a/src/radishwind/node/claims.py
+++ b/src/radishwind/node/claims.py
@@ -13,6 +13,8 @@
 from radishwind.claims.memory import ClaimMemory
 from radishwind.claims.registry import ClaimRegistry
 from radishwind.claims.settler import ClaimSettler
+from radishwind.claims.writer import ClaimWriter
+from radishwind.claims.writer import GroupWriter
 from radishwind.core.clock import Clock
 from radishwind.leases.shared import SharedLease
 from radishwind.settings.node import NodeSettings
@@ -59,6 +61,7 @@
     rng: random.Random,
     store: Store,
     nodes: Callable[[], int],
+    writer: ClaimWriter | None = None,
 ) -> NodeClaims:
     """Returns the claims of a node.
 
@@ -68,6 +71,7 @@
       rng: the random source.
       store: the store.
       nodes: returns how many nodes share the store's rates.
+      writer: writes the claims; in groups if none is given.
     """
     gate = StoreGate(rng)
     writes = WriteBudget(lambda: settings.claim_writes_per_s / max(1, nodes()))
@@ -87,6 +91,7 @@
         gate=gate,
         budget=writes,
         reads=reads,
+        writer=writer or GroupWriter(store),
         settler=settler,
         lease=SharedLease(store, clock, settings.claim_lease_bucket_s),
         wait_s=settings.claim_store_wait_s,
