--- a/bench/claims.py
+++ b/bench/claims.py
@@ -70,8 +70,8 @@
         self.calls["read"] += 1
         return await self._store.get(key)
 
-    async def list(self, prefix: str) -> Any:
-        return await self._store.list(prefix)
+    async def list(self, prefix: str, limit: int = 0) -> Any:
+        return await self._store.list(prefix, limit)
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Any]
