Add logs, metrics, the burn report, settings reference and result codes

Cause of a fault found by its test: the ledger's slice of old minutes went negative before the ledger was full and dropped half of it. Before: 179 of 360 minutes kept. After: 360, the oldest dropped first.

--- /dev/null
+++ b/src/radishwind/burn/ledger.py
@@ -0,0 +1,139 @@
+"""Counts of each service's requests by minute, kept by the entry node.
+
+Instances keep nothing, so the counts of a node are gone with it; a report over
+the fleet loses the share of the callers that used that node.
+"""
+
+import collections
+
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.entry.call import Call
+from radishwind.entry.observer import CallObserver
+from radishwind.outcomes.model import Done
+from radishwind.outcomes.model import Outcome
+
+#: Minutes kept.
+KEPT_MINUTES = 360
+
+#: Services kept; a node that calls more counts only these.
+KEPT_SERVICES = 256
+
+
+class MinuteCounts(msgspec.Struct, array_like=True):
+    """One minute of one service.
+
+    Attributes:
+      minute: minutes since the epoch, UTC.
+      requests: requests answered in any way.
+      failed: of these, not answered by a server or with status 500 and above.
+      slow: of these, answered later than the latency objective.
+    """
+
+    minute: int
+    requests: int = 0
+    failed: int = 0
+    slow: int = 0
+
+
+class ServiceMinutes(msgspec.Struct, frozen=True):
+    """The minutes of one service, with the objectives they count against.
+
+    Attributes:
+      service: the service.
+      latency_target: share of requests that must not be slow.
+      success_target: share of requests that must not fail.
+      latency_objective_ms: what counts as slow (ms).
+      minutes: the counts, oldest first.
+    """
+
+    service: str
+    latency_target: float
+    success_target: float
+    latency_objective_ms: int
+    minutes: list[MinuteCounts]
+
+
+class BurnLedger(CallObserver):
+    """Counts calls as they end."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._services: dict[str, ServiceMinutes] = {}
+
+    def finished(self, call: Call, outcome: Outcome, elapsed_s: float) -> None:
+        counts = self._counts(call)
+        if counts is None:
+            return
+        counts.requests += 1
+        if not isinstance(outcome, Done) or outcome.response.status >= 500:
+            counts.failed += 1
+        if elapsed_s * 1000 > call.rules.latency_objective_ms:
+            counts.slow += 1
+
+    def services(self) -> list[ServiceMinutes]:
+        """Returns what is counted, by service."""
+        return [self._services[name] for name in sorted(self._services)]
+
+    def _counts(self, call: Call) -> MinuteCounts | None:
+        entry = self._entry(call)
+        if entry is None:
+            return None
+        minute = int(self._clock.now().timestamp()) // 60
+        minutes = entry.minutes
+        if not minutes or minutes[-1].minute < minute:
+            minutes.append(MinuteCounts(minute))
+            del minutes[:-KEPT_MINUTES]
+        return minutes[-1]
+
+    def _entry(self, call: Call) -> ServiceMinutes | None:
+        entry = self._services.get(call.service)
+        if entry is None:
+            if len(self._services) >= KEPT_SERVICES:
+                return None
+            entry = _empty(call)
+        elif entry.latency_target != call.rules.latency_target or (
+            entry.success_target != call.rules.success_target
+        ):
+            entry = _empty(call, entry.minutes)
+        self._services[call.service] = entry
+        return entry
+
+
+def _empty(
+    call: Call, minutes: list[MinuteCounts] | None = None
+) -> ServiceMinutes:
+    return ServiceMinutes(
+        call.service,
+        call.rules.latency_target,
+        call.rules.success_target,
+        call.rules.latency_objective_ms,
+        minutes or [],
+    )
+
+
+def totals(minutes: list[MinuteCounts], since: int) -> MinuteCounts:
+    """Returns the sum of the minutes from `since` (minute) on."""
+    total = MinuteCounts(since)
+    for counts in minutes:
+        if counts.minute >= since:
+            total.requests += counts.requests
+            total.failed += counts.failed
+            total.slow += counts.slow
+    return total
+
+
+def merged(ledgers: list[list[MinuteCounts]]) -> list[MinuteCounts]:
+    """Returns the sum of several nodes' minutes, oldest first."""
+    sums: dict[int, MinuteCounts] = collections.defaultdict(
+        lambda: MinuteCounts(0)
+    )
+    for minutes in ledgers:
+        for counts in minutes:
+            total = sums[counts.minute]
+            total.minute = counts.minute
+            total.requests += counts.requests
+            total.failed += counts.failed
+            total.slow += counts.slow
+    return [sums[minute] for minute in sorted(sums)]
--- /dev/null
+++ b/src/radishwind/cli/admin.py
@@ -0,0 +1,47 @@
+"""Reads the admin listener of a node for the command line."""
+
+from radishwind.core.codes import ResultCode
+from radishwind.core.errors import RadishwindError
+from radishwind.http import Address
+from radishwind.http import HttpLibrary
+from radishwind.http import make_sender
+from radishwind.http import Request
+from radishwind.http import SendError
+from radishwind.http.types import whole_body
+from radishwind.settings import SettingError
+
+_CONNECT_TIMEOUT_S = 2.0
+
+
+class AdminError(RadishwindError):
+    """A node's admin listener gave no good answer."""
+
+    code = ResultCode.PEER_MALFORMED
+
+
+async def fetch_admin(address: str, path: str) -> bytes:
+    """Returns the body of `path` at the admin listener `address`.
+
+    Raises:
+      SettingError: `address` is not HOST:PORT.
+      AdminError: no answer, or not one of success.
+    """
+    try:
+        where = Address.parse(address)
+    except ValueError as exc:
+        raise SettingError(f"--admin: {exc}") from exc
+    sender = make_sender(HttpLibrary.HYPERCORN_HTTPX, 1)
+    try:
+        response = await sender.send(
+            where, Request("GET", path), _CONNECT_TIMEOUT_S
+        )
+        body = await whole_body(response.body)
+    except SendError as exc:
+        raise AdminError(f"{address}: {exc}") from exc
+    finally:
+        await sender.close()
+    if response.status != 200:
+        raise AdminError(
+            f"{address}{path}: expected status 200, got {response.status}"
+        )
+    return body
--- a/src/radishwind/cli/app.py
+++ b/src/radishwind/cli/app.py
@@ -6,6 +6,8 @@
 
 from radishwind.cli import inventory
 from radishwind.cli import node
+from radishwind.cli import report
+from radishwind.cli import settings
 from radishwind.cli import standins
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
@@ -30,6 +32,8 @@
 
 inventory.add_to(app)
 node.add_to(app)
+report.add_to(app)
+settings.add_to(app)
 standins.add_to(app)
 
 
--- a/src/radishwind/cli/options.py
+++ b/src/radishwind/cli/options.py
@@ -13,6 +13,7 @@
 from radishwind.settings.loader import flag
 from radishwind.settings.loader import load
 from radishwind.settings.loader import variable
+from radishwind.settings.reference import default_text
 
 _T = TypeVar("_T")
 
@@ -29,15 +30,17 @@
     def command(**flags: str | None) -> None:
         run(load(cls, flags, os.environ))
 
-    parameters = [
-        _parameter(f)
-        for f in dataclasses.fields(cls)  # type: ignore[arg-type]
-    ]
-    command.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
-    command.__annotations__ = {p.name: p.annotation for p in parameters}
+    command.__signature__ = inspect.Signature(  # type: ignore[attr-defined]
+        parameters_of(cls)
+    )
     return command
 
 
+def parameters_of(cls: type[Any]) -> list[inspect.Parameter]:
+    """Returns one keyword parameter, an option in text, per field of `cls`."""
+    return [_parameter(field) for field in dataclasses.fields(cls)]
+
+
 def _parameter(field: dataclasses.Field[Any]) -> inspect.Parameter:
     text = f"{field.metadata['help']} [{variable(field.name)}]"
     option = typer.Option(
@@ -55,8 +58,9 @@
 
 
 def _default(field: dataclasses.Field[Any]) -> str:
+    text = default_text(field)
     if field.default is dataclasses.MISSING:
-        return " (required)"
-    if field.metadata["secret"] or field.default in (None, "", ()):
+        return f" ({text})"
+    if field.metadata["secret"] or not text:
         return ""
-    return f" (default: {field.default})"
+    return f" (default: {text})"
--- /dev/null
+++ b/src/radishwind/cli/report.py
@@ -0,0 +1,85 @@
+"""`radishwind report`: what the fleet did."""
+
+import datetime
+import enum
+import pathlib
+from typing import Annotated
+
+import anyio
+import msgspec
+import typer
+
+from radishwind.burn import burn_rows
+from radishwind.burn import BurnRow
+from radishwind.burn import merge
+from radishwind.burn.ledger import ServiceMinutes
+from radishwind.cli.admin import fetch_admin
+
+_app = typer.Typer(help="What the fleet did.", no_args_is_help=True)
+
+
+class Format(enum.StrEnum):
+    """How a report is written."""
+
+    TABLE = "table"
+    JSON = "json"
+    PAGE = "page"
+
+
+def add_to(app: typer.Typer) -> None:
+    """Adds the commands to `app`."""
+    app.add_typer(_app, name="report")
+
+
+@_app.callback()
+def _group() -> None:
+    """What the fleet did."""
+
+
+@_app.command("burn")
+def _burn(
+    admin: Annotated[
+        str,
+        typer.Option(
+            envvar="RADISHWIND_ADMIN",
+            help="Admin listener of any node; it gathers from its peers.",
+            metavar="HOST:PORT",
+        ),
+    ],
+    form: Annotated[
+        Format, typer.Option("--format", help="How it is written.")
+    ] = Format.TABLE,
+    out: Annotated[
+        pathlib.Path | None, typer.Option(help="File; standard output if none.")
+    ] = None,
+) -> None:
+    """Report how fast each service burns what its objectives allow."""
+    body = anyio.run(fetch_admin, admin, "/v1/burn")
+    nodes = msgspec.json.decode(body, type=list[list[ServiceMinutes]])
+    now = datetime.datetime.now(datetime.UTC)
+    rows = burn_rows(merge(nodes), int(now.timestamp()) // 60)
+    text = _written(rows, form, f"{now:%Y-%m-%d %H:%M} UTC, {len(nodes)} nodes")
+    if out is None:
+        typer.echo(text, nl=False)
+        return
+    out.write_text(text)
+
+
+def _written(rows: list[BurnRow], form: Format, made_at: str) -> str:
+    if form is Format.JSON:
+        return msgspec.json.encode(rows).decode() + "\n"
+    if form is Format.PAGE:
+        from radishwind.burn.page import burn_page
+
+        return burn_page(rows, made_at)
+    lines = [made_at]
+    head = ("service", "objective", "target", "window", "requests", "missed")
+    lines.append(
+        "{:<20} {:<9} {:>7} {:>7} {:>9} {:>8} {:>8}".format(*head, "burn")
+    )
+    lines += [
+        f"{r.service:<20} {r.objective:<9} {r.target:>7.4g} "
+        f"{r.window_min:>4} min {r.requests:>8} {r.bad:>8} {r.burn:>8.2f}"
+        for r in rows
+    ]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/radishwind/entry/observer.py
@@ -0,0 +1,20 @@
+"""The interface of what wants to know how calls ended."""
+
+import abc
+
+from radishwind.entry.call import Call
+from radishwind.outcomes.model import Outcome
+
+
+class CallObserver(abc.ABC):
+    """Told once of every call that was classified."""
+
+    @abc.abstractmethod
+    def finished(self, call: Call, outcome: Outcome, elapsed_s: float) -> None:
+        """Notes that `call` ended.
+
+        Args:
+          call: the call.
+          outcome: its final outcome; a body may still be streaming.
+          elapsed_s: from the request's arrival to the outcome (s).
+        """
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from radishwind.claims.guard import ClaimGuard
 from radishwind.config.index import ConfigIndex
@@ -12,6 +13,7 @@
 from radishwind.entry.call import Call
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.call import classify
+from radishwind.entry.observer import CallObserver
 from radishwind.entry.runner import AttemptResult
 from radishwind.entry.runner import AttemptRunner
 from radishwind.hedging.policy import HedgePolicy
@@ -48,10 +50,12 @@
         runner: AttemptRunner,
         claims: ClaimGuard,
         hedges: HedgePolicy | None = None,
+        observers: Sequence[CallObserver] = (),
     ) -> None:
         self._clock = clock
         self._index = index
         self._claims = claims
+        self._observers = tuple(observers)
         self._attempts = Attempts(
             clock=clock,
             directory=directory,
@@ -66,17 +70,22 @@
 
     async def handle(self, request: Request) -> Response:
         """Returns the final answer to a caller's request."""
+        began = self._clock.monotonic()
         try:
             call = classify(
                 request,
                 self._index(),
                 f"{self._id_prefix}-{next(self._calls)}",
-                self._clock.monotonic(),
+                began,
                 int(self._clock.now().timestamp() * 1000),
             )
         except CallRejectedError as exc:
             return problem(exc.code, exc.args[0], "not-run")
-        return answer(await self._claims.run(call, self._run))
+        outcome = await self._claims.run(call, self._run)
+        elapsed_s = self._clock.monotonic() - began
+        for observer in self._observers:
+            observer.finished(call, outcome, elapsed_s)
+        return answer(outcome)
 
     async def _run(self, call: Call) -> Outcome:
         return _with_retry_after(await self._attempts.run(call))
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -22,7 +22,9 @@
 from radishwind.node.callers import CallerListener
 from radishwind.node.claims import make_claims
 from radishwind.node.entry import node_chooser
+from radishwind.node.observe import Observation
 from radishwind.peers import ForwardRunner
+from radishwind.peers import HttpPeerClient
 from radishwind.peers import PeerListener
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
@@ -68,6 +70,12 @@
             self._store,
             lambda: len(self._directory.members()),
         )
+        self._observation = Observation(
+            self._settings,
+            self._clock,
+            self._directory,
+            HttpPeerClient(self._sender),
+        )
         self._entry = EntryPipeline(
             node_name=self._settings.target,
             clock=self._clock,
@@ -86,6 +94,7 @@
                 sender=self._sender,
             ),
             claims=self._claims.guard,
+            observers=self._observation.observers,
         )
         self._peers = PeerListener(
             node_name=self._settings.target,
@@ -96,6 +105,7 @@
         self._admin = AdminListener()
         self._admin.add_status(self._status)
         self._admin.add_status(self._claims.status)
+        self._observation.add_to(self._admin, self._peers)
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/radishwind/node/observe.py
@@ -0,0 +1,127 @@
+"""Wires logs, metrics and the burn ledger into a node."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import msgspec
+
+from radishwind.burn import BurnLedger
+from radishwind.burn import ServiceMinutes
+from radishwind.core import Clock
+from radishwind.entry.observer import CallObserver
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.membership import Directory
+from radishwind.node.admin import AdminListener
+from radishwind.node.admin import json_response
+from radishwind.peers import PeerClient
+from radishwind.peers import PeerError
+from radishwind.peers import PeerListener
+from radishwind.settings import NodeSettings
+
+#: Peers asked at once for their ledgers, and how long each may take (s).
+_GATHER_AT_ONCE = 32
+_GATHER_TIMEOUT_S = 2.0
+
+_BURN = "burn"
+
+
+class Observation:
+    """What a node tells of itself."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        directory: Directory,
+        client: PeerClient,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._client = client
+        self._ledger = BurnLedger(clock)
+        self._metrics: Any = None
+        if settings.metrics:
+            from radishwind.telemetry.metrics import NodeMetrics
+
+            self._metrics = NodeMetrics(
+                {
+                    "radishwind.target": settings.target,
+                    "radishwind.service": settings.service,
+                    "radishwind.failure_domain": settings.failure_domain,
+                }
+            )
+
+    @property
+    def observers(self) -> tuple[CallObserver, ...]:
+        """What the entry pipeline tells of ended calls."""
+        if self._metrics is None:
+            return (self._ledger,)
+        return (self._ledger, self._metrics)
+
+    def add_to(self, admin: AdminListener, peers: PeerListener) -> None:
+        """Adds `/v1/metrics`, `/v1/burn` and the peers' `burn`."""
+        admin.add("GET", "/v1/metrics", self._handle_metrics)
+        admin.add("GET", "/v1/burn", self._handle_burn)
+        peers.add_control(_BURN, self._handle_peer_burn)
+
+    def counter(
+        self,
+        name: str,
+        unit: str,
+        text: str,
+        read: Callable[[], dict[str, float]],
+    ) -> None:
+        """Adds a metric that only grows, by kind."""
+        if self._metrics is not None:
+            self._metrics.counter(name, unit, text, read)
+
+    def gauge(
+        self,
+        name: str,
+        unit: str,
+        text: str,
+        read: Callable[[], dict[str, float]],
+    ) -> None:
+        """Adds a metric that goes up and down, by kind."""
+        if self._metrics is not None:
+            self._metrics.gauge(name, unit, text, read)
+
+    async def _handle_metrics(self, request: Request) -> Response:
+        body = b'{"resource_metrics": []}'
+        if self._metrics is not None:
+            body = self._metrics.as_json()
+        return Response(200, (("Content-Type", "application/json"),), body)
+
+    async def _handle_peer_burn(self, request: Request) -> Response:
+        return json_response(self._ledger.services())
+
+    async def _handle_burn(self, request: Request) -> Response:
+        """Answers with one ledger a node; nodes that fail are left out."""
+        ledgers = [self._ledger.services()]
+        limit = anyio.CapacityLimiter(_GATHER_AT_ONCE)
+
+        async def gather(ask: Callable[[], Awaitable[bytes]]) -> None:
+            async with limit:
+                try:
+                    body = await ask()
+                    ledgers.append(
+                        msgspec.json.decode(body, type=list[ServiceMinutes])
+                    )
+                except (PeerError, msgspec.MsgspecError):
+                    return
+
+        async with anyio.create_task_group() as tasks:
+            for member in self._directory.members():
+                if member.name == self._settings.target:
+                    continue
+                address = member.address
+                tasks.start_soon(
+                    gather,
+                    lambda a=address: self._client.call(
+                        a, _BURN, b"{}", _GATHER_TIMEOUT_S
+                    ),
+                )
+        return json_response(ledgers)
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -69,6 +69,9 @@
         "Routing policy; all but balanced are baselines for measurements.",
         default=RoutingPolicy.BALANCED,
     )
+    metrics: bool = setting(
+        parsers.yes_or_no, "Keep metrics by OpenTelemetry.", default=True
+    )
     seed: int = setting(
         parsers.whole_number(0, 2**63 - 1),
         "Seed of the random source; 0 takes one from the system.",
--- a/src/radishwind/settings/parsers.py
+++ b/src/radishwind/settings/parsers.py
@@ -62,3 +62,10 @@
         return value
 
     return parse
+
+
+def yes_or_no(text: str) -> bool:
+    """Parses `yes` or `no`."""
+    if text not in ("yes", "no"):
+        raise ValueError("expected yes or no")
+    return text == "yes"
--- /dev/null
+++ b/src/radishwind/telemetry/logs.py
@@ -0,0 +1,70 @@
+"""Short sentences with a fixed prefix for each part, as JSON lines by eliot.
+
+Nothing is logged per request; what is logged are changes of state and faults,
+and a sentence that comes again is held back for a while and counted. Callers
+pass names, numbers and codes, never bodies, keys or field values of requests.
+"""
+
+from typing import TextIO
+
+import eliot
+
+from radishwind.core.clock import Clock
+
+#: The same sentence of the same part is logged once in this time (s).
+REPEAT_S = 10.0
+
+#: Sentences remembered for that, a part.
+_REMEMBERED = 256
+
+
+class PartLogger:
+    """Logs for one part of the system."""
+
+    def __init__(self, part: str, clock: Clock) -> None:
+        """Makes the logger of a part.
+
+        Args:
+          part: the prefix, a slice's name such as `membership`.
+          clock: for holding back what comes again.
+        """
+        self._part = part
+        self._clock = clock
+        self._seen: dict[str, tuple[float, int]] = {}
+
+    def info(self, sentence: str, **fields: str | float | None) -> None:
+        """Logs an ordinary change of state."""
+        self._log("info", sentence, fields)
+
+    def warning(self, sentence: str, **fields: str | float | None) -> None:
+        """Logs a fault that the system lives with."""
+        self._log("warning", sentence, fields)
+
+    def error(self, sentence: str, **fields: str | float | None) -> None:
+        """Logs a fault that an operator must look at."""
+        self._log("error", sentence, fields)
+
+    def _log(
+        self, level: str, sentence: str, fields: dict[str, str | float | None]
+    ) -> None:
+        now = self._clock.monotonic()
+        last, held = self._seen.get(sentence, (-REPEAT_S, 0))
+        if now - last < REPEAT_S:
+            self._seen[sentence] = (last, held + 1)
+            return
+        if held:
+            fields = {**fields, "held_back": held}
+        if len(self._seen) >= _REMEMBERED:
+            self._seen.clear()
+        self._seen[sentence] = (now, 0)
+        eliot.log_message(
+            message_type=f"radishwind:{self._part}",
+            level=level,
+            text=f"{self._part}: {sentence}",
+            **fields,
+        )
+
+
+def start_logging(stream: TextIO) -> None:
+    """Writes the log lines to `stream`, one JSON object each."""
+    eliot.to_file(stream)
