--- /dev/null
+++ b/src/radishwind/membership/contacts.py
@@ -0,0 +1,93 @@
+"""The few addresses kept in the store by which a new node finds the others.
+
+There is one small record for each failure domain. It is read once at start
+and written only by nodes that find it short or stale, so the store carries a
+handful of calls an hour however many nodes there are.
+"""
+
+import msgspec
+
+from radishwind.http.types import Address
+from radishwind.membership.facts import Count
+
+PREFIX = "/radishwind/contacts/"
+
+#: Addresses kept for each failure domain.
+MAX_CONTACTS = 8
+#: An address that was not confirmed for this long may be replaced (ms).
+STALE_MS = 3 * 3_600_000
+#: A contact confirms its address when it is older than this (ms).
+RENEW_MS = 3_600_000
+
+
+class Contact(msgspec.Struct, frozen=True, array_like=True):
+    """An address of a node and when it was written.
+
+    Attributes:
+      address: a peer listener, `HOST:PORT`.
+      stamped_ms: wall-clock time (ms since the epoch, UTC).
+    """
+
+    address: str
+    stamped_ms: Count
+
+
+class ContactRecord(msgspec.Struct, frozen=True):
+    """The contacts of one failure domain."""
+
+    contacts: tuple[Contact, ...] = ()
+
+
+def key_of(failure_domain: str) -> str:
+    """Returns the key of the record of `failure_domain`."""
+    return PREFIX + failure_domain
+
+
+def read_record(value: bytes) -> ContactRecord:
+    """Returns the record in `value`; an unreadable one counts as empty."""
+    try:
+        return msgspec.json.decode(value, type=ContactRecord)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return ContactRecord()
+
+
+def addresses(record: ContactRecord) -> tuple[Address, ...]:
+    """Returns the addresses of `record` that can be read."""
+    parsed = (_parsed(contact.address) for contact in record.contacts)
+    return tuple(address for address in parsed if address is not None)
+
+
+def revised(
+    record: ContactRecord,
+    own: Address,
+    unreachable: frozenset[Address],
+    now_ms: int,
+) -> ContactRecord | None:
+    """Returns the record with `own` in it, or `None` where it may stay.
+
+    Args:
+      record: as read from the store.
+      own: the peer listener of this node.
+      unreachable: contacts that this node found dead.
+      now_ms: wall-clock time (ms since the epoch, UTC).
+    """
+    kept = [
+        contact
+        for contact in record.contacts
+        if now_ms - contact.stamped_ms < STALE_MS
+        and contact.address != str(own)
+        and _parsed(contact.address) not in unreachable
+    ]
+    mine = [c for c in record.contacts if c.address == str(own)]
+    if mine and now_ms - mine[0].stamped_ms < RENEW_MS:
+        return None
+    if len(kept) >= MAX_CONTACTS:
+        return None
+    return ContactRecord((*kept, Contact(str(own), now_ms)))
+
+
+def _parsed(text: str) -> Address | None:
+    try:
+        return Address.parse(text)
+    except ValueError:
+        return None
--- a/src/radishwind/membership/directory.py
+++ b/src/radishwind/membership/directory.py
@@ -12,6 +12,7 @@
 
     ALIVE = "alive"
     SUSPECT = "suspect"
+    DRAINING = "draining"
     LEAVING = "leaving"
     DEAD = "dead"
 
@@ -27,7 +28,8 @@
       address: its peer listener.
       incarnation: raised by the member itself at each start or refutation.
       state: what is believed of it.
-      config_revision: the newest revision it is known to have in force.
+      config_revision: the newest revision it is known to have in force; kept
+        up to date in `Directory.members` only, and not compared.
     """
 
     name: str
@@ -36,7 +38,7 @@
     address: Address
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
-    config_revision: int = 0
+    config_revision: int = dataclasses.field(default=0, compare=False)
 
 
 class Directory(abc.ABC):
@@ -48,7 +50,8 @@
 
         The tuple is the same object until the membership changes, so callers
         may keep what they derive from it. Targets that are missing from the
-        inventory are left out.
+        inventory are left out. Suspected members are given only where no
+        other is left.
         """
 
     @abc.abstractmethod
--- /dev/null
+++ b/src/radishwind/membership/discovery.py
@@ -0,0 +1,148 @@
+"""Finds first peers by settings and store, within a budget of store calls."""
+
+import dataclasses
+import random
+
+import anyio
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.http.types import Address
+from radishwind.membership.contacts import addresses
+from radishwind.membership.contacts import ContactRecord
+from radishwind.membership.contacts import key_of
+from radishwind.membership.contacts import PREFIX
+from radishwind.membership.contacts import read_record
+from radishwind.membership.contacts import revised
+from radishwind.store import Compare
+from radishwind.store import Put
+from radishwind.store import Store
+from radishwind.store import StoreAnswerLostError
+from radishwind.store import StoreError
+
+_WRITE_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DiscoveryOptions:
+    """How often the store is asked.
+
+    Attributes:
+      spread_s: the first calls wait up to this long, at random (s), so that
+        many nodes that start at once don't call at once.
+      backoff_s: the wait after a first failed call (s); doubles.
+      backoff_most_s: the longest wait (s).
+      check_period_s: time between looks at the own domain's record by the
+        nodes that rank first in it (s).
+      calls_at_once: calls a node may make in a row.
+      calls_per_hour: the rate at which it may make further ones (1/h).
+    """
+
+    spread_s: float = 0.5
+    backoff_s: float = 0.5
+    backoff_most_s: float = 60.0
+    check_period_s: float = 1_800.0
+    calls_at_once: int = 12
+    calls_per_hour: float = 60.0
+
+
+class CallBudget:
+    """A token bucket of store calls."""
+
+    def __init__(self, options: DiscoveryOptions, now: float) -> None:
+        self._options = options
+        self._tokens = float(options.calls_at_once)
+        self._filled = now
+
+    def take(self, now: float) -> bool:
+        """Returns whether a call may be made now."""
+        gained = (now - self._filled) * self._options.calls_per_hour / 3600
+        most = float(self._options.calls_at_once)
+        self._tokens = min(most, self._tokens + gained)
+        self._filled = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class ContactFinder:
+    """Reads and writes the contact records; counts its calls."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        failure_domain: str,
+        own: Address,
+        clock: Clock,
+        rng: random.Random,
+        options: DiscoveryOptions,
+    ) -> None:
+        self._store = store
+        self._key = key_of(failure_domain)
+        self._own = own
+        self._clock = clock
+        self._rng = rng
+        self._options = options
+        self._budget = CallBudget(options, clock.monotonic())
+        self.unreachable: set[Address] = set()
+        self.calls: dict[str, int] = {"read": 0, "write": 0, "failed": 0}
+
+    async def read(self) -> tuple[Address, ...] | None:
+        """Returns all contacts by one call; `None` if it failed."""
+        if not self._budget.take(self._clock.monotonic()):
+            return None
+        self.calls["read"] += 1
+        try:
+            entries = await self._store.list(PREFIX)
+        except StoreError:
+            self.calls["failed"] += 1
+            return None
+        found: list[Address] = []
+        for entry in entries:
+            found += addresses(read_record(entry.value))
+        return tuple(a for a in dict.fromkeys(found) if a != self._own)
+
+    async def enter(self) -> bool:
+        """Puts this node into the record if that is short; `False` if failed.
+
+        It waits a random time first and then looks, so that of many nodes
+        that find the record empty only the first few write.
+        """
+        for _ in range(_WRITE_TRIES):
+            await anyio.sleep(self._rng.random() * self._options.spread_s)
+            done = await self._enter_once()
+            if done is not None:
+                return done
+        return False
+
+    async def _enter_once(self) -> bool | None:
+        """Returns whether it is settled; `None` after a lost race."""
+        if not self._budget.take(self._clock.monotonic()):
+            return False
+        try:
+            self.calls["read"] += 1
+            entry = await self._store.get(self._key)
+            record = read_record(entry.value) if entry else ContactRecord()
+            now_ms = int(self._clock.now().timestamp() * 1000)
+            new = revised(
+                record, self._own, frozenset(self.unreachable), now_ms
+            )
+            if new is None:
+                return True
+            if not self._budget.take(self._clock.monotonic()):
+                return False
+            self.calls["write"] += 1
+            result = await self._store.transact(
+                (Compare(self._key, entry.mod_revision if entry else 0),),
+                (Put(self._key, msgspec.json.encode(new)),),
+            )
+        except StoreAnswerLostError:
+            # A second look settles it: the record has this node or not.
+            self.calls["failed"] += 1
+            return None
+        except StoreError:
+            self.calls["failed"] += 1
+            return False
+        return True if result.succeeded else None
--- /dev/null
+++ b/src/radishwind/membership/gossip.py
@@ -0,0 +1,409 @@
+"""Membership as a pure state machine: messages and time in, calls out.
+
+It follows SWIM (failure detection by direct and indirect probes, suspicion
+with refutation, facts riding on probes) and adds pushing of new facts on
+receipt and anti-entropy by digests. The daemon sends each `Call` and reports
+its answer or failure back.
+"""
+
+import random
+from collections.abc import Callable
+from typing import TypeAlias
+
+import msgspec
+
+from radishwind.http.types import Address
+from radishwind.membership.actions import Call
+from radishwind.membership.actions import Purpose
+from radishwind.membership.facts import Announced
+from radishwind.membership.facts import Belief
+from radishwind.membership.facts import MemberFact
+from radishwind.membership.facts import RumorFact
+from radishwind.membership.messages import Ack
+from radishwind.membership.messages import Message
+from radishwind.membership.messages import Ping
+from radishwind.membership.messages import PingRequest
+from radishwind.membership.messages import Push
+from radishwind.membership.messages import Relayed
+from radishwind.membership.messages import SyncGroups
+from radishwind.membership.messages import SyncLeaves
+from radishwind.membership.messages import SyncNewer
+from radishwind.membership.messages import SyncPage
+from radishwind.membership.options import GossipOptions
+from radishwind.membership.probe import Prober
+from radishwind.membership.spread import FactKey
+from radishwind.membership.spread import Spreader
+from radishwind.membership.sync import Syncer
+from radishwind.membership.table import FactTable
+
+RumorListener: TypeAlias = Callable[[RumorFact], None]
+
+#: A second process under our name is contradicted at most this often (s).
+_CONFLICT_PERIOD_S = 10.0
+_SWEEP_PERIOD_S = 0.25
+_JOIN_CONTACTS = 3
+_CALL_TIMEOUT_S = 2.0
+
+
+class Gossip:
+    """One node's part in membership."""
+
+    def __init__(
+        self,
+        own: MemberFact,
+        options: GossipOptions,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._options = options
+        self._rng = rng
+        self._name = own.name
+        self._incarnation = own.incarnation
+        self.table = FactTable(options.max_members, options.max_rumors)
+        self._spreader = Spreader(
+            self.table, options.push_bytes_s, options.push_burst_bytes, now
+        )
+        self.prober = Prober(own.name, self.table, options, rng)
+        self._syncer = Syncer(own.name, self.table, options.page_bytes)
+        self._rumor_listeners: list[RumorListener] = []
+        self._outbox: list[Call] = []
+        self._pages_left = 0
+        self._sync_wanted: tuple[int, ...] = ()
+        self._conflict_until = now
+        self._next_probe = now + rng.random() * options.probe_period_s
+        self._next_sync = now + rng.random() * options.sync_period_s
+        self._next_rejoin = now + rng.random() * options.rejoin_period_s
+        self._next_sweep = now
+        self._next_push = now
+        self._due = now
+        self.conflicts = 0
+        self.revision = 0
+        self.revisions: dict[str, int] = {}
+        self.table.listen(self._changed)
+        self.table.merge_member(own)
+        self._spread(own.name)
+
+    @property
+    def own(self) -> MemberFact:
+        """What this node says of itself."""
+        return self.table.members[self._name]
+
+    def on_rumor(self, listener: RumorListener) -> None:
+        """Calls `listener` with each rumour new to this node."""
+        self._rumor_listeners.append(listener)
+
+    def announce(self, announced: Announced, now: float) -> list[Call]:
+        """Says something else of this node, to everyone at once."""
+        if announced is not self.own.announced:
+            self._restate(self._incarnation + 1, announced)
+            self._next_push = now
+        return self.tick(now)
+
+    def publish(self, fact: RumorFact, now: float) -> bool:
+        """Spreads a rumour; returns whether it is news here."""
+        return self._take_rumor(fact, now)
+
+    def suspect_hint(self, name: str) -> None:
+        """Probes `name` next: a request to it found no connection."""
+        self.prober.hint(name)
+
+    def join(self, contacts: tuple[Address, ...], now: float) -> list[Call]:
+        """Opens anti-entropy with some of `contacts`, of unknown names."""
+        own = Address.parse(self.own.address)
+        others = [address for address in contacts if address != own]
+        self._rng.shuffle(others)
+        push = Push(self._name, self.revision, (self.own,))
+        for address in others[:_JOIN_CONTACTS]:
+            self._emit(address, push, Purpose.TELL)
+        for address in others[:1]:
+            self._emit(address, self._syncer.open(self.revision), Purpose.JOIN)
+        return self._flush()
+
+    def next_due(self) -> float:
+        """Returns when `tick` has something to do (monotonic s)."""
+        due = min(self._next_probe, self._next_sync, self._next_sweep)
+        if self._spreader.waiting:
+            due = min(due, self._next_push)
+        self._due = due
+        return due
+
+    def tick(self, now: float) -> list[Call]:
+        """Does what is due; returns the messages to send."""
+        self._excuse_pause(now)
+        if now >= self._next_sweep:
+            self._next_sweep = now + _SWEEP_PERIOD_S
+            self._sweep(now)
+        if now >= self._next_probe:
+            self._next_probe = now + self._options.probe_period_s
+            self._probe(now)
+        if now >= self._next_sync:
+            self._next_sync = now + self._options.sync_period_s
+            self._open_sync()
+        if now >= self._next_rejoin:
+            self._next_rejoin = now + self._options.rejoin_period_s
+            self._try_rejoin()
+        if self._spreader.waiting and now >= self._next_push:
+            self._next_push = now + self._options.push_delay_s
+            self._push(now)
+        self._due = max(self._due, now)
+        return self._flush()
+
+    def receive(
+        self, message: Message, now: float
+    ) -> tuple[Message, list[Call]]:
+        """Takes a message; returns its answer and the messages to send."""
+        answer = self._answer(message, now)
+        return answer, self._flush()
+
+    def answered(self, call: Call, answer: Message, now: float) -> list[Call]:
+        """Takes the answer to a call."""
+        self._take(answer, now)
+        if isinstance(answer, SyncLeaves):
+            self._pages_left = self._options.sync_pages
+            self._sync_wanted = self._syncer.differing(answer)
+            self._next_page(call.address, now)
+        elif isinstance(answer, SyncNewer):
+            self._next_page(call.address, now, answer.covered)
+        if call.purpose is Purpose.PROBE:
+            if answer.sender != call.member:
+                # The address has passed to another member.
+                return self.failed(call, now)
+            self.prober.answered(call.member)
+        elif call.purpose is Purpose.RELAYED_PROBE:
+            self._relay(call, answer, now)
+        return self._flush()
+
+    def failed(self, call: Call, now: float) -> list[Call]:
+        """Takes it that a call got no good answer in time."""
+        if call.purpose is Purpose.PROBE:
+            self._ask_others(call, now)
+        elif call.purpose is Purpose.SYNC_PAGE:
+            self._sync_wanted = ()
+        elif call.purpose in (Purpose.JOIN, Purpose.SYNC_GROUPS):
+            self._sync_soon(now)
+        return self._flush()
+
+    def _answer(self, message: Message, now: float) -> Message:
+        about_sender = self.table.members.get(message.sender)
+        self._take(message, now)
+        if isinstance(message, SyncGroups):
+            return self._syncer.answer_groups(message, self.revision)
+        if isinstance(message, SyncPage):
+            return self._syncer.answer_page(message, self.revision, now)
+        if isinstance(message, PingRequest):
+            self._probe_for(message, now)
+        elif isinstance(message, Relayed):
+            self.prober.answered(message.target)
+        if not isinstance(message, Ping):
+            return Ack(self._name, self.revision)
+        members, rumors = self._spreader.take_rides(
+            self._options.message_bytes, now
+        )
+        extra: tuple[MemberFact, ...] = (self.own,)
+        if about_sender is not None and about_sender.belief is not Belief.FINE:
+            # So that it hears what is believed of it, and refutes.
+            extra += (self.table.members[message.sender],)
+        return Ack(self._name, self.revision, _unique(extra + members), rumors)
+
+    def _take(self, message: Message, now: float) -> None:
+        if message.sender in self.table.members:
+            self.revisions[message.sender] = message.revision
+        for member in message.members:
+            self._take_member(member, now)
+        for rumor in message.rumors:
+            self._take_rumor(rumor, now)
+
+    def _take_member(self, fact: MemberFact, now: float) -> None:
+        if fact.name == self._name:
+            self._hear_of_self(fact, now)
+            return
+        old = self.table.members.get(fact.name)
+        if not self.table.merge_member(fact):
+            return
+        if fact.gone:
+            if old is not None and not old.gone:
+                self.prober.note_dead(fact.name, now)
+        elif fact.belief is Belief.SUSPECT:
+            self.prober.note_suspected(fact.name, now)
+        self._spread(fact.name)
+
+    def _hear_of_self(self, fact: MemberFact, now: float) -> None:
+        own = self.own
+        if fact == own or fact.incarnation < own.incarnation:
+            return
+        if fact.belief is Belief.FINE and fact.address != own.address:
+            # Another process has our name: it is for operators to settle.
+            self.conflicts += 1
+            if now < self._conflict_until:
+                return
+            self._conflict_until = now + _CONFLICT_PERIOD_S
+        self._restate(fact.incarnation + 1, own.announced)
+
+    def _restate(self, incarnation: int, announced: Announced) -> None:
+        self._incarnation = incarnation
+        fact = msgspec.structs.replace(
+            self.own, incarnation=incarnation, announced=announced
+        )
+        self.table.merge_member(fact)
+        self._spread(self._name)
+
+    def _take_rumor(self, fact: RumorFact, now: float) -> bool:
+        if not self.table.merge_rumor(fact, now):
+            return False
+        self._spread((fact.topic, fact.key))
+        for listener in self._rumor_listeners:
+            listener(fact)
+        return True
+
+    def _excuse_pause(self, now: float) -> None:
+        """Blames nobody for the time in which this node itself stood still."""
+        late_s = now - self._due
+        if late_s > self._options.probe_timeout_s:
+            self.prober.excuse(late_s)
+
+    def _sweep(self, now: float) -> None:
+        for name in self.prober.due_suspicions(now):
+            self._accuse(name, Belief.SUSPECT, now)
+        for name in self.prober.due_deaths(now):
+            self._accuse(name, Belief.DEAD, now)
+        for name in self.prober.due_forgetting(now):
+            self.table.forget_member(name)
+        self.table.expire_rumors(now)
+
+    def _accuse(self, name: str, belief: Belief, now: float) -> None:
+        fact = self.table.members.get(name)
+        if fact is not None and fact.belief < belief and not fact.gone:
+            self._take_member(msgspec.structs.replace(fact, belief=belief), now)
+
+    def _probe(self, now: float) -> None:
+        fact = self.prober.next()
+        if fact is not None:
+            self._emit_ping(fact, Purpose.PROBE, now)
+
+    def _try_rejoin(self) -> None:
+        fact = self.prober.random_dead()
+        if fact is not None:
+            ping = Ping(self._name, self.revision, (fact,), (), fact.name)
+            self._emit(Address.parse(fact.address), ping, Purpose.REJOIN)
+
+    def _emit_ping(
+        self, fact: MemberFact, purpose: Purpose, now: float
+    ) -> None:
+        members, rumors = self._spreader.take_rides(
+            self._options.message_bytes, now
+        )
+        if fact.belief is not Belief.FINE:
+            members = _unique((fact, *members))
+        self._emit(
+            Address.parse(fact.address),
+            Ping(self._name, self.revision, members, rumors, fact.name),
+            purpose,
+            fact.name,
+            timeout_s=self._options.probe_timeout_s,
+        )
+
+    def _ask_others(self, call: Call, now: float) -> None:
+        name = call.member
+        if not self.prober.failed(name, now):
+            return
+        helpers = self.table.sample(
+            self._rng,
+            self._options.indirect_probes,
+            frozenset((name, self._name)),
+        )
+        for helper in helpers:
+            request = PingRequest(
+                self._name, self.revision, (), (), name, str(call.address)
+            )
+            address = Address.parse(helper.address)
+            self._emit(address, request, Purpose.REQUEST_PROBE, helper.name)
+
+    def _probe_for(self, message: PingRequest, now: float) -> None:
+        fact = self.table.members.get(message.target)
+        if fact is None or message.sender not in self.table.members:
+            return
+        ping = Ping(self._name, self.revision, (fact,), (), fact.name)
+        self._emit(
+            Address.parse(fact.address),
+            ping,
+            Purpose.RELAYED_PROBE,
+            fact.name,
+            message.sender,
+            self._options.probe_timeout_s,
+        )
+
+    def _relay(self, call: Call, answer: Message, now: float) -> None:
+        requester = self.table.members.get(call.requester)
+        if answer.sender != call.member or requester is None:
+            return
+        facts = (self.table.members[call.member],)
+        told = Relayed(self._name, self.revision, facts, (), call.member)
+        self._emit(Address.parse(requester.address), told, Purpose.TELL)
+
+    def _open_sync(self) -> None:
+        exclude = frozenset((self._name,))
+        for peer in self.table.sample(self._rng, 1, exclude):
+            message = self._syncer.open(self.revision)
+            address = Address.parse(peer.address)
+            self._emit(address, message, Purpose.SYNC_GROUPS, peer.name)
+
+    def _next_page(
+        self, address: Address, now: float, covered: tuple[int, ...] = ()
+    ) -> None:
+        done = frozenset(covered)
+        left = tuple(n for n in self._sync_wanted if n not in done)
+        self._sync_wanted = left
+        if not left:
+            return
+        self._sync_soon(now)
+        if self._pages_left == 0:
+            return
+        self._pages_left -= 1
+        page = self._syncer.page(left, self.revision, now)
+        self._emit(address, page, Purpose.SYNC_PAGE)
+
+    def _sync_soon(self, now: float) -> None:
+        self._next_sync = min(self._next_sync, now + self._options.sync_soon_s)
+
+    def _push(self, now: float) -> None:
+        peers = self.table.sample(
+            self._rng, self._options.fanout, frozenset((self._name,))
+        )
+        if not peers:
+            return
+        members, rumors = self._spreader.take_pushes(
+            self._options.message_bytes, len(peers), now
+        )
+        if not members and not rumors:
+            return
+        push = Push(self._name, self.revision, members, rumors)
+        for peer in peers:
+            self._emit(Address.parse(peer.address), push, Purpose.TELL)
+
+    def _spread(self, key: FactKey) -> None:
+        self._spreader.add(key)
+
+    def _changed(self, old: MemberFact | None, new: MemberFact | None) -> None:
+        if new is None and old is not None:
+            self.revisions.pop(old.name, None)
+
+    def _emit(
+        self,
+        address: Address,
+        message: Message,
+        purpose: Purpose,
+        member: str = "",
+        requester: str = "",
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> None:
+        self._outbox.append(
+            Call(address, message, timeout_s, purpose, member, requester)
+        )
+
+    def _flush(self) -> list[Call]:
+        calls, self._outbox = self._outbox, []
+        return calls
+
+
+def _unique(facts: tuple[MemberFact, ...]) -> tuple[MemberFact, ...]:
+    return tuple({fact.name: fact for fact in facts}.values())
--- /dev/null
+++ b/src/radishwind/membership/options.py
@@ -0,0 +1,52 @@
+"""The constants of membership, with units."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipOptions:
+    """How a node detects failures and spreads facts.
+
+    Attributes:
+      probe_period_s: one member is probed in each period (s).
+      probe_timeout_s: how long the answer to a probe may take (s).
+      indirect_probes: how many others are asked when a probe fails.
+      suspicion_periods: how long a member stays suspected before it is
+        believed dead (probe periods), times the decimal logarithm of the
+        number of members where that is more than one.
+      push_delay_s: new facts are collected this long, then pushed (s).
+      fanout: how many members new facts are pushed to.
+      push_bytes_s: the rate of pushed facts over long times (bytes/s).
+      push_burst_bytes: what may be pushed at once beyond the rate (bytes).
+      sync_period_s: time between anti-entropy with a random member (s).
+      sync_soon_s: the same while a difference was found (s).
+      sync_pages: pages exchanged at most in one anti-entropy.
+      rejoin_period_s: one of the dead is tried in each period (s).
+      refute_grace_s: how long a member believed dead on hearsay may still be
+        used where no other is left (s).
+      forget_s: how long the dead are remembered (s); longer than regions may
+        be apart, so that they find each other again.
+      message_bytes: facts carried by one message (bytes).
+      page_bytes: facts carried by one page of anti-entropy (bytes).
+      max_members: members remembered at most.
+      max_rumors: rumours remembered at most.
+    """
+
+    probe_period_s: float = 1.0
+    probe_timeout_s: float = 0.5
+    indirect_probes: int = 3
+    suspicion_periods: float = 4.0
+    push_delay_s: float = 0.05
+    fanout: int = 4
+    push_bytes_s: float = 5_000.0
+    push_burst_bytes: float = 65_536.0
+    sync_period_s: float = 10.0
+    sync_soon_s: float = 0.5
+    sync_pages: int = 8
+    rejoin_period_s: float = 10.0
+    refute_grace_s: float = 10.0
+    forget_s: float = 7_200.0
+    message_bytes: int = 6_000
+    page_bytes: int = 30_000
+    max_members: int = 20_000
+    max_rumors: int = 1_024
--- a/src/radishwind/membership/rumors.py
+++ b/src/radishwind/membership/rumors.py
@@ -4,6 +4,14 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.membership.facts import MAX_TTL_MS
+from radishwind.membership.facts import MAX_VALUE_CHARS
+from radishwind.membership.facts import RumorFact
+from radishwind.membership.gossip import Gossip
+
 #: Takes the key and the value of a fact that is new to this node.
 RumorHandler: TypeAlias = Callable[[str, bytes], None]
 
@@ -44,3 +52,51 @@
 
     def subscribe(self, topic: str, handler: RumorHandler) -> None:
         """Does nothing."""
+
+
+class GossipRumorBoard(RumorBoard):
+    """Spreads rumours on the messages of membership.
+
+    `publish` only adds to the state machine; its daemon is woken by `wake`.
+    """
+
+    def __init__(
+        self, gossip: Gossip, clock: Clock, wake: Callable[[], None]
+    ) -> None:
+        self._gossip = gossip
+        self._clock = clock
+        self._wake = wake
+        self._handlers: dict[str, list[RumorHandler]] = {}
+        gossip.on_rumor(self._heard)
+
+    def publish(
+        self, topic: str, key: str, version: int, value: bytes, ttl_s: float
+    ) -> None:
+        fact = _checked(topic, key, version, value, ttl_s)
+        self._gossip.publish(fact, self._clock.monotonic())
+        self._wake()
+
+    def subscribe(self, topic: str, handler: RumorHandler) -> None:
+        self._handlers.setdefault(topic, []).append(handler)
+        for fact in self._gossip.table.rumors():
+            if fact.topic == topic:
+                handler(fact.key, fact.value.encode())
+
+    def _heard(self, fact: RumorFact) -> None:
+        for handler in self._handlers.get(fact.topic, ()):
+            handler(fact.key, fact.value.encode())
+
+
+def _checked(
+    topic: str, key: str, version: int, value: bytes, ttl_s: float
+) -> RumorFact:
+    """Returns the fact, or raises `ValueError` if peers would refuse it."""
+    ttl_ms = min(MAX_TTL_MS, int(ttl_s * 1000))
+    raw = (topic, key, version, value.decode(), ttl_ms)
+    try:
+        return msgspec.convert(raw, RumorFact)
+    except msgspec.ValidationError as exc:
+        raise ValueError(
+            f"expected a value of at most {MAX_VALUE_CHARS} characters and "
+            f"fields in bounds: {exc}"
+        ) from exc
--- /dev/null
+++ b/src/radishwind/membership/sync.py
@@ -0,0 +1,118 @@
+"""Anti-entropy: what two tables tell each other so that they become equal."""
+
+from collections.abc import Iterable
+
+from radishwind.membership.facts import member_newer
+from radishwind.membership.facts import MemberFact
+from radishwind.membership.facts import rumor_newer
+from radishwind.membership.facts import RumorFact
+from radishwind.membership.messages import GroupLeaves
+from radishwind.membership.messages import SyncGroups
+from radishwind.membership.messages import SyncLeaves
+from radishwind.membership.messages import SyncNewer
+from radishwind.membership.messages import SyncPage
+from radishwind.membership.table import FactTable
+
+#: Groups told in one answer, so that it stays within a message.
+_MAX_GROUPS_TOLD = 16
+
+
+class Syncer:
+    """Makes and answers the messages of anti-entropy."""
+
+    def __init__(self, own_name: str, table: FactTable, page_bytes: int):
+        self._own_name = own_name
+        self._table = table
+        self._page_bytes = page_bytes
+
+    def open(self, revision: int) -> SyncGroups:
+        """Returns the message that opens anti-entropy."""
+        groups = self._table.digests.groups()
+        return SyncGroups(self._own_name, revision, (), (), groups)
+
+    def answer_groups(self, message: SyncGroups, revision: int) -> SyncLeaves:
+        """Returns the leaves of some of the groups that differ."""
+        digests = self._table.digests
+        groups = digests.differing_groups(message.groups)
+        # Not always the first ones, so that many who ask at once differ.
+        start = len(message.sender) % max(1, len(groups))
+        turned = groups[start:] + groups[:start]
+        told = [
+            GroupLeaves(group, digests.leaves(group))
+            for group in turned[:_MAX_GROUPS_TOLD]
+        ]
+        return SyncLeaves(self._own_name, revision, (), (), tuple(told))
+
+    def differing(self, message: SyncLeaves) -> tuple[int, ...]:
+        """Returns the leaves in which the tables differ."""
+        digests = self._table.digests
+        leaves: list[int] = []
+        for item in message.differing:
+            leaves += digests.differing_leaves(item.group, item.leaves)
+        return tuple(leaves)
+
+    def page(
+        self, leaves: tuple[int, ...], revision: int, now: float
+    ) -> SyncPage:
+        """Returns a page with the own facts of as many leaves as fit."""
+        fitting, members, rumors = self._facts_that_fit(leaves, now)
+        return SyncPage(
+            self._own_name, revision, tuple(members), tuple(rumors), fitting
+        )
+
+    def answer_page(
+        self, page: SyncPage, revision: int, now: float
+    ) -> SyncNewer:
+        """Returns the facts of the leaves of `page` that are newer here."""
+        covered, members, rumors = self._facts_that_fit(page.leaves, now)
+        their_members = {fact.name: fact for fact in page.members}
+        their_rumors = {(f.topic, f.key): f for f in page.rumors}
+        newer_members = tuple(
+            fact
+            for fact in members
+            if _news(fact, their_members.get(fact.name))
+        )
+        newer_rumors = tuple(
+            fact
+            for fact in rumors
+            if _rumor_news(fact, their_rumors.get((fact.topic, fact.key)))
+        )
+        return SyncNewer(
+            self._own_name, revision, newer_members, newer_rumors, covered
+        )
+
+    def _facts_that_fit(
+        self, leaves: tuple[int, ...], now: float
+    ) -> tuple[tuple[int, ...], list[MemberFact], list[RumorFact]]:
+        """Returns the first leaves whose facts fit a page, and the facts."""
+        by_leaf: dict[int, list[MemberFact | RumorFact]] = {}
+        wanted = frozenset(leaves)
+        for leaf, fact in self._table.facts_in(wanted, now):
+            by_leaf.setdefault(leaf, []).append(fact)
+        fitting: list[int] = []
+        facts: list[MemberFact | RumorFact] = []
+        size = 0
+        for leaf in dict.fromkeys(leaves):
+            held = by_leaf.get(leaf, [])
+            size += _size(held)
+            if size > self._page_bytes and fitting:
+                break
+            fitting.append(leaf)
+            facts += held
+        members = [f for f in facts if isinstance(f, MemberFact)]
+        rumors = [f for f in facts if isinstance(f, RumorFact)]
+        return tuple(fitting), members, rumors
+
+
+def _size(facts: Iterable[MemberFact | RumorFact]) -> int:
+    return sum(fact.size_bytes() for fact in facts)
+
+
+def _news(fact: MemberFact, theirs: MemberFact | None) -> bool:
+    if theirs is None:
+        return not fact.gone
+    return member_newer(fact, theirs)
+
+
+def _rumor_news(fact: RumorFact, theirs: RumorFact | None) -> bool:
+    return theirs is None or rumor_newer(fact, theirs)
--- /dev/null
+++ b/src/radishwind/membership/tests/test_gossip.py
@@ -0,0 +1,287 @@
+"""Failure detection and spreading, on many state machines in one process."""
+
+import random
+
+import pytest
+from tests.support.gossip_net import fact_of
+from tests.support.gossip_net import GossipNet
+
+from radishwind.membership import Announced
+from radishwind.membership import GossipOptions
+from radishwind.membership.actions import Purpose
+from radishwind.membership.facts import Belief
+from radishwind.membership.facts import RumorFact
+from radishwind.membership.messages import Ping
+
+SIZE = 30
+
+
+@pytest.fixture
+def net():
+    net = GossipNet()
+    net.fill(SIZE)
+    net.run(5.0)
+    return net
+
+
+def everyone_holds(net, number, test):
+    return lambda: net.knowing(number, test) == len(net.nodes)
+
+
+def test_nodes_that_know_one_contact_learn_of_all():
+    net = GossipNet()
+    for number in range(SIZE):
+        net.add(number)
+        net.join(number, [0])
+
+    took = net.run_until(
+        lambda: all(len(n.table.members) == SIZE for n in net.nodes.values()),
+        20.0,
+    )
+
+    assert took is not None
+
+
+def test_nobody_is_suspected_at_rest(net):
+    net.run(60.0)
+
+    facts = [f for n in net.nodes.values() for f in n.table.members.values()]
+    assert {f.belief for f in facts} == {Belief.FINE}
+    assert {f.incarnation for f in facts} == {1_000}
+
+
+def test_death_is_found_and_told_to_all(net):
+    net.kill(3)
+
+    took = net.run_until(everyone_holds(net, 3, lambda f: f.gone), 60.0)
+
+    assert took is not None
+
+
+def test_leaving_is_told_to_all_within_two_seconds(net):
+    net.send(4, net.nodes[4].announce(Announced.LEAVING, net.now))
+
+    took = net.run_until(
+        everyone_holds(net, 4, lambda f: f.announced is Announced.LEAVING), 2.0
+    )
+
+    assert took is not None
+
+
+def test_drain_that_ends_is_told_to_all(net):
+    for announced in (Announced.DRAINING, Announced.ALIVE):
+        net.send(4, net.nodes[4].announce(announced, net.now))
+        took = net.run_until(
+            everyone_holds(net, 4, lambda f, a=announced: f.announced is a), 2.0
+        )
+        assert took is not None
+
+
+def test_paused_process_that_comes_back_refutes(net):
+    net.pause(5)
+    suspected = net.run_until(
+        lambda: net.knowing(5, lambda f: f.belief is Belief.SUSPECT) > 0, 60.0
+    )
+    net.resume(5)
+
+    took = net.run_until(
+        everyone_holds(
+            net, 5, lambda f: f.belief is Belief.FINE and f.incarnation > 1_000
+        ),
+        20.0,
+    )
+
+    assert suspected is not None
+    assert took is not None
+
+
+def test_paused_process_believed_dead_comes_back(net):
+    net.pause(5)
+    net.run(60.0)
+    believed = net.knowing(5, lambda f: f.belief is Belief.DEAD)
+    net.resume(5)
+
+    took = net.run_until(
+        everyone_holds(net, 5, lambda f: f.belief is Belief.FINE), 30.0
+    )
+
+    assert believed == SIZE - 1
+    assert took is not None
+
+
+def test_paused_process_suspects_nobody_when_it_resumes(net):
+    net.pause(5)
+    net.run(120.0)
+    net.resume(5)
+
+    net.run(0.2)
+
+    beliefs = {f.belief for f in net.nodes[5].table.members.values()}
+    assert beliefs == {Belief.FINE}
+
+
+def test_sides_apart_for_an_hour_merge():
+    net = GossipNet(GossipOptions(probe_period_s=5.0, probe_timeout_s=1.0))
+    net.fill(12)
+    net.side = {number: number % 2 for number in range(12)}
+    net.run(3_600.0)
+    apart = net.knowing(0, lambda f: f.gone)
+    net.send(2, net.nodes[2].announce(Announced.DRAINING, net.now))
+    net.side = {}
+
+    def merged():
+        tables = [n.table.members for n in net.nodes.values()]
+        return all(t == tables[0] for t in tables) and all(
+            f.belief is Belief.FINE for f in tables[0].values()
+        )
+
+    took = net.run_until(merged, 120.0)
+
+    assert apart == 6
+    assert took is not None
+    assert net.nodes[1].table.members[fact_of(2).name].announced == 1
+
+
+def test_restarted_process_replaces_its_dead_self(net):
+    net.kill(6)
+    net.run(40.0)
+    net.add(6, incarnation=2_000)
+    net.join(6, [1])
+
+    took = net.run_until(
+        everyone_holds(net, 6, lambda f: not f.gone and f.incarnation == 2_000),
+        20.0,
+    )
+
+    assert took is not None
+
+
+def test_restart_with_the_wall_clock_behind_is_alive_again(net):
+    net.kill(6)
+    net.run(40.0)
+    net.add(6, incarnation=10)
+    net.join(6, [1])
+
+    took = net.run_until(everyone_holds(net, 6, lambda f: not f.gone), 20.0)
+
+    assert took is not None
+
+
+def test_dead_are_forgotten_by_rule():
+    net = GossipNet(GossipOptions(forget_s=30.0))
+    net.fill(5)
+    net.kill(2)
+
+    net.run(120.0)
+
+    assert net.knowing(2, lambda f: True) == 0
+
+
+def test_rumour_reaches_all_and_is_forgotten(net):
+    heard = []
+    for node in net.nodes.values():
+        node.on_rumor(heard.append)
+    fact = RumorFact("config", "root", 7, '{"revision":7}', 20_000)
+    net.nodes[0].publish(fact, net.now)
+    net.send(0, net.nodes[0].tick(net.now))
+
+    net.run(2.0)
+    count = len(heard)
+    net.run(30.0)
+
+    assert count == SIZE
+    assert len(heard) == SIZE
+    assert all(not n.table.rumors() for n in net.nodes.values())
+
+
+def test_late_joiner_hears_of_rumours(net):
+    net.nodes[0].publish(RumorFact("q", "k", 1, "{}", 600_000), net.now)
+    net.run(20.0)
+    net.add(SIZE)
+    net.join(SIZE, [3])
+
+    took = net.run_until(lambda: net.nodes[SIZE].table.rumors() != (), 20.0)
+
+    assert took is not None
+
+
+def test_hint_makes_the_member_be_probed_next():
+    net = GossipNet()
+    net.fill(10)
+    node = net.nodes[0]
+    node.suspect_hint(fact_of(7).name)
+
+    calls = [c for c in node.tick(100.0) if c.purpose is Purpose.PROBE]
+
+    assert [call.member for call in calls] == [fact_of(7).name]
+
+
+def test_answer_by_another_member_is_a_failed_probe():
+    net = GossipNet()
+    net.fill(10)
+    calls = net.nodes[0].tick(1.0)
+    probe = next(c for c in calls if c.purpose is Purpose.PROBE)
+    other = next(n for n in net.nodes if fact_of(n).name != probe.member)
+    answer, _ = net.nodes[other].receive(probe.message, 1.0)
+
+    asked = net.nodes[0].answered(probe, answer, 1.0)
+
+    assert {c.purpose for c in asked} == {Purpose.REQUEST_PROBE}
+
+
+def test_second_process_of_our_name_is_counted_and_contradicted_rarely():
+    node = GossipNet().add(1)
+    place = (*_fields(fact_of(1))[:3], "10.9.9.9:8081")
+
+    for incarnation in range(9_000, 14_000, 1_000):
+        other = type(node.own)(*place, incarnation)
+        node.receive(Ping("x", members=(other,)), 1.0)
+
+    assert node.conflicts == 5
+    assert node.own.incarnation == 9_001
+
+
+def test_unknown_dead_are_not_learnt():
+    node = GossipNet().add(1)
+    dead = type(fact_of(2))(*_fields(fact_of(2))[:5], 0, Belief.DEAD)
+
+    node.receive(Ping("x", members=(dead,)), 1.0)
+
+    assert list(node.table.members) == [fact_of(1).name]
+
+
+def test_same_seed_gives_the_same_session():
+    def session():
+        net = GossipNet(seed=5)
+        net.fill(8)
+        net.kill(2)
+        net.run(30.0)
+        return net.messages, [dict(n.table.members) for n in net.nodes.values()]
+
+    assert session() == session()
+
+
+def test_random_faults_settle(net):
+    rng = random.Random(11)
+    for _ in range(20):
+        number = rng.randrange(SIZE)
+        if number in net.paused:
+            net.resume(number)
+        elif number in net.nodes and rng.random() < 0.5:
+            net.pause(number)
+        net.run(rng.random() * 4)
+    for number in list(net.paused):
+        net.resume(number)
+
+    def settled():
+        return all(
+            f.belief is Belief.FINE
+            for n in net.nodes.values()
+            for f in n.table.members.values()
+        )
+
+    assert net.run_until(settled, 60.0) is not None
+
+
+def _fields(fact):
+    return tuple(getattr(fact, name) for name in fact.__struct_fields__)
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -1,5 +1,6 @@
 """Composes a node and runs it until it is told to stop."""
 
+import contextlib
 import os
 import random
 import signal
@@ -17,10 +18,14 @@
 from radishwind.entry import EntryPipeline
 from radishwind.http import make_sender
 from radishwind.http import make_server
-from radishwind.membership.polled import PolledDirectory
+from radishwind.membership import Announced
 from radishwind.node.admin import AdminListener
 from radishwind.node.callers import CallerListener
+from radishwind.node.in_progress import CallersInProgress
+from radishwind.node.membership_tasks import MembershipTasks
+from radishwind.node.peer_security import make_peer_security
 from radishwind.peers import ForwardRunner
+from radishwind.peers import HttpPeerClient
 from radishwind.peers import PeerListener
 from radishwind.retries import RetryNotRun
 from radishwind.routing import FewestOwnRequests
@@ -51,7 +56,7 @@
         self._store = EtcdStore(
             make_sender(library, connections=4), self._settings.store
         )
-        self._directory = PolledDirectory(lambda: self._index)
+        signer, verifier = make_peer_security(self._settings, self._clock)
         self._admission = FifoAdmission(0, 0, 0.0)
         assert self._settings.server is not None
         self._target = TargetPipeline(
@@ -60,12 +65,28 @@
             sender=self._sender,
             server=self._settings.server,
         )
+        self._peers = PeerListener(
+            node_name=self._settings.target,
+            clock=self._clock,
+            index=lambda: self._index,
+            target=self._target,
+            verifier=verifier,
+        )
+        self._membership = MembershipTasks(
+            settings=self._settings,
+            clock=self._clock,
+            rng=self._rng,
+            index=lambda: self._index,
+            listener=self._peers,
+            client=HttpPeerClient(self._sender, signer),
+            store=self._store,
+        )
         self._entry = EntryPipeline(
             node_name=self._settings.target,
             clock=self._clock,
             rng=self._rng,
             index=lambda: self._index,
-            directory=self._directory,
+            directory=self._membership.directory,
             chooser=FewestOwnRequests(self._rng),
             retries=RetryNotRun(),
             runner=ForwardRunner(
@@ -73,17 +94,17 @@
                 clock=self._clock,
                 target=self._target,
                 sender=self._sender,
+                signer=signer,
+                unreachable=self._membership.unreachable,
             ),
             claims=NoClaims(),
         )
-        self._peers = PeerListener(
-            node_name=self._settings.target,
-            clock=self._clock,
-            index=lambda: self._index,
-            target=self._target,
-        )
         self._admin = AdminListener()
         self._admin.add_status(self._status)
+        self._admin.add_status(self._membership.status)
+        self._callers = CallersInProgress(
+            CallerListener(self._entry).handle
+        )
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
@@ -93,19 +114,26 @@
             await peers.start(self._peers.handle, self._settings.peer_listen)
             await admin.start(self._admin.handle, self._settings.admin_listen)
             tasks.start_soon(self._poll_store)
+            tasks.start_soon(self._membership.run)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
-                CallerListener(self._entry).handle, self._settings.caller_listen
+                self._callers.handle, self._settings.caller_listen
             )
             await self._stopping.wait()
             await self._stop()
             tasks.cancel_scope.cancel()
 
     async def _stop(self) -> None:
+        """Tells first, then refuses, then finishes what is in progress."""
+        self._membership.announce(Announced.LEAVING)
+        self._callers.ask_to_close()
+        await anyio.sleep(self._settings.leave_notice_s)
         self._target.leave()
         await self._servers[0].stop_listening()
         with anyio.move_on_after(self._settings.stop_grace_s):
             await self._target.drained()
+            await self._callers.finished()
+        await self._membership.say_left()
         for server in self._servers:
             await server.close(1.0)
         await self._sender.close()
@@ -122,19 +150,13 @@
         return {
             "target": self._settings.target,
             "config_revision": self._index.cfg.revision,
-            "members": len(self._directory.members()),
             "leaving": self._target.leaving,
         }
 
     async def _poll_store(self) -> None:
         while True:
-            try:
+            with contextlib.suppress(StoreError):
                 await self._read_config()
-                await self._directory.refresh(
-                    self._store, self._settings, self._target.leaving
-                )
-            except StoreError:
-                pass
             await anyio.sleep(_POLL_S)
 
     async def _read_config(self) -> None:
@@ -145,6 +167,7 @@
         if cfg.revision <= self._index.cfg.revision:
             return
         self._index = ConfigIndex(cfg)
+        self._membership.note_revision(cfg.revision)
         own = self._index.targets.get(self._settings.target)
         rules = cfg.rules.for_service(self._settings.service)
         self._admission.resize(
--- /dev/null
+++ b/src/radishwind/node/membership_tasks.py
@@ -0,0 +1,283 @@
+"""Runs membership: the state machine's timers, messages and first peers."""
+
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+import anyio.abc
+import msgspec
+
+from radishwind.config.index import ConfigIndex
+from radishwind.core import Clock
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.types import Address
+from radishwind.http.types import whole_body
+from radishwind.membership import Announced
+from radishwind.membership import Gossip
+from radishwind.membership import GossipDirectory
+from radishwind.membership import GossipOptions
+from radishwind.membership import GossipRumorBoard
+from radishwind.membership import MemberFact
+from radishwind.membership.actions import Call
+from radishwind.membership.contacts import MAX_CONTACTS
+from radishwind.membership.discovery import ContactFinder
+from radishwind.membership.discovery import DiscoveryOptions
+from radishwind.membership.messages import CONTROL_NAME
+from radishwind.membership.messages import decode
+from radishwind.membership.messages import encode
+from radishwind.membership.messages import MAX_MESSAGE_BYTES
+from radishwind.membership.messages import MessageError
+from radishwind.membership.ranking import ranks_among_first
+from radishwind.node.peer_security import advertised
+from radishwind.outcomes import problem
+from radishwind.peers import PeerClient
+from radishwind.peers import PeerError
+from radishwind.peers import PeerListener
+from radishwind.settings import NodeSettings
+from radishwind.store import Store
+
+#: Messages on their way at once; further ones count as lost.
+_MAX_IN_FLIGHT = 64
+_LAST_WORD_S = 1.0
+#: Looks at the store at short intervals after the start.
+_EARLY_LOOKS = 4
+
+_JSON = (("Content-Type", "application/json"),)
+
+
+class MembershipTasks:
+    """Owns the state machine of membership and the tasks around it."""
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        clock: Clock,
+        rng: random.Random,
+        index: Callable[[], ConfigIndex],
+        listener: PeerListener,
+        client: PeerClient,
+        store: Store,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._index = index
+        self._client = client
+        self._options = GossipOptions(
+            probe_period_s=settings.probe_period_s,
+            probe_timeout_s=settings.probe_timeout_s,
+        )
+        self.gossip = Gossip(
+            _own_fact(settings, clock), self._options, rng, clock.monotonic()
+        )
+        self.directory = GossipDirectory(
+            self.gossip, index, clock, self._options.refute_grace_s
+        )
+        self.board = GossipRumorBoard(self.gossip, clock, self._wake)
+        self._discovery = DiscoveryOptions(spread_s=settings.start_spread_s)
+        self._finder = ContactFinder(
+            store=store,
+            failure_domain=settings.failure_domain,
+            own=advertised(settings),
+            clock=clock,
+            rng=rng,
+            options=self._discovery,
+        )
+        self._woken = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._in_flight = 0
+        self.traffic = Traffic()
+        listener.add_control(CONTROL_NAME, self._handle, MAX_MESSAGE_BYTES)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._find_peers)
+            await self._tick_forever()
+
+    def announce(self, announced: Announced) -> None:
+        """Tells everyone that this node drains, leaves or is back."""
+        self._start(self.gossip.announce(announced, self._now()))
+
+    async def say_left(self) -> None:
+        """Tells some peers that this node is gone; the last word."""
+        calls = self.gossip.announce(Announced.LEFT, self._now())
+        with anyio.move_on_after(_LAST_WORD_S):
+            async with anyio.create_task_group() as tasks:
+                for call in calls:
+                    tasks.start_soon(self._perform, call)
+
+    def unreachable(self, name: str) -> None:
+        """Takes a hint: the node of `name` took no connection."""
+        self.gossip.suspect_hint(name)
+        self._wake()
+
+    def note_revision(self, revision: int) -> None:
+        """Tells peers by and by which configuration is in force here."""
+        self.gossip.revision = revision
+
+    def status(self) -> dict[str, Any]:
+        """Returns the fields for the status of the node."""
+        members = self.directory.members()
+        states: dict[str, int] = {}
+        for member in members:
+            states[member.state] = states.get(member.state, 0) + 1
+        return {
+            "members": len(members),
+            "member_states": states,
+            "not_in_inventory": list(self.directory.refused()),
+            "incarnation": self.gossip.own.incarnation,
+            "name_conflicts": self.gossip.conflicts,
+            "gossip_traffic": msgspec.to_builtins(self.traffic),
+            "contact_store_calls": dict(self._finder.calls),
+        }
+
+    def _now(self) -> float:
+        return self._clock.monotonic()
+
+    def _wake(self) -> None:
+        self._woken.set()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._start(self.gossip.tick(self._now()))
+            wait_s = self.gossip.next_due() - self._now()
+            with anyio.move_on_after(max(0.0, wait_s)):
+                await self._woken.wait()
+            self._woken = anyio.Event()
+
+    def _start(self, calls: Iterable[Call]) -> None:
+        for call in calls:
+            if self._tasks is None or self._in_flight >= _MAX_IN_FLIGHT:
+                self._start(self.gossip.failed(call, self._now()))
+                continue
+            self._in_flight += 1
+            self._tasks.start_soon(self._perform_counted, call)
+
+    async def _perform_counted(self, call: Call) -> None:
+        try:
+            await self._perform(call)
+        finally:
+            self._in_flight -= 1
+
+    async def _perform(self, call: Call) -> None:
+        data = encode(call.message)
+        self.traffic.sent(len(data))
+        try:
+            answer = await self._client.call(
+                call.address, CONTROL_NAME, data, call.timeout_s
+            )
+            message = decode(answer)
+        except (PeerError, MessageError):
+            self._start(self.gossip.failed(call, self._now()))
+            return
+        self.traffic.received(len(answer))
+        self._start(self.gossip.answered(call, message, self._now()))
+        if self.gossip.next_due() <= self._now():
+            self._wake()
+
+    async def _handle(self, request: Request) -> Response:
+        body = await whole_body(request.body)
+        try:
+            message = decode(body)
+        except MessageError as exc:
+            return problem(exc.code, exc.args[0], "not-run")
+        self.traffic.received(len(body))
+        answer, calls = self.gossip.receive(message, self._now())
+        self._start(calls)
+        data = encode(answer)
+        self.traffic.sent(len(data))
+        self._wake()
+        return Response(200, _JSON, data, len(data))
+
+    async def _find_peers(self) -> None:
+        self._start(self.gossip.join(self._settings.seeds, self._now()))
+        await anyio.sleep(self._rng.random() * self._discovery.spread_s)
+        looks = 0
+        failures = 0
+        while True:
+            if self._alone() or self._is_contact():
+                if await self._look():
+                    looks += 1
+                    failures = 0
+                else:
+                    failures += 1
+            await anyio.sleep(self._next_look_s(looks, failures))
+
+    async def _look(self) -> bool:
+        """Reads the contacts and joins those not known; `False` if failed."""
+        if self._alone() and self._settings.seeds:
+            self._start(self.gossip.join(self._settings.seeds, self._now()))
+        contacts = await self._finder.read()
+        if contacts is None:
+            return False
+        facts = self.gossip.table.members.values()
+        known = {f.address for f in facts if not f.gone}
+        strangers = tuple(c for c in contacts if str(c) not in known)
+        self._start(self.gossip.join(strangers, self._now()))
+        if self._is_contact():
+            return await self._finder.enter()
+        return True
+
+    def _next_look_s(self, looks: int, failures: int) -> float:
+        options = self._discovery
+        jitter = 0.5 + self._rng.random()
+        if failures:
+            wait_s = options.backoff_s * 2.0**failures
+            return min(options.backoff_most_s, wait_s) * jitter
+        if self._alone() or looks <= _EARLY_LOOKS:
+            wait_s = options.backoff_s * 2.0 ** min(looks, 16)
+            return min(options.backoff_most_s, wait_s) * jitter
+        return options.check_period_s * jitter
+
+    def _alone(self) -> bool:
+        facts = self.gossip.table.members.values()
+        return sum(not fact.gone for fact in facts) <= 1
+
+    def _is_contact(self) -> bool:
+        facts = self.gossip.table.members.values()
+        names = [
+            fact.name
+            for fact in facts
+            if fact.failure_domain == self._settings.failure_domain
+            and not fact.gone
+        ]
+        return ranks_among_first(self._settings.target, names, MAX_CONTACTS)
+
+
+class Traffic(msgspec.Struct):
+    """Messages and payload bytes of membership since the start."""
+
+    messages_sent: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    bytes_received: int = 0
+
+    def sent(self, size_bytes: int) -> None:
+        """Counts a message or answer sent."""
+        self.messages_sent += 1
+        self.bytes_sent += size_bytes
+
+    def received(self, size_bytes: int) -> None:
+        """Counts a message or answer received."""
+        self.messages_received += 1
+        self.bytes_received += size_bytes
+
+
+def _own_fact(settings: NodeSettings, clock: Clock) -> MemberFact:
+    # The wall clock keeps incarnations rising over restarts without a disk;
+    # where it went back, peers tell us and we raise ours above.
+    incarnation = int(clock.now().timestamp() * 1000)
+    own: Address = advertised(settings)
+    return MemberFact(
+        settings.target,
+        settings.service,
+        settings.failure_domain,
+        str(own),
+        incarnation,
+    )
--- /dev/null
+++ b/src/radishwind/node/peer_security.py
@@ -0,0 +1,67 @@
+"""Builds what signs and checks the traffic between nodes, from settings."""
+
+import ipaddress
+import os
+import pathlib
+import sys
+
+from radishwind.core.clock import Clock
+from radishwind.http.types import Address
+from radishwind.peers import PeerSigner
+from radishwind.peers import PeerVerifier
+from radishwind.settings import NodeSettings
+from radishwind.settings import SettingError
+from radishwind.settings.parsers import peer_keys
+
+_NONCE_PREFIX_BYTES = 8
+
+
+def advertised(settings: NodeSettings) -> Address:
+    """Returns where other nodes reach this one."""
+    return settings.peer_address or settings.peer_listen
+
+
+def make_peer_security(
+    settings: NodeSettings, clock: Clock
+) -> tuple[PeerSigner | None, PeerVerifier | None]:
+    """Returns the signer and the verifier; neither where there is no key.
+
+    Raises:
+      SettingError: the key file can't be read, or there is no key though the
+        peer listener is reached from other machines.
+    """
+    keys = settings.peer_key + _keys_of_file(settings.peer_key_file)
+    if keys:
+        prefix = os.urandom(_NONCE_PREFIX_BYTES).hex()
+        own = advertised(settings)
+        return (
+            PeerSigner(keys[0], clock, prefix),
+            PeerVerifier(keys, clock, own),
+        )
+    if not _is_loopback(settings.peer_listen.host):
+        raise SettingError(
+            "expected --peer-key or --peer-key-file where --peer-listen is "
+            f"not on loopback, got neither and {settings.peer_listen}"
+        )
+    print(
+        "radishwind peers: WARNING no --peer-key: anyone on this machine can "
+        "speak as a node",
+        file=sys.stderr,
+    )
+    return None, None
+
+
+def _keys_of_file(path: str) -> tuple[bytes, ...]:
+    if not path:
+        return ()
+    try:
+        return peer_keys(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as exc:
+        raise SettingError(f"--peer-key-file: {exc}") from exc
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host.strip("[]")).is_loopback
+    except ValueError:
+        return host == "localhost"
--- a/src/radishwind/peers/__init__.py
+++ b/src/radishwind/peers/__init__.py
@@ -3,8 +3,11 @@
 from radishwind.peers.client import HttpPeerClient
 from radishwind.peers.client import PeerClient
 from radishwind.peers.client import PeerError
+from radishwind.peers.client import PeerUnreachableError
 from radishwind.peers.forward import ForwardRunner
 from radishwind.peers.forward import PeerListener
+from radishwind.peers.security import PeerSigner
+from radishwind.peers.security import PeerVerifier
 
 __all__ = [
     "ForwardRunner",
@@ -12,4 +15,7 @@
     "PeerClient",
     "PeerError",
     "PeerListener",
+    "PeerSigner",
+    "PeerUnreachableError",
+    "PeerVerifier",
 ]
--- a/src/radishwind/peers/client.py
+++ b/src/radishwind/peers/client.py
@@ -6,15 +6,22 @@
 
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
+from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import SendError
 from radishwind.http.sender import Sender
 from radishwind.http.types import Address
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import whole_body
+from radishwind.peers.security import AUTH_FIELD
+from radishwind.peers.security import PeerSigner
 
 #: Paths below this one on the peer listener are control messages.
 CONTROL_PREFIX = "/radishwind/v1/"
 
+#: How long a new connection to a peer may take (s).
+CONNECT_TIMEOUT_S = 0.5
+
 
 class PeerError(RadishwindError):
     """A control message got no good answer; it may have arrived."""
@@ -22,6 +29,10 @@
     code = ResultCode.PEER_MALFORMED
 
 
+class PeerUnreachableError(PeerError):
+    """No connection was made: nothing of the message arrived."""
+
+
 class PeerClient(abc.ABC):
     """Sends control messages; `PeerListener.add_control` receives them."""
 
@@ -46,25 +57,31 @@
 
 
 class HttpPeerClient(PeerClient):
-    """Sends control messages by a `Sender`."""
+    """Sends control messages by a `Sender`, signed where there is a key."""
 
-    def __init__(self, sender: Sender) -> None:
+    def __init__(
+        self, sender: Sender, signer: PeerSigner | None = None
+    ) -> None:
         self._sender = sender
+        self._signer = signer
 
     async def call(
         self, address: Address, name: str, payload: bytes, timeout_s: float
     ) -> bytes:
-        request = Request(
-            "POST",
-            CONTROL_PREFIX + name,
-            (("Content-Type", "application/json"),),
-            payload,
-            len(payload),
-        )
+        path = CONTROL_PREFIX + name
+        headers: Headers = (("Content-Type", "application/json"),)
+        if self._signer is not None:
+            auth = self._signer.sign(address, "POST", path, payload)
+            headers += ((AUTH_FIELD, auth),)
+        request = Request("POST", path, headers, payload, len(payload))
         try:
             with anyio.fail_after(timeout_s):
-                response = await self._sender.send(address, request, timeout_s)
+                response = await self._sender.send(
+                    address, request, CONNECT_TIMEOUT_S
+                )
                 body = await whole_body(response.body)
+        except ConnectFailedError as exc:
+            raise PeerUnreachableError(f"{address} {name}: {exc}") from exc
         except (SendError, TimeoutError) as exc:
             raise PeerError(f"{address} {name}: {exc!r}") from exc
         if response.status != 200:
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -4,6 +4,7 @@
 the answer echoes the attempt's id and says which of the three outcomes it is.
 """
 
+import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeAlias
@@ -25,6 +26,7 @@
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.http.types import whole_body
 from radishwind.membership.directory import Member
 from radishwind.outcomes import answer
 from radishwind.outcomes import Done
@@ -32,7 +34,13 @@
 from radishwind.outcomes import Outcome
 from radishwind.outcomes import problem
 from radishwind.outcomes import Unknown
+from radishwind.peers.client import CONNECT_TIMEOUT_S
 from radishwind.peers.client import CONTROL_PREFIX
+from radishwind.peers.security import AUTH_FIELD
+from radishwind.peers.security import PeerRefusedError
+from radishwind.peers.security import PeerReplayedError
+from radishwind.peers.security import PeerSigner
+from radishwind.peers.security import PeerVerifier
 from radishwind.routing.chooser import LoadReport
 from radishwind.target.pipeline import TargetPipeline
 
@@ -41,9 +49,13 @@
 ATTEMPT_FIELD = "Radishwind-Node-Attempt"
 ANSWER_FIELD = "Radishwind-Node-Answer"
 
-CONNECT_TIMEOUT_S = 0.5
+#: Control messages up to this size (bytes) are read where a slice asks for
+#: no other limit.
+MAX_CONTROL_BYTES = 64 * 1024
 
 ControlHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
+#: Takes the name of a target whose node takes no connection.
+UnreachableHint: TypeAlias = Callable[[str], None]
 
 
 class AttemptInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -79,7 +91,7 @@
       code: the result code; 0 for `done`.
       detail: a sentence for the caller; empty for `done`.
       retry_after_s: when to come back (s).
-      load: the target's load.
+      load: the target's load; `None` to a peer that isn't authentic.
     """
 
     attempt_id: str
@@ -87,7 +99,7 @@
     code: int
     detail: str
     retry_after_s: float | None
-    load: LoadReport
+    load: LoadReport | None
 
 
 _attempt_decoder = msgspec.json.Decoder(AttemptInfo)
@@ -105,11 +117,15 @@
         clock: Clock,
         target: TargetPipeline,
         sender: Sender,
+        signer: PeerSigner | None = None,
+        unreachable: UnreachableHint | None = None,
     ) -> None:
         self._node_name = node_name
         self._clock = clock
         self._target = target
         self._sender = sender
+        self._signer = signer
+        self._unreachable = unreachable
 
     async def run(
         self, call: Call, member: Member, attempt_id: str
@@ -121,13 +137,17 @@
             return AttemptResult(
                 NotRun(ResultCode.DEADLINE_PASSED, "The deadline had passed.")
             )
-        request = _forwarded(call, member, attempt_id, remaining_s)
+        request = _forwarded(
+            call, member, attempt_id, remaining_s, self._signer
+        )
         try:
             with anyio.fail_after(remaining_s):
                 response = await self._sender.send(
                     member.address, request, CONNECT_TIMEOUT_S
                 )
         except ConnectFailedError:
+            if self._unreachable is not None:
+                self._unreachable(member.name)
             return AttemptResult(
                 NotRun(
                     ResultCode.CONNECT_FAILED,
@@ -162,16 +182,33 @@
         clock: Clock,
         index: Callable[[], ConfigIndex],
         target: TargetPipeline,
+        verifier: PeerVerifier | None = None,
     ) -> None:
         self._node_name = node_name
         self._clock = clock
         self._index = index
         self._target = target
-        self._control: dict[str, ControlHandler] = {}
+        self._verifier = verifier
+        self._control: dict[str, tuple[ControlHandler, int]] = {}
+        #: Requests refused, by result code.
+        self.refused: dict[int, int] = {}
+
+    def add_control(
+        self,
+        name: str,
+        handler: ControlHandler,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> None:
+        """Routes the control path `/radishwind/v1/NAME` to `handler`.
 
-    def add_control(self, name: str, handler: ControlHandler) -> None:
-        """Routes the control path `/radishwind/v1/NAME` to `handler`."""
-        self._control[CONTROL_PREFIX + name] = handler
+        The handler gets authentic requests only, with the whole body.
+
+        Args:
+          name: the last part of the path.
+          handler: answers the messages.
+          max_bytes: longer messages are refused unread (bytes).
+        """
+        self._control[CONTROL_PREFIX + name] = (handler, max_bytes)
 
     async def handle(self, request: Request) -> Response:
         """Answers one request of a peer."""
@@ -180,8 +217,12 @@
             return await self._handle_control(request)
         try:
             info = _attempt_decoder.decode(field)
-        except msgspec.MsgspecError as exc:
-            return problem(ResultCode.PEER_MALFORMED, str(exc), "not-run")
+        except (msgspec.MsgspecError, UnicodeEncodeError) as exc:
+            return self._refuse(ResultCode.PEER_MALFORMED, str(exc))
+        try:
+            self._verify(request, field.encode("utf-8", "surrogateescape"))
+        except PeerRefusedError as exc:
+            return self._refuse_attempt(info, exc)
         if info.target != self._node_name:
             # The address has passed to another target since the peer heard.
             outcome: Outcome = NotRun(
@@ -193,14 +234,46 @@
         return self._answered(info.attempt_id, result.outcome)
 
     async def _handle_control(self, request: Request) -> Response:
-        handler = self._control.get(request.path.partition("?")[0])
+        path = request.path.partition("?")[0]
+        handler, max_bytes = self._control.get(path, (None, 0))
         if handler is None:
-            return problem(
+            return self._refuse(
                 ResultCode.PEER_MALFORMED,
                 f"expected a known path, got {request.path[:80]!r}",
-                "not-run",
             )
-        return await handler(request)
+        size = request.body_bytes
+        if size is None or size > max_bytes:
+            abort_body(request.body)
+            return self._refuse(
+                ResultCode.PEER_TOO_LARGE,
+                f"expected a body of at most {max_bytes} bytes, got {size}",
+            )
+        body = await whole_body(request.body)
+        try:
+            self._verify(request, body)
+        except PeerRefusedError as exc:
+            return self._refuse(exc.code, exc.args[0])
+        return await handler(dataclasses.replace(request, body=body))
+
+    def _verify(self, request: Request, covered: bytes) -> None:
+        if self._verifier is None:
+            return
+        field = header(request.headers, AUTH_FIELD.lower())
+        self._verifier.verify(field, request.method, request.path, covered)
+
+    def _refuse(self, code: ResultCode, detail: str) -> Response:
+        self.refused[code] = self.refused.get(code, 0) + 1
+        return problem(code, detail, "not-run")
+
+    def _refuse_attempt(
+        self, info: AttemptInfo, exc: PeerRefusedError
+    ) -> Response:
+        self.refused[exc.code] = self.refused.get(exc.code, 0) + 1
+        outcome: Outcome = NotRun(exc.code, exc.args[0], 1.0)
+        if isinstance(exc, PeerReplayedError):
+            # The first one may have run.
+            outcome = Unknown(exc.code, exc.args[0])
+        return _with_answer(info.attempt_id, outcome, None)
 
     def _call(self, info: AttemptInfo, request: Request) -> Call:
         return Call(
@@ -222,15 +295,7 @@
         )
 
     def _answered(self, attempt_id: str, outcome: Outcome) -> Response:
-        response = answer(outcome)
-        info = _answer_info(attempt_id, outcome, self._target.load())
-        field = _encoder.encode(info).decode()
-        return Response(
-            response.status,
-            (*response.headers, (ANSWER_FIELD, field)),
-            response.body,
-            response.body_bytes,
-        )
+        return _with_answer(attempt_id, outcome, self._target.load())
 
 
 def without_node_fields(headers: Headers) -> Headers:
@@ -243,7 +308,11 @@
 
 
 def _forwarded(
-    call: Call, member: Member, attempt_id: str, remaining_s: float
+    call: Call,
+    member: Member,
+    attempt_id: str,
+    remaining_s: float,
+    signer: PeerSigner | None,
 ) -> Request:
     info = AttemptInfo(
         attempt_id,
@@ -256,18 +325,38 @@
         call.depth,
     )
     request = call.request
-    field = _encoder.encode(info).decode()
+    field = _encoder.encode(info)
+    headers: Headers = (
+        *request.headers,
+        (ATTEMPT_FIELD, field.decode()),
+    )
+    if signer is not None:
+        auth = signer.sign(member.address, request.method, request.path, field)
+        headers += ((AUTH_FIELD, auth),)
     return Request(
         request.method,
         request.path,
-        (*request.headers, (ATTEMPT_FIELD, field)),
+        headers,
         request.body,
         request.body_bytes,
     )
 
 
+def _with_answer(
+    attempt_id: str, outcome: Outcome, load: LoadReport | None
+) -> Response:
+    response = answer(outcome)
+    field = _encoder.encode(_answer_info(attempt_id, outcome, load)).decode()
+    return Response(
+        response.status,
+        (*response.headers, (ANSWER_FIELD, field)),
+        response.body,
+        response.body_bytes,
+    )
+
+
 def _answer_info(
-    attempt_id: str, outcome: Outcome, load: LoadReport
+    attempt_id: str, outcome: Outcome, load: LoadReport | None
 ) -> AnswerInfo:
     if isinstance(outcome, Done):
         return AnswerInfo(attempt_id, "done", 0, "", None, load)
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -48,6 +48,52 @@
         default=Address("127.0.0.1", 8082),
         unit="HOST:PORT",
     )
+    peer_address: Address | None = setting(
+        parsers.optional_address,
+        "Where other nodes reach this one, if not at --peer-listen.",
+        default=None,
+        unit="HOST:PORT",
+    )
+    seeds: tuple[Address, ...] = setting(
+        parsers.addresses,
+        "Peer listeners to ask first, besides those in the store.",
+        default=(),
+        unit="HOST:PORT,...",
+    )
+    peer_key: tuple[bytes, ...] = setting(
+        parsers.peer_keys,
+        "Keys between nodes, 16 to 64 characters each, separated by commas; "
+        "the first signs, all are accepted.",
+        default=(),
+        secret=True,
+    )
+    peer_key_file: str = setting(
+        str, "File with such keys, one a line.", default="", unit="PATH"
+    )
+    probe_period_s: float = setting(
+        parsers.number(0.05, 60),
+        "A member is probed this often.",
+        default=1.0,
+        unit="s",
+    )
+    probe_timeout_s: float = setting(
+        parsers.number(0.02, 30),
+        "How long the answer to a probe of a member may take.",
+        default=0.5,
+        unit="s",
+    )
+    start_spread_s: float = setting(
+        parsers.number(0, 600),
+        "The first calls of the store wait up to this long, at random.",
+        default=0.5,
+        unit="s",
+    )
+    leave_notice_s: float = setting(
+        parsers.number(0, 60),
+        "A stopping node still takes work for this long after it said so.",
+        default=1.0,
+        unit="s",
+    )
     server: Address | None = setting(
         parsers.optional_address,
         "The server beside, if it does not announce itself.",
--- a/src/radishwind/settings/parsers.py
+++ b/src/radishwind/settings/parsers.py
@@ -5,6 +5,10 @@
 
 from radishwind.http.types import Address
 
+#: A key between nodes is at least and at most this long (bytes).
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 64
+
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 
@@ -23,6 +27,19 @@
     return tuple(Address.parse(part) for part in text.split(",") if part)
 
 
+def peer_keys(text: str) -> tuple[bytes, ...]:
+    """Parses keys separated by commas or line ends; the first one signs."""
+    parts = text.replace("\n", ",").split(",")
+    keys = tuple(part.strip().encode() for part in parts if part.strip())
+    for key in keys:
+        if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+            raise ValueError(
+                f"expected keys of {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes, "
+                f"got one of {len(key)}"
+            )
+    return keys
+
+
 def name(text: str) -> str:
     """Parses a name as used in the inventory."""
     if not _NAME.fullmatch(text):
