--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -41,6 +41,8 @@
 #: A second process under our name is contradicted at most this often (s).
 _CONFLICT_PERIOD_S = 10.0
 _SWEEP_PERIOD_S = 0.25
+#: A hint brings a probe forward at most this often (s).
+_HINT_PERIOD_S = 0.25
 _JOIN_CONTACTS = 3
 _CALL_TIMEOUT_S = 2.0
 
@@ -75,6 +77,7 @@
         self._next_rejoin = now + rng.random() * options.rejoin_period_s
         self._next_sweep = now
         self._next_push = now
+        self._next_hint = now
         self._due = now
         self.conflicts = 0
         self.revision = 0
@@ -103,9 +106,13 @@
         """Spreads a rumour; returns whether it is news here."""
         return self._take_rumor(fact, now)
 
-    def suspect_hint(self, name: str) -> None:
-        """Probes `name` next: a request to it found no connection."""
+    def suspect_hint(self, name: str, now: float) -> None:
+        """Probes `name` soon: a request to it found no connection."""
         self.prober.hint(name)
+        if now >= self._next_hint:
+            # A target that is gone is met by many requests: one is enough.
+            self._next_hint = now + _HINT_PERIOD_S
+            self._next_probe = min(self._next_probe, now)
 
     def join(self, contacts: tuple[Address, ...], now: float) -> list[Call]:
         """Opens anti-entropy with some of `contacts`, of unknown names."""
--- /dev/null
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -0,0 +1,167 @@
+"""First peers by the store: few calls, no storm, no lost entry."""
+
+import random
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.support.direct import DirectSender
+from tests.support.direct import Fault
+
+from radishwind.core import ManualClock
+from radishwind.http import Address
+from radishwind.membership.contacts import addresses
+from radishwind.membership.contacts import Contact
+from radishwind.membership.contacts import ContactRecord
+from radishwind.membership.contacts import key_of
+from radishwind.membership.contacts import MAX_CONTACTS
+from radishwind.membership.contacts import read_record
+from radishwind.membership.contacts import RENEW_MS
+from radishwind.membership.contacts import revised
+from radishwind.membership.contacts import STALE_MS
+from radishwind.membership.discovery import CallBudget
+from radishwind.membership.discovery import ContactFinder
+from radishwind.membership.discovery import DiscoveryOptions
+from radishwind.membership.ranking import ranks_among_first
+from radishwind.standins.store import StoreStandin
+from radishwind.store import EtcdStore
+
+STORE = Address("127.0.0.1", 2379)
+OPTIONS = DiscoveryOptions(spread_s=0.0)
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Platform:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.sender = DirectSender()
+        self.standin = StoreStandin(self.clock)
+        self.sender.handlers[STORE] = self.standin.handle
+
+    def finder(self, number, options=OPTIONS):
+        return ContactFinder(
+            store=EtcdStore(self.sender, STORE),
+            failure_domain="genova-a",
+            own=Address("10.0.0.1", number),
+            clock=self.clock,
+            rng=random.Random(number),
+            options=options,
+        )
+
+
+def contact(number, age_ms=0, now_ms=10 * STALE_MS):
+    return Contact(f"10.0.0.1:{number}", now_ms - age_ms)
+
+
+NOW_MS = 10 * STALE_MS
+OWN = Address("10.0.0.1", 99)
+
+
+def test_short_record_is_joined():
+    new = revised(ContactRecord((contact(1),)), OWN, frozenset(), NOW_MS)
+
+    assert addresses(new) == (Address("10.0.0.1", 1), OWN)
+
+
+def test_full_record_stays():
+    record = ContactRecord(tuple(contact(n) for n in range(MAX_CONTACTS)))
+
+    assert revised(record, OWN, frozenset(), NOW_MS) is None
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "unreachable"),
+    [(STALE_MS, frozenset()), (0, frozenset({Address("10.0.0.1", 3)}))],
+)
+def test_stale_or_dead_contact_is_replaced(age_ms, unreachable):
+    contacts = [contact(n) for n in range(MAX_CONTACTS)]
+    contacts[3] = contact(3, age_ms)
+
+    new = revised(ContactRecord(tuple(contacts)), OWN, unreachable, NOW_MS)
+
+    assert len(new.contacts) == MAX_CONTACTS
+    assert Address("10.0.0.1", 3) not in addresses(new)
+    assert OWN in addresses(new)
+
+
+@pytest.mark.parametrize(("age_ms", "renewed"), [(0, False), (RENEW_MS, True)])
+def test_own_entry_is_confirmed_when_old(age_ms, renewed):
+    record = ContactRecord((contact(OWN.port, age_ms),))
+
+    assert (revised(record, OWN, frozenset(), NOW_MS) is not None) is renewed
+
+
+@given(st.binary(max_size=60))
+def test_unreadable_record_counts_as_empty(data):
+    assert addresses(read_record(data)) == ()
+
+
+async def test_of_many_that_start_at_once_few_write():
+    platform = Platform()
+    finders = [platform.finder(number) for number in range(1, 41)]
+
+    async with anyio.create_task_group() as tasks:
+        for finder in finders:
+            tasks.start_soon(finder.enter)
+
+    entry = await EtcdStore(platform.sender, STORE).get(key_of("genova-a"))
+    assert len(read_record(entry.value).contacts) == MAX_CONTACTS
+    assert platform.standin.calls["/v3/kv/txn"] <= 3 * len(finders)
+    assert all(sum(f.calls.values()) <= 6 for f in finders)
+
+
+async def test_lost_answer_is_settled_by_a_look_not_by_a_second_write():
+    platform = Platform()
+    finder = platform.finder(1)
+    platform.sender.next_faults = [None, Fault.ANSWER_LOST]
+
+    entered = await finder.enter()
+
+    assert entered
+    assert platform.standin.calls["/v3/kv/txn"] == 1
+
+
+async def test_store_that_is_down_costs_no_more_than_the_budget():
+    platform = Platform()
+    platform.sender.faults[STORE] = Fault.REFUSED
+    finder = platform.finder(1)
+
+    results = [await finder.read() for _ in range(50)]
+
+    assert set(results) == {None}
+    assert len(platform.sender.sent) == OPTIONS.calls_at_once
+
+
+async def test_contacts_of_all_domains_are_read_by_one_call():
+    platform = Platform()
+    await platform.finder(1).enter()
+    await platform.finder(2).enter()
+    calls = len(platform.sender.sent)
+
+    contacts = await platform.finder(3).read()
+
+    assert contacts == (Address("10.0.0.1", 1), Address("10.0.0.1", 2))
+    assert len(platform.sender.sent) == calls + 1
+
+
+def test_budget_refills_by_time():
+    budget = CallBudget(DiscoveryOptions(calls_at_once=2), 0.0)
+    taken = [budget.take(0.0) for _ in range(3)]
+
+    assert taken == [True, True, False]
+    assert budget.take(60.0)
+    assert not budget.take(60.0)
+
+
+def test_all_nodes_name_the_same_first_few():
+    names = [f"target-{number}" for number in range(50)]
+
+    first = [n for n in names if ranks_among_first(n, names, 8)]
+
+    assert len(first) == 8
--- a/src/radishwind/membership/tests/test_gossip.py
+++ b/src/radishwind/membership/tests/test_gossip.py
@@ -209,9 +209,10 @@
     net = GossipNet()
     net.fill(10)
     node = net.nodes[0]
-    node.suspect_hint(fact_of(7).name)
+    net.run(0.01)
+    node.suspect_hint(fact_of(7).name, net.now)
 
-    calls = [c for c in node.tick(100.0) if c.purpose is Purpose.PROBE]
+    calls = [c for c in node.tick(net.now) if c.purpose is Purpose.PROBE]
 
     assert [call.member for call in calls] == [fact_of(7).name]
 
--- /dev/null
+++ b/src/radishwind/membership/tests/test_view.py
@@ -0,0 +1,140 @@
+"""The directory gives what the inventory lists and what takes new work."""
+
+import msgspec
+import pytest
+from tests.support.gossip_net import fact_of
+from tests.support.gossip_net import GossipNet
+
+from radishwind.config import Configuration
+from radishwind.config import Inventory
+from radishwind.config import Target
+from radishwind.config.index import ConfigIndex
+from radishwind.core import ManualClock
+from radishwind.membership import Announced
+from radishwind.membership import GossipDirectory
+from radishwind.membership import MemberState
+from radishwind.membership.facts import Belief
+from radishwind.membership.messages import Ping
+
+SERVICE = "service-0"
+GRACE_S = 10.0
+
+
+class Setup:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.node = GossipNet().add(0)
+        self.index = self.listing(range(4))
+        self.directory = GossipDirectory(
+            self.node, lambda: self.index, self.clock, GRACE_S
+        )
+        for number in (1, 2):
+            self.hear(fact_of(number))
+
+    def listing(self, numbers):
+        facts = [fact_of(number) for number in numbers]
+        targets = tuple(
+            Target(f.name, f.service, f.failure_domain, 9) for f in facts
+        )
+        return ConfigIndex(Configuration(1, "c", Inventory(targets=targets)))
+
+    def hear(self, fact, **changes):
+        fact = msgspec.structs.replace(fact, **changes)
+        ping = Ping("x", members=(fact,))
+        self.node.receive(ping, self.clock.monotonic())
+
+    def names(self):
+        return [m.name[-1] for m in self.directory.of_service(SERVICE)]
+
+
+@pytest.fixture
+def setup():
+    return Setup()
+
+
+def test_same_tuple_until_the_service_changes(setup):
+    first = setup.directory.of_service(SERVICE)
+    setup.hear(fact_of(20))
+    setup.index = setup.listing(range(5))
+    same = setup.directory.of_service(SERVICE)
+    setup.hear(fact_of(3))
+
+    assert same is first
+    assert setup.names() == ["0", "1", "2", "3"]
+
+
+def test_member_missing_from_the_inventory_is_reported_and_left_out(setup):
+    setup.hear(fact_of(5))
+
+    assert setup.names() == ["0", "1", "2"]
+    assert setup.directory.refused() == (fact_of(5).name,)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"service": "service-9"}, {"failure_domain": "elsewhere"}]
+)
+def test_member_announced_otherwise_than_listed_is_left_out(setup, changes):
+    setup.hear(fact_of(3), **changes)
+
+    assert setup.names() == ["0", "1", "2"]
+    assert setup.directory.of_service("service-9") == ()
+    assert setup.directory.refused() == (fact_of(3).name,)
+
+
+@pytest.mark.parametrize(
+    "announced", [Announced.DRAINING, Announced.LEAVING, Announced.LEFT]
+)
+def test_leaving_and_draining_take_no_new_work(setup, announced):
+    setup.hear(fact_of(1), incarnation=1_001, announced=announced)
+
+    assert setup.names() == ["0", "2"]
+
+
+def test_suspected_member_is_the_last_resort(setup):
+    setup.hear(fact_of(1), belief=Belief.SUSPECT)
+    beside = setup.names()
+    setup.hear(fact_of(2), belief=Belief.SUSPECT)
+    setup.hear(fact_of(0), incarnation=1_001, announced=Announced.LEAVING)
+    setup.node.announce(Announced.LEAVING, 0.0)
+
+    assert beside == ["0", "2"]
+    assert setup.names() == ["1", "2"]
+
+
+def test_leaving_member_that_is_suspected_takes_no_new_work(setup):
+    setup.hear(
+        fact_of(1),
+        incarnation=1_001,
+        announced=Announced.LEAVING,
+        belief=Belief.SUSPECT,
+    )
+    setup.hear(fact_of(2), belief=Belief.SUSPECT)
+    setup.node.announce(Announced.LEAVING, 0.0)
+
+    assert setup.names() == ["2"]
+
+
+def test_death_on_hearsay_is_usable_only_until_the_grace_is_over(setup):
+    for number in (1, 2):
+        setup.hear(fact_of(number), belief=Belief.DEAD)
+    setup.node.announce(Announced.DRAINING, 0.0)
+    at_once = setup.names()
+    setup.clock.advance(GRACE_S)
+
+    assert at_once == ["1", "2"]
+    assert setup.names() == []
+
+
+def test_members_tell_state_and_revision(setup):
+    setup.node.revision = 8
+    setup.node.receive(Ping(fact_of(1).name, revision=7), 0.0)
+    setup.hear(fact_of(2), belief=Belief.DEAD)
+
+    members = setup.directory.members()
+
+    assert [m.config_revision for m in members] == [8, 7, 0]
+    assert [m.state for m in members] == [
+        MemberState.ALIVE,
+        MemberState.ALIVE,
+        MemberState.DEAD,
+    ]
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -90,6 +90,7 @@
         self._woken = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._in_flight = 0
+        self._sleeps_until = 0.0
         self.traffic = Traffic()
         listener.add_control(CONTROL_NAME, self._handle, MAX_MESSAGE_BYTES)
 
@@ -114,7 +115,7 @@
 
     def unreachable(self, name: str) -> None:
         """Takes a hint: the node of `name` took no connection."""
-        self.gossip.suspect_hint(name)
+        self.gossip.suspect_hint(name, self._now())
         self._wake()
 
     def note_revision(self, revision: int) -> None:
@@ -143,10 +144,15 @@
     def _wake(self) -> None:
         self._woken.set()
 
+    def _wake_if_due_sooner(self) -> None:
+        if self.gossip.next_due() < self._sleeps_until:
+            self._wake()
+
     async def _tick_forever(self) -> None:
         while True:
             self._start(self.gossip.tick(self._now()))
-            wait_s = self.gossip.next_due() - self._now()
+            self._sleeps_until = self.gossip.next_due()
+            wait_s = self._sleeps_until - self._now()
             with anyio.move_on_after(max(0.0, wait_s)):
                 await self._woken.wait()
             self._woken = anyio.Event()
@@ -154,7 +160,8 @@
     def _start(self, calls: Iterable[Call]) -> None:
         for call in calls:
             if self._tasks is None or self._in_flight >= _MAX_IN_FLIGHT:
-                self._start(self.gossip.failed(call, self._now()))
+                # Not reported as failed: it is no fault of the other side.
+                self.traffic.dropped += 1
                 continue
             self._in_flight += 1
             self._tasks.start_soon(self._perform_counted, call)
@@ -178,8 +185,7 @@
             return
         self.traffic.received(len(answer))
         self._start(self.gossip.answered(call, message, self._now()))
-        if self.gossip.next_due() <= self._now():
-            self._wake()
+        self._wake_if_due_sooner()
 
     async def _handle(self, request: Request) -> Response:
         body = await whole_body(request.body)
@@ -192,7 +198,7 @@
         self._start(calls)
         data = encode(answer)
         self.traffic.sent(len(data))
-        self._wake()
+        self._wake_if_due_sooner()
         return Response(200, _JSON, data, len(data))
 
     async def _find_peers(self) -> None:
@@ -251,12 +257,21 @@
 
 
 class Traffic(msgspec.Struct):
-    """Messages and payload bytes of membership since the start."""
+    """Messages and payload bytes of membership since the start.
+
+    Attributes:
+      messages_sent: messages and answers sent.
+      bytes_sent: their length without HTTP's own fields (bytes).
+      messages_received: messages and answers received.
+      bytes_received: their length, likewise (bytes).
+      dropped: messages not sent since too many were on their way.
+    """
 
     messages_sent: int = 0
     bytes_sent: int = 0
     messages_received: int = 0
     bytes_received: int = 0
+    dropped: int = 0
 
     def sent(self, size_bytes: int) -> None:
         """Counts a message or answer sent."""
