--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -57,6 +57,14 @@
             make_sender(library, connections=4), self._settings.store
         )
         signer, verifier = make_peer_security(self._settings, self._clock)
+        self._membership = MembershipTasks(
+            settings=self._settings,
+            clock=self._clock,
+            rng=self._rng,
+            index=lambda: self._index,
+            client=HttpPeerClient(self._sender, signer),
+            store=self._store,
+        )
         self._admission = FifoAdmission(0, 0, 0.0)
         assert self._settings.server is not None
         self._target = TargetPipeline(
@@ -72,15 +80,7 @@
             target=self._target,
             verifier=verifier,
         )
-        self._membership = MembershipTasks(
-            settings=self._settings,
-            clock=self._clock,
-            rng=self._rng,
-            index=lambda: self._index,
-            listener=self._peers,
-            client=HttpPeerClient(self._sender, signer),
-            store=self._store,
-        )
+        self._membership.listen_on(self._peers)
         self._entry = EntryPipeline(
             node_name=self._settings.target,
             clock=self._clock,
@@ -102,9 +102,7 @@
         self._admin = AdminListener()
         self._admin.add_status(self._status)
         self._admin.add_status(self._membership.status)
-        self._callers = CallersInProgress(
-            CallerListener(self._entry).handle
-        )
+        self._callers = CallersInProgress(CallerListener(self._entry).handle)
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
@@ -151,6 +149,10 @@
             "target": self._settings.target,
             "config_revision": self._index.cfg.revision,
             "leaving": self._target.leaving,
+            "peer_requests_refused": {
+                str(int(code)): count
+                for code, count in self._peers.refused.items()
+            },
         }
 
     async def _poll_store(self) -> None:
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -58,7 +58,6 @@
         clock: Clock,
         rng: random.Random,
         index: Callable[[], ConfigIndex],
-        listener: PeerListener,
         client: PeerClient,
         store: Store,
     ) -> None:
@@ -92,6 +91,9 @@
         self._in_flight = 0
         self._sleeps_until = 0.0
         self.traffic = Traffic()
+
+    def listen_on(self, listener: PeerListener) -> None:
+        """Receives the messages of membership on `listener`."""
         listener.add_control(CONTROL_NAME, self._handle, MAX_MESSAGE_BYTES)
 
     async def run(self) -> None:
