--- /dev/null
+++ b/src/radishwind/admission/fifo.py
@@ -0,0 +1,34 @@
+"""First come, first served; the baseline."""
+
+import collections
+from collections.abc import Iterable
+
+from radishwind.admission.gate import AdmissionLimits
+from radishwind.admission.gate import Ticket
+from radishwind.admission.queueing import QueueingAdmission
+
+
+class FifoAdmission(QueueingAdmission):
+    """First come, first served, whoever asks."""
+
+    def __init__(self, limits: AdmissionLimits | None = None) -> None:
+        super().__init__(limits or AdmissionLimits())
+        self._queue: collections.deque[Ticket] = collections.deque()
+
+    def _waiting(self) -> int:
+        return len(self._queue)
+
+    def _tickets(self) -> Iterable[Ticket]:
+        return self._queue
+
+    def _push(self, ticket: Ticket) -> None:
+        self._queue.append(ticket)
+
+    def _pop(self) -> Ticket:
+        return self._queue.popleft()
+
+    def _remove(self, ticket: Ticket) -> None:
+        self._queue.remove(ticket)
+
+    def _ahead(self, ticket: Ticket) -> float:
+        return len(self._queue)
--- a/src/radishwind/admission/gate.py
+++ b/src/radishwind/admission/gate.py
@@ -1,15 +1,14 @@
-"""The interface of admission at a target's node, and the FIFO baseline.
+"""The interface of admission at a target's node.
 
-The decision is pure: `offer` and `release` take the time and return what is to
-happen; the caller waits on the ticket's event.
+The decision is pure: `offer` and `release` take the time and mark tickets as
+admitted or refused; whoever holds a ticket waits for its `notify`.
 """
 
 import abc
-import collections
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Mapping
 
-from radishwind.core.codes import ResultCode
 from radishwind.outcomes.model import NotRun
 
 
@@ -22,16 +21,48 @@
       deadline: monotonic time (s) after which it is of no use.
       offered: monotonic time (s) of the offer.
       notify: called once, when the ticket is admitted or refused later.
+      alone: whether it must be the only one that runs.
       admitted: whether it holds a slot.
       refused: the refusal, if it was turned away.
+      released: whether it was given back.
     """
 
     caller: str
     deadline: float
     offered: float
     notify: Callable[[], None]
+    alone: bool = False
     admitted: bool = False
     refused: NotRun | None = None
+    released: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionLimits:
+    """What the inventory and the rules allow at one server.
+
+    Attributes:
+      slots: requests the server runs at once.
+      connections: connections it accepts; one stays free for probing.
+      queue_length: requests that may wait.
+      queue_wait_s: the longest a request waits (s).
+      caller_weights: share by caller; 1 where not named.
+    """
+
+    slots: int = 0
+    connections: int = 0
+    queue_length: int = 0
+    queue_wait_s: float = 0.0
+    caller_weights: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def usable_slots(self) -> int:
+        """Requests that may run at once, as each holds a connection."""
+        if self.connections <= 1:
+            return min(self.slots, self.connections)
+        return min(self.slots, self.connections - 1)
 
 
 class Admission(abc.ABC):
@@ -45,6 +76,8 @@
     def release(self, ticket: Ticket, now: float, service_s: float) -> None:
         """Gives the slot of an admitted ticket back, or leaves the queue.
 
+        A ticket that was refused or released before is left as it is.
+
         Args:
           ticket: admitted, or still waiting and given up.
           now: monotonic time (s).
@@ -56,9 +89,7 @@
         """Refuses the waiting tickets that cannot run in time any more."""
 
     @abc.abstractmethod
-    def resize(
-        self, slots: int, queue_length: int, queue_wait_s: float
-    ) -> None:
+    def resize(self, limits: AdmissionLimits) -> None:
         """Takes new limits; those already admitted keep their slots."""
 
     @property
@@ -75,73 +106,3 @@
     @abc.abstractmethod
     def queued(self) -> int:
         """Tickets waiting."""
-
-
-class FifoAdmission(Admission):
-    """First come, first served, with a bounded queue."""
-
-    def __init__(
-        self, slots: int, queue_length: int, queue_wait_s: float
-    ) -> None:
-        self._in_flight = 0
-        self._queue: collections.deque[Ticket] = collections.deque()
-        self.resize(slots, queue_length, queue_wait_s)
-
-    def resize(
-        self, slots: int, queue_length: int, queue_wait_s: float
-    ) -> None:
-        self._slots = slots
-        self._queue_length = queue_length
-        self._queue_wait_s = queue_wait_s
-
-    @property
-    def slots(self) -> int:
-        return self._slots
-
-    @property
-    def in_flight(self) -> int:
-        return self._in_flight
-
-    @property
-    def queued(self) -> int:
-        return len(self._queue)
-
-    def offer(self, ticket: Ticket, now: float) -> None:
-        if self._in_flight < self._slots:
-            self._admit(ticket)
-            return
-        if len(self._queue) >= self._queue_length:
-            ticket.refused = NotRun(
-                ResultCode.OVERLOADED, "The target's queue is full.", 1.0
-            )
-            return
-        self._queue.append(ticket)
-
-    def release(self, ticket: Ticket, now: float, service_s: float) -> None:
-        if not ticket.admitted:
-            if ticket in self._queue:
-                self._queue.remove(ticket)
-            return
-        self._in_flight -= 1
-        self.expire(now)
-        while self._queue and self._in_flight < self._slots:
-            waiting = self._queue.popleft()
-            self._admit(waiting)
-            waiting.notify()
-
-    def expire(self, now: float) -> None:
-        late = [
-            t
-            for t in self._queue
-            if min(t.deadline, t.offered + self._queue_wait_s) <= now
-        ]
-        for ticket in late:
-            self._queue.remove(ticket)
-            ticket.refused = NotRun(
-                ResultCode.OVERLOADED, "No slot came free in time.", 1.0
-            )
-            ticket.notify()
-
-    def _admit(self, ticket: Ticket) -> None:
-        ticket.admitted = True
-        self._in_flight += 1
--- /dev/null
+++ b/src/radishwind/admission/queueing.py
@@ -0,0 +1,225 @@
+"""What every queueing policy shares: slots, deadlines, early refusal.
+
+A policy says only in which order tickets wait (`_push`, `_pop`, `_ahead`) and
+which one gives way when the queue is full (`_victim`).
+"""
+
+import abc
+import collections
+import math
+from collections.abc import Iterable
+
+from radishwind.admission.gate import Admission
+from radishwind.admission.gate import AdmissionLimits
+from radishwind.admission.gate import Ticket
+from radishwind.core.codes import ResultCode
+from radishwind.outcomes.model import NotRun
+
+#: Tickets that may wait to run alone.
+MOST_ALONE = 8
+
+#: The least that a refused caller is told to wait (s).
+LEAST_RETRY_S = 0.05
+
+_SMOOTHING = 0.1
+
+
+class QueueingAdmission(Admission):
+    """Slots with a bounded queue; the order is the subclass's.
+
+    A ticket that must run alone waits until the server is empty, and nothing
+    else starts meanwhile. So that a row of such tickets cannot stop the
+    server, the next one waits at least as long as the last one held it up.
+    """
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        self._limits = limits
+        self._in_flight = 0
+        self._service_s = 0.0
+        self._alone: collections.deque[Ticket] = collections.deque()
+        self._alone_runs: Ticket | None = None
+        self._alone_since = 0.0
+        self._alone_after = 0.0
+        self._earliest = math.inf
+
+    @property
+    def slots(self) -> int:
+        return self._limits.usable_slots
+
+    @property
+    def in_flight(self) -> int:
+        return self._in_flight
+
+    @property
+    def queued(self) -> int:
+        return self._waiting() + len(self._alone)
+
+    def resize(self, limits: AdmissionLimits) -> None:
+        self._limits = limits
+        self._earliest = 0.0
+
+    def offer(self, ticket: Ticket, now: float) -> None:
+        if ticket.alone:
+            self._offer_alone(ticket, now)
+            return
+        if self._has_free_slot() and not self.queued:
+            self._admit(ticket)
+            return
+        ticket.refused = self._too_late(ticket, now)
+        if ticket.refused is not None:
+            return
+        if self._waiting() >= self._limits.queue_length:
+            victim = self._victim(ticket)
+            if victim is ticket:
+                ticket.refused = self._refusal(ticket, "The queue is full.")
+                return
+            self._remove(victim)
+            self._turn_away(victim, "Another caller's share goes first.")
+        self._push(ticket)
+        self._earliest = min(self._earliest, self._latest(ticket))
+        self._dispatch(now)
+
+    def release(self, ticket: Ticket, now: float, service_s: float) -> None:
+        if ticket.released or ticket.refused is not None:
+            return
+        ticket.released = True
+        if not ticket.admitted:
+            self._withdraw(ticket)
+            self._dispatch(now)
+            return
+        self._in_flight -= 1
+        if service_s:
+            step = _SMOOTHING if self._service_s else 1.0
+            self._service_s += step * (service_s - self._service_s)
+        if ticket is self._alone_runs:
+            self._alone_runs = None
+            self._alone_after = now + (now - self._alone_since)
+        self._settle(ticket, service_s)
+        self.expire(now)
+
+    def expire(self, now: float) -> None:
+        if now >= self._earliest:
+            waiting = [*self._tickets(), *self._alone]
+            for ticket in [t for t in waiting if self._latest(t) <= now]:
+                self._withdraw(ticket)
+                self._turn_away(ticket, "No slot came free in time.")
+            left = (*self._tickets(), *self._alone)
+            self._earliest = min(map(self._latest, left), default=math.inf)
+        self._dispatch(now)
+
+    def _has_free_slot(self) -> bool:
+        return self._alone_runs is None and self._in_flight < self.slots
+
+    def _dispatch(self, now: float) -> None:
+        if self._alone_runs is not None:
+            return
+        if self._alone and self._alone_due(now):
+            self._start_alone(now)
+            return
+        while self._in_flight < self.slots and self._waiting():
+            ticket = self._pop()
+            self._admit(ticket)
+            ticket.notify()
+
+    def _offer_alone(self, ticket: Ticket, now: float) -> None:
+        if not self.slots or len(self._alone) >= MOST_ALONE:
+            ticket.refused = NotRun(
+                ResultCode.QUARANTINED,
+                "Too many requests wait to run alone.",
+                max(LEAST_RETRY_S, self._service_s * MOST_ALONE),
+            )
+            return
+        if not self._in_flight and not self.queued:
+            self._alone_runs = ticket
+            self._alone_since = now
+            self._admit(ticket)
+            return
+        if not self._alone:
+            self._alone_since = max(now, self._alone_after)
+        self._alone.append(ticket)
+        self._earliest = min(self._earliest, self._latest(ticket))
+        self._dispatch(now)
+
+    def _alone_due(self, now: float) -> bool:
+        empty = not self._in_flight and not self._waiting()
+        return empty or now >= self._alone_after
+
+    def _start_alone(self, now: float) -> None:
+        """Starts the next one that runs alone, once the server is empty."""
+        if self._in_flight:
+            return
+        ticket = self._alone.popleft()
+        self._alone_since = min(now, max(self._alone_since, self._alone_after))
+        self._alone_runs = ticket
+        self._admit(ticket)
+        ticket.notify()
+
+    def _admit(self, ticket: Ticket) -> None:
+        ticket.admitted = True
+        self._in_flight += 1
+        self._charge(ticket)
+
+    def _withdraw(self, ticket: Ticket) -> None:
+        if ticket.alone:
+            self._alone.remove(ticket)
+        else:
+            self._remove(ticket)
+
+    def _latest(self, ticket: Ticket) -> float:
+        """Returns when `ticket` has to have started (monotonic, s)."""
+        return min(ticket.deadline, ticket.offered + self._limits.queue_wait_s)
+
+    def _wait_s(self, ticket: Ticket) -> float:
+        """Returns how long `ticket` would wait, by the recent service time."""
+        if not self.slots:
+            return 0.0
+        return (self._ahead(ticket) + 1) * self._service_s / self.slots
+
+    def _too_late(self, ticket: Ticket, now: float) -> NotRun | None:
+        if not self.slots:
+            return self._refusal(ticket, "The target has no slots.")
+        if now + self._wait_s(ticket) >= self._latest(ticket):
+            return self._refusal(ticket, "No slot will come free in time.")
+        return None
+
+    def _refusal(self, ticket: Ticket, detail: str) -> NotRun:
+        retry_s = max(LEAST_RETRY_S, self._wait_s(ticket))
+        return NotRun(ResultCode.OVERLOADED, detail, round(retry_s, 3))
+
+    def _turn_away(self, ticket: Ticket, detail: str) -> None:
+        ticket.refused = self._refusal(ticket, detail)
+        ticket.notify()
+
+    @abc.abstractmethod
+    def _waiting(self) -> int:
+        """Returns how many tickets wait in the order of the policy."""
+
+    @abc.abstractmethod
+    def _tickets(self) -> Iterable[Ticket]:
+        """Returns the tickets that wait in the order of the policy."""
+
+    @abc.abstractmethod
+    def _push(self, ticket: Ticket) -> None:
+        """Queues `ticket`."""
+
+    @abc.abstractmethod
+    def _pop(self) -> Ticket:
+        """Removes the ticket whose turn it is and returns it."""
+
+    @abc.abstractmethod
+    def _remove(self, ticket: Ticket) -> None:
+        """Removes `ticket` from the queue."""
+
+    @abc.abstractmethod
+    def _ahead(self, ticket: Ticket) -> float:
+        """Returns how many waiting tickets would run before a new one."""
+
+    def _victim(self, ticket: Ticket) -> Ticket:
+        """Returns who gives way to the new `ticket` in a full queue."""
+        return ticket
+
+    def _charge(self, ticket: Ticket) -> None:
+        """Notes that `ticket` got a slot."""
+
+    def _settle(self, ticket: Ticket, service_s: float) -> None:
+        """Notes that an admitted `ticket` ran for `service_s` (s)."""
--- /dev/null
+++ b/src/radishwind/admission/tests/test_admission.py
@@ -0,0 +1,181 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishwind.admission import AdmissionLimits
+from radishwind.admission import fair
+from radishwind.admission import FairAdmission
+from radishwind.admission import FifoAdmission
+from radishwind.admission import Ticket
+from radishwind.core import ResultCode
+
+
+def limits(slots=1, length=8, wait_s=10.0, **weights):
+    return AdmissionLimits(slots, 100, length, wait_s, weights)
+
+
+class Driver:
+    """Offers and releases; time is passed in."""
+
+    def __init__(self, cls, cfg):
+        self.admission = cls(cfg)
+        self.notified = []
+
+    def offer(self, caller="a", now=0.0, deadline=100.0, alone=False):
+        ticket = Ticket(caller, deadline, now, lambda: None, alone)
+        ticket.notify = lambda: self.notified.append(ticket)
+        self.admission.offer(ticket, now)
+        return ticket
+
+    def serve(self, tickets, now, service_s=1.0):
+        """Ends the one admitted ticket again and again; returns the order."""
+        order = []
+        while running := [t for t in tickets if t.admitted and not t.released]:
+            order.append(running[0].caller)
+            now += service_s
+            self.admission.release(running[0], now, service_s)
+        return order
+
+
+@pytest.mark.parametrize("cls", [FifoAdmission, FairAdmission])
+class TestEveryPolicy:
+    def test_a_freed_slot_goes_to_who_waits(self, cls):
+        driver = Driver(cls, limits())
+        first, second = driver.offer(), driver.offer()
+        assert (first.admitted, second.admitted) == (True, False)
+
+        driver.admission.release(first, 1.0, 1.0)
+
+        assert second.admitted
+        assert driver.notified == [second]
+
+    def test_who_cannot_start_in_time_is_refused_at_once(self, cls):
+        driver = Driver(cls, limits())
+        driver.admission.release(driver.offer(), 2.0, 2.0)
+        driver.offer(now=2.0)
+        waiting = driver.offer(now=2.0, deadline=4.5)
+        late = driver.offer(now=2.0, deadline=4.5)
+
+        assert waiting.refused is None
+        assert late.refused.code is ResultCode.OVERLOADED
+        assert late.refused.retry_after_s == pytest.approx(4.0)
+
+    def test_a_lapsed_wait_is_refused_and_gives_no_slot(self, cls):
+        driver = Driver(cls, limits(wait_s=0.5))
+        running, waiting = driver.offer(), driver.offer()
+        driver.admission.expire(0.5)
+        driver.admission.release(waiting, 0.6, 0.0)
+        driver.admission.release(running, 0.7, 0.7)
+
+        assert waiting.refused is not None
+        assert (driver.admission.in_flight, driver.admission.queued) == (0, 0)
+
+    def test_connections_bound_what_runs_and_one_is_left(self, cls):
+        driver = Driver(cls, AdmissionLimits(9, 3, 8, 1.0))
+        admitted = [driver.offer().admitted for _ in range(3)]
+        assert admitted == [True, True, False]
+
+    def test_without_slots_nobody_waits(self, cls):
+        assert Driver(cls, limits(slots=0)).offer().refused is not None
+
+    def test_who_runs_alone_runs_with_nobody(self, cls):
+        driver = Driver(cls, limits(slots=3))
+        before = driver.offer()
+        alone = driver.offer(now=1.0, alone=True)
+        after = driver.offer(now=1.0)
+        assert (alone.admitted, after.admitted) == (False, False)
+
+        driver.admission.release(before, 2.0, 2.0)
+        assert (alone.admitted, after.admitted) == (True, False)
+
+        driver.admission.release(alone, 3.0, 1.0)
+        assert after.admitted
+
+    def test_a_row_of_lone_tickets_leaves_time_to_others(self, cls):
+        driver = Driver(cls, limits(slots=2))
+        lone = [driver.offer(alone=True) for _ in range(3)]
+        other = driver.offer()
+        driver.admission.release(lone[0], 1.0, 1.0)
+
+        assert other.admitted
+        assert not lone[1].admitted
+        driver.admission.expire(2.0)
+        driver.admission.release(other, 2.5, 1.5)
+        assert lone[1].admitted
+
+
+def test_a_greedy_caller_does_not_starve_a_modest_one():
+    driver = Driver(FairAdmission, limits(length=64, wait_s=99.0))
+    tickets = [driver.offer("greedy") for _ in range(20)]
+    tickets += [driver.offer("modest") for _ in range(3)]
+
+    order = driver.serve(tickets, 0.0)
+
+    assert max(i for i, c in enumerate(order) if c == "modest") <= 6
+
+
+def test_weights_give_shares():
+    driver = Driver(FairAdmission, limits(length=64, wait_s=99.0, big=3.0))
+    tickets = [driver.offer(c) for c in ("small", "big") * 20]
+
+    order = driver.serve(tickets, 0.0)
+
+    assert 13 <= order[:20].count("big") <= 16
+
+
+def test_in_a_full_queue_the_greedy_caller_gives_way():
+    driver = Driver(FairAdmission, limits(length=4))
+    greedy = [driver.offer("greedy") for _ in range(6)]
+    modest = driver.offer("modest")
+
+    assert greedy[5].refused is not None
+    assert greedy[4].refused is not None
+    assert driver.notified == [greedy[4]]
+    assert modest.refused is None
+    assert driver.admission.queued == 4
+
+
+def test_the_callers_tracked_are_bounded():
+    driver = Driver(FairAdmission, limits(slots=2000))
+    for number in range(1500):
+        driver.offer(f"caller-{number}")
+
+    most = fair.MOST_CALLERS + fair.SHARED_FLOWS
+    assert driver.admission.callers <= most
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "alone", "end", "resize"]),
+        st.integers(0, 30),
+        st.floats(0.0, 3.0),
+    ),
+    max_size=60,
+)
+
+
+@pytest.mark.parametrize("cls", [FifoAdmission, FairAdmission])
+@given(steps=STEPS)
+def test_no_order_of_events_leaks_a_slot(cls, steps):
+    driver = Driver(cls, limits(slots=2, length=3, wait_s=4.0))
+    now, tickets = 0.0, []
+    for kind, number, pause_s in steps:
+        now += pause_s
+        if kind in ("offer", "alone"):
+            caller = f"caller-{number % 3}"
+            tickets.append(driver.offer(caller, now, now + 5, kind == "alone"))
+        elif kind == "resize":
+            driver.admission.resize(limits(slots=1 + number % 3, length=3))
+        elif tickets:
+            ticket = tickets[number % len(tickets)]
+            driver.admission.release(ticket, now, pause_s)
+        running = [t for t in tickets if t.admitted and not t.released]
+        assert driver.admission.in_flight == len(running)
+        assert len(running) <= 3
+        assert sum(t.alone for t in running) in (0, len(running) == 1)
+
+    for _ in range(2):
+        for ticket in tickets:
+            driver.admission.release(ticket, now, 0.1)
+    assert (driver.admission.in_flight, driver.admission.queued) == (0, 0)
+    assert driver.offer(now=now).admitted
--- a/src/radishwind/cli/standins.py
+++ b/src/radishwind/cli/standins.py
@@ -1,6 +1,5 @@
 """`radishwind standin`: the store and backend servers for trying things out."""
 
-import random
 from typing import Annotated
 
 import anyio
@@ -41,23 +40,35 @@
 
 @_app.command("backend")
 def _backend(
-    name: Annotated[str, typer.Option(help="Name told in answers.")],
+    name: Annotated[str, typer.Option(help="Target name, told in answers.")],
     listen: Annotated[str, typer.Option(help="HOST:PORT")],
+    node: Annotated[
+        str, typer.Option(help="Admin listener of the node beside, HOST:PORT.")
+    ] = "",
     slots: Annotated[int, typer.Option(help="Requests run at once.")] = 9,
+    queue: Annotated[int, typer.Option(help="Requests that wait.")] = 1024,
     service_ms: Annotated[float, typer.Option(help="Mean time (ms).")] = 5.0,
+    probe_ms: Annotated[float, typer.Option(help="Time of a probe (ms).")] = 6,
+    cold_s: Annotated[float, typer.Option(help="Slow at first (s).")] = 0.0,
+    cold_factor: Annotated[float, typer.Option(help="How slow at first.")] = 5,
     seed: Annotated[int, typer.Option(help="Seed of service times.")] = 1,
 ) -> None:
     """Run a stand-in of a backend server."""
     from radishwind.standins.backend import BackendOptions
-    from radishwind.standins.backend import BackendStandin
-
-    options = BackendOptions(name, slots, service_ms / 1000)
-
-    async def main() -> None:
-        backend = BackendStandin(options, random.Random(seed))
-        await _serve_forever(backend.handle, listen)
-
-    anyio.run(main, backend_options={"use_uvloop": True})
+    from radishwind.standins.daemon import BackendDaemon
+
+    options = BackendOptions(
+        name=name,
+        slots=slots,
+        service_s=service_ms / 1000,
+        queue_length=queue,
+        probe_s=probe_ms / 1000,
+        cold_s=cold_s,
+        cold_factor=cold_factor,
+    )
+    beside = Address.parse(node) if node else None
+    daemon = BackendDaemon(options, Address.parse(listen), beside, seed)
+    anyio.run(daemon.run, backend_options={"use_uvloop": True})
 
 
 async def _serve_forever(handler: Handler, listen: str) -> None:
--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -49,6 +49,7 @@
       caller: who asks, for the shares between callers.
       key: the caller's idempotency key, if any.
       depth: how many calls it is nested in; 0 for a caller outside.
+      suspect: whether an attempt before broke off, so that it runs alone.
     """
 
     call_id: str
@@ -61,6 +62,7 @@
     caller: str
     key: str | None = None
     depth: int = 0
+    suspect: bool = False
 
 
 def classify(
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -23,6 +23,8 @@
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
 from radishwind.outcomes import problem
+from radishwind.quarantine.gate import OpenGate
+from radishwind.quarantine.gate import QuarantineGate
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
 
@@ -48,10 +50,12 @@
         runner: AttemptRunner,
         claims: ClaimGuard,
         hedges: HedgePolicy | None = None,
+        quarantine: QuarantineGate | None = None,
     ) -> None:
         self._clock = clock
         self._index = index
         self._claims = claims
+        self._quarantine = quarantine or OpenGate()
         self._attempts = Attempts(
             clock=clock,
             directory=directory,
@@ -79,6 +83,9 @@
         return answer(await self._claims.run(call, self._run))
 
     async def _run(self, call: Call) -> Outcome:
+        refused = self._quarantine.refusal(call)
+        if refused is not None:
+            return refused
         return _with_retry_after(await self._attempts.run(call))
 
 
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -9,7 +9,6 @@
 import anyio.abc
 import msgspec
 
-from radishwind.admission import FifoAdmission
 from radishwind.claims import NoClaims
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
@@ -18,17 +17,20 @@
 from radishwind.hedging import HedgeAfterQuantile
 from radishwind.http import make_sender
 from radishwind.http import make_server
+from radishwind.membership import RumorBoard
+from radishwind.membership import SilentBoard
 from radishwind.membership.polled import PolledDirectory
 from radishwind.node.admin import AdminListener
 from radishwind.node.callers import CallerListener
 from radishwind.node.entry import node_chooser
+from radishwind.node.target import TargetSide
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
+from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
 from radishwind.store import EtcdStore
 from radishwind.store import StoreError
-from radishwind.target import TargetPipeline
 
 CONFIG_KEY = "/radishwind/config"
 _POLL_S = 0.5
@@ -53,14 +55,11 @@
             make_sender(library, connections=4), self._settings.store
         )
         self._directory = PolledDirectory(lambda: self._index)
-        self._admission = FifoAdmission(0, 0, 0.0)
-        assert self._settings.server is not None
-        self._target = TargetPipeline(
-            clock=self._clock,
-            admission=self._admission,
-            sender=self._sender,
-            server=self._settings.server,
+        self._board: RumorBoard = SilentBoard()
+        self._target_side = TargetSide(
+            self._settings, self._clock, self._sender, self._board
         )
+        self._target = self._target_side.pipeline
         self._entry = EntryPipeline(
             node_name=self._settings.target,
             clock=self._clock,
@@ -72,13 +71,16 @@
             ),
             retries=RetryBudget(),
             hedges=HedgeAfterQuantile(),
-            runner=ForwardRunner(
-                node_name=self._settings.target,
-                clock=self._clock,
-                target=self._target,
-                sender=self._sender,
+            runner=CarefulRunner(
+                ForwardRunner(
+                    node_name=self._settings.target,
+                    clock=self._clock,
+                    target=self._target,
+                    sender=self._sender,
+                )
             ),
             claims=NoClaims(),
+            quarantine=self._target_side.quarantine,
         )
         self._peers = PeerListener(
             node_name=self._settings.target,
@@ -88,6 +90,7 @@
         )
         self._admin = AdminListener()
         self._admin.add_status(self._status)
+        self._target_side.add_to(self._admin)
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
@@ -97,6 +100,7 @@
             await peers.start(self._peers.handle, self._settings.peer_listen)
             await admin.start(self._admin.handle, self._settings.admin_listen)
             tasks.start_soon(self._poll_store)
+            tasks.start_soon(self._target_side.run)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
                 CallerListener(self._entry).handle, self._settings.caller_listen
@@ -149,10 +153,4 @@
         if cfg.revision <= self._index.cfg.revision:
             return
         self._index = ConfigIndex(cfg)
-        own = self._index.targets.get(self._settings.target)
-        rules = cfg.rules.for_service(self._settings.service)
-        self._admission.resize(
-            own.slots if own else 0,
-            rules.queue_length,
-            rules.queue_wait_ms / 1000,
-        )
+        self._target_side.adopt(self._index)
--- /dev/null
+++ b/src/radishwind/node/target.py
@@ -0,0 +1,96 @@
+"""Wires the target side of a node: server, admission, probing, quarantine."""
+
+from typing import Any
+
+from radishwind.admission import Admission
+from radishwind.admission import AdmissionLimits
+from radishwind.admission import FairAdmission
+from radishwind.config.index import ConfigIndex
+from radishwind.core import Clock
+from radishwind.http import Sender
+from radishwind.membership import RumorBoard
+from radishwind.node.admin import AdminListener
+from radishwind.probing import HealthModel
+from radishwind.probing import Prober
+from radishwind.quarantine import Quarantine
+from radishwind.settings import NodeSettings
+from radishwind.target import AnnouncementHandler
+from radishwind.target import ServerBeside
+from radishwind.target import ServerWatch
+from radishwind.target import TargetPipeline
+
+
+class TargetSide:
+    """The parts that decide on the server beside, and their tasks."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        sender: Sender,
+        board: RumorBoard,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._server = ServerBeside(settings.target, settings.server)
+        self._admission: Admission = FairAdmission()
+        self.quarantine = Quarantine(
+            target=settings.target,
+            service=settings.service,
+            clock=clock,
+            board=board,
+        )
+        health = HealthModel()
+        self._watch = ServerWatch(clock, health, self.quarantine)
+        self._prober = Prober(
+            clock=clock,
+            sender=sender,
+            server=self._server,
+            admission=self._admission,
+            health=health,
+        )
+        self.pipeline = TargetPipeline(
+            clock=clock,
+            admission=self._admission,
+            sender=sender,
+            server=self._server,
+            watch=self._watch,
+        )
+
+    async def run(self) -> None:
+        """Probes the server until cancelled."""
+        await self._prober.run()
+
+    def add_to(self, admin: AdminListener) -> None:
+        """Adds the paths and status fields of the target side."""
+        announcements = AnnouncementHandler(
+            self._clock, self._server, self._watch.restarted
+        )
+        admin.add("POST", "/v1/server", announcements.handle)
+        admin.add_status(self._status)
+
+    def adopt(self, index: ConfigIndex) -> None:
+        """Takes the limits of a configuration."""
+        own = index.targets.get(self._settings.target)
+        self._server.list(own is not None)
+        rules = index.cfg.rules.for_service(self._settings.service)
+        limits = AdmissionLimits(
+            slots=own.slots if own else 0,
+            connections=own.connections if own else 0,
+            queue_length=rules.queue_length,
+            queue_wait_s=rules.queue_wait_ms / 1000,
+            caller_weights=rules.caller_weights,
+        )
+        self._admission.resize(limits)
+        self._prober.resize(rules.probe_share)
+
+    def _status(self) -> dict[str, Any]:
+        now = self._clock.monotonic()
+        return {
+            "server": self._server.status(now),
+            "slots": self._admission.slots,
+            "in_flight": self._admission.in_flight,
+            "queued": self._admission.queued,
+            "probing": self._prober.status(),
+            "quarantine": self.quarantine.status(),
+        }
--- a/src/radishwind/outcomes/answers.py
+++ b/src/radishwind/outcomes/answers.py
@@ -13,6 +13,7 @@
     ResultCode.SERVICE_UNKNOWN: 404,
     ResultCode.KEY_REUSED: 422,
     ResultCode.SENDER_TOO_SLOW: 408,
+    ResultCode.ANNOUNCEMENT_REFUSED: 400,
     ResultCode.EXCHANGE_TIMEOUT: 504,
     ResultCode.CLAIM_RUNNING: 409,
     ResultCode.CLAIM_UNKNOWN: 409,
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -58,6 +58,7 @@
       expires_ms: its deadline as wall-clock time (ms since the epoch, UTC).
       caller: who asks.
       depth: how many calls it is nested in.
+      suspect: whether an attempt before broke off.
     """
 
     attempt_id: str
@@ -68,6 +69,7 @@
     expires_ms: int
     caller: str
     depth: int
+    suspect: bool = False
 
 
 class AnswerInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -219,6 +221,7 @@
             expires_ms=info.expires_ms,
             caller=info.caller,
             depth=info.depth,
+            suspect=info.suspect,
         )
 
     def _answered(self, attempt_id: str, outcome: Outcome) -> Response:
@@ -254,6 +257,7 @@
         call.expires_ms,
         call.caller,
         call.depth,
+        call.suspect,
     )
     request = call.request
     field = _encoder.encode(info).decode()
--- /dev/null
+++ b/src/radishwind/probing/prober.py
@@ -0,0 +1,144 @@
+"""The task that probes the server beside; one probe at a time."""
+
+import collections
+from typing import Any
+
+import anyio
+import msgspec
+
+from radishwind.admission.gate import Admission
+from radishwind.admission.gate import Ticket
+from radishwind.core.clock import Clock
+from radishwind.http.errors import SendError
+from radishwind.http.sender import Sender
+from radishwind.http.types import Request
+from radishwind.http.types import whole_body
+from radishwind.probing.budget import ProbeBudget
+from radishwind.probing.health import HealthModel
+from radishwind.probing.policy import Occupancy
+from radishwind.probing.policy import ProbeDecision
+from radishwind.probing.policy import ProbePolicy
+from radishwind.target.server import ServerBeside
+from radishwind.target.server import ServerState
+from radishwind.target.server import ServerView
+
+#: How often the policy is asked (s).
+TICK_S = 0.25
+
+#: How long a probe may take (s); it costs no more than that.
+TIMEOUT_S = 0.5
+
+#: The caller that a probe's slot is charged to.
+CALLER = "radishwind-probe"
+
+_GOOD_STATUSES = range(200, 400)
+
+
+class _Health(msgspec.Struct, frozen=True):
+    """The part of a health answer that is understood."""
+
+    state: ServerState | None = None
+    warm: float | None = None
+
+
+class Prober:
+    """Asks the server's health endpoint when the policy says so.
+
+    A probe holds a slot like a request, so it never joins a full server.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        sender: Sender,
+        server: ServerBeside,
+        admission: Admission,
+        health: HealthModel,
+    ) -> None:
+        self._clock = clock
+        self._sender = sender
+        self._server = server
+        self._admission = admission
+        self._began = clock.monotonic()
+        self._budget = ProbeBudget()
+        self._policy = ProbePolicy(self._budget, health)
+        self._decisions: collections.Counter[ProbeDecision] = (
+            collections.Counter()
+        )
+
+    def resize(self, share: float) -> None:
+        """Takes the share of slot time that probing may cost."""
+        now = self._clock.monotonic()
+        self._budget.resize(share, self._admission.slots, now)
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        while True:
+            await self.tick()
+            await anyio.sleep(TICK_S)
+
+    async def tick(self) -> None:
+        """Probes once if the policy says so."""
+        view = self._server.view
+        if view is None or not view.health_path or not self._server.listed:
+            return
+        now = self._clock.monotonic()
+        in_doubt = self._server.draining or self._server.warm(now) < 1
+        occupancy = Occupancy(
+            self._admission.slots,
+            self._admission.in_flight,
+            self._admission.queued,
+        )
+        decision = self._policy.decide(occupancy, in_doubt, now)
+        self._decisions[decision] += 1
+        if decision is ProbeDecision.PROBE:
+            await self._probe(view)
+
+    async def _probe(self, view: ServerView) -> None:
+        began = self._clock.monotonic()
+        ticket = Ticket(CALLER, began + TIMEOUT_S, began, lambda: None)
+        self._admission.offer(ticket, began)
+        health = None
+        try:
+            if ticket.admitted:
+                health = await self._ask(view)
+        finally:
+            now = self._clock.monotonic()
+            self._admission.release(ticket, now, 0.0)
+        if ticket.refused is not None:
+            return
+        self._policy.probed(now - began, health is not None, now)
+        if health is not None and health.state is not None:
+            self._server.health(health.state, health.warm)
+
+    async def _ask(self, view: ServerView) -> _Health | None:
+        """Returns what the server tells; `None` if it does not do well."""
+        fields = (("Host", str(view.address)),)
+        request = Request("GET", view.health_path, fields)
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                response = await self._sender.send(
+                    view.address, request, TIMEOUT_S
+                )
+                body = await whole_body(response.body)
+        except (SendError, TimeoutError):
+            return None
+        try:
+            return msgspec.json.decode(body, type=_Health)
+        except msgspec.MsgspecError:
+            good = response.status in _GOOD_STATUSES
+            return _Health() if good else None
+
+    def status(self) -> dict[str, Any]:
+        """Returns what probing cost, and why it was not done."""
+        elapsed_s = max(1e-9, self._clock.monotonic() - self._began)
+        slot_s = elapsed_s * max(1, self._admission.slots)
+        return {
+            "probes": self._decisions[ProbeDecision.PROBE],
+            "cost_s": round(self._budget.spent_s, 6),
+            "share_of_slot_time": round(self._budget.spent_s / slot_s, 6),
+            "decisions": {
+                d.name.lower(): n for d, n in self._decisions.items()
+            },
+        }
--- /dev/null
+++ b/src/radishwind/probing/tests/test_probing.py
@@ -0,0 +1,139 @@
+import msgspec
+import pytest
+from tests.support.direct import DirectSender
+from tests.support.direct import Fault
+
+from radishwind.admission import AdmissionLimits
+from radishwind.admission import FairAdmission
+from radishwind.admission import Ticket
+from radishwind.core import ManualClock
+from radishwind.http import Address
+from radishwind.http import Response
+from radishwind.probing import HealthModel
+from radishwind.probing import ProbeBudget
+from radishwind.probing import ProbePolicy
+from radishwind.probing import Prober
+from radishwind.probing.policy import Occupancy
+from radishwind.probing.policy import ProbeDecision
+from radishwind.target.server import Announcement
+from radishwind.target.server import ServerBeside
+
+ADDRESS = Address("127.0.0.1", 9000)
+FREE = Occupancy(9, 0, 0)
+
+
+def make_policy(share=0.01):
+    budget, health = ProbeBudget(), HealthModel()
+    budget.resize(share, 9, 0.0)
+    return ProbePolicy(budget, health), budget, health
+
+
+def test_real_answers_make_probes_needless():
+    policy, _, health = make_policy()
+    health.answered(True, 9.5)
+    assert policy.decide(FREE, False, 10.0) is ProbeDecision.TRAFFIC
+    assert policy.decide(FREE, False, 10.5) is ProbeDecision.PROBE
+
+
+@pytest.mark.parametrize("busy", [Occupancy(9, 9, 0), Occupancy(9, 8, 1)])
+def test_no_probe_joins_a_full_server(busy):
+    policy, _, _ = make_policy()
+    assert policy.decide(busy, True, 10.0) is ProbeDecision.FULL
+
+
+@pytest.mark.parametrize("cost_s", [0.006, 0.2, 0.5])
+def test_the_cost_of_probes_stays_in_the_budget(cost_s):
+    policy, budget, _ = make_policy()
+    now = 10.0
+    while now < 1000.0:
+        if policy.decide(FREE, True, now) is ProbeDecision.PROBE:
+            policy.probed(cost_s, False, now)
+        now += 0.05
+    assert 0 < budget.spent_s <= 0.01 * 9 * 990 + 0.09 + cost_s
+
+
+def test_a_share_of_nothing_allows_no_probe():
+    policy, _, _ = make_policy(share=0.0)
+    assert policy.decide(FREE, True, 1e6) is ProbeDecision.BUDGET
+
+
+def test_real_failures_outweigh_probes_that_find_all_well():
+    health = HealthModel()
+    for _ in range(10):
+        health.answered(False, 100.0)
+    failing = health.fitness(100.0)
+    for _ in range(20):
+        health.probed(True, 100.5)
+
+    assert failing < 0.2
+    assert health.fitness(100.5) < 0.3
+    for _ in range(20):
+        health.answered(True, 101.0)
+    assert health.fitness(101.0) > 0.95
+
+
+def test_distrust_fades_so_that_the_server_is_tried_again():
+    health = HealthModel()
+    for _ in range(30):
+        health.answered(False, 0.0)
+    assert health.fitness(0.0) < 0.01
+    assert health.fitness(15.0) > 0.8
+
+
+class Beside:
+    """A prober with a server whose health answer is set by the test."""
+
+    def __init__(self):
+        self.clock, self.sender = ManualClock(), DirectSender()
+        self.clock.advance(100.0)
+        self.server = ServerBeside("a", None)
+        self.server.list(True)
+        told = Announcement("a", str(ADDRESS), health_path="/healthz")
+        self.server.announce(told, 100.0)
+        self.health = HealthModel()
+        self.admission = FairAdmission(AdmissionLimits(1, 10, 8, 1.0))
+        self.prober = Prober(
+            clock=self.clock,
+            sender=self.sender,
+            server=self.server,
+            admission=self.admission,
+            health=self.health,
+        )
+        self.prober.resize(0.1)
+        self.answer = {"state": "ready"}
+        self.sender.handlers[ADDRESS] = self.handle
+        self.clock.advance(10.0)
+
+    async def handle(self, request):
+        assert self.admission.in_flight == 1
+        self.clock.advance(0.006)
+        return Response(200, (), msgspec.json.encode(self.answer))
+
+
+@pytest.mark.anyio
+async def test_a_draining_health_answer_means_leaving():
+    beside = Beside()
+    beside.answer = {"state": "draining", "warm": 1.0}
+    await beside.prober.tick()
+
+    assert beside.server.draining
+    assert beside.admission.in_flight == 0
+    status = beside.prober.status()
+    assert status["probes"] == 1
+    assert status["cost_s"] == pytest.approx(0.006)
+
+
+@pytest.mark.anyio
+async def test_a_failed_probe_into_silence_lowers_trust():
+    beside = Beside()
+    beside.sender.faults[ADDRESS] = Fault.REFUSED
+    await beside.prober.tick()
+    assert beside.health.fitness(beside.clock.monotonic()) < 1.0
+
+
+@pytest.mark.anyio
+async def test_the_prober_leaves_a_full_server_alone():
+    beside = Beside()
+    beside.admission.offer(Ticket("c", 999.0, 110.0, lambda: None), 110.0)
+    await beside.prober.tick()
+    assert beside.sender.sent == []
--- /dev/null
+++ b/src/radishwind/quarantine/crashes.py
@@ -0,0 +1,60 @@
+"""Finds out that the server beside crashed, and what it ran then."""
+
+import dataclasses
+
+from radishwind.http.types import Request
+from radishwind.quarantine.fingerprint import fingerprint
+
+#: A refused connection or a new start this long (s) after broken exchanges
+#: means that the server crashed under them.
+CRASH_WINDOW_S = 10.0
+
+#: Broken exchanges remembered; a server has fewer slots than that.
+MOST_BROKEN = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request in flight at a crash.
+
+    Attributes:
+      fingerprint: of the request.
+      alone: whether nothing else ran.
+    """
+
+    fingerprint: str
+    alone: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Broken:
+    """An exchange that the server's end broke."""
+
+    request: Request
+    at: float
+
+
+class CrashDetector:
+    """Takes broken exchanges, and what proves that the server is gone.
+
+    One broken exchange alone proves nothing: a connection may break for many
+    reasons. Fingerprints are worked out at a crash only, so that requests pay
+    nothing for this.
+    """
+
+    def __init__(self) -> None:
+        self._broken: list[_Broken] = []
+
+    def broke(self, request: Request, now: float) -> None:
+        """Takes an exchange that broke off before its answer was whole."""
+        recent = [b for b in self._broken if now - b.at <= CRASH_WINDOW_S]
+        self._broken = recent[-MOST_BROKEN + 1 :]
+        self._broken.append(_Broken(request, now))
+
+    def gone(self, now: float) -> tuple[Suspect, ...]:
+        """Takes a refused connection or a new start; returns the suspects."""
+        broken, self._broken = self._broken, []
+        recent = [b for b in broken if now - b.at <= CRASH_WINDOW_S]
+        alone = len(recent) == 1
+        prints = dict.fromkeys(fingerprint(b.request) for b in recent)
+        return tuple(Suspect(name, alone) for name in prints)
--- /dev/null
+++ b/src/radishwind/quarantine/gate.py
@@ -0,0 +1,135 @@
+"""The quarantine as the entry and target sides use it."""
+
+import abc
+from collections.abc import Sequence
+from typing import Any
+from typing import TYPE_CHECKING
+
+import eliot
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.membership.rumors import RumorBoard
+from radishwind.outcomes.model import NotRun
+from radishwind.quarantine.crashes import Suspect
+from radishwind.quarantine.fingerprint import fingerprint
+from radishwind.quarantine.suspects import Fact
+from radishwind.quarantine.suspects import QUARANTINE_S
+from radishwind.quarantine.suspects import Ruling
+from radishwind.quarantine.suspects import SuspectBook
+
+if TYPE_CHECKING:
+    from radishwind.entry.call import Call
+
+#: The topic of the facts between nodes.
+TOPIC = "quarantine"
+
+_decoder = msgspec.json.Decoder(Fact)
+
+
+class QuarantineGate(abc.ABC):
+    """Says before an attempt whether a request is refused everywhere."""
+
+    @abc.abstractmethod
+    def refusal(self, call: "Call") -> NotRun | None:
+        """Returns the refusal of `call`, if it is quarantined."""
+
+
+class OpenGate(QuarantineGate):
+    """Refuses nothing."""
+
+    def refusal(self, call: "Call") -> NotRun | None:
+        return None
+
+
+class Quarantine(QuarantineGate):
+    """One book for each service called; facts come by the rumor board."""
+
+    def __init__(
+        self, *, target: str, service: str, clock: Clock, board: RumorBoard
+    ) -> None:
+        self._target = target
+        self._service = service
+        self._clock = clock
+        self._board = board
+        self._books: dict[str, SuspectBook] = {}
+        board.subscribe(TOPIC, self._learn)
+
+    def refusal(self, call: "Call") -> NotRun | None:
+        book = self._books.get(call.service)
+        if not book:
+            return None
+        now = self._clock.monotonic()
+        verdict = book.judge(fingerprint(call.request), now)
+        if verdict.ruling is not Ruling.REFUSE:
+            return None
+        return NotRun(
+            ResultCode.QUARANTINED,
+            "Servers crashed under this request; it is refused for a while.",
+            round(verdict.retry_after_s, 3),
+        )
+
+    def alone(self, call: "Call") -> bool:
+        """Returns whether `call` must run alone."""
+        book = self._books.get(call.service)
+        if not book:
+            return call.suspect
+        now = self._clock.monotonic()
+        verdict = book.judge(fingerprint(call.request), now)
+        return call.suspect or verdict.ruling is not Ruling.RUN
+
+    def crashed(self, suspects: Sequence[Suspect]) -> None:
+        """Tells every node what ran when the server beside crashed."""
+        if not suspects:
+            return
+        eliot.log_message(
+            "quarantine:crash",
+            target=self._target,
+            suspects=[s.fingerprint for s in suspects],
+        )
+        now_ms = self._now_ms()
+        for suspect in suspects:
+            self._tell(
+                Fact(suspect.fingerprint, self._target, now_ms, suspect.alone)
+            )
+
+    def ran_safely(self, call: "Call") -> None:
+        """Clears a suspect that ran alone and harmed nothing."""
+        book = self._books.get(call.service)
+        if not book:
+            return
+        cleared = book.clearance(fingerprint(call.request), self._target)
+        if cleared is not None:
+            self._tell(cleared)
+
+    def status(self) -> dict[str, Any]:
+        """Returns what is refused, by service."""
+        now = self._clock.monotonic()
+        books = self._books.items()
+        return {name: list(book.refused(now)) for name, book in books}
+
+    def _tell(self, fact: Fact) -> None:
+        self._take(self._service, fact)
+        kind = "crash" if fact.crashed_ms else "clear"
+        self._board.publish(
+            TOPIC,
+            f"{self._service}/{fact.fingerprint}/{self._target}/{kind}",
+            self._now_ms(),
+            msgspec.json.encode(fact),
+            QUARANTINE_S,
+        )
+
+    def _learn(self, key: str, value: bytes) -> None:
+        service = key.partition("/")[0]
+        try:
+            self._take(service, _decoder.decode(value))
+        except msgspec.MsgspecError as exc:
+            eliot.log_message("quarantine:malformed", key=key, reason=str(exc))
+
+    def _take(self, service: str, fact: Fact) -> None:
+        book = self._books.setdefault(service, SuspectBook())
+        book.take(fact, self._clock.monotonic())
+
+    def _now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
--- /dev/null
+++ b/src/radishwind/quarantine/suspects.py
@@ -0,0 +1,157 @@
+"""What is known of suspected requests in one service, and what follows.
+
+Every node of the service keeps such a book and gets the same facts, so all
+come to the same verdicts without asking one another.
+"""
+
+import dataclasses
+import enum
+
+import msgspec
+
+#: How long one crash makes a request a suspect (s).
+SUSPECT_S = 120.0
+
+#: How long a request is refused that was in flight at crashes of two targets,
+#: at one of them alone (s).
+QUARANTINE_S = 300.0
+
+#: How long one is refused that never was alone; then it is tried alone (s).
+DOUBT_S = 5.0
+
+#: Fingerprints kept; the oldest give way.
+MOST_SUSPECTS = 1024
+
+_TARGETS_TO_REFUSE = 2
+
+
+class Ruling(enum.Enum):
+    """What to do with a request."""
+
+    RUN = "run"
+    RUN_ALONE = "run alone"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """A ruling and, for a refusal, when to come back (s)."""
+
+    ruling: Ruling
+    retry_after_s: float = 0.0
+
+
+RUN = Verdict(Ruling.RUN)
+RUN_ALONE = Verdict(Ruling.RUN_ALONE)
+
+
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """What one target's node found out about a fingerprint.
+
+    Attributes:
+      fingerprint: of the request.
+      target: who found it out.
+      crashed_ms: when it was in flight at a crash there (ms since the epoch,
+        UTC); 0 if it never was.
+      alone: whether nothing else ran then.
+      cleared_ms: it ran alone and harmed nothing; the crashes up to this time
+        (ms since the epoch, UTC) are not held against it.
+    """
+
+    fingerprint: str
+    target: str
+    crashed_ms: int = 0
+    alone: bool = False
+    cleared_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Crash:
+    """A crash held against a fingerprint; `learned` is monotonic time (s)."""
+
+    at_ms: int
+    alone: bool
+    learned: float
+
+
+@dataclasses.dataclass(slots=True)
+class _File:
+    """What is held against one fingerprint, by target."""
+
+    crashes: dict[str, _Crash] = dataclasses.field(default_factory=dict)
+    cleared_ms: int = 0
+    learned: float = 0.0
+
+
+class SuspectBook:
+    """Judges fingerprints by the facts of all targets of a service."""
+
+    def __init__(self) -> None:
+        self._files: dict[str, _File] = {}
+
+    def __len__(self) -> int:
+        return len(self._files)
+
+    def take(self, fact: Fact, now: float) -> None:
+        """Takes a fact from this node or another; again does no harm."""
+        file = self._files.get(fact.fingerprint)
+        if file is None:
+            file = self._files[fact.fingerprint] = _File()
+        file.learned = now
+        file.cleared_ms = max(file.cleared_ms, fact.cleared_ms)
+        known = file.crashes.get(fact.target)
+        if fact.crashed_ms and (not known or known.at_ms < fact.crashed_ms):
+            file.crashes[fact.target] = _Crash(fact.crashed_ms, fact.alone, now)
+        self._bound(now)
+
+    def judge(self, fingerprint: str, now: float) -> Verdict:
+        """Returns what to do with a request of this fingerprint."""
+        file = self._files.get(fingerprint)
+        if file is None:
+            return RUN
+        held = self._held(file, now)
+        if not held:
+            return RUN
+        if len(held) < _TARGETS_TO_REFUSE:
+            return RUN_ALONE
+        learned = max(c.learned for c in held)
+        convicted = any(c.alone for c in held)
+        until = learned + (QUARANTINE_S if convicted else DOUBT_S)
+        if now < until:
+            return Verdict(Ruling.REFUSE, until - now)
+        return RUN_ALONE
+
+    def clearance(self, fingerprint: str, target: str) -> Fact | None:
+        """Returns the fact that clears `fingerprint`, if it needs clearing."""
+        file = self._files.get(fingerprint)
+        if file is None or not file.crashes:
+            return None
+        newest_ms = max(c.at_ms for c in file.crashes.values())
+        if newest_ms <= file.cleared_ms:
+            return None
+        return Fact(fingerprint, target, cleared_ms=newest_ms)
+
+    def refused(self, now: float) -> tuple[str, ...]:
+        """Returns the fingerprints that are refused now."""
+        return tuple(
+            name
+            for name in self._files
+            if self.judge(name, now).ruling is Ruling.REFUSE
+        )
+
+    def _held(self, file: _File, now: float) -> list[_Crash]:
+        crashes = [
+            c for c in file.crashes.values() if c.at_ms > file.cleared_ms
+        ]
+        many = len(crashes) >= _TARGETS_TO_REFUSE
+        term_s = QUARANTINE_S if many else SUSPECT_S
+        return [c for c in crashes if now - c.learned < term_s]
+
+    def _bound(self, now: float) -> None:
+        """Forgets what has lapsed; beyond the bound, the oldest."""
+        for name, file in list(self._files.items()):
+            if now - file.learned >= QUARANTINE_S:
+                del self._files[name]
+        while len(self._files) > MOST_SUSPECTS:
+            oldest = min(self._files, key=lambda n: self._files[n].learned)
+            del self._files[oldest]
--- /dev/null
+++ b/src/radishwind/quarantine/tests/test_quarantine.py
@@ -0,0 +1,171 @@
+import pytest
+
+from radishwind.config.model import ServiceRules
+from radishwind.core import ManualClock
+from radishwind.core import ResultCode
+from radishwind.entry.call import Call
+from radishwind.entry.pipeline import AttemptResult
+from radishwind.http import Request
+from radishwind.membership import RumorBoard
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.quarantine import CrashDetector
+from radishwind.quarantine import fingerprint
+from radishwind.quarantine import Quarantine
+from radishwind.quarantine import Suspect
+from radishwind.quarantine import SuspectBook
+from radishwind.quarantine import suspects
+from radishwind.quarantine.runner import CarefulRunner
+from radishwind.quarantine.suspects import Fact
+from radishwind.quarantine.suspects import Ruling
+
+POISON = Request("GET", "/spots/recco?wave=-1")
+INNOCENT = Request("GET", "/spots/camogli")
+
+
+def test_a_fingerprint_leaves_out_what_only_defeats_caches():
+    same = Request("GET", "/a?x=1&_=77&y=2", (("X", "1"),), b"body")
+    again = Request("GET", "/a?y=2&x=1&ts=9", (), b"body")
+    assert fingerprint(same) == fingerprint(again)
+    for other in (
+        Request("POST", "/a?x=1&y=2", (), b"body"),
+        Request("GET", "/a?x=1&y=3", (), b"body"),
+        Request("GET", "/a?x=1&y=2", (), b"bodz"),
+    ):
+        assert fingerprint(same) != fingerprint(other)
+
+
+def test_broken_exchanges_without_a_crash_suspect_nobody():
+    crashes = CrashDetector()
+    assert crashes.gone(0.0) == ()
+    crashes.broke(POISON, 1.0)
+    assert crashes.gone(30.0) == ()
+
+
+def test_all_that_broke_before_the_refused_connection_are_suspects():
+    crashes = CrashDetector()
+    crashes.broke(POISON, 1.0)
+    crashes.broke(INNOCENT, 1.001)
+    found = crashes.gone(1.5)
+    assert found == (
+        Suspect(fingerprint(POISON), False),
+        Suspect(fingerprint(INNOCENT), False),
+    )
+    crashes.broke(POISON, 2.0)
+    assert crashes.gone(2.5) == (Suspect(fingerprint(POISON), True),)
+
+
+def test_one_crash_makes_a_suspect_that_runs_alone_for_a_while():
+    book = SuspectBook()
+    book.take(Fact("f", "a", 1000, True), 0.0)
+    assert book.judge("f", 1.0).ruling is Ruling.RUN_ALONE
+    assert book.judge("f", suspects.SUSPECT_S).ruling is Ruling.RUN
+    assert book.judge("other", 1.0).ruling is Ruling.RUN
+
+
+def test_crashes_of_two_targets_refuse_for_a_bounded_time():
+    book = SuspectBook()
+    book.take(Fact("f", "a", 1000, False), 0.0)
+    book.take(Fact("f", "b", 2000, True), 2.0)
+
+    verdict = book.judge("f", 10.0)
+    assert verdict.ruling is Ruling.REFUSE
+    assert verdict.retry_after_s == pytest.approx(suspects.QUARANTINE_S - 8)
+    assert book.refused(10.0) == ("f",)
+    assert book.judge("f", 2.0 + suspects.QUARANTINE_S).ruling is Ruling.RUN
+
+
+def test_an_innocent_in_two_crashes_is_tried_alone_soon_and_cleared():
+    book = SuspectBook()
+    book.take(Fact("f", "a", 1000, False), 0.0)
+    book.take(Fact("f", "b", 2000, False), 0.0)
+    assert book.judge("f", 1.0).ruling is Ruling.REFUSE
+    assert book.judge("f", suspects.DOUBT_S).ruling is Ruling.RUN_ALONE
+
+    book.take(book.clearance("f", "c"), suspects.DOUBT_S)
+
+    assert book.judge("f", suspects.DOUBT_S).ruling is Ruling.RUN
+    assert book.clearance("f", "c") is None
+    book.take(Fact("f", "a", 3000, False), 9.0)
+    assert book.judge("f", 9.0).ruling is Ruling.RUN_ALONE
+
+
+def test_the_book_is_bounded():
+    book = SuspectBook()
+    for number in range(suspects.MOST_SUSPECTS + 10):
+        book.take(Fact(f"f{number}", "a", 1, False), float(number) / 100)
+    assert len(book) == suspects.MOST_SUSPECTS
+    assert book.judge("f0", 11.0).ruling is Ruling.RUN
+
+
+class Board(RumorBoard):
+    """Hands each fact to every subscriber at once."""
+
+    def __init__(self):
+        self.handlers = []
+
+    def publish(self, topic, key, version, value, ttl_s):
+        assert len(value) <= 512
+        for handler in self.handlers:
+            handler(key, value)
+
+    def subscribe(self, topic, handler):
+        self.handlers.append(handler)
+
+
+def call(request):
+    return Call("1", "s", request, ServiceRules(), True, 9e9, 1 << 60, "c")
+
+
+def test_every_node_refuses_what_crashed_two_targets():
+    clock, board = ManualClock(), Board()
+    nodes = [
+        Quarantine(target=name, service="s", clock=clock, board=board)
+        for name in ("a", "b", "c")
+    ]
+    nodes[0].crashed(
+        [
+            Suspect(fingerprint(POISON), False),
+            Suspect(fingerprint(INNOCENT), False),
+        ]
+    )
+    assert nodes[1].alone(call(POISON))
+    assert nodes[1].alone(call(INNOCENT))
+    nodes[1].ran_safely(call(INNOCENT))
+    nodes[1].crashed([Suspect(fingerprint(POISON), True)])
+
+    for node in nodes:
+        refusal = node.refusal(call(POISON))
+        assert refusal.code is ResultCode.QUARANTINED
+        assert 0 < refusal.retry_after_s <= suspects.QUARANTINE_S
+        assert node.refusal(call(INNOCENT)) is None
+        assert not node.alone(call(INNOCENT))
+        assert node.status() == {"s": [fingerprint(POISON)]}
+
+
+def test_a_malformed_fact_is_left_out():
+    board = Board()
+    node = Quarantine(target="a", service="s", clock=ManualClock(), board=board)
+    board.publish("quarantine", "s/f/b/crash", 1, b'["f"', 1.0)
+    assert node.status() == {}
+
+
+class BreaksEach:
+    """Breaks off every attempt."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def run(self, call, member, attempt_id):
+        self.calls.append(call)
+        return AttemptResult(Unknown(ResultCode.EXCHANGE_BROKEN, ""))
+
+
+@pytest.mark.anyio
+async def test_a_call_that_broke_runs_alone_next_and_not_a_third_time():
+    inner = BreaksEach()
+    careful = CarefulRunner(inner)
+    results = [await careful.run(call(POISON), None, str(n)) for n in range(3)]
+
+    assert [c.suspect for c in inner.calls] == [False, True]
+    assert not any(isinstance(r.outcome, NotRun) for r in results)
--- /dev/null
+++ b/src/radishwind/target/announce.py
@@ -0,0 +1,73 @@
+"""Receives the announcements of the server beside, on the admin listener."""
+
+from collections.abc import Callable
+
+import eliot
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.http.types import whole_body
+from radishwind.outcomes.answers import problem
+from radishwind.target.server import Announcement
+from radishwind.target.server import AnnouncementRefusedError
+from radishwind.target.server import ServerBeside
+
+#: Announcements are small; more is not read.
+MAX_BYTES = 4096
+
+_decoder = msgspec.json.Decoder(Announcement)
+_NO_CONTENT = Response(204)
+
+
+class AnnouncementHandler:
+    """Answers `POST /v1/server`.
+
+    Args:
+      clock: the clock.
+      server: takes the announcements.
+      started: called when a new start of the server has announced itself.
+    """
+
+    def __init__(
+        self, clock: Clock, server: ServerBeside, started: Callable[[], None]
+    ) -> None:
+        self._clock = clock
+        self._server = server
+        self._started = started
+        self._reported_unlisted = False
+
+    async def handle(self, request: Request) -> Response:
+        """Takes one announcement; 204 if it was taken."""
+        if request.body_bytes is None or request.body_bytes > MAX_BYTES:
+            return _refused(f"expected a body of at most {MAX_BYTES} bytes")
+        try:
+            announcement = _decoder.decode(await whole_body(request.body))
+            fresh = self._server.announce(announcement, self._clock.monotonic())
+        except msgspec.MsgspecError as exc:
+            return _refused(str(exc))
+        except AnnouncementRefusedError as exc:
+            eliot.log_message("target:announcement-refused", reason=str(exc))
+            return _refused(str(exc.args[0]))
+        if fresh:
+            eliot.log_message(
+                "target:server-announced",
+                target=announcement.target,
+                address=announcement.address,
+            )
+            self._started()
+        self._report_unlisted(announcement.target)
+        return _NO_CONTENT
+
+    def _report_unlisted(self, target: str) -> None:
+        """Logs once that the inventory lacks the target."""
+        unlisted = self._server.listed is False
+        if unlisted and not self._reported_unlisted:
+            eliot.log_message("target:not-in-inventory", target=target)
+        self._reported_unlisted = unlisted
+
+
+def _refused(detail: str) -> Response:
+    return problem(ResultCode.ANNOUNCEMENT_REFUSED, detail, "not-run")
--- /dev/null
+++ b/src/radishwind/target/exchange.py
@@ -0,0 +1,163 @@
+"""One exchange with the server beside, and the outcome it means."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+
+import anyio
+
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.sender import Sender
+from radishwind.http.types import abort_body
+from radishwind.http.types import Body
+from radishwind.http.types import BodyStream
+from radishwind.http.types import header
+from radishwind.http.types import Response
+from radishwind.outcomes.model import Done
+from radishwind.outcomes.model import NotRun
+from radishwind.outcomes.model import Outcome
+from radishwind.outcomes.model import Unknown
+from radishwind.target.outgoing import outgoing
+from radishwind.target.server import ServerView
+from radishwind.target.watch import ServerWatch
+
+#: How long a new connection to the server may take (s).
+CONNECT_TIMEOUT_S = 1.0
+
+#: How long the server may pause within an answer (s).
+STALL_S = 30.0
+
+#: The field by which a server says that it shed a request without running it.
+SHED_FIELD = "radishwind-shed"
+
+_SHED_STATUS = 503
+_RETRY_S = 1.0
+
+
+class ServerExchange:
+    """Sends calls to the server and tells the watch what became of them."""
+
+    def __init__(
+        self, clock: Clock, sender: Sender, watch: ServerWatch
+    ) -> None:
+        self._clock = clock
+        self._sender = sender
+        self._watch = watch
+
+    async def send(self, call: Call, view: ServerView, alone: bool) -> Outcome:
+        """Runs `call` on the server; its deadline has not passed yet."""
+        now = self._clock.monotonic()
+        try:
+            with anyio.fail_after(call.deadline - now):
+                response = await self._sender.send(
+                    view.address, outgoing(call, now), CONNECT_TIMEOUT_S
+                )
+        except ConnectFailedError:
+            self._watch.refused()
+            return NotRun(
+                ResultCode.CONNECT_FAILED,
+                "The server takes no connection.",
+                _RETRY_S,
+            )
+        except ExchangeBrokenError:
+            self._watch.broke(call)
+            return Unknown(
+                ResultCode.EXCHANGE_BROKEN, "The server's answer broke off."
+            )
+        except TimeoutError:
+            return Unknown(
+                ResultCode.EXCHANGE_TIMEOUT,
+                "The server did not answer in time.",
+            )
+        return self._received(call, response, alone)
+
+    def _received(self, call: Call, response: Response, alone: bool) -> Outcome:
+        shed = header(response.headers, SHED_FIELD) is not None
+        if response.status == _SHED_STATUS and shed:
+            abort_body(response.body)
+            return NotRun(
+                ResultCode.SERVER_SHED,
+                "The server shed the request.",
+                _RETRY_S,
+            )
+        if not isinstance(response.body, BodyStream):
+            self._watch.answered(call, response.status, alone)
+        return Done(response)
+
+    def hold(
+        self,
+        call: Call,
+        response: Response,
+        alone: bool,
+        ended: Callable[[], None],
+    ) -> Response:
+        """Returns a streamed `response` that calls `ended` once at its end."""
+
+        def whole() -> None:
+            self._watch.answered(call, response.status, alone)
+
+        def broke() -> None:
+            self._watch.broke(call)
+
+        body = HeldStream(response.body, whole, broke, ended)
+        return Response(
+            response.status, response.headers, body, response.body_bytes
+        )
+
+
+class HeldStream(BodyStream):
+    """A stream that tells how it ended.
+
+    Args:
+      body: the stream of the answer.
+      whole: called if the answer was read to its end.
+      broke: called if the server broke it off.
+      ended: called once, whatever happened, also if it is aborted.
+    """
+
+    def __init__(
+        self,
+        body: Body,
+        whole: Callable[[], None],
+        broke: Callable[[], None],
+        ended: Callable[[], None],
+    ) -> None:
+        assert isinstance(body, BodyStream)
+        self._body = body
+        self._whole = whole
+        self._broke = broke
+        self._ended: Callable[[], None] | None = ended
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        pieces = aiter(self._body)
+        try:
+            while (piece := await self._next(pieces)) is not None:
+                yield piece
+            self._whole()
+        except ExchangeBrokenError:
+            self._broke()
+            raise
+        finally:
+            self._finish()
+
+    async def _next(self, pieces: AsyncIterator[bytes]) -> bytes | None:
+        try:
+            with anyio.fail_after(STALL_S):
+                return await anext(pieces, None)
+        except TimeoutError:
+            self._body.abort()
+            raise ExchangeBrokenError(
+                f"expected a piece of the answer in {STALL_S} s, got none"
+            ) from None
+
+    def abort(self) -> None:
+        self._body.abort()
+        self._finish()
+
+    def _finish(self) -> None:
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended()
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -1,8 +1,5 @@
 """Admits an attempt, runs it on the server beside, and says what came of it."""
 
-from collections.abc import AsyncIterator
-from collections.abc import Callable
-
 import anyio
 
 from radishwind.admission.gate import Admission
@@ -10,30 +7,22 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
-from radishwind.entry.call import nested_request
 from radishwind.entry.pipeline import AttemptResult
-from radishwind.http.errors import ConnectFailedError
-from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
-from radishwind.http.types import Address
-from radishwind.http.types import Body
 from radishwind.http.types import BodyStream
-from radishwind.http.types import header
-from radishwind.http.types import Response
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
-from radishwind.outcomes.model import Unknown
 from radishwind.routing.chooser import LoadReport
-
-#: How long a new connection to the server may take (s).
-CONNECT_TIMEOUT_S = 1.0
-
-#: The field by which a server says that it shed a request without running it.
-SHED_FIELD = "radishwind-shed"
+from radishwind.target.exchange import ServerExchange
+from radishwind.target.server import ServerBeside
+from radishwind.target.watch import ServerWatch
 
 _SMOOTHING = 0.1
 
+#: How often a waiting request looks whether it is too late (s).
+_EXPIRE_S = 0.1
+
 
 class TargetPipeline:
     """Runs attempts on one server; exact about its slots and its leaving."""
@@ -44,20 +33,22 @@
         clock: Clock,
         admission: Admission,
         sender: Sender,
-        server: Address,
+        server: ServerBeside,
+        watch: ServerWatch,
     ) -> None:
         self._clock = clock
         self._admission = admission
-        self._sender = sender
         self._server = server
+        self._watch = watch
+        self._exchange = ServerExchange(clock, sender, watch)
         self._service_s = 0.0
         self._leaving = False
-        self._drained: anyio.Event | None = None
+        self._drained = anyio.Event()
 
     @property
     def leaving(self) -> bool:
-        """Whether new work is refused."""
-        return self._leaving
+        """Whether new work is refused, by this node or by the server."""
+        return self._leaving or self._server.draining
 
     def leave(self) -> None:
         """Refuses new work from now on; what runs goes on."""
@@ -65,19 +56,23 @@
 
     async def drained(self) -> None:
         """Returns once nothing runs or waits here."""
-        if self._idle():
-            return
-        self._drained = anyio.Event()
-        await self._drained.wait()
+        while not self._idle():
+            self._drained = anyio.Event()
+            await self._drained.wait()
 
     def load(self) -> LoadReport:
-        """Returns the load as of now."""
+        """Returns the load as of now.
+
+        A server that fails is told as cold, whatever its health says.
+        """
+        warm = self._server.warm(self._clock.monotonic())
         return LoadReport(
             slots=self._admission.slots,
             in_flight=self._admission.in_flight,
             queued=self._admission.queued,
             service_ms=round(self._service_s * 1000, 3),
-            leaving=self._leaving,
+            leaving=self.leaving,
+            warm=round(warm * self._watch.fitness(), 3),
         )
 
     async def run(self, call: Call) -> AttemptResult:
@@ -86,129 +81,93 @@
         return AttemptResult(outcome, self.load())
 
     async def _run(self, call: Call) -> Outcome:
-        if self._leaving:
-            return NotRun(ResultCode.LEAVING, "The target is leaving.", 1.0)
-        if self._too_late(call):
-            return NotRun(
-                ResultCode.DEADLINE_PASSED, "The deadline had passed."
-            )
+        refused = self._refusal(call)
+        if refused is not None:
+            return refused
         now = self._clock.monotonic()
         ready = anyio.Event()
-        ticket = Ticket(call.caller, call.deadline, now, ready.set)
+        alone = self._watch.alone(call)
+        ticket = Ticket(call.caller, call.deadline, now, ready.set, alone)
         self._admission.offer(ticket, now)
         try:
             if not ticket.admitted and ticket.refused is None:
-                await self._wait(ticket, ready)
+                await self._wait(ready)
         except BaseException:
             self._release(ticket, 0.0)
             raise
         if ticket.refused is not None:
             return ticket.refused
-        return await self._exchange(call, ticket)
+        return await self._admitted(call, ticket)
 
-    async def _wait(self, ticket: Ticket, ready: anyio.Event) -> None:
+    def _refusal(self, call: Call) -> NotRun | None:
+        if self._leaving:
+            return NotRun(ResultCode.LEAVING, "The target is leaving.", 1.0)
+        if self._too_late(call):
+            return NotRun(
+                ResultCode.DEADLINE_PASSED, "The deadline had passed."
+            )
+        return self._server.refusal() or self._watch.refusal(call)
+
+    async def _wait(self, ready: anyio.Event) -> None:
         while not ready.is_set():
-            wait_s = ticket.deadline - self._clock.monotonic()
-            with anyio.move_on_after(max(0.0, min(wait_s, 0.1))):
+            with anyio.move_on_after(_EXPIRE_S):
                 await ready.wait()
             if not ready.is_set():
                 self._admission.expire(self._clock.monotonic())
 
-    async def _exchange(self, call: Call, ticket: Ticket) -> Outcome:
+    async def _admitted(self, call: Call, ticket: Ticket) -> Outcome:
+        """Runs `call` in the slot of `ticket` and gives the slot back."""
         began = self._clock.monotonic()
-        held = True
-        try:
-            outcome = await self._send(call, began)
-            if isinstance(outcome, Done) and isinstance(
-                outcome.response.body, BodyStream
-            ):
-                held = False
-                return Done(self._hold(outcome.response, ticket, began))
-            return outcome
-        finally:
-            if held:
-                self._release(ticket, self._clock.monotonic() - began)
-
-    async def _send(self, call: Call, now: float) -> Outcome:
-        if self._too_late(call):
-            return NotRun(
-                ResultCode.DEADLINE_PASSED, "The deadline passed in the queue."
-            )
+        outcome: Outcome | None = None
+
+        def ended() -> None:
+            self._ended(ticket, outcome, began)
+
         try:
-            with anyio.fail_after(call.deadline - now):
-                response = await self._sender.send(
-                    self._server, nested_request(call, now), CONNECT_TIMEOUT_S
-                )
-        except ConnectFailedError:
-            return NotRun(
-                ResultCode.CONNECT_FAILED,
-                "The server takes no connection.",
-                1.0,
-            )
-        except ExchangeBrokenError:
-            return Unknown(
-                ResultCode.EXCHANGE_BROKEN, "The server's answer broke off."
-            )
-        except TimeoutError:
-            return Unknown(
-                ResultCode.EXCHANGE_TIMEOUT,
-                "The server did not answer in time.",
+            outcome = await self._send(call, ticket)
+        except BaseException:
+            ended()
+            raise
+        if isinstance(outcome, Done) and isinstance(
+            outcome.response.body, BodyStream
+        ):
+            return Done(
+                self._exchange.hold(call, outcome.response, ticket.alone, ended)
             )
-        if response.status == 503 and header(response.headers, SHED_FIELD):
+        ended()
+        return outcome
+
+    async def _send(self, call: Call, ticket: Ticket) -> Outcome:
+        refused = self._server.refusal()
+        if refused is not None:
+            return refused
+        view = self._server.view
+        if view is None or self._too_late(call):
             return NotRun(
-                ResultCode.SERVER_SHED, "The server shed the request.", 1.0
+                ResultCode.DEADLINE_PASSED, "The deadline passed in the queue."
             )
-        return Done(response)
+        return await self._exchange.send(call, view, ticket.alone)
 
     def _too_late(self, call: Call) -> bool:
         if self._clock.monotonic() >= call.deadline:
             return True
         return self._clock.now().timestamp() * 1000 >= call.expires_ms
 
+    def _ended(
+        self, ticket: Ticket, outcome: Outcome | None, began: float
+    ) -> None:
+        """Gives the slot back; what did not run costs no service time."""
+        ran = not isinstance(outcome, NotRun)
+        elapsed_s = self._clock.monotonic() - began if ran else 0.0
+        if isinstance(outcome, Done) and outcome.response.status < 500:
+            step = _SMOOTHING if self._service_s else 1.0
+            self._service_s += step * (elapsed_s - self._service_s)
+        self._release(ticket, elapsed_s)
+
     def _release(self, ticket: Ticket, service_s: float) -> None:
-        if service_s:
-            self._service_s += _SMOOTHING * (service_s - self._service_s)
         self._admission.release(ticket, self._clock.monotonic(), service_s)
-        if self._drained is not None and self._idle():
+        if self._idle():
             self._drained.set()
 
     def _idle(self) -> bool:
         return not self._admission.in_flight and not self._admission.queued
-
-    def _hold(
-        self, response: Response, ticket: Ticket, began: float
-    ) -> Response:
-        """Returns `response` with a body that holds the slot until its end."""
-
-        def release() -> None:
-            self._release(ticket, self._clock.monotonic() - began)
-
-        body = HeldStream(response.body, release)
-        return Response(
-            response.status, response.headers, body, response.body_bytes
-        )
-
-
-class HeldStream(BodyStream):
-    """A stream that calls `release` once, when it ends or is aborted."""
-
-    def __init__(self, body: Body, release: Callable[[], None]) -> None:
-        assert isinstance(body, BodyStream)
-        self._body = body
-        self._release: Callable[[], None] | None = release
-
-    async def __aiter__(self) -> AsyncIterator[bytes]:
-        try:
-            async for piece in self._body:
-                yield piece
-        finally:
-            self._finish()
-
-    def abort(self) -> None:
-        self._body.abort()
-        self._finish()
-
-    def _finish(self) -> None:
-        release, self._release = self._release, None
-        if release is not None:
-            release()
--- /dev/null
+++ b/src/radishwind/target/watch.py
@@ -0,0 +1,59 @@
+"""Learns from each exchange with the server: health, crashes, suspects."""
+
+from radishwind.core.clock import Clock
+from radishwind.entry.call import Call
+from radishwind.outcomes.model import NotRun
+from radishwind.probing.health import HealthModel
+from radishwind.quarantine.crashes import CrashDetector
+from radishwind.quarantine.gate import Quarantine
+
+_FIRST_SERVER_ERROR = 500
+
+
+class ServerWatch:
+    """Hands what became of each exchange to those who learn from it."""
+
+    def __init__(
+        self, clock: Clock, health: HealthModel, quarantine: Quarantine
+    ) -> None:
+        self._clock = clock
+        self._health = health
+        self._quarantine = quarantine
+        self._crashes = CrashDetector()
+
+    def alone(self, call: Call) -> bool:
+        """Returns whether `call` must run alone."""
+        return self._quarantine.alone(call)
+
+    def refusal(self, call: Call) -> NotRun | None:
+        """Returns the refusal of `call`, if it is quarantined."""
+        return self._quarantine.refusal(call)
+
+    def fitness(self) -> float:
+        """Returns 1 for a server that does well to 0 for one that fails."""
+        return self._health.fitness(self._clock.monotonic())
+
+    def answered(self, call: Call, status: int, alone: bool) -> None:
+        """Takes a whole answer."""
+        ok = status < _FIRST_SERVER_ERROR
+        self._health.answered(ok, self._clock.monotonic())
+        if alone:
+            self._quarantine.ran_safely(call)
+
+    def broke(self, call: Call) -> None:
+        """Takes an exchange that broke off."""
+        now = self._clock.monotonic()
+        self._health.answered(False, now)
+        self._crashes.broke(call.request, now)
+
+    def refused(self) -> None:
+        """Takes a connection that the server did not accept."""
+        now = self._clock.monotonic()
+        self._health.answered(False, now)
+        self._quarantine.crashed(self._crashes.gone(now))
+
+    def restarted(self) -> None:
+        """Takes a new start of the server."""
+        now = self._clock.monotonic()
+        self._health.restarted(now)
+        self._quarantine.crashed(self._crashes.gone(now))
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -129,6 +129,7 @@
         self.processes[f"backend {target}"] = Process(
             *("standin", "backend", "--name", target),
             *("--listen", f"127.0.0.1:{ports[0]}"),
+            *("--node", f"127.0.0.1:{ports[3]}"),
             *options,
         )
 
@@ -139,7 +140,6 @@
         self.processes[f"node {target}"] = Process(
             *("node", "--target", target, "--service", service),
             *("--failure-domain", domain, "--store", self.store),
-            *("--server", f"127.0.0.1:{ports[0]}"),
             *("--caller-listen", f"127.0.0.1:{ports[1]}"),
             *("--peer-listen", f"127.0.0.1:{ports[2]}"),
             *("--admin-listen", f"127.0.0.1:{ports[3]}"),
@@ -149,6 +149,9 @@
     def caller_url(self, target: str) -> str:
         return f"http://127.0.0.1:{self.ports[target][1]}"
 
+    def backend_url(self, target: str) -> str:
+        return f"http://127.0.0.1:{self.ports[target][0]}"
+
     def admin_url(self, target: str) -> str:
         return f"http://127.0.0.1:{self.ports[target][3]}"
 
