Test the target pipeline's slots, fields and crashes

Streamed, cut, given up and cancelled exchanges give their slot back once; the server gets no node-internal field; what waited is not sent to a server that drains meanwhile.

--- /dev/null
+++ b/src/radishwind/target/tests/test_pipeline.py
@@ -0,0 +1,213 @@
+import anyio
+import anyio.lowlevel
+import pytest
+from tests.support.direct import DirectSender
+from tests.support.direct import Fault
+
+from radishwind.admission import AdmissionLimits
+from radishwind.admission import FairAdmission
+from radishwind.config.model import ServiceRules
+from radishwind.core import ManualClock
+from radishwind.core import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http import Address
+from radishwind.http import ExchangeBrokenError
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.types import BodyStream
+from radishwind.membership import SilentBoard
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.probing import HealthModel
+from radishwind.quarantine import Quarantine
+from radishwind.target import ServerBeside
+from radishwind.target import ServerWatch
+from radishwind.target import TargetPipeline
+from radishwind.target.server import ServerState
+
+ADDRESS = Address("127.0.0.1", 9000)
+
+pytestmark = pytest.mark.anyio
+
+
+class Stream(BodyStream):
+    def __init__(self, cut=False):
+        self.cut = cut
+        self.aborted = False
+
+    async def __aiter__(self):
+        yield b"piece"
+        if self.cut:
+            raise ExchangeBrokenError("cut")
+
+    def abort(self):
+        self.aborted = True
+
+
+class Target:
+    """A target pipeline with one slot and a server set by the test."""
+
+    def __init__(self, slots=1):
+        self.clock, self.sender = ManualClock(), DirectSender()
+        self.server = ServerBeside("a", ADDRESS)
+        self.server.list(True)
+        self.health = HealthModel()
+        self.quarantine = Quarantine(
+            target="a", service="s", clock=self.clock, board=SilentBoard()
+        )
+        self.admission = FairAdmission(AdmissionLimits(slots, 10, 8, 1.0))
+        self.response = Response(200, (), b"ok", 2)
+        self.sender.handlers[ADDRESS] = self.handle
+        self.watch = ServerWatch(self.clock, self.health, self.quarantine)
+        self.pipeline = TargetPipeline(
+            clock=self.clock,
+            admission=self.admission,
+            sender=self.sender,
+            server=self.server,
+            watch=self.watch,
+        )
+
+    async def handle(self, request):
+        return self.response
+
+    async def run(self, path="/", headers=(), deadline=9.0, suspect=False):
+        expires_ms = int(self.clock.now().timestamp() * 1000) + 9000
+        request = Request("GET", path, headers)
+        call = Call(
+            *("1.1", "s", request, ServiceRules(), True, deadline),
+            *(expires_ms, "c"),
+            depth=3,
+            suspect=suspect,
+        )
+        return (await self.pipeline.run(call)).outcome
+
+
+async def test_the_server_sees_no_field_of_nodes_and_its_time_and_depth():
+    target = Target()
+    fields = (
+        ("Radishwind-Node-Attempt", "[]"),
+        ("radishwind-timeout-ms", "1"),
+        ("X-Kept", "1"),
+    )
+    await target.run(headers=fields)
+
+    sent = target.sender.sent[0][1].headers
+    assert sent == (
+        ("X-Kept", "1"),
+        ("Radishwind-Timeout-Ms", "9000"),
+        ("Radishwind-Depth", "4"),
+    )
+
+
+async def test_a_streamed_answer_holds_the_slot_to_its_end():
+    target = Target()
+    target.response = Response(200, (), Stream())
+    outcome = await target.run()
+    assert target.admission.in_flight == 1
+
+    assert [piece async for piece in outcome.response.body] == [b"piece"]
+    outcome.response.body.abort()
+
+    assert target.admission.in_flight == 0
+    await target.pipeline.drained()
+
+
+@pytest.mark.parametrize("cut", [True, False])
+async def test_a_streamed_answer_given_up_or_cut_frees_the_slot_once(cut):
+    target = Target()
+    target.response = Response(200, (), Stream(cut))
+    body = (await target.run()).response.body
+    if cut:
+        with pytest.raises(ExchangeBrokenError):
+            [piece async for piece in body]
+    body.abort()
+    body.abort()
+
+    assert target.admission.in_flight == 0
+    assert (target.health.fitness(0.0) < 1) is cut
+
+
+async def test_a_cancelled_exchange_frees_its_slot_for_who_waits():
+    target = Target()
+    target.sender.next_faults = [Fault.HANGS]
+    outcomes = []
+
+    async def waits():
+        outcomes.append(await target.run())
+
+    async with anyio.create_task_group() as tasks:
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as hanging:
+                hanging.start_soon(target.run)
+                await anyio.wait_all_tasks_blocked()
+                tasks.start_soon(waits)
+                await anyio.lowlevel.checkpoint()
+                assert target.admission.queued == 1
+                scope.cancel()
+
+    assert isinstance(outcomes[0], Done)
+    assert target.admission.in_flight == 0
+
+
+async def test_a_shed_request_is_not_run_and_its_answer_is_given_up():
+    target = Target()
+    stream = Stream()
+    target.response = Response(503, (("Radishwind-Shed", "1"),), stream)
+    outcome = await target.run()
+
+    assert outcome.code is ResultCode.SERVER_SHED
+    assert isinstance(outcome, NotRun)
+    assert stream.aborted
+    assert target.pipeline.load().service_ms == 0
+
+
+async def test_a_failing_server_is_told_as_cold():
+    target = Target()
+    target.response = Response(500, (), b"")
+    for _ in range(10):
+        await target.run()
+    assert target.pipeline.load().warm < 0.2
+
+
+async def test_what_waited_is_not_sent_to_a_server_that_drains_meanwhile():
+    target = Target()
+    outcomes = []
+
+    async def waits():
+        outcomes.append(await target.run())
+
+    target.response = Response(200, (), Stream())
+    held = await target.run()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(waits)
+        await anyio.lowlevel.checkpoint()
+        target.server.health(ServerState.DRAINING, None)
+        held.response.body.abort()
+
+    assert outcomes[0].code is ResultCode.LEAVING
+    assert len(target.sender.sent) == 1
+    assert target.pipeline.load().leaving
+
+
+async def test_a_crash_makes_a_suspect_that_runs_alone_until_cleared():
+    target = Target(slots=2)
+    target.sender.next_faults = [Fault.ANSWER_LOST, Fault.REFUSED]
+    broken, refused = await target.run("/bad"), await target.run("/other")
+    assert isinstance(broken, Unknown)
+    assert isinstance(refused, NotRun)
+
+    target.response = Response(200, (), Stream())
+    alone = await target.run("/bad")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(target.run, "/other")
+        await anyio.lowlevel.checkpoint()
+        assert target.admission.queued == 1
+        assert [p async for p in alone.response.body] == [b"piece"]
+    target.response = Response(200, (), b"ok", 2)
+    await target.run("/bad")
+    again = [t for t in target.sender.sent if t[1].path == "/bad"]
+
+    assert len(again) == 3
+    assert target.quarantine.status() == {"s": []}
+    assert target.admission.in_flight == 1
