Judge a request's wait by its caller's own recent turns and costs

The wait was judged by the mean of all callers and by what queued only, which leaves out callers whose requests come and go without waiting.

Now a ticket is refused, early or while it waits, unless it can start with twice its caller's mean run time left, and the expected wait counts the time between the caller's recent turns.

--- a/src/radishwind/admission/fair.py
+++ b/src/radishwind/admission/fair.py
@@ -39,6 +39,8 @@
       cost_s: recent mean slot time of its requests (s).
       queue: its waiting tickets.
       in_flight: slots it holds.
+      popped: when its last ticket got a slot while more waited (monotonic, s).
+      interval_s: recent time between such two (s); 0 before the first.
     """
 
     name: str
@@ -49,6 +51,8 @@
         default_factory=collections.deque
     )
     in_flight: int = 0
+    popped: float | None = None
+    interval_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,10 +97,15 @@
         self._charges[ticket] = _Charge(flow)
         self._length += 1
 
-    def _pop(self) -> Ticket:
+    def _pop(self, now: float) -> Ticket:
         flow = self._next_flow()
         self._length -= 1
-        return flow.queue.popleft()
+        ticket = flow.queue.popleft()
+        if flow.popped is not None:
+            step = _SMOOTHING if flow.interval_s else 1.0
+            flow.interval_s += step * (now - flow.popped - flow.interval_s)
+        flow.popped = now if flow.queue else None
+        return ticket
 
     def _next_flow(self) -> _Flow:
         backlogged = [f for f in self._flows.values() if f.queue]
@@ -108,21 +117,40 @@
         self._length -= 1
         self._forget(flow)
 
-    def _ahead(self, ticket: Ticket) -> float:
-        """Returns how many run first if each caller gets its share.
+    def _cost_s(self, ticket: Ticket) -> float:
+        charge = self._charges.get(ticket)
+        flow = charge.flow if charge else self._flows.get(ticket.caller)
+        return flow.cost_s if flow else self._service_s
 
-        While this caller gets its own turns, another gets turns by its share,
-        but no more than it has waiting.
+    def _wait_s(self, ticket: Ticket) -> float:
+        """Returns the greater of what the queue and the recent past say.
+
+        By the queue: while this caller gets its turns, another gets slot time
+        by its share, but no more than it waits for. That leaves out callers
+        whose requests come and go without waiting; so the time between this
+        caller's recent turns counts as well.
         """
+        if not self.slots:
+            return 0.0
         name = self._name(ticket.caller)
         own = self._flows.get(name)
-        own_queued = len(own.queue) if own else 0
-        turns = (own_queued + 1) / self._weight(name)
-        ahead = float(own_queued)
+        if own is None or not own.queue:
+            return self._queue_s(own, self._weight(name), self._service_s)
+        by_queue = self._queue_s(own, own.weight, own.cost_s)
+        return max(by_queue, (len(own.queue) + 1) * own.interval_s)
+
+    def _queue_s(
+        self, own: _Flow | None, weight: float, cost_s: float
+    ) -> float:
+        """Returns the wait for one more ticket, by what waits now (s)."""
+        own_s = (len(own.queue) if own else 0) * cost_s
+        turns_s = (own_s + cost_s) / weight
+        waits_s = own_s + self._service_s
         for flow in self._flows.values():
             if flow is not own and flow.queue:
-                ahead += min(len(flow.queue), turns * flow.weight)
-        return ahead
+                asked_s = len(flow.queue) * flow.cost_s
+                waits_s += min(asked_s, turns_s * flow.weight)
+        return waits_s / self.slots
 
     def _victim(self, ticket: Ticket) -> Ticket:
         """Returns the newest ticket of who has most waiting for its share."""
--- a/src/radishwind/admission/fifo.py
+++ b/src/radishwind/admission/fifo.py
@@ -24,11 +24,13 @@
     def _push(self, ticket: Ticket) -> None:
         self._queue.append(ticket)
 
-    def _pop(self) -> Ticket:
+    def _pop(self, now: float) -> Ticket:
         return self._queue.popleft()
 
     def _remove(self, ticket: Ticket) -> None:
         self._queue.remove(ticket)
 
-    def _ahead(self, ticket: Ticket) -> float:
-        return len(self._queue)
+    def _wait_s(self, ticket: Ticket) -> float:
+        if not self.slots:
+            return 0.0
+        return (len(self._queue) + 1) * self._service_s / self.slots
--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -1,7 +1,7 @@
 """What every queueing policy shares: slots, deadlines, early refusal.
 
-A policy says only in which order tickets wait (`_push`, `_pop`, `_ahead`) and
-which one gives way when the queue is full (`_victim`).
+A policy says only in which order tickets wait (`_push`, `_pop`), how long
+that takes (`_wait_s`), and which gives way when the queue is full (`_victim`).
 """
 
 import abc
@@ -21,6 +21,9 @@
 #: The least that a refused caller is told to wait (s).
 LEAST_RETRY_S = 0.05
 
+#: Multiples of its expected run time that a request must have left to start.
+_COST_MARGIN = 2.0
+
 _SMOOTHING = 0.1
 
 
@@ -117,7 +120,7 @@
             self._start_alone(now)
             return
         while self._in_flight < self.slots and self._waiting():
-            ticket = self._pop()
+            ticket = self._pop(now)
             self._admit(ticket)
             ticket.notify()
 
@@ -166,14 +169,16 @@
             self._remove(ticket)
 
     def _latest(self, ticket: Ticket) -> float:
-        """Returns when `ticket` has to have started (monotonic, s)."""
-        return min(ticket.deadline, ticket.offered + self._limits.queue_wait_s)
+        """Returns when `ticket` has to have started (monotonic, s).
 
-    def _wait_s(self, ticket: Ticket) -> float:
-        """Returns how long `ticket` would wait, by the recent service time."""
-        if not self.slots:
-            return 0.0
-        return (self._ahead(ticket) + 1) * self._service_s / self.slots
+        What starts too late to end by its deadline only takes a slot away.
+        """
+        ends = ticket.deadline - _COST_MARGIN * self._cost_s(ticket)
+        return min(ends, ticket.offered + self._limits.queue_wait_s)
+
+    def _cost_s(self, ticket: Ticket) -> float:
+        """Returns how long `ticket` is expected to run (s)."""
+        return self._service_s
 
     def _too_late(self, ticket: Ticket, now: float) -> NotRun | None:
         if not self.slots:
@@ -203,7 +208,7 @@
         """Queues `ticket`."""
 
     @abc.abstractmethod
-    def _pop(self) -> Ticket:
+    def _pop(self, now: float) -> Ticket:
         """Removes the ticket whose turn it is and returns it."""
 
     @abc.abstractmethod
@@ -211,8 +216,8 @@
         """Removes `ticket` from the queue."""
 
     @abc.abstractmethod
-    def _ahead(self, ticket: Ticket) -> float:
-        """Returns how many waiting tickets would run before a new one."""
+    def _wait_s(self, ticket: Ticket) -> float:
+        """Returns how long a new ticket is expected to wait (s)."""
 
     def _victim(self, ticket: Ticket) -> Ticket:
         """Returns who gives way to the new `ticket` in a full queue."""
