--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -10,7 +10,6 @@
 import anyio.abc
 import msgspec
 
-from radishwind.admission import FifoAdmission
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
 from radishwind.core import Clock
@@ -27,18 +26,23 @@
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.node.observe import Observation
 from radishwind.node.peer_security import make_peer_security
+from radishwind.node.target import TargetSide
 from radishwind.peers import ForwardRunner
 from radishwind.peers import HttpPeerClient
 from radishwind.peers import PeerListener
+from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
 from radishwind.store import EtcdStore
 from radishwind.store import StoreError
-from radishwind.target import TargetPipeline
 
 CONFIG_KEY = "/radishwind/config"
 _POLL_S = 0.5
 
+#: Connections kept to one peer or to the server, and to the store.
+_PEER_CONNECTIONS = 250
+_STORE_CONNECTIONS = 4
+
 
 class Node:
     """One node: three listeners, the data path, and the control tasks."""
@@ -50,32 +54,28 @@
         self._rng = random.Random(seed)
         self._index = ConfigIndex(Configuration())
         self._stopping = anyio.Event()
-        self._build()
+        self._build_control()
+        self._build_data_path()
+        self._build_admin()
 
-    def _build(self) -> None:
+    def _build_control(self) -> None:
         library = self._settings.http_library
-        self._sender = make_sender(library, connections=250)
+        self._sender = make_sender(library, _PEER_CONNECTIONS)
         self._store = EtcdStore(
-            make_sender(library, connections=4), self._settings.store
+            make_sender(library, _STORE_CONNECTIONS), self._settings.store
+        )
+        self._signer, self._verifier = make_peer_security(
+            self._settings, self._clock
         )
-        signer, verifier = make_peer_security(self._settings, self._clock)
-        client = HttpPeerClient(self._sender, signer)
+        self._client = HttpPeerClient(self._sender, self._signer)
         self._membership = MembershipTasks(
             settings=self._settings,
             clock=self._clock,
             rng=self._rng,
             index=lambda: self._index,
-            client=client,
+            client=self._client,
             store=self._store,
         )
-        self._admission = FifoAdmission(0, 0, 0.0)
-        assert self._settings.server is not None
-        self._target = TargetPipeline(
-            clock=self._clock,
-            admission=self._admission,
-            sender=self._sender,
-            server=self._settings.server,
-        )
         self._claims = make_claims(
             self._settings,
             self._clock,
@@ -87,16 +87,26 @@
             self._settings,
             self._clock,
             self._membership.directory,
-            client,
+            self._client,
         )
-        self._peers = PeerListener(
+
+    def _build_data_path(self) -> None:
+        self._target_side = TargetSide(
+            self._settings,
+            self._clock,
+            self._sender,
+            self._membership.board,
+            self._drain_changed,
+        )
+        self._target = self._target_side.pipeline
+        forward = ForwardRunner(
             node_name=self._settings.target,
             clock=self._clock,
-            index=lambda: self._index,
             target=self._target,
-            verifier=verifier,
+            sender=self._sender,
+            signer=self._signer,
+            unreachable=self._membership.unreachable,
         )
-        self._membership.listen_on(self._peers)
         self._entry = EntryPipeline(
             node_name=self._settings.target,
             clock=self._clock,
@@ -108,23 +118,29 @@
             ),
             retries=RetryBudget(),
             hedges=HedgeAfterQuantile(),
-            runner=ForwardRunner(
-                node_name=self._settings.target,
-                clock=self._clock,
-                target=self._target,
-                sender=self._sender,
-                signer=signer,
-                unreachable=self._membership.unreachable,
-            ),
+            runner=CarefulRunner(forward),
             claims=self._claims.guard,
+            quarantine=self._target_side.quarantine,
             observers=self._observation.observers,
         )
+        self._callers = CallersInProgress(CallerListener(self._entry).handle)
+        self._peers = PeerListener(
+            node_name=self._settings.target,
+            clock=self._clock,
+            index=lambda: self._index,
+            target=self._target,
+            verifier=self._verifier,
+        )
+        self._membership.listen_on(self._peers)
+
+    def _build_admin(self) -> None:
         self._admin = AdminListener()
         self._admin.add_status(self._status)
+        self._admin.add_status(self._membership.status)
         self._admin.add_status(self._claims.status)
+        self._target_side.add_to(self._admin)
         self._observation.add_to(self._admin, self._peers)
-        self._admin.add_status(self._membership.status)
-        self._callers = CallersInProgress(CallerListener(self._entry).handle)
+        library = self._settings.http_library
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
@@ -136,6 +152,7 @@
             await admin.start(self._admin.handle, self._settings.admin_listen)
             tasks.start_soon(self._poll_store)
             tasks.start_soon(self._membership.run)
+            tasks.start_soon(self._target_side.run)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
                 self._callers.handle, self._settings.caller_listen
@@ -168,6 +185,13 @@
             async for _ in signals:
                 self._stopping.set()
 
+    def _drain_changed(self, draining: bool) -> None:
+        if self._target.leaving and not draining:
+            return
+        self._membership.announce(
+            Announced.DRAINING if draining else Announced.ALIVE
+        )
+
     def _status(self) -> dict[str, Any]:
         return {
             "target": self._settings.target,
@@ -194,10 +218,4 @@
             return
         self._index = ConfigIndex(cfg)
         self._membership.note_revision(cfg.revision)
-        own = self._index.targets.get(self._settings.target)
-        rules = cfg.rules.for_service(self._settings.service)
-        self._admission.resize(
-            own.slots if own else 0,
-            rules.queue_length,
-            rules.queue_wait_ms / 1000,
-        )
+        self._target_side.adopt(self._index)
--- a/src/radishwind/node/in_progress.py
+++ b/src/radishwind/node/in_progress.py
@@ -5,8 +5,8 @@
 from radishwind.http import Handler
 from radishwind.http import Request
 from radishwind.http import Response
+from radishwind.http.streams import NotifyingStream
 from radishwind.http.types import BodyStream
-from radishwind.target.pipeline import HeldStream
 
 _CLOSE = ("Connection", "close")
 
@@ -52,7 +52,7 @@
             headers += (_CLOSE,)
         body = response.body
         if isinstance(body, BodyStream):
-            body = HeldStream(body, self._ended)
+            body = NotifyingStream(body, self._ended)
         else:
             self._ended()
         return Response(response.status, headers, body, response.body_bytes)
--- a/src/radishwind/peers/tests/test_security.py
+++ b/src/radishwind/peers/tests/test_security.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.support.direct import DirectSender
+from tests.support.targets import make_target
 
-from radishwind.admission import FifoAdmission
 from radishwind.config import Configuration
 from radishwind.config import ServiceRules
 from radishwind.config.index import ConfigIndex
@@ -33,7 +33,6 @@
 from radishwind.peers.security import PeerStaleError
 from radishwind.peers.security import WINDOW_FUTURE_S
 from radishwind.peers.security import WINDOW_PAST_S
-from radishwind.target import TargetPipeline
 
 OLD = b"0123456789abcdef"
 NEW = b"fedcba9876543210"
@@ -60,11 +59,8 @@
         self.sender = DirectSender()
         self.ran = []
         self.sender.handlers[SERVER] = self._serve
-        self.target = TargetPipeline(
-            clock=self.clock,
-            admission=FifoAdmission(9, 9, 1.0),
-            sender=self.sender,
-            server=SERVER,
+        self.target = make_target(
+            "prenota-1", "prenota", self.clock, self.sender, SERVER, 9
         )
         self.listener = PeerListener(
             node_name="prenota-1",
--- a/src/radishwind/telemetry/tests/test_telemetry.py
+++ b/src/radishwind/telemetry/tests/test_telemetry.py
@@ -15,12 +15,20 @@
 
 
 def logged(act):
-    lines = []
+    """Returns what `act` logs.
+
+    eliot hands what was logged before to the first destination, so that is
+    taken out of the way.
+    """
+    earlier, lines = [], []
+    eliot.add_destinations(earlier.append)
     eliot.add_destinations(lines.append)
     try:
+        del lines[:]
         act()
     finally:
         eliot.remove_destination(lines.append)
+        eliot.remove_destination(earlier.append)
     return lines
 
 
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -11,7 +11,6 @@
 import anyio
 import anyio.lowlevel
 
-from radishwind.admission import FifoAdmission
 from radishwind.claims import ClaimGuard
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
@@ -43,6 +42,7 @@
 from radishwind.store import Store
 from radishwind.target import TargetPipeline
 from tests.support.direct import DirectSender
+from tests.support.targets import make_target
 
 STORE = Address("10.0.0.1", 2379)
 RULES = ServiceRules(deadline_ms=2_000, max_deadline_ms=5_000)
@@ -249,11 +249,8 @@
     def _add_target(self, number: int) -> Member:
         name = f"prenota-{number}"
         server, peer = (Address(f"10.0.1.{number}", p) for p in (80, 81))
-        target = TargetPipeline(
-            clock=self.clock,
-            admission=FifoAdmission(100, 10, 1.0),
-            sender=self.sender,
-            server=server,
+        target = make_target(
+            name, "prenota", self.clock, self.sender, server, 100
         )
         listener = PeerListener(
             node_name=name,
