--- a/src/radishwind/cli/app.py
+++ b/src/radishwind/cli/app.py
@@ -4,11 +4,14 @@
 
 import typer
 
+from radishwind.cli import changes
 from radishwind.cli import inventory
 from radishwind.cli import node
 from radishwind.cli import report
+from radishwind.cli import rules
 from radishwind.cli import settings
 from radishwind.cli import standins
+from radishwind.cli import status
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
 
@@ -31,6 +34,9 @@
 _EXIT_DEFAULT = 70
 
 inventory.add_to(app)
+rules.add_to(app)
+changes.add_to(app)
+status.add_to(app)
 node.add_to(app)
 report.add_to(app)
 settings.add_to(app)
--- /dev/null
+++ b/src/radishwind/cli/changes.py
@@ -0,0 +1,70 @@
+"""`radishwind changes`: accepted changes, and what became of one."""
+
+from typing import Annotated
+
+import typer
+
+from radishwind.cli.documents import acceptor
+from radishwind.cli.documents import StoreOption
+from radishwind.cli.documents import with_store
+from radishwind.config.accept import describe
+from radishwind.config.accept import Settlement
+from radishwind.config.errors import ChangeUnsettledError
+from radishwind.config.records import ChangeRecord
+from radishwind.config.records import revision_of
+from radishwind.config.repository import ConfigRepository
+from radishwind.settings import SettingError
+from radishwind.store import Store
+
+_app = typer.Typer(help="Accepted changes.", no_args_is_help=True)
+
+
+def add_to(app: typer.Typer) -> None:
+    """Adds the commands to `app`."""
+    app.add_typer(_app, name="changes")
+
+
+@_app.command("show")
+def _show(
+    store: StoreOption,
+    change_id: Annotated[
+        str | None,
+        typer.Argument(help="A change to settle; all of late if not given."),
+    ] = None,
+    last: Annotated[
+        int, typer.Option(min=1, max=1000, help="How many changes.")
+    ] = 20,
+) -> None:
+    """Print the last changes, or settle one by its id."""
+    if change_id is not None:
+        _settle(store, change_id)
+        return
+    for record in with_store(store, lambda s: _last(s, last)):
+        typer.echo(describe(record))
+
+
+async def _last(store: Store, count: int) -> tuple[ChangeRecord, ...]:
+    repository = ConfigRepository(store)
+    newest, _ = await repository.newest()
+    if newest is None:
+        return ()
+    return await repository.changes_after(
+        max(0, newest.revision - count), newest, count
+    )
+
+
+def _settle(store: str, change_id: str) -> None:
+    try:
+        revision = revision_of(change_id)
+    except ValueError as exc:
+        raise SettingError(f"change id: {exc}") from exc
+    settlement = with_store(store, lambda s: acceptor(s).settle(change_id))
+    if settlement is Settlement.OPEN:
+        raise ChangeUnsettledError(f"change {change_id}: {settlement.value}")
+    typer.echo(f"change {change_id}: {settlement.value}")
+    if settlement is Settlement.ACCEPTED:
+        record = with_store(
+            store, lambda s: ConfigRepository(s).change(revision)
+        )
+        if record is not None:
+            typer.echo(describe(record))
--- /dev/null
+++ b/src/radishwind/cli/documents.py
@@ -0,0 +1,213 @@
+"""`check`, `apply` and `show` for the operators' two documents."""
+
+import getpass
+import os
+import pathlib
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Annotated
+from typing import TypeAlias
+from typing import TypeVar
+
+import anyio
+import typer
+
+from radishwind.cli import fleet
+from radishwind.config.accept import Acceptor
+from radishwind.config.accept import Change
+from radishwind.config.accept import describe
+from radishwind.config.files import write_file
+from radishwind.config.model import Configuration
+from radishwind.config.model import Inventory
+from radishwind.config.model import Rules
+from radishwind.config.parts import Snapshot
+from radishwind.config.records import ChangeRecord
+from radishwind.config.repository import ConfigRepository
+from radishwind.core import SystemClock
+from radishwind.http import Address
+from radishwind.http import HttpLibrary
+from radishwind.http import make_sender
+from radishwind.settings import SettingError
+from radishwind.store import EtcdStore
+from radishwind.store import Store
+
+Document: TypeAlias = Inventory | Rules
+
+FileArgument: TypeAlias = Annotated[
+    pathlib.Path, typer.Argument(help="The file, JSON.")
+]
+StoreOption: TypeAlias = Annotated[
+    str,
+    typer.Option(
+        envvar="RADISHWIND_STORE",
+        metavar="HOST:PORT",
+        help="The platform's key-value store.",
+    ),
+]
+OptionalStoreOption: TypeAlias = Annotated[
+    str | None,
+    typer.Option(
+        envvar="RADISHWIND_STORE",
+        metavar="HOST:PORT",
+        help="The platform's key-value store.",
+    ),
+]
+AdminOption: TypeAlias = Annotated[
+    str | None,
+    typer.Option(
+        "--admin",
+        envvar="RADISHWIND_ADMIN",
+        metavar="HOST:PORT",
+        help="Admin listener of any node.",
+    ),
+]
+OperatorOption: TypeAlias = Annotated[
+    str | None,
+    typer.Option(
+        envvar="RADISHWIND_OPERATOR",
+        help="Who makes the change; the login name if not given.",
+    ),
+]
+BaseOption: TypeAlias = Annotated[
+    int | None,
+    typer.Option(
+        min=0,
+        metavar="REVISION",
+        help="Refuse if the newest revision is another one.",
+    ),
+]
+AboveOption: TypeAlias = Annotated[
+    int,
+    typer.Option(
+        min=0,
+        metavar="REVISION",
+        help="Make the new revision higher than this one too; for a store "
+        "restored from an old copy.",
+    ),
+]
+WaitOption: TypeAlias = Annotated[
+    float,
+    typer.Option(
+        "--wait",
+        min=0,
+        max=3600,
+        metavar="SECONDS",
+        help="Wait until it is in force everywhere; needs --admin.",
+    ),
+]
+
+_T = TypeVar("_T")
+
+
+def add_document(
+    app: typer.Typer, name: str, read: Callable[[bytes], Document]
+) -> None:
+    """Adds the commands of one document to `app`.
+
+    Args:
+      app: the program.
+      name: `inventory` or `rules`.
+      read: reads the document from a file's content.
+    """
+    commands = typer.Typer(help=f"The operators' {name}.", no_args_is_help=True)
+
+    @commands.command("check")
+    def check(file: FileArgument) -> None:
+        """Check a file; every fault is listed with its place."""
+        read(_content(file))
+        typer.echo(f"{file}: no faults")
+
+    @commands.command("apply")
+    def apply(
+        file: FileArgument,
+        store: StoreOption,
+        operator: OperatorOption = None,
+        base: BaseOption = None,
+        above: AboveOption = 0,
+        wait_s: WaitOption = 0.0,
+        admin: AdminOption = None,
+    ) -> None:
+        """Check a file and accept it whole, replacing the one in force."""
+        if wait_s and admin is None:
+            raise SettingError("expected --admin with --wait, got none")
+        change = Change(
+            read(_content(file)), operator or getpass.getuser(), base, above
+        )
+        record = with_store(store, lambda s: acceptor(s).accept(change))
+        _tell_accepted(record)
+        if record is not None and wait_s and admin is not None:
+            fleet.wait_in_force(admin, record.revision, wait_s)
+
+    @commands.command("show")
+    def show(
+        store: OptionalStoreOption = None, admin: AdminOption = None
+    ) -> None:
+        """Print the one in force, from the store or as a node has it."""
+        cfg = _in_force(store, admin)
+        typer.echo(f"revision {cfg.revision}", err=True)
+        document = cfg.inventory if name == "inventory" else cfg.rules
+        typer.echo(write_file(document).decode(), nl=False)
+
+    app.add_typer(commands, name=name)
+
+
+def acceptor(store: Store) -> Acceptor:
+    """Returns what accepts changes by `store`."""
+    return Acceptor(store, SystemClock(), random.Random(os.urandom(16)))
+
+
+def with_store(text: str, use: Callable[[Store], Awaitable[_T]]) -> _T:
+    """Runs `use` with the store at the address `text`."""
+
+    async def run() -> _T:
+        sender = make_sender(HttpLibrary.AIOHTTP, 2)
+        store = EtcdStore(sender, address(text), timeout_s=5.0)
+        try:
+            return await use(store)
+        finally:
+            await store.close()
+
+    return anyio.run(run)
+
+
+def address(text: str) -> Address:
+    """Returns the address in `text`.
+
+    Raises:
+      SettingError: it is none.
+    """
+    try:
+        return Address.parse(text)
+    except ValueError as exc:
+        raise SettingError(str(exc)) from exc
+
+
+def _content(file: pathlib.Path) -> bytes:
+    try:
+        return file.read_bytes()
+    except OSError as exc:
+        raise SettingError(f"expected a readable file: {exc}") from exc
+
+
+def _tell_accepted(record: ChangeRecord | None) -> None:
+    if record is None:
+        typer.echo("nothing differs from the one in force")
+        return
+    typer.echo(f"accepted as {describe(record)}")
+
+
+def _in_force(store: str | None, admin: str | None) -> Configuration:
+    if admin is not None:
+        return fleet.config_of(admin)
+    if store is None:
+        raise SettingError("expected --store or --admin, got neither")
+    return with_store(store, _newest)
+
+
+async def _newest(store: Store) -> Configuration:
+    repository = ConfigRepository(store)
+    record, _ = await repository.newest()
+    if record is None:
+        return Configuration()
+    return (await repository.load(record, Snapshot())).cfg
--- /dev/null
+++ b/src/radishwind/config/accept.py
@@ -0,0 +1,290 @@
+"""Accepting a change: parts first, then one compare-and-swap of the root."""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Sequence
+
+import anyio
+
+from radishwind.config import records
+from radishwind.config.diff import differences
+from radishwind.config.errors import ChangeConflictError
+from radishwind.config.errors import ChangeUnsettledError
+from radishwind.config.files import check_together
+from radishwind.config.model import Configuration
+from radishwind.config.model import Inventory
+from radishwind.config.model import Rules
+from radishwind.config.parts import encode_part
+from radishwind.config.parts import Snapshot
+from radishwind.config.parts import split
+from radishwind.config.records import ChangeRecord
+from radishwind.config.records import PartRef
+from radishwind.config.repository import ConfigRepository
+from radishwind.config.tidy import delete_keys
+from radishwind.config.tidy import tidy
+from radishwind.core.clock import Clock
+from radishwind.store import Backoff
+from radishwind.store import Compare
+from radishwind.store import Put
+from radishwind.store import Store
+from radishwind.store import StoreAnswerLostError
+from radishwind.store import StoreError
+from radishwind.store import StoreUnavailableError
+
+#: Bounds of one transaction: the store's own are 128 operations and 1 MB.
+MAX_PUTS = 100
+MAX_PUT_BYTES = 512 * 1024
+
+#: Lines of a change kept with it.
+KEPT_LINES = 50
+_SHOWN_CHANGES = 20
+
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+
+
+class Settlement(enum.Enum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    LOST = "not accepted, and never will be"
+    OPEN = "not seen so far; the store may still carry it out"
+    FORGOTTEN = "older than the history that is kept"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What an operator wants.
+
+    Attributes:
+      content: the new inventory or the new rules.
+      operator: who wants it.
+      base: the revision it was made on; `None` for the newest.
+      above: the new revision shall be higher than this one too; for a store
+        that was restored from an old copy.
+    """
+
+    content: Inventory | Rules
+    operator: str
+    base: int | None = None
+    above: int = 0
+
+
+class Acceptor:
+    """Accepts changes for operators."""
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        settle_s: float = 10.0,
+    ) -> None:
+        self._store = store
+        self._repository = ConfigRepository(store)
+        self._clock = clock
+        self._rng = rng
+        self._settle_s = settle_s
+
+    async def accept(self, change: Change) -> ChangeRecord | None:
+        """Makes `change` the newest configuration.
+
+        Returns:
+          The accepted change; `None` where nothing differs.
+
+        Raises:
+          FileInvalidError: inventory and rules don't fit each other.
+          ChangeConflictError: another change came first.
+          ChangeUnsettledError: it can't be told whether it was accepted.
+          StoreError: the store failed; the change had no effect.
+        """
+        base, stored_at = await self._read_base()
+        if change.base is not None and change.base != base.revision:
+            raise await self._conflict(change.base)
+        record, snapshot = self._prepare(change, base)
+        if record is None:
+            return None
+        await self._write_parts(record, snapshot)
+        await self._swap(record, base, stored_at)
+        await tidy(self._store, record, snapshot.refs)
+        return record
+
+    async def settle(self, change_id: str) -> Settlement:
+        """Tells by reading whether a change was accepted.
+
+        Raises:
+          ValueError: `change_id` is none.
+          StoreError: the store failed.
+        """
+        revision = records.revision_of(change_id)
+        newest, _ = await self._repository.newest()
+        if newest is None or newest.revision < revision:
+            return Settlement.OPEN
+        if newest.change_id == change_id:
+            return Settlement.ACCEPTED
+        if newest.revision - revision >= records.KEPT_CHANGES:
+            return Settlement.FORGOTTEN
+        kept = await self._repository.change(revision)
+        if kept is not None and kept.change_id == change_id:
+            return Settlement.ACCEPTED
+        return Settlement.LOST
+
+    async def _read_base(self) -> tuple[Snapshot, int]:
+        try:
+            newest, stored_at = await self._repository.newest()
+            if newest is None:
+                return Snapshot(), stored_at
+            base = await self._repository.load(newest, Snapshot())
+        except StoreAnswerLostError as exc:
+            raise StoreUnavailableError(f"change not accepted: {exc}") from exc
+        return base, stored_at
+
+    def _prepare(
+        self, change: Change, base: Snapshot
+    ) -> tuple[ChangeRecord | None, Snapshot]:
+        inventory, rules, what = _replaced(base.cfg, change.content)
+        check_together(inventory, rules, what)
+        lines = differences(
+            (base.cfg.inventory, base.cfg.rules), (inventory, rules)
+        )
+        if not lines and base.record is not None:
+            return None, base
+        revision = max(base.revision, change.above) + 1
+        change_id = records.change_id(revision, self._rng.getrandbits(64))
+        parts = split(inventory, rules)
+        changed = [n for n, p in parts.items() if base.parts.get(n) != p]
+        refs = {name: base.refs.get(name, change_id) for name in parts}
+        refs |= dict.fromkeys(changed, change_id)
+        record = ChangeRecord(
+            revision=revision,
+            change_id=change_id,
+            base_change_id=base.change_id,
+            operator=change.operator,
+            at=self._clock.now(),
+            what=what,
+            lines=lines[:KEPT_LINES],
+            more_lines=max(0, len(lines) - KEPT_LINES),
+            changed=tuple(PartRef(name, change_id) for name in changed),
+            replaced=tuple(
+                PartRef(name, version)
+                for name, version in base.refs.items()
+                if refs.get(name) != version
+            ),
+            digest=records.digest(refs),
+        )
+        cfg = Configuration(revision, change_id, inventory, rules)
+        return record, Snapshot(record, refs, parts, cfg)
+
+    async def _write_parts(
+        self, record: ChangeRecord, snapshot: Snapshot
+    ) -> None:
+        puts = [
+            Put(records.part_key(ref), encode_part(snapshot.parts[ref.name]))
+            for ref in record.changed
+        ]
+        manifest = records.encode_manifest(snapshot.refs)
+        puts.append(Put(_manifest_key(record), manifest))
+        try:
+            for batch in _batches(puts):
+                await self._store.transact((), batch)
+        except StoreAnswerLostError as exc:
+            # The root was not touched, so nothing is accepted, whatever
+            # became of these keys, which no other change can name.
+            raise StoreUnavailableError(f"change not accepted: {exc}") from exc
+
+    async def _swap(
+        self, record: ChangeRecord, base: Snapshot, stored_at: int
+    ) -> None:
+        encoded = records.encode_record(record)
+        try:
+            result = await self._store.transact(
+                (Compare(records.ROOT_KEY, stored_at),),
+                (
+                    Put(records.ROOT_KEY, encoded),
+                    Put(records.change_key(record.revision), encoded),
+                ),
+            )
+        except StoreAnswerLostError as exc:
+            accepted = await self._settle_lost(record, exc)
+        else:
+            accepted = result.succeeded
+        if accepted:
+            return
+        keys = [records.part_key(ref) for ref in record.changed]
+        await delete_keys(self._store, [*keys, _manifest_key(record)])
+        raise await self._conflict(base.revision)
+
+    async def _settle_lost(
+        self, record: ChangeRecord, cause: StoreAnswerLostError
+    ) -> bool:
+        """Reads until the change is seen or superseded; never writes."""
+        backoff = Backoff(self._rng, _FIRST_PAUSE_S, _LONGEST_PAUSE_S)
+        until = self._clock.monotonic() + self._settle_s
+        while True:
+            try:
+                settlement = await self.settle(record.change_id)
+            except StoreError:
+                settlement = Settlement.OPEN
+            if settlement is not Settlement.OPEN:
+                return settlement is Settlement.ACCEPTED
+            pause_s = backoff.failed()
+            if self._clock.monotonic() + pause_s > until:
+                raise ChangeUnsettledError(
+                    f"change {record.change_id}: {cause}. Settle it later by "
+                    f"`radishwind changes show {record.change_id}`"
+                ) from cause
+            await anyio.sleep(pause_s)
+
+    async def _conflict(self, base: int) -> ChangeConflictError:
+        newest, _ = await self._repository.newest()
+        if newest is None:
+            return ChangeConflictError(f"base {base}: the store has none")
+        since = await self._repository.changes_after(
+            base, newest, _SHOWN_CHANGES
+        )
+        text = "\n".join(describe(r) for r in since) or "  none kept"
+        return ChangeConflictError(
+            f"expected revision {base} to be the newest, got "
+            f"{newest.revision}. Changed since:\n{text}"
+        )
+
+
+def describe(record: ChangeRecord) -> str:
+    """Returns a change as text for operators, several lines."""
+    head = (
+        f"revision {record.revision}, change {record.change_id}, "
+        f"{record.what} by {record.operator} "
+        f"at {record.at:%Y-%m-%d %H:%M:%S} UTC"
+    )
+    lines = [head, *(f"  {line}" for line in record.lines)]
+    if record.more_lines:
+        lines.append(f"  and {record.more_lines} more")
+    return "\n".join(lines)
+
+
+def _replaced(
+    cfg: Configuration, content: Inventory | Rules
+) -> tuple[Inventory, Rules, str]:
+    if isinstance(content, Inventory):
+        return content, cfg.rules, "inventory"
+    return cfg.inventory, content, "rules"
+
+
+def _manifest_key(record: ChangeRecord) -> str:
+    return records.MANIFESTS_PREFIX + record.change_id
+
+
+def _batches(puts: Sequence[Put]) -> list[list[Put]]:
+    """Returns `puts` in as few transactions as the bounds allow."""
+    batches: list[list[Put]] = [[]]
+    size = 0
+    for put in puts:
+        size += len(put.value)
+        if batches[-1] and (
+            len(batches[-1]) == MAX_PUTS or size > MAX_PUT_BYTES
+        ):
+            batches.append([])
+            size = len(put.value)
+        batches[-1].append(put)
+    return batches
--- /dev/null
+++ b/src/radishwind/config/exchange.py
@@ -0,0 +1,171 @@
+"""Gets newer configurations from peers and from the store."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from radishwind.config.adopter import Adopter
+from radishwind.config.adopter import Source
+from radishwind.config.adopter import Verdict
+from radishwind.config.errors import RevisionRefusedError
+from radishwind.config.parts import Snapshot
+from radishwind.config.repository import ConfigRepository
+from radishwind.config.spread import Catch
+from radishwind.config.spread import decode_offer
+from radishwind.config.spread import decode_pull
+from radishwind.config.spread import Offer
+from radishwind.config.spread import Offers
+from radishwind.config.spread import Pull
+from radishwind.http.types import Address
+from radishwind.peers.client import PeerClient
+from radishwind.store import Store
+
+#: The control path between nodes.
+CONTROL_NAME = "config"
+
+_CALL_TIMEOUT_S = 2.0
+
+#: Answers asked of one peer for one configuration; a part each at worst.
+_MAX_ANSWERS = 2_000
+
+#: Parts asked for at once.
+_MAX_WANTED = 256
+
+
+class Exchange:
+    """Asks peers and the store, and answers peers.
+
+    Attributes:
+      adopter: holds the configuration in force.
+      answered: pulls answered.
+      asked: pulls sent.
+      bytes_received: bytes of configuration messages received from peers.
+    """
+
+    def __init__(
+        self,
+        adopter: Adopter,
+        peers: PeerClient,
+        store: Store,
+        own_address: Address,
+        heard: Callable[[int, Address], None],
+        adopted: Callable[[Snapshot], None],
+    ) -> None:
+        """Wires the exchange.
+
+        Args:
+          adopter: holds the configuration in force.
+          peers: sends to other nodes.
+          store: the store.
+          own_address: this node's peer listener.
+          heard: called when a peer tells that it has a higher revision.
+          adopted: called with each configuration put in force.
+        """
+        self.adopter = adopter
+        self.answered = 0
+        self.asked = 0
+        self.bytes_received = 0
+        self._peers = peers
+        self._repository = ConfigRepository(store)
+        self._own_address = own_address
+        self._heard = heard
+        self._adopted = adopted
+        self._offers = Offers(adopter)
+
+    def answer(self, content: bytes) -> bytes:
+        """Answers the pull of a peer.
+
+        Raises:
+          RevisionRefusedError: it is malformed.
+        """
+        pull = decode_pull(content)
+        self.answered += 1
+        self.bytes_received += len(content)
+        if pull.revision > self.adopter.snapshot.revision:
+            try:
+                self._heard(pull.revision, Address.parse(pull.address))
+            except ValueError as exc:
+                raise RevisionRefusedError(f"address: {exc}") from exc
+        return msgspec.json.encode(self._offers.offer(pull))
+
+    async def ask(self, address: Address) -> Offer:
+        """Asks one peer; adopts what it has if that is newer.
+
+        Returns:
+          Its first answer.
+
+        Raises:
+          PeerError: it gave no answer.
+          RevisionRefusedError: what it gave can't be adopted.
+        """
+        held = self.adopter.snapshot
+        offer = await self._pull(address, Pull(held.revision, held.change_id))
+        verdict = self.adopter.weigh(
+            offer.revision, offer.change_id, Source.PEER, held.revision
+        )
+        if verdict is not Verdict.NEWER or offer.record is None:
+            return offer
+        snapshot = await self._catch_up(address, held, offer)
+        if snapshot is not None:
+            self._adopt(snapshot)
+        return offer
+
+    async def read_store(self) -> int:
+        """Reads the store; adopts what it has if that is newer.
+
+        Returns:
+          The store's revision of the newest record; 0 if there is none.
+
+        Raises:
+          StoreError: the store failed.
+          RevisionRefusedError: what it has can't be adopted.
+        """
+        held = self.adopter.snapshot
+        record, stored_at = await self._repository.newest()
+        revision = record.revision if record else 0
+        change_id = record.change_id if record else ""
+        verdict = self.adopter.weigh(
+            revision, change_id, Source.STORE, held.revision
+        )
+        if verdict is Verdict.NEWER and record is not None:
+            self._adopt(await self._repository.load(record, held))
+        return stored_at
+
+    async def _catch_up(
+        self, address: Address, held: Snapshot, offer: Offer
+    ) -> Snapshot | None:
+        """Returns what the peer offers; `None` if it moved on meanwhile."""
+        try:
+            catch = Catch(held, offer)
+        except RevisionRefusedError:
+            # The difference doesn't fit what is held, as after changes on
+            # two copies of the store; the whole does.
+            offer = await self._pull(address, Pull(0, ""))
+            catch = Catch(held, offer)
+        for _ in range(_MAX_ANSWERS):
+            missing = catch.missing()[:_MAX_WANTED]
+            if not missing:
+                return catch.whole()
+            pull = Pull(held.revision, held.change_id, want=missing)
+            if not catch.take(await self._pull(address, pull)):
+                return None
+        return None
+
+    async def _pull(self, address: Address, pull: Pull) -> Offer:
+        self.asked += 1
+        told = msgspec.structs.replace(pull, address=str(self._own_address))
+        content = await self._peers.call(
+            address, CONTROL_NAME, msgspec.json.encode(told), _CALL_TIMEOUT_S
+        )
+        self.bytes_received += len(content)
+        return decode_offer(content)
+
+    def _adopt(self, snapshot: Snapshot) -> None:
+        if self.adopter.adopt(snapshot):
+            self._adopted(snapshot)
+
+
+def jittered(rng: random.Random, period_s: float) -> float:
+    """Returns a time around `period_s` (s), from half to one and a half."""
+    return period_s * rng.uniform(0.5, 1.5)
--- /dev/null
+++ b/src/radishwind/config/files.py
@@ -0,0 +1,111 @@
+"""Reads the operators' files; each is accepted whole or refused whole."""
+
+import json
+from typing import Any
+from typing import NoReturn
+from typing import TypeVar
+
+import msgspec
+
+from radishwind.config import consistency
+from radishwind.config.checking import faults_against
+from radishwind.config.checking import FileFault
+from radishwind.config.checking import FileInvalidError
+from radishwind.config.checking import RepeatedKeys
+from radishwind.config.model import Inventory
+from radishwind.config.model import Rules
+
+#: The largest file read (bytes): some fifteen times the design size.
+MAX_FILE_BYTES = 16 * 1024 * 1024
+
+_T = TypeVar("_T")
+
+
+def read_inventory(content: bytes) -> Inventory:
+    """Returns the inventory in `content`.
+
+    Raises:
+      FileInvalidError: it has faults; it lists all of them.
+    """
+    document = _decode(content)
+    faults = faults_against(Inventory, document)
+    faults += consistency.inventory_faults(document)
+    if faults:
+        raise FileInvalidError(faults)
+    return _convert(document, Inventory)
+
+
+def read_rules(content: bytes) -> Rules:
+    """Returns the rules in `content`, each service's completed by `defaults`.
+
+    Raises:
+      FileInvalidError: they have faults; it lists all of them.
+    """
+    document = _decode(content)
+    faults = faults_against(Rules, document)
+    faults += consistency.rules_faults(document)
+    if faults:
+        raise FileInvalidError(faults)
+    defaults = document.get("defaults", {})
+    services = {
+        name: {**defaults, **entry}
+        for name, entry in document.get("services", {}).items()
+    }
+    return _convert({"defaults": defaults, "services": services}, Rules)
+
+
+def check_together(
+    inventory: Inventory, rules: Rules, changed: str = "rules"
+) -> None:
+    """Checks an inventory and rules against each other.
+
+    Raises:
+      FileInvalidError: they don't fit.
+    """
+    faults = consistency.cross_faults(
+        msgspec.to_builtins(inventory), msgspec.to_builtins(rules), changed
+    )
+    if faults:
+        raise FileInvalidError(faults)
+
+
+def write_file(value: Inventory | Rules) -> bytes:
+    """Returns `value` as an operator's file, two spaces a level."""
+    encoded = msgspec.json.encode(value)
+    return msgspec.json.format(encoded, indent=2) + b"\n"
+
+
+def _decode(content: bytes) -> Any:
+    if len(content) > MAX_FILE_BYTES:
+        text = f"expected at most {MAX_FILE_BYTES} bytes, got {len(content)}"
+        raise FileInvalidError([FileFault("", text)])
+    try:
+        return json.loads(
+            content.decode("utf-8"),
+            object_pairs_hook=_object,
+            parse_constant=_refuse_constant,
+        )
+    except (ValueError, RecursionError) as exc:
+        text = f"expected JSON in UTF-8, got {str(exc)[:200]}"
+        raise FileInvalidError([FileFault("", text)]) from exc
+
+
+def _convert(document: Any, model: type[_T]) -> _T:
+    try:
+        return msgspec.convert(document, model)
+    except msgspec.ValidationError as exc:
+        raise FileInvalidError([FileFault("", str(exc))]) from exc
+
+
+def _object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    plain = dict(pairs)
+    if len(plain) == len(pairs):
+        return plain
+    found = RepeatedKeys(plain)
+    keys = [key for key, _ in pairs]
+    found.repeated = tuple(sorted({k for k in keys if keys.count(k) > 1}))
+    return found
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name}, which is no number of JSON")
--- a/src/radishwind/config/model.py
+++ b/src/radishwind/config/model.py
@@ -5,8 +5,44 @@
 fractions of one.
 """
 
+from typing import Annotated
+from typing import TypeAlias
+
 import msgspec
 
+Name: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z",
+        description="1 to 63 letters, digits, dots, dashes or underscores, "
+        "a letter or digit first",
+    ),
+]
+Text: TypeAlias = Annotated[str, msgspec.Meta(max_length=200)]
+Host: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[a-z0-9][a-z0-9.-]{0,252}\Z",
+        description="a host name in lower case without port",
+    ),
+]
+PathPrefix: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^/[!-~]{0,255}\Z",
+        description="a path that starts with / and has no spaces",
+    ),
+]
+Method: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[A-Z]{1,20}\Z", description="a method in upper case"
+    ),
+]
+Share: TypeAlias = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Weight: TypeAlias = Annotated[float, msgspec.Meta(ge=0.001, le=1000)]
+Deadline: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+
 
 class _Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A frozen value read from JSON; unknown keys are refused."""
@@ -20,8 +56,8 @@
       region: the region it lies in.
     """
 
-    name: str
-    region: str = "default"
+    name: Name
+    region: Name = "default"
 
 
 class Service(_Model, frozen=True):
@@ -36,10 +72,10 @@
         over all services wins. `/NAME` where none is given.
     """
 
-    name: str
-    owner: str = ""
-    hosts: tuple[str, ...] = ()
-    path_prefixes: tuple[str, ...] = ()
+    name: Name
+    owner: Text = ""
+    hosts: tuple[Host, ...] = ()
+    path_prefixes: tuple[PathPrefix, ...] = ()
 
 
 class Target(_Model, frozen=True):
@@ -53,11 +89,11 @@
       connections: connections it accepts.
     """
 
-    name: str
-    service: str
-    failure_domain: str
-    slots: int
-    connections: int = 200
+    name: Name
+    service: Name
+    failure_domain: Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 200
 
 
 class Link(_Model, frozen=True):
@@ -69,9 +105,9 @@
       one_way_ms: latency one way (ms).
     """
 
-    a: str
-    b: str
-    one_way_ms: float
+    a: Name
+    b: Name
+    one_way_ms: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 
 
 class Inventory(_Model, frozen=True):
@@ -104,27 +140,33 @@
       success_target: share of requests that are answered.
     """
 
-    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
-    idempotent_paths: tuple[str, ...] = ()
-    deadline_ms: int = 2_000
-    max_deadline_ms: int = 30_000
-    queue_length: int = 64
-    queue_wait_ms: int = 500
-    retry_share: float = 0.1
-    hedge_share: float = 0.05
-    probe_share: float = 0.01
-    caller_weights: dict[str, float] = {}
-    claim_ttl_s: int = 86_400
-    latency_objective_ms: int = 250
-    latency_target: float = 0.99
-    success_target: float = 0.999
+    idempotent_methods: tuple[Method, ...] = ("GET", "HEAD", "OPTIONS")
+    idempotent_paths: tuple[PathPrefix, ...] = ()
+    deadline_ms: Deadline = 2_000
+    max_deadline_ms: Deadline = 30_000
+    queue_length: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 64
+    queue_wait_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 500
+    retry_share: Share = 0.1
+    hedge_share: Share = 0.05
+    probe_share: Share = 0.01
+    caller_weights: dict[Text, Weight] = {}
+    claim_ttl_s: Annotated[int, msgspec.Meta(ge=1, le=31_536_000)] = 86_400
+    latency_objective_ms: Deadline = 250
+    latency_target: Share = 0.99
+    success_target: Share = 0.999
 
 
 class Rules(_Model, frozen=True):
-    """The rules of every service; `defaults` where a service has none."""
+    """The rules of every service.
+
+    Attributes:
+      defaults: for a service that has none. In a file, a field that a service
+        leaves out is taken from here; kept are the whole rules.
+      services: the rules of a service by its name.
+    """
 
     defaults: ServiceRules = ServiceRules()
-    services: dict[str, ServiceRules] = {}
+    services: dict[Name, ServiceRules] = {}
 
     def for_service(self, name: str) -> ServiceRules:
         """Returns the rules of the service `name`."""
--- /dev/null
+++ b/src/radishwind/config/parts.py
@@ -0,0 +1,187 @@
+"""Cuts a configuration into parts and puts it together again.
+
+One part holds what is common, and one each service with its targets and rules,
+so that a change of one target rewrites and sends one small part, and no value
+grows with the number of services.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import TypeAlias
+
+import msgspec
+
+from radishwind.config import consistency
+from radishwind.config.errors import RevisionRefusedError
+from radishwind.config.model import Configuration
+from radishwind.config.model import FailureDomain
+from radishwind.config.model import Inventory
+from radishwind.config.model import Link
+from radishwind.config.model import Rules
+from radishwind.config.model import Service
+from radishwind.config.model import ServiceRules
+from radishwind.config.model import Target
+from radishwind.config.records import ChangeRecord
+from radishwind.config.records import digest
+
+COMMON = "common"
+SERVICE_PREFIX = "service/"
+
+
+class CommonPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What belongs to no single service.
+
+    Attributes:
+      failure_domains: all of them, by name.
+      links: all of them, by names.
+      defaults: the rules of services without any.
+    """
+
+    failure_domains: tuple[FailureDomain, ...]
+    links: tuple[Link, ...]
+    defaults: ServiceRules
+
+
+class ServicePart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service with its targets, by name, and its rules if it has any."""
+
+    service: Service
+    targets: tuple[Target, ...]
+    rules: ServiceRules | None
+
+
+Part: TypeAlias = CommonPart | ServicePart
+
+_common_decoder = msgspec.json.Decoder(CommonPart)
+_service_decoder = msgspec.json.Decoder(ServicePart)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A whole configuration with the parts that it is made of.
+
+    Attributes:
+      record: the change that made it; `None` before the first.
+      refs: the version of each part by its name.
+      parts: the parts by name.
+      cfg: the configuration.
+    """
+
+    record: ChangeRecord | None = None
+    refs: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    parts: Mapping[str, Part] = dataclasses.field(default_factory=dict)
+    cfg: Configuration = Configuration()
+
+    @property
+    def revision(self) -> int:
+        """The revision; 0 before the first."""
+        return self.cfg.revision
+
+    @property
+    def change_id(self) -> str:
+        """The id of the change that made it; empty before the first."""
+        return self.cfg.change_id
+
+
+def split(inventory: Inventory, rules: Rules) -> dict[str, Part]:
+    """Returns the parts of a configuration by name, in canonical order."""
+    targets: dict[str, list[Target]] = {}
+    for target in sorted(inventory.targets, key=lambda t: t.name):
+        targets.setdefault(target.service, []).append(target)
+    parts: dict[str, Part] = {
+        COMMON: CommonPart(
+            tuple(sorted(inventory.failure_domains, key=lambda d: d.name)),
+            tuple(sorted(inventory.links, key=lambda e: (e.a, e.b))),
+            rules.defaults,
+        )
+    }
+    for service in sorted(inventory.services, key=lambda s: s.name):
+        parts[SERVICE_PREFIX + service.name] = ServicePart(
+            service,
+            tuple(targets.get(service.name, ())),
+            rules.services.get(service.name),
+        )
+    return parts
+
+
+def encode_part(part: Part) -> bytes:
+    """Returns a part as kept and sent."""
+    return msgspec.json.encode(part)
+
+
+def decode_part(name: str, content: bytes) -> Part:
+    """Returns the part `name` from what is kept.
+
+    Raises:
+      RevisionRefusedError: it is malformed or another part.
+    """
+    try:
+        if name == COMMON:
+            return _common_decoder.decode(content)
+        part = _service_decoder.decode(content)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise RevisionRefusedError(f"part {name[:80]}: {exc}") from exc
+    found = part.service.name
+    strays = [t.name for t in part.targets if t.service != found]
+    if name != SERVICE_PREFIX + found or strays:
+        raise RevisionRefusedError(
+            f"part {name[:80]}: expected that service and its targets, "
+            f"got {found} and {strays[:3]}"
+        )
+    return part
+
+
+def assemble(
+    record: ChangeRecord, refs: Mapping[str, str], parts: Mapping[str, Part]
+) -> Snapshot:
+    """Returns the whole configuration, checked.
+
+    Args:
+      record: the change that made it.
+      refs: the version of each part.
+      parts: at least these parts, in these versions.
+
+    Raises:
+      RevisionRefusedError: it isn't whole, or has faults.
+    """
+    missing = [name for name in refs if name not in parts]
+    if missing or COMMON not in refs:
+        raise RevisionRefusedError(
+            f"revision {record.revision}: expected all parts, "
+            f"{len(missing)} missing, among them {missing[:3]}"
+        )
+    if digest(refs) != record.digest:
+        raise RevisionRefusedError(
+            f"revision {record.revision}: the parts named are not those "
+            "of its record"
+        )
+    held = {name: parts[name] for name in sorted(refs)}
+    cfg = _join(record, held)
+    _check(cfg)
+    return Snapshot(record, dict(refs), held, cfg)
+
+
+def _join(record: ChangeRecord, parts: Mapping[str, Part]) -> Configuration:
+    common = parts[COMMON]
+    assert isinstance(common, CommonPart)
+    services = [p for p in parts.values() if isinstance(p, ServicePart)]
+    inventory = Inventory(
+        common.failure_domains,
+        tuple(part.service for part in services),
+        tuple(target for part in services for target in part.targets),
+        common.links,
+    )
+    rules = Rules(
+        common.defaults,
+        {p.service.name: p.rules for p in services if p.rules is not None},
+    )
+    return Configuration(record.revision, record.change_id, inventory, rules)
+
+
+def _check(cfg: Configuration) -> None:
+    faults = consistency.inventory_faults(msgspec.to_builtins(cfg.inventory))
+    if faults:
+        raise RevisionRefusedError(
+            f"revision {cfg.revision}: {len(faults)} fault(s), "
+            f"the first is {faults[0]}"
+        )
--- /dev/null
+++ b/src/radishwind/config/repository.py
@@ -0,0 +1,91 @@
+"""Reads configurations and their history from the store."""
+
+from collections.abc import Mapping
+
+from radishwind.config import records
+from radishwind.config.errors import RevisionRefusedError
+from radishwind.config.parts import assemble
+from radishwind.config.parts import decode_part
+from radishwind.config.parts import Part
+from radishwind.config.parts import Snapshot
+from radishwind.config.records import ChangeRecord
+from radishwind.config.records import PartRef
+from radishwind.store import Store
+
+#: More missing parts than this are read by listing them in pages.
+_SINGLE_READS = 8
+
+
+class ConfigRepository:
+    """The configuration in the store, for reading."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def newest(self) -> tuple[ChangeRecord | None, int]:
+        """Returns the newest record and its store revision (0 if none)."""
+        entry = await self._store.get(records.ROOT_KEY)
+        if entry is None:
+            return None, 0
+        return records.decode_record(entry.value), entry.mod_revision
+
+    async def load(self, record: ChangeRecord, held: Snapshot) -> Snapshot:
+        """Returns the configuration of `record`; reads what `held` lacks.
+
+        Raises:
+          RevisionRefusedError: it can't be read whole.
+          StoreError: the store failed.
+        """
+        refs = await self._refs(record, held)
+        parts = {
+            name: held.parts[name]
+            for name, version in refs.items()
+            if held.refs.get(name) == version
+        }
+        missing = [PartRef(n, v) for n, v in refs.items() if n not in parts]
+        parts.update(await self._read_parts(missing))
+        return assemble(record, refs, parts)
+
+    async def change(self, revision: int) -> ChangeRecord | None:
+        """Returns the accepted change that made `revision`, if kept."""
+        entry = await self._store.get(records.change_key(revision))
+        return None if entry is None else records.decode_record(entry.value)
+
+    async def changes_after(
+        self, revision: int, newest: ChangeRecord, limit: int
+    ) -> tuple[ChangeRecord, ...]:
+        """Returns the last changes above `revision`, the newest first."""
+        found = [newest] if newest.revision > revision else []
+        oldest = max(revision, newest.revision - limit)
+        for number in range(newest.revision - 1, oldest, -1):
+            record = await self.change(number)
+            if record is not None:
+                found.append(record)
+        return tuple(found)
+
+    async def _refs(
+        self, record: ChangeRecord, held: Snapshot
+    ) -> Mapping[str, str]:
+        if held.change_id and held.change_id == record.base_change_id:
+            return records.advanced(held.refs, record)
+        key = records.MANIFESTS_PREFIX + record.change_id
+        entry = await self._store.get(key)
+        if entry is None:
+            raise RevisionRefusedError(
+                f"revision {record.revision}: its manifest is not there"
+            )
+        return records.decode_manifest(entry.value)
+
+    async def _read_parts(self, refs: list[PartRef]) -> dict[str, Part]:
+        """Returns the parts that are there; `assemble` finds what lacks."""
+        wanted = {records.part_key(ref): ref.name for ref in refs}
+        if len(refs) > _SINGLE_READS:
+            entries = await self._store.list(records.PARTS_PREFIX)
+        else:
+            got = [await self._store.get(key) for key in wanted]
+            entries = tuple(entry for entry in got if entry is not None)
+        return {
+            wanted[entry.key]: decode_part(wanted[entry.key], entry.value)
+            for entry in entries
+            if entry.key in wanted
+        }
--- /dev/null
+++ b/src/radishwind/config/watchers.py
@@ -0,0 +1,45 @@
+"""Which nodes of a failure domain keep a watch on the store."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from radishwind.membership.directory import Member
+from radishwind.membership.directory import MemberState
+
+#: Two, so that one may be restarted unnoticed; more only cost store calls.
+WATCHERS_PER_DOMAIN = 2
+
+
+def is_watcher(
+    own_name: str,
+    failure_domain: str,
+    members: Iterable[Member],
+    count: int = WATCHERS_PER_DOMAIN,
+) -> bool:
+    """Returns whether this node is among the first of its failure domain.
+
+    Nodes are ranked by a hash of their name, so that the work falls on no
+    service more than on another. Nodes that see different members may both
+    watch, or for a moment none: that costs a call, or the wait for the slow
+    poll, and nothing else. A node that knows nobody watches by itself.
+
+    Args:
+      own_name: this node's name.
+      failure_domain: where it stands.
+      members: the members known, this node among them or not.
+      count: how many watch.
+    """
+    names = {
+        member.name
+        for member in members
+        if member.failure_domain == failure_domain
+        and member.state is MemberState.ALIVE
+    }
+    own_rank = _rank(own_name)
+    ahead = [name for name in names - {own_name} if _rank(name) < own_rank]
+    return len(ahead) < count
+
+
+def _rank(name: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(name.encode()), name
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -1,6 +1,5 @@
 """Composes a node and runs it until it is told to stop."""
 
-import contextlib
 import os
 import random
 import signal
@@ -8,7 +7,6 @@
 
 import anyio
 import anyio.abc
-import msgspec
 
 from radishwind.admission import FifoAdmission
 from radishwind.config.index import ConfigIndex
@@ -22,6 +20,8 @@
 from radishwind.node.admin import AdminListener
 from radishwind.node.callers import CallerListener
 from radishwind.node.claims import make_claims
+from radishwind.node.config import make_config
+from radishwind.node.config import make_stores
 from radishwind.node.entry import node_chooser
 from radishwind.node.in_progress import CallersInProgress
 from radishwind.node.membership_tasks import MembershipTasks
@@ -32,13 +32,8 @@
 from radishwind.peers import PeerListener
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
-from radishwind.store import EtcdStore
-from radishwind.store import StoreError
 from radishwind.target import TargetPipeline
 
-CONFIG_KEY = "/radishwind/config"
-_POLL_S = 0.5
-
 
 class Node:
     """One node: three listeners, the data path, and the control tasks."""
@@ -55,8 +50,11 @@
     def _build(self) -> None:
         library = self._settings.http_library
         self._sender = make_sender(library, connections=250)
-        self._store = EtcdStore(
-            make_sender(library, connections=4), self._settings.store
+        self._stores = make_stores(
+            self._settings,
+            make_sender(library, connections=4),
+            self._clock,
+            self._rng,
         )
         signer, verifier = make_peer_security(self._settings, self._clock)
         client = HttpPeerClient(self._sender, signer)
@@ -66,7 +64,7 @@
             rng=self._rng,
             index=lambda: self._index,
             client=client,
-            store=self._store,
+            store=self._stores.control,
         )
         self._admission = FifoAdmission(0, 0, 0.0)
         assert self._settings.server is not None
@@ -80,7 +78,7 @@
             self._settings,
             self._clock,
             self._rng,
-            self._store,
+            self._stores.claims,
             lambda: len(self._membership.directory.members()),
         )
         self._observation = Observation(
@@ -124,6 +122,19 @@
         self._admin.add_status(self._claims.status)
         self._observation.add_to(self._admin, self._peers)
         self._admin.add_status(self._membership.status)
+        self._config = make_config(
+            settings=self._settings,
+            clock=self._clock,
+            rng=self._rng,
+            stores=self._stores,
+            directory=self._membership.directory,
+            peers=client,
+            board=self._membership.board,
+            listener=self._peers,
+            admin=self._admin,
+            observation=self._observation,
+            adopted=self._adopted,
+        )
         self._callers = CallersInProgress(CallerListener(self._entry).handle)
         self._servers = [make_server(library) for _ in range(3)]
 
@@ -134,7 +145,7 @@
             self._claims.start(tasks)
             await peers.start(self._peers.handle, self._settings.peer_listen)
             await admin.start(self._admin.handle, self._settings.admin_listen)
-            tasks.start_soon(self._poll_store)
+            tasks.start_soon(self._config.run)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
@@ -159,7 +170,7 @@
         for server in self._servers:
             await server.close(1.0)
         await self._sender.close()
-        await self._store.close()
+        await self._stores.close()
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
@@ -171,7 +182,6 @@
     def _status(self) -> dict[str, Any]:
         return {
             "target": self._settings.target,
-            "config_revision": self._index.cfg.revision,
             "leaving": self._target.leaving,
             "peer_requests_refused": {
                 str(int(code)): count
@@ -179,23 +189,11 @@
             },
         }
 
-    async def _poll_store(self) -> None:
-        while True:
-            with contextlib.suppress(StoreError):
-                await self._read_config()
-            await anyio.sleep(_POLL_S)
-
-    async def _read_config(self) -> None:
-        entry = await self._store.get(CONFIG_KEY)
-        if entry is None:
-            return
-        cfg = msgspec.json.decode(entry.value, type=Configuration)
-        if cfg.revision <= self._index.cfg.revision:
-            return
-        self._index = ConfigIndex(cfg)
-        self._membership.note_revision(cfg.revision)
-        own = self._index.targets.get(self._settings.target)
-        rules = cfg.rules.for_service(self._settings.service)
+    def _adopted(self, index: ConfigIndex) -> None:
+        self._index = index
+        self._membership.note_revision(index.cfg.revision)
+        own = index.targets.get(self._settings.target)
+        rules = index.cfg.rules.for_service(self._settings.service)
         self._admission.resize(
             own.slots if own else 0,
             rules.queue_length,
--- /dev/null
+++ b/src/radishwind/node/config.py
@@ -0,0 +1,95 @@
+"""Wires configuration into a node."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from radishwind.config.exchange import CONTROL_NAME
+from radishwind.config.index import ConfigIndex
+from radishwind.core import Clock
+from radishwind.http import Sender
+from radishwind.membership.directory import Directory
+from radishwind.membership.rumors import RumorBoard
+from radishwind.node.admin import AdminListener
+from radishwind.node.config_admin import ConfigAdmin
+from radishwind.node.config_tasks import ConfigTasks
+from radishwind.node.observe import Observation
+from radishwind.peers import PeerClient
+from radishwind.peers import PeerListener
+from radishwind.settings import NodeSettings
+from radishwind.store import BudgetedStore
+from radishwind.store import EtcdStore
+from radishwind.store import StoreBudget
+from radishwind.telemetry import PartLogger
+
+#: Failures in a row after which claims pause here: they do so themselves.
+_NEVER = 2**31
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeStores:
+    """The store as two users of a node see it, each with its budget.
+
+    Attributes:
+      control: for membership and configuration.
+      claims: for claims, which share out their rates between the nodes and
+        pause by themselves; counted here, and bounded by those rates.
+    """
+
+    control: BudgetedStore
+    claims: BudgetedStore
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self.control.close()
+
+
+def make_stores(
+    settings: NodeSettings, sender: Sender, clock: Clock, rng: random.Random
+) -> NodeStores:
+    """Returns the store within the node's budgets."""
+    inner = EtcdStore(sender, settings.store)
+    control = StoreBudget(settings.store_calls_per_s, settings.store_burst)
+    claims_per_s = settings.claim_writes_per_s + settings.claim_reads_per_s
+    claims = StoreBudget(
+        claims_per_s,
+        max(settings.store_burst, int(claims_per_s)),
+        failures_before_pause=_NEVER,
+    )
+    return NodeStores(
+        BudgetedStore(inner, clock, rng, control),
+        BudgetedStore(inner, clock, rng, claims),
+    )
+
+
+def make_config(
+    *,
+    settings: NodeSettings,
+    clock: Clock,
+    rng: random.Random,
+    stores: NodeStores,
+    directory: Directory,
+    peers: PeerClient,
+    board: RumorBoard,
+    listener: PeerListener,
+    admin: AdminListener,
+    observation: Observation,
+    adopted: Callable[[ConfigIndex], None],
+) -> ConfigTasks:
+    """Returns the tasks of configuration, with their paths added."""
+    tasks = ConfigTasks(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        store=stores.control,
+        directory=directory,
+        peers=peers,
+        board=board,
+        adopted=adopted,
+        report=PartLogger("config", clock).info,
+    )
+    listener.add_control(CONTROL_NAME, tasks.handle_control)
+    config_admin = ConfigAdmin(tasks, stores.control, stores.claims)
+    config_admin.add_to(admin)
+    config_admin.add_metrics(observation)
+    return tasks
--- /dev/null
+++ b/src/radishwind/node/config_admin.py
@@ -0,0 +1,178 @@
+"""What a node tells operators of its configuration, on the admin listener."""
+
+import collections
+from typing import Any
+
+import anyio
+import msgspec
+
+from radishwind.config.model import Inventory
+from radishwind.config.model import Rules
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.membership.directory import Member
+from radishwind.node.admin import AdminListener
+from radishwind.node.admin import json_response
+from radishwind.node.config_tasks import ConfigTasks
+from radishwind.node.observe import Observation
+from radishwind.store import BudgetedStore
+
+CONFIG_PATH = "/v1/config"
+FLEET_PATH = "/v1/config/fleet"
+
+#: Members asked for one report; of more the revision heard last is told.
+_MAX_ASKED = 256
+_ASKED_AT_ONCE = 16
+_MAX_NAMED = 100
+
+
+class ConfigInForce(msgspec.Struct, frozen=True):
+    """The configuration a node has in force."""
+
+    revision: int
+    change_id: str
+    inventory: Inventory
+    rules: Rules
+
+
+class FleetReport(msgspec.Struct, frozen=True):
+    """Where a configuration is in force, as one node sees it.
+
+    Attributes:
+      revision: the revision in force at the node asked.
+      change_id: the change that made it.
+      members: nodes known, the one asked included.
+      in_force: how many of them have it, or a newer one.
+      lagging: the names of up to 100 that have an older one.
+      silent: the names of up to 100 that gave no answer.
+      unlisted: up to 100 that announced themselves but are not in the
+        inventory; they get no requests.
+    """
+
+    revision: int
+    change_id: str
+    members: int
+    in_force: int
+    lagging: tuple[str, ...]
+    silent: tuple[str, ...]
+    unlisted: tuple[str, ...]
+
+
+class ConfigAdmin:
+    """Adds the paths and status fields of configuration."""
+
+    def __init__(self, tasks: ConfigTasks, *stores: BudgetedStore) -> None:
+        self._tasks = tasks
+        self._stores = stores
+
+    def add_to(self, admin: AdminListener) -> None:
+        """Adds to the admin listener."""
+        admin.add("GET", CONFIG_PATH, self._handle_config)
+        admin.add("GET", FLEET_PATH, self._handle_fleet)
+        admin.add_status(self._status)
+
+    def add_metrics(self, observation: Observation) -> None:
+        """Adds the metrics of configuration and of the store."""
+        adopter = self._tasks.adopter
+        observation.gauge(
+            "config.revision",
+            "1",
+            "Configuration revision in force.",
+            lambda: {"": adopter.snapshot.revision},
+        )
+        observation.counter(
+            "config.refusals",
+            "1",
+            "Configurations refused.",
+            lambda: {"": adopter.refusals},
+        )
+        observation.counter(
+            "store.calls", "1", "Calls of the store sent.", self._store_calls
+        )
+        observation.counter(
+            "store.failures",
+            "1",
+            "Calls of the store that failed, and calls not sent.",
+            self._store_failures,
+        )
+
+    def _status(self) -> dict[str, Any]:
+        snapshot = self._tasks.adopter.snapshot
+        exchange = self._tasks.exchange
+        return {
+            "config_revision": snapshot.revision,
+            "config_change_id": snapshot.change_id,
+            "config_refusals": self._tasks.adopter.refusals,
+            "config_last_refusal": self._tasks.adopter.last_refusal,
+            "config_watching": self._tasks.watching,
+            "config_pulls_answered": exchange.answered,
+            "config_pulls_sent": exchange.asked,
+            "config_bytes_received": exchange.bytes_received,
+            "store_calls": self._store_calls(),
+            "store_refused": sum(s.refused for s in self._stores),
+            "store_failed": sum(s.failed for s in self._stores),
+        }
+
+    def _store_calls(self) -> dict[str, float]:
+        counted: collections.Counter[str] = collections.Counter()
+        for store in self._stores:
+            counted.update(store.calls)
+        return dict(counted)
+
+    def _store_failures(self) -> dict[str, float]:
+        return {
+            "failed": sum(s.failed for s in self._stores),
+            "refused": sum(s.refused for s in self._stores),
+        }
+
+    async def _handle_config(self, request: Request) -> Response:
+        cfg = self._tasks.adopter.snapshot.cfg
+        return json_response(
+            ConfigInForce(cfg.revision, cfg.change_id, cfg.inventory, cfg.rules)
+        )
+
+    async def _handle_fleet(self, request: Request) -> Response:
+        return json_response(await self._report())
+
+    async def _report(self) -> FleetReport:
+        snapshot = self._tasks.adopter.snapshot
+        members = self._tasks.other_members()
+        revisions = await self._revisions(members, snapshot.revision)
+        lagging = [
+            name
+            for name, revision in revisions.items()
+            if revision is not None and revision < snapshot.revision
+        ]
+        silent = [name for name, rev in revisions.items() if rev is None]
+        listed = self._tasks.index.targets
+        unlisted = [m.name for m in members if m.name not in listed]
+        return FleetReport(
+            snapshot.revision,
+            snapshot.change_id,
+            len(members) + 1,
+            len(members) + 1 - len(lagging) - len(silent),
+            tuple(sorted(lagging)[:_MAX_NAMED]),
+            tuple(sorted(silent)[:_MAX_NAMED]),
+            tuple(sorted(unlisted)[:_MAX_NAMED]),
+        )
+
+    async def _revisions(
+        self, members: list[Member], revision: int
+    ) -> dict[str, int | None]:
+        """Returns the revision in force at each member.
+
+        Those already heard to have `revision` aren't asked.
+        """
+        heard = {m.name: m.config_revision for m in members}
+        found: dict[str, int | None] = dict(heard)
+        behind = [m for m in members if heard[m.name] < revision]
+        limit = anyio.CapacityLimiter(_ASKED_AT_ONCE)
+
+        async def ask(member: Member) -> None:
+            async with limit:
+                found[member.name] = await self._tasks.ask(member.address)
+
+        async with anyio.create_task_group() as tasks:
+            for member in behind[:_MAX_ASKED]:
+                tasks.start_soon(ask, member)
+        return found
--- /dev/null
+++ b/src/radishwind/node/config_tasks.py
@@ -0,0 +1,340 @@
+"""The tasks that keep a node's configuration the newest accepted one.
+
+Three ways lead to it. Peers: whoever adopts a revision tells a few others,
+who ask it for the difference and tell on; a slow random exchange catches what
+that missed. The board of rumors, where there is one. The store: a few nodes of
+each failure domain watch it, the others read it rarely.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import msgspec
+
+from radishwind.config.adopter import Adopter
+from radishwind.config.adopter import Source
+from radishwind.config.errors import RevisionRefusedError
+from radishwind.config.exchange import Exchange
+from radishwind.config.exchange import jittered
+from radishwind.config.index import ConfigIndex
+from radishwind.config.parts import Snapshot
+from radishwind.config.records import ROOT_KEY
+from radishwind.config.spread import MAX_MESSAGE_BYTES
+from radishwind.config.watchers import is_watcher
+from radishwind.core import Clock
+from radishwind.core import ResultCode
+from radishwind.http import Address
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.types import BodyStream
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.membership.directory import MemberState
+from radishwind.membership.rumors import RumorBoard
+from radishwind.outcomes import problem
+from radishwind.peers import PeerClient
+from radishwind.peers import PeerError
+from radishwind.settings import NodeSettings
+from radishwind.store import Backoff
+from radishwind.store import Store
+from radishwind.store import StoreCompactedError
+from radishwind.store import StoreError
+
+RUMOR_TOPIC = "config"
+_RUMOR_KEY = "newest"
+_RUMOR_TTL_S = 60.0
+
+_HEARD_WAITING = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigPeriods:
+    """How often the tasks act; each time is varied by half of itself.
+
+    Attributes:
+      told_members: members told of a newly adopted revision by this node.
+      peer_s: between exchanges with a random peer (s).
+      first_peer_s: the same while nothing is in force yet (s).
+      watch_turn_s: how long one watch is kept before the store is read
+        anew (s).
+      short_turn_s: the same where the store no longer tells past changes (s).
+      rank_s: between looks whether this node is to watch (s).
+      read_s: between reads of the store by nodes that don't watch (s).
+      first_read_s: the same while nothing is in force yet (s).
+      first_read_spread_s: over which time nodes that start together spread
+        their first read (s).
+      first_pause_s: the bound of the first pause after the store failed (s).
+      longest_pause_s: the longest pause (s).
+    """
+
+    told_members: int = 3
+    peer_s: float = 2.0
+    first_peer_s: float = 0.3
+    watch_turn_s: float = 60.0
+    short_turn_s: float = 2.0
+    rank_s: float = 2.0
+    read_s: float = 300.0
+    first_read_s: float = 10.0
+    first_read_spread_s: float = 0.5
+    first_pause_s: float = 0.2
+    longest_pause_s: float = 10.0
+
+
+class RumorOfRevision(msgspec.Struct, frozen=True):
+    """What the board carries: a revision and a node that has it."""
+
+    revision: int
+    address: str
+
+
+class ConfigTasks:
+    """Owns the configuration in force and the tasks that renew it.
+
+    Attributes:
+      adopter: holds the configuration and what was refused.
+      exchange: asks and answers peers.
+      index: look-ups over the configuration in force.
+      watching: whether this node's turn is to watch the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        clock: Clock,
+        rng: random.Random,
+        store: Store,
+        directory: Directory,
+        peers: PeerClient,
+        board: RumorBoard,
+        adopted: Callable[[ConfigIndex], None],
+        report: Callable[[str], None],
+        periods: ConfigPeriods = ConfigPeriods(),
+    ) -> None:
+        """Wires the tasks.
+
+        Args:
+          settings: of the node.
+          clock: the clock.
+          rng: the random source of pauses and choices.
+          store: the store, within the node's budget.
+          directory: the members known.
+          peers: sends control messages.
+          board: spreads the newest revision.
+          adopted: called with each configuration put in force.
+          report: takes a sentence for the log.
+          periods: how often the tasks act.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._store = store
+        self._directory = directory
+        self._board = board
+        self._on_adopted = adopted
+        self._report = report
+        self._periods = periods
+        self._send_heard, self._receive_heard = (
+            anyio.create_memory_object_stream[tuple[int, Address]](
+                _HEARD_WAITING
+            )
+        )
+        self._newly_adopted = anyio.Event()
+        self._read_at = clock.monotonic()
+        self.watching = False
+        self.adopter = Adopter()
+        self.index = ConfigIndex(self.adopter.snapshot.cfg)
+        self.exchange = Exchange(
+            self.adopter,
+            peers,
+            store,
+            settings.peer_listen,
+            self._heard,
+            self._adopted,
+        )
+        board.subscribe(RUMOR_TOPIC, self._take_rumor)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_store)
+            tasks.start_soon(self._ask_peers)
+            tasks.start_soon(self._ask_heard)
+            tasks.start_soon(self._tell_members)
+
+    async def handle_control(self, request: Request) -> Response:
+        """Answers the pull of a peer."""
+        try:
+            content = await _bounded_body(request)
+            return _json(self.exchange.answer(content))
+        except RevisionRefusedError as exc:
+            return problem(ResultCode.PEER_MALFORMED, str(exc), "not-run")
+
+    async def ask(self, address: Address) -> int | None:
+        """Asks one peer; returns the revision it told, `None` for no answer."""
+        try:
+            return (await self.exchange.ask(address)).revision
+        except PeerError:
+            return None
+        except RevisionRefusedError as exc:
+            self._refuse(Source.PEER, exc)
+            return None
+
+    def other_members(self) -> list[Member]:
+        """Returns the members that can be asked."""
+        return [
+            member
+            for member in self._directory.members()
+            if member.name != self._settings.target
+            and member.state is not MemberState.DEAD
+        ]
+
+    def _adopted(self, snapshot: Snapshot) -> None:
+        self.index = ConfigIndex(snapshot.cfg)
+        self._on_adopted(self.index)
+        self._report(f"revision {snapshot.revision} is in force")
+        self._newly_adopted.set()
+        rumor = RumorOfRevision(
+            snapshot.revision, str(self._settings.peer_listen)
+        )
+        self._board.publish(
+            RUMOR_TOPIC,
+            _RUMOR_KEY,
+            snapshot.revision,
+            msgspec.json.encode(rumor),
+            _RUMOR_TTL_S,
+        )
+
+    def _refuse(self, source: Source, exc: RevisionRefusedError) -> None:
+        if self.adopter.refuse(source, exc):
+            self._report(f"refused: {self.adopter.last_refusal}")
+
+    def _heard(self, revision: int, address: Address) -> None:
+        if revision <= self.adopter.snapshot.revision:
+            return
+        try:
+            self._send_heard.send_nowait((revision, address))
+        except anyio.WouldBlock:
+            # Others told enough; the slow exchange catches what is lost.
+            return
+
+    def _take_rumor(self, key: str, value: bytes) -> None:
+        try:
+            rumor = msgspec.json.decode(value, type=RumorOfRevision)
+            self._heard(rumor.revision, Address.parse(rumor.address))
+        except (msgspec.MsgspecError, ValueError) as exc:
+            self._report(f"malformed rumor {key[:40]}: {exc}")
+
+    async def _ask_heard(self) -> None:
+        async for revision, address in self._receive_heard:
+            if revision > self.adopter.snapshot.revision:
+                await self.ask(address)
+
+    async def _ask_peers(self) -> None:
+        while True:
+            members = self.other_members()
+            if members:
+                await self.ask(self._rng.choice(members).address)
+            fresh = self.adopter.snapshot.revision == 0
+            period_s = (
+                self._periods.first_peer_s if fresh else self._periods.peer_s
+            )
+            await anyio.sleep(jittered(self._rng, period_s))
+
+    async def _tell_members(self) -> None:
+        """Tells a few members of each revision adopted; they then ask."""
+        while True:
+            await self._newly_adopted.wait()
+            self._newly_adopted = anyio.Event()
+            members = self.other_members()
+            count = min(self._periods.told_members, len(members))
+            async with anyio.create_task_group() as tasks:
+                for member in self._rng.sample(members, count):
+                    tasks.start_soon(self.ask, member.address)
+
+    async def _follow_store(self) -> None:
+        await anyio.sleep(
+            self._rng.uniform(0, self._periods.first_read_spread_s)
+        )
+        backoff = Backoff(
+            self._rng,
+            self._periods.first_pause_s,
+            self._periods.longest_pause_s,
+        )
+        while True:
+            try:
+                await self._follow_once()
+                backoff.succeeded()
+            except StoreError:
+                await anyio.sleep(backoff.failed())
+            except RevisionRefusedError as exc:
+                self._refuse(Source.STORE, exc)
+                await anyio.sleep(backoff.failed())
+
+    async def _follow_once(self) -> None:
+        self.watching = is_watcher(
+            self._settings.target,
+            self._settings.failure_domain,
+            self._directory.members(),
+        )
+        if self.watching:
+            await self._watch_turn()
+            return
+        fresh = self.adopter.snapshot.revision == 0
+        period_s = self._periods.first_read_s if fresh else self._periods.read_s
+        since_s = self._clock.monotonic() - self._read_at
+        if since_s >= jittered(self._rng, period_s):
+            await self._read_store()
+        await anyio.sleep(jittered(self._rng, self._periods.rank_s))
+
+    async def _watch_turn(self) -> None:
+        """Reads the store, then watches it for one turn."""
+        stored_at = await self._read_store()
+        try:
+            with anyio.move_on_after(
+                jittered(self._rng, self._periods.watch_turn_s)
+            ):
+                async for _ in self._store.watch(ROOT_KEY, stored_at + 1):
+                    await self._read_store()
+        except StoreCompactedError:
+            with anyio.move_on_after(
+                jittered(self._rng, self._periods.short_turn_s)
+            ):
+                async for _ in self._store.watch(ROOT_KEY, 0):
+                    await self._read_store()
+
+    async def _read_store(self) -> int:
+        refusals = self.adopter.refusals
+        stored_at = await self.exchange.read_store()
+        self._read_at = self._clock.monotonic()
+        if self.adopter.refusals > refusals:
+            self._report(f"refused: {self.adopter.last_refusal}")
+        return stored_at
+
+
+async def _bounded_body(request: Request) -> bytes:
+    """Returns the body of a control message.
+
+    Raises:
+      RevisionRefusedError: it is longer than any of ours.
+    """
+    if not isinstance(request.body, BodyStream):
+        return request.body
+    pieces = []
+    size = 0
+    async for piece in request.body:
+        size += len(piece)
+        if size > MAX_MESSAGE_BYTES:
+            request.body.abort()
+            raise RevisionRefusedError(
+                f"expected at most {MAX_MESSAGE_BYTES} bytes, got more"
+            )
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def _json(content: bytes) -> Response:
+    return Response(200, (("Content-Type", "application/json"),), content)
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -101,6 +101,18 @@
         default=None,
         unit="HOST:PORT",
     )
+    store_calls_per_s: float = setting(
+        parsers.number(0.1, 100_000),
+        "Calls of the store this node may make in the long run.",
+        default=20.0,
+        unit="1/s",
+    )
+    store_burst: int = setting(
+        parsers.whole_number(1, 100_000),
+        "Calls of the store this node may make at once.",
+        default=100,
+        unit="calls",
+    )
     stop_grace_s: float = setting(
         parsers.number(0, 3600),
         "How long a planned stop waits for requests in progress.",
