Take the newest revision from the board of rumors

Cause: membership now gossips; the board stood unused. Only nodes that took a revision from the store announce it, without an address: with one, every node would have asked the same few, and each adopter's own value would have replaced the last on the board. A node that hears of a newer revision asks members said to have it, three times a second until it has it. Ruled out: pulling at once on hearing, since whoever adopts tells three others anyway and most need not ask.

--- a/src/radishwind/config/exchange.py
+++ b/src/radishwind/config/exchange.py
@@ -53,7 +53,7 @@
         store: Store,
         own_address: Address,
         heard: Callable[[int, Address], None],
-        adopted: Callable[[Snapshot], None],
+        adopted: Callable[[Snapshot, Source], None],
     ) -> None:
         """Wires the exchange.
 
@@ -63,7 +63,8 @@
           store: the store.
           own_address: this node's peer listener.
           heard: called when a peer tells that it has a higher revision.
-          adopted: called with each configuration put in force.
+          adopted: called with each configuration put in force, and where it
+            came from.
         """
         self.adopter = adopter
         self.answered = 0
@@ -111,7 +112,7 @@
             return offer
         snapshot = await self._catch_up(address, held, offer)
         if snapshot is not None:
-            self._adopt(snapshot)
+            self._adopt(snapshot, Source.PEER)
         return offer
 
     async def read_store(self) -> int:
@@ -148,7 +149,8 @@
             revision, change_id, Source.STORE, held.revision
         )
         if verdict is Verdict.NEWER and root is not None:
-            self._adopt(await self._repository.load(root, held))
+            snapshot = await self._repository.load(root, held)
+            self._adopt(snapshot, Source.STORE)
 
     async def _catch_up(
         self, address: Address, held: Snapshot, offer: Offer
@@ -179,9 +181,9 @@
         self.bytes_received += len(content)
         return decode_offer(content)
 
-    def _adopt(self, snapshot: Snapshot) -> None:
+    def _adopt(self, snapshot: Snapshot, source: Source) -> None:
         if self.adopter.adopt(snapshot):
-            self._adopted(snapshot)
+            self._adopted(snapshot, source)
 
 
 def jittered(rng: random.Random, period_s: float) -> float:
--- a/src/radishwind/config/watchers.py
+++ b/src/radishwind/config/watchers.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
+from radishwind.membership.ranking import ranks_among_first
 
 #: Two, so that one may be restarted unnoticed; more only cost store calls.
 WATCHERS_PER_DOMAIN = 2
@@ -36,10 +35,4 @@
         if member.failure_domain == failure_domain
         and member.state is MemberState.ALIVE
     }
-    own_rank = _rank(own_name)
-    ahead = [name for name in names - {own_name} if _rank(name) < own_rank]
-    return len(ahead) < count
-
-
-def _rank(name: str) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(name.encode()), name
+    return ranks_among_first(own_name, names, count)
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -22,18 +22,18 @@
 from radishwind.config.index import ConfigIndex
 from radishwind.config.parts import Snapshot
 from radishwind.config.records import ROOT_KEY
-from radishwind.config.spread import MAX_MESSAGE_BYTES
 from radishwind.config.watchers import is_watcher
 from radishwind.core import Clock
 from radishwind.core import ResultCode
 from radishwind.http import Address
 from radishwind.http import Request
 from radishwind.http import Response
-from radishwind.http.types import BodyStream
+from radishwind.http.types import whole_body
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
 from radishwind.membership.rumors import RumorBoard
+from radishwind.node.peer_security import advertised
 from radishwind.outcomes import problem
 from radishwind.peers import PeerClient
 from radishwind.peers import PeerError
@@ -58,7 +58,8 @@
     Attributes:
       told_members: members told of a newly adopted revision by this node.
       peer_s: between exchanges with a random peer (s).
-      first_peer_s: the same while nothing is in force yet (s).
+      lagging_peer_s: the same while nothing is in force yet, or a newer
+        revision is known of (s).
       watch_turn_s: how long one watch is kept before the store is read
         anew (s).
       short_turn_s: the same where the store no longer tells past changes (s).
@@ -73,7 +74,7 @@
 
     told_members: int = 3
     peer_s: float = 2.0
-    first_peer_s: float = 0.3
+    lagging_peer_s: float = 0.3
     watch_turn_s: float = 60.0
     short_turn_s: float = 2.0
     rank_s: float = 2.0
@@ -85,10 +86,12 @@
 
 
 class RumorOfRevision(msgspec.Struct, frozen=True):
-    """What the board carries: a revision and a node that has it."""
+    """What the board carries: the newest revision.
+
+    It names no node to ask, since all would ask that one.
+    """
 
     revision: int
-    address: str
 
 
 class ConfigTasks:
@@ -144,6 +147,8 @@
             )
         )
         self._newly_adopted = anyio.Event()
+        self._lagging = anyio.Event()
+        self._known_newest = 1
         self._read_at = clock.monotonic()
         self.watching = False
         self.adopter = Adopter()
@@ -152,7 +157,7 @@
             self.adopter,
             peers,
             store,
-            settings.peer_listen,
+            advertised(settings),
             self._heard,
             self._adopted,
         )
@@ -169,7 +174,7 @@
     async def handle_control(self, request: Request) -> Response:
         """Answers the pull of a peer."""
         try:
-            content = await _bounded_body(request)
+            content = await whole_body(request.body)
             return _json(self.exchange.answer(content))
         except RevisionRefusedError as exc:
             return problem(ResultCode.PEER_MALFORMED, str(exc), "not-run")
@@ -193,19 +198,18 @@
             and member.state is not MemberState.DEAD
         ]
 
-    def _adopted(self, snapshot: Snapshot) -> None:
+    def _adopted(self, snapshot: Snapshot, source: Source) -> None:
         self.index = ConfigIndex(snapshot.cfg)
         self._on_adopted(self.index)
         self._report(f"revision {snapshot.revision} is in force")
         self._newly_adopted.set()
-        rumor = RumorOfRevision(
-            snapshot.revision, str(self._settings.peer_listen)
-        )
+        if source is not Source.STORE:
+            return
         self._board.publish(
             RUMOR_TOPIC,
             _RUMOR_KEY,
             snapshot.revision,
-            msgspec.json.encode(rumor),
+            msgspec.json.encode(RumorOfRevision(snapshot.revision)),
             _RUMOR_TTL_S,
         )
 
@@ -225,9 +229,12 @@
     def _take_rumor(self, key: str, value: bytes) -> None:
         try:
             rumor = msgspec.json.decode(value, type=RumorOfRevision)
-            self._heard(rumor.revision, Address.parse(rumor.address))
-        except (msgspec.MsgspecError, ValueError) as exc:
+        except msgspec.MsgspecError as exc:
             self._report(f"malformed rumor {key[:40]}: {exc}")
+            return
+        if rumor.revision > self._known_newest:
+            self._known_newest = rumor.revision
+            self._lagging.set()
 
     async def _ask_heard(self) -> None:
         async for revision, address in self._receive_heard:
@@ -235,15 +242,27 @@
                 await self.ask(address)
 
     async def _ask_peers(self) -> None:
+        """Asks one at random, more often while a newer revision is known.
+
+        Asking those said to have it, not the one that told first, shares the
+        answers out.
+        """
         while True:
+            own = self.adopter.snapshot.revision
             members = self.other_members()
+            ahead = [m for m in members if m.config_revision > own]
             if members:
-                await self.ask(self._rng.choice(members).address)
-            fresh = self.adopter.snapshot.revision == 0
-            period_s = (
-                self._periods.first_peer_s if fresh else self._periods.peer_s
-            )
-            await anyio.sleep(jittered(self._rng, period_s))
+                await self.ask(self._rng.choice(ahead or members).address)
+            if self.adopter.snapshot.revision < self._known_newest:
+                pause_s = jittered(self._rng, self._periods.lagging_peer_s)
+                await anyio.sleep(pause_s)
+                continue
+            self._lagging = anyio.Event()
+            with anyio.move_on_after(jittered(self._rng, self._periods.peer_s)):
+                await self._lagging.wait()
+                # Whoever adopted it tells others; most need not ask.
+                pause_s = jittered(self._rng, self._periods.lagging_peer_s)
+                await anyio.sleep(pause_s)
 
     async def _tell_members(self) -> None:
         """Tells a few members of each revision adopted; they then ask."""
@@ -324,26 +343,5 @@
             self._report(f"refused: {self.adopter.last_refusal}")
 
 
-async def _bounded_body(request: Request) -> bytes:
-    """Returns the body of a control message.
-
-    Raises:
-      RevisionRefusedError: it is longer than any of ours.
-    """
-    if not isinstance(request.body, BodyStream):
-        return request.body
-    pieces = []
-    size = 0
-    async for piece in request.body:
-        size += len(piece)
-        if size > MAX_MESSAGE_BYTES:
-            request.body.abort()
-            raise RevisionRefusedError(
-                f"expected at most {MAX_MESSAGE_BYTES} bytes, got more"
-            )
-        pieces.append(piece)
-    return b"".join(pieces)
-
-
 def _json(content: bytes) -> Response:
     return Response(200, (("Content-Type", "application/json"),), content)
--- a/src/radishwind/node/tests/test_config_tasks.py
+++ b/src/radishwind/node/tests/test_config_tasks.py
@@ -18,7 +18,7 @@
 
 QUICK = ConfigPeriods(
     peer_s=0.05,
-    first_peer_s=0.01,
+    lagging_peer_s=0.01,
     watch_turn_s=5.0,
     rank_s=0.02,
     read_s=600.0,
