--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -68,6 +68,19 @@
             return exc.code, fields, exc.read()
 
 
+def command(*arguments: str) -> tuple[int, str, str]:
+    """Runs a `radishwind` command; returns exit code, output and errors."""
+    done = subprocess.run(
+        [sys.executable, "-m", "radishwind", *arguments],
+        env={**os.environ, "PYTHONPATH": SRC},
+        capture_output=True,
+        text=True,
+        timeout=2 * LIMIT_S,
+        check=False,
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
 class Process:
     """One `radishwind` process; it is ended by its id and by nothing else."""
 
