Load neither a node nor OpenTelemetry for an operator's command

Cause: the operators' commands imported the node for two message types, and the telemetry package imported OpenTelemetry for its logger, also in nodes that keep no metrics. The messages moved to config/reports.py; metrics are imported from radishwind.telemetry.metrics alone.

--- a/src/radishwind/cli/fleet.py
+++ b/src/radishwind/cli/fleet.py
@@ -11,11 +11,11 @@
 from radishwind.cli.admin import fetch_admin
 from radishwind.config.errors import ConfigError
 from radishwind.config.model import Configuration
+from radishwind.config.reports import CONFIG_PATH
+from radishwind.config.reports import ConfigInForce
+from radishwind.config.reports import FLEET_PATH
+from radishwind.config.reports import FleetReport
 from radishwind.core import ResultCode
-from radishwind.node.config_admin import CONFIG_PATH
-from radishwind.node.config_admin import ConfigInForce
-from radishwind.node.config_admin import FLEET_PATH
-from radishwind.node.config_admin import FleetReport
 
 _TIMEOUT_S = 30.0
 _STEP_S = 0.2
--- a/src/radishwind/node/config_admin.py
+++ b/src/radishwind/node/config_admin.py
@@ -4,10 +4,11 @@
 from typing import Any
 
 import anyio
-import msgspec
 
-from radishwind.config.model import Inventory
-from radishwind.config.model import Rules
+from radishwind.config.reports import CONFIG_PATH
+from radishwind.config.reports import ConfigInForce
+from radishwind.config.reports import FLEET_PATH
+from radishwind.config.reports import FleetReport
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.membership.directory import Member
@@ -17,47 +18,12 @@
 from radishwind.node.observe import Observation
 from radishwind.store import BudgetedStore
 
-CONFIG_PATH = "/v1/config"
-FLEET_PATH = "/v1/config/fleet"
-
 #: Members asked for one report; of more the revision heard last is told.
 _MAX_ASKED = 256
 _ASKED_AT_ONCE = 16
 _MAX_NAMED = 100
 
 
-class ConfigInForce(msgspec.Struct, frozen=True):
-    """The configuration a node has in force."""
-
-    revision: int
-    change_id: str
-    inventory: Inventory
-    rules: Rules
-
-
-class FleetReport(msgspec.Struct, frozen=True):
-    """Where a configuration is in force, as one node sees it.
-
-    Attributes:
-      revision: the revision in force at the node asked.
-      change_id: the change that made it.
-      members: nodes known, the one asked included.
-      in_force: how many of them have it, or a newer one.
-      lagging: the names of up to 100 that have an older one.
-      silent: the names of up to 100 that gave no answer.
-      unlisted: up to 100 that announced themselves but are not in the
-        inventory; they get no requests.
-    """
-
-    revision: int
-    change_id: str
-    members: int
-    in_force: int
-    lagging: tuple[str, ...]
-    silent: tuple[str, ...]
-    unlisted: tuple[str, ...]
-
-
 class ConfigAdmin:
     """Adds the paths and status fields of configuration."""
 
--- a/src/radishwind/telemetry/__init__.py
+++ b/src/radishwind/telemetry/__init__.py
@@ -1,7 +1,10 @@
-"""Logs by eliot and metrics by OpenTelemetry."""
+"""Logs by eliot and metrics by OpenTelemetry.
+
+`metrics` is imported only by nodes that keep metrics: OpenTelemetry takes
+time to load and memory.
+"""
 
 from radishwind.telemetry.logs import PartLogger
 from radishwind.telemetry.logs import start_logging
-from radishwind.telemetry.metrics import NodeMetrics
 
-__all__ = ["NodeMetrics", "PartLogger", "start_logging"]
+__all__ = ["PartLogger", "start_logging"]
--- a/src/radishwind/telemetry/tests/test_telemetry.py
+++ b/src/radishwind/telemetry/tests/test_telemetry.py
@@ -10,8 +10,8 @@
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.outcomes import Done
-from radishwind.telemetry import NodeMetrics
 from radishwind.telemetry import PartLogger
+from radishwind.telemetry.metrics import NodeMetrics
 
 
 def logged(act):
