--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -1,6 +1,5 @@
 """Composes a node and runs it until it is told to stop."""
 
-import contextlib
 import os
 import random
 import signal
@@ -8,7 +7,6 @@
 
 import anyio
 import anyio.abc
-import msgspec
 
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
@@ -21,6 +19,8 @@
 from radishwind.node.admin import AdminListener
 from radishwind.node.callers import CallerListener
 from radishwind.node.claims import make_claims
+from radishwind.node.config import make_config
+from radishwind.node.config import make_stores
 from radishwind.node.entry import node_chooser
 from radishwind.node.in_progress import CallersInProgress
 from radishwind.node.membership_tasks import MembershipTasks
@@ -33,11 +33,6 @@
 from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
-from radishwind.store import EtcdStore
-from radishwind.store import StoreError
-
-CONFIG_KEY = "/radishwind/config"
-_POLL_S = 0.5
 
 #: Connections kept to one peer or to the server, and to the store.
 _PEER_CONNECTIONS = 250
@@ -61,8 +56,11 @@
     def _build_control(self) -> None:
         library = self._settings.http_library
         self._sender = make_sender(library, _PEER_CONNECTIONS)
-        self._store = EtcdStore(
-            make_sender(library, _STORE_CONNECTIONS), self._settings.store
+        self._stores = make_stores(
+            self._settings,
+            make_sender(library, _STORE_CONNECTIONS),
+            self._clock,
+            self._rng,
         )
         self._signer, self._verifier = make_peer_security(
             self._settings, self._clock
@@ -74,13 +72,13 @@
             rng=self._rng,
             index=lambda: self._index,
             client=self._client,
-            store=self._store,
+            store=self._stores.control,
         )
         self._claims = make_claims(
             self._settings,
             self._clock,
             self._rng,
-            self._store,
+            self._stores.claims,
             lambda: len(self._membership.directory.members()),
         )
         self._observation = Observation(
@@ -140,6 +138,19 @@
         self._admin.add_status(self._claims.status)
         self._target_side.add_to(self._admin)
         self._observation.add_to(self._admin, self._peers)
+        self._config = make_config(
+            settings=self._settings,
+            clock=self._clock,
+            rng=self._rng,
+            stores=self._stores,
+            directory=self._membership.directory,
+            peers=self._client,
+            board=self._membership.board,
+            listener=self._peers,
+            admin=self._admin,
+            observation=self._observation,
+            adopted=self._adopted,
+        )
         library = self._settings.http_library
         self._servers = [make_server(library) for _ in range(3)]
 
@@ -150,7 +161,7 @@
             self._claims.start(tasks)
             await peers.start(self._peers.handle, self._settings.peer_listen)
             await admin.start(self._admin.handle, self._settings.admin_listen)
-            tasks.start_soon(self._poll_store)
+            tasks.start_soon(self._config.run)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._target_side.run)
             tasks.start_soon(self._wait_for_signal)
@@ -176,7 +187,7 @@
         for server in self._servers:
             await server.close(1.0)
         await self._sender.close()
-        await self._store.close()
+        await self._stores.close()
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
@@ -195,7 +206,6 @@
     def _status(self) -> dict[str, Any]:
         return {
             "target": self._settings.target,
-            "config_revision": self._index.cfg.revision,
             "leaving": self._target.leaving,
             "peer_requests_refused": {
                 str(int(code)): count
@@ -203,19 +213,7 @@
             },
         }
 
-    async def _poll_store(self) -> None:
-        while True:
-            with contextlib.suppress(StoreError):
-                await self._read_config()
-            await anyio.sleep(_POLL_S)
-
-    async def _read_config(self) -> None:
-        entry = await self._store.get(CONFIG_KEY)
-        if entry is None:
-            return
-        cfg = msgspec.json.decode(entry.value, type=Configuration)
-        if cfg.revision <= self._index.cfg.revision:
-            return
-        self._index = ConfigIndex(cfg)
-        self._membership.note_revision(cfg.revision)
-        self._target_side.adopt(self._index)
+    def _adopted(self, index: ConfigIndex) -> None:
+        self._index = index
+        self._membership.note_revision(index.cfg.revision)
+        self._target_side.adopt(index)
--- /dev/null
+++ b/tests/support/configs.py
@@ -0,0 +1,179 @@
+"""Configurations for tests, and operators who accept them in this process."""
+
+import random
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+
+from radishwind.config.accept import Acceptor
+from radishwind.config.accept import Change
+from radishwind.config.model import FailureDomain
+from radishwind.config.model import Inventory
+from radishwind.config.model import Link
+from radishwind.config.model import Service
+from radishwind.config.model import Target
+from radishwind.config.parts import Snapshot
+from radishwind.config.records import ROOT_KEY
+from radishwind.config.repository import ConfigRepository
+from radishwind.core import ManualClock
+from radishwind.core import SystemClock
+from radishwind.http import Address
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.membership.rumors import SilentBoard
+from radishwind.node.config_tasks import ConfigPeriods
+from radishwind.node.config_tasks import ConfigTasks
+from radishwind.peers import HttpPeerClient
+from radishwind.settings import NodeSettings
+from radishwind.standins.store import StoreStandin
+from radishwind.store import EtcdStore
+from radishwind.store.gateway import encode_bytes
+from tests.support.direct import DirectSender
+
+STORE = Address("127.0.0.1", 1)
+_ROOT = encode_bytes(ROOT_KEY.encode()).encode()
+
+
+def inventory(services: int = 3, targets: int = 2, slots: int = 9) -> Inventory:
+    """Returns an inventory; `slots` are those of the first target."""
+    domains = ("dom-a", "dom-b", "dom-c")
+    return Inventory(
+        tuple(FailureDomain(name) for name in domains),
+        tuple(Service(f"svc-{i:04d}") for i in range(services)),
+        tuple(
+            Target(
+                f"svc-{s:04d}-{t}",
+                f"svc-{s:04d}",
+                domains[(s + t) % 3],
+                slots if (s, t) == (0, 0) else 9,
+            )
+            for s in range(services)
+            for t in range(targets)
+        ),
+        tuple(
+            Link(a, b, 1.5)
+            for i, a in enumerate(domains)
+            for b in domains[i + 1 :]
+        ),
+    )
+
+
+class Desk:
+    """A store's stand-in, and an operator's program beside it."""
+
+    def __init__(self, seed: int = 1, settle_s: float = 0.0) -> None:
+        self.clock = ManualClock()
+        self.standin = StoreStandin(self.clock)
+        self.sender = DirectSender()
+        self.sender.handlers[STORE] = self._handle
+        self.on_swap = self.standin.handle
+        self.store = EtcdStore(self.sender, STORE, timeout_s=0.2)
+        self.repository = ConfigRepository(self.store)
+        self.acceptor = Acceptor(
+            self.store, self.clock, random.Random(seed), settle_s
+        )
+
+    async def _handle(self, request):
+        """Lets other tasks run; hands the swap of the root to `on_swap`."""
+        await anyio.lowlevel.checkpoint()
+        swap = request.path == "/v3/kv/txn" and _ROOT in request.body
+        handle = self.on_swap if swap else self.standin.handle
+        return await handle(request)
+
+    async def apply(self, content, operator="ada", base=None, above=0):
+        return await self.acceptor.accept(
+            Change(content, operator, base, above)
+        )
+
+    async def loaded(self) -> Snapshot:
+        root, _ = await self.repository.newest()
+        return await self.repository.load(root, Snapshot())
+
+    def keys(self, prefix: str) -> list[str]:
+        held = self.standin.state._values
+        return sorted(k.decode() for k in held if k.decode().startswith(prefix))
+
+    def paths(self) -> list[str]:
+        return [request.path for _, request in self.sender.sent]
+
+
+class FixedDirectory(Directory):
+    """The members it is given."""
+
+    def __init__(self) -> None:
+        self.known: tuple[Member, ...] = ()
+
+    def of_service(self, service: str) -> tuple[Member, ...]:
+        return tuple(m for m in self.known if m.service == service)
+
+    def members(self) -> tuple[Member, ...]:
+        return self.known
+
+
+class ConfigFleet:
+    """The configuration tasks of many nodes in this process."""
+
+    def __init__(self, desk: Desk, periods: ConfigPeriods) -> None:
+        self.desk = desk
+        self.nodes: dict[str, ConfigTasks] = {}
+        self.reports: list[str] = []
+        self._periods = periods
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._directory = FixedDirectory()
+
+    def start(self, tasks: anyio.abc.TaskGroup, name: str, domain: str) -> None:
+        """Starts a node; the others know it at once."""
+        number = len(self.nodes) + 10
+        address = Address(f"10.0.{number // 250}.{number % 250}", 1)
+        member = Member(name, "svc-0000", domain, address)
+        known = [m for m in self._directory.known if m.name != name]
+        self._directory.known = (*known, member)
+        node = self._node(name, domain, address, number)
+        self.nodes[name] = node
+        self.desk.sender.handlers[address] = node.handle_control
+        scope = self._scopes[name] = anyio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await node.run()
+
+        tasks.start_soon(run)
+
+    def stop(self) -> None:
+        for scope in self._scopes.values():
+            scope.cancel()
+
+    def revisions(self) -> set[int]:
+        return {n.adopter.snapshot.revision for n in self.nodes.values()}
+
+    async def until(self, condition) -> None:
+        """Waits until `condition` holds; fails after a long time."""
+        with anyio.fail_after(20):
+            while not condition():
+                await anyio.lowlevel.checkpoint()
+
+    async def in_force(self, revision: int) -> None:
+        await self.until(lambda: self.revisions() == {revision})
+
+    def _node(
+        self, name: str, domain: str, address: Address, seed: int
+    ) -> ConfigTasks:
+        return ConfigTasks(
+            settings=NodeSettings(
+                target=name,
+                service="svc-0000",
+                failure_domain=domain,
+                store=STORE,
+                peer_listen=address,
+            ),
+            clock=SystemClock(),
+            rng=random.Random(seed),
+            store=EtcdStore(self.desk.sender, STORE, timeout_s=0.2),
+            directory=self._directory,
+            peers=HttpPeerClient(self.desk.sender),
+            board=SilentBoard(),
+            adopted=lambda index: None,
+            report=self.reports.append,
+            periods=self._periods,
+        )
