--- a/src/radishwind/routing/balanced.py
+++ b/src/radishwind/routing/balanced.py
@@ -6,6 +6,7 @@
 `docs/design/03-routing.md` has the ways weighed and the measurements.
 """
 
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -19,35 +20,31 @@
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.chooser import TargetChooser
 from radishwind.routing.sample import Candidates
+from radishwind.routing.state import SPREAD
 from radishwind.routing.state import TargetState
 from radishwind.routing.state import TargetTable
 
 #: What the exchange with another node's process adds (s).
 FORWARDING_S = 0.0005
 
-#: Share of the answer time that a target with all slots taken adds before
-#: anything queues. It spreads work, and bounds how long the own failure
-#: domain is preferred.
-SPREAD = 0.5
-
 #: A failure counts as an answer of so many times the typical one, doubled
 #: with each further failure in a row.
 FAILURE_FACTOR = 4.0
 MAX_DOUBLINGS = 6
 
-#: A target smoothed above so many times the typical answer time gets one
-#: attempt at a time until an answer shows that it has recovered.
-TRIAL_FACTOR = 2.0
-_TRIAL_BUSY_FACTOR = 10.0
-
 #: How long a target that said it is leaving is passed over (s); by then the
 #: membership has dropped it.
 LEAVING_S = 5.0
 
 MAX_SERVICES = 256
+
+#: Answer time taken as typical before the first answer (s).
 _FIRST_ANSWER_S = 0.005
+
+#: What a target without a state is taken to add to the typical answer time:
+#: as one that is half loaded, so that it is tried like any other.
+_UNKNOWN_ADDED = SPREAD / 4
 _TYPICAL_WEIGHT = 0.02
-_MIN_WARM = 0.1
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
 
 #: Refusals that tell of the request or of its lateness, not of the target.
@@ -138,57 +135,27 @@
     ) -> Member | None:
         """Returns the member of least cost, `None` if none takes work."""
         best: Member | None = None
-        least_s = 0.0
+        least_s = math.inf
+        known = self._table.get
+        typical_s = service.typical_s or _FIRST_ANSWER_S
         for member in drawn:
-            state = self._table.get(member.name)
-            if state is not None and state.leaving_until > now:
+            state = known(member.name)
+            if state is None:
+                hop_s = self._hop_s(member)
+                cost_s = hop_s + typical_s * (1 + _UNKNOWN_ADDED)
+            elif state.leaving_until > now:
                 continue
-            cost_s = self._cost_s(member, state, service, now)
-            if best is None or cost_s < least_s:
+            else:
+                if state.derived != service.version:
+                    self._derive(state, member, service)
+                exact = self._own_load if member is service.own else None
+                cost_s = state.cost_s(typical_s, now, exact and exact())
+            if cost_s < least_s:
                 best, least_s = member, cost_s
         if best is not None:
             self._remember(best, service, now)
         return best
 
-    def _cost_s(
-        self,
-        member: Member,
-        state: TargetState | None,
-        service: Candidates,
-        now: float,
-    ) -> float:
-        """Returns the answer time to expect of `member` (s)."""
-        typical_s = service.typical_s or _FIRST_ANSWER_S
-        if state is None:
-            state = self._fresh(member, service)
-        elif state.derived != service.version:
-            self._derive(state, member, service)
-        in_flight = state.in_flight
-        slots, warm = state.slots, state.warm
-        if member.name == self._node_name and self._own_load is not None:
-            load = self._own_load()
-            slots, warm = max(1, load.slots), load.warm
-            total = float(load.in_flight + load.queued)
-        else:
-            total = in_flight + state.others_now(now)
-        answer_s = state.answer_now_s(typical_s, now)
-        on_trial = answer_s > TRIAL_FACTOR * typical_s and in_flight
-        answer_s = max(answer_s, state.mean_age_s(now))
-        if on_trial:
-            answer_s *= _TRIAL_BUSY_FACTOR
-        slots_now = slots * max(_MIN_WARM, warm)
-        load_share = (total + 1) / slots_now
-        added = SPREAD * load_share * load_share + max(0.0, load_share - 1)
-        return state.hop_s + answer_s * (1 + added)
-
-    def _fresh(self, member: Member, service: Candidates) -> TargetState:
-        return TargetState(
-            service,
-            service.version,
-            self._hop_s(member),
-            self._slots(member.name),
-        )
-
     def _derive(
         self, state: TargetState, member: Member, service: Candidates
     ) -> None:
@@ -200,9 +167,11 @@
     def _remember(
         self, member: Member, service: Candidates, now: float
     ) -> None:
-        if self._table.get(member.name) is None:
-            fresh = self._fresh(member, service)
-            self._table.use(member.name, fresh, now)
+        if self._table.get(member.name) is not None:
+            return
+        hop_s, slots = self._hop_s(member), self._slots(member.name)
+        fresh = TargetState(service, service.version, hop_s, slots)
+        self._table.use(member.name, fresh, now)
 
     def _hop_s(self, member: Member) -> float:
         if member.name == self._node_name:
--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -7,6 +7,20 @@
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.sample import Candidates
 
+#: Share of the answer time that a target with all slots taken adds before
+#: anything queues. It spreads work, and bounds how long the own failure
+#: domain is preferred.
+SPREAD = 0.5
+
+#: A target smoothed above so many times the typical answer time gets one
+#: attempt at a time until an answer shows that it has recovered; a second one
+#: counts as so many times as long.
+TRIAL_FACTOR = 2.0
+TRIAL_BUSY_FACTOR = 10.0
+
+#: The least a cold server counts for.
+MIN_WARM = 0.1
+
 #: How fast a load report loses weight against its long-run mean (s). Load
 #: swings within milliseconds, so it is short.
 REPORT_FADE_S = 0.1
@@ -35,7 +49,7 @@
       service: the candidates it is one of.
       derived: the version of those that `hop_s` was derived from.
       hop_s: network time to the target and back (s), not part of answer times.
-      slots: requests it runs at once.
+      capacity: requests it runs at once; fewer for a cold server.
       in_flight: own attempts without an answer yet.
       starts_s: sum of the start times of those (s), for their mean age.
       answer_s: smoothed answer time (s) as of `answered`; 0 before the first.
@@ -44,7 +58,6 @@
       others: requests of others there, by the last report.
       others_mean: the same, smoothed over a second.
       reported: when the last report came (s).
-      warm: 0 for a server just started to 1 for a warm one.
       leaving_until: it takes no new work before this time (s).
       used: when an attempt last began or ended (s).
     """
@@ -52,7 +65,7 @@
     service: Candidates
     derived: int
     hop_s: float
-    slots: int
+    capacity: float
     in_flight: int = 0
     starts_s: float = 0.0
     answer_s: float = 0.0
@@ -61,7 +74,6 @@
     others: float = 0.0
     others_mean: float = 0.0
     reported: float = -math.inf
-    warm: float = 1.0
     leaving_until: float = -math.inf
     used: float = -math.inf
 
@@ -80,12 +92,6 @@
             # Drops what rounding left over.
             self.starts_s = 0.0
 
-    def mean_age_s(self, now: float) -> float:
-        """Returns the mean age of the attempts in flight (s)."""
-        if not self.in_flight:
-            return 0.0
-        return now - self.starts_s / self.in_flight
-
     def answer_now_s(self, typical_s: float, now: float) -> float:
         """Returns the answer time to expect (s), before this moment's load.
 
@@ -111,14 +117,45 @@
         self.others_mean = others + (self.others_mean - others) * kept
         self.others = others
         self.reported = now
-        self.slots = max(1, load.slots)
-        self.warm = min(1.0, max(0.0, load.warm))
-
-    def others_now(self, now: float) -> float:
-        """Returns the requests of others to expect there."""
-        age_s = now - self.reported
-        mean = self.others_mean * math.exp(-age_s / RECOVERY_S)
-        return mean + (self.others - mean) * math.exp(-age_s / REPORT_FADE_S)
+        self.capacity = capacity(load)
+
+    def cost_s(
+        self, typical_s: float, now: float, exact: LoadReport | None = None
+    ) -> float:
+        """Returns the answer time to expect of one more attempt (s).
+
+        Args:
+          typical_s: the answer time of the service's targets (s).
+          now: monotonic time (s).
+          exact: the load as of now, where it is known.
+        """
+        fade = math.exp((self.answered - now) / RECOVERY_S)
+        answer_s = typical_s
+        if self.answer_s:
+            answer_s += (self.answer_s - typical_s) * fade
+        in_flight = self.in_flight
+        if in_flight:
+            on_trial = answer_s > TRIAL_FACTOR * typical_s
+            age_s = now - self.starts_s / in_flight
+            answer_s = max(answer_s, age_s)
+            if on_trial:
+                answer_s *= TRIAL_BUSY_FACTOR
+        if exact is not None:
+            share = (exact.in_flight + exact.queued + 1) / capacity(exact)
+        else:
+            aged = math.exp((self.reported - now) / REPORT_FADE_S)
+            mean = self.others_mean * fade
+            others = mean + (self.others - mean) * aged
+            share = (in_flight + others + 1) / self.capacity
+        added = SPREAD * share * share
+        if share > 1:
+            added += share - 1
+        return self.hop_s + answer_s * (1 + added)
+
+
+def capacity(load: LoadReport) -> float:
+    """Returns the slots that a target offers; a cold server's are fewer."""
+    return max(1, load.slots) * min(1.0, max(MIN_WARM, load.warm))
 
 
 class TargetTable:
