--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -1,12 +1,11 @@
 """Microseconds per decision and bytes per target of each routing policy.
 
-`python -m bench.decisions --seed 1` prints a table and writes
-`docs/measurements/decisions.json` and `.md`.
+`python -m bench.decisions --seed 1` prints a table and keeps it in
+`docs/measurements/`; `--trial` only prints it.
 """
 
 import argparse
 import gc
-import pathlib
 import random
 import statistics
 import time
@@ -15,9 +14,8 @@
 
 import msgspec
 
-from bench.report import commit
+from bench.report import keep
 from bench.report import table
-from bench.report import write
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
 from radishwind.config.model import Inventory
@@ -167,24 +165,26 @@
     """Runs the bench."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument(
-        "--out", type=pathlib.Path, default=pathlib.Path("docs/measurements")
-    )
+    parser.add_argument("--trial", action="store_true")
     options = parser.parse_args()
     rows = [
-        measure(policy, options.seed, targets)
+        msgspec.structs.asdict(measure(policy, options.seed, targets))
         for policy in RoutingPolicy
         for targets in SIZES
     ]
-    text = (
-        "# Decisions\n\n"
-        f"`python -m bench.decisions --seed {options.seed}` on commit "
-        f"{commit()}. Time of one `choose` alone: median, least and greatest "
-        f"of {ROUNDS} rounds of {DECISIONS}; bookkeeping is `started` and "
-        "`finished` of one attempt; bytes are what a policy holds per target "
-        "once all were used.\n\n" + table(rows)
+    if options.trial:
+        print(table(rows))
+        return
+    keep(
+        "decisions",
+        "Decisions",
+        f"python -m bench.decisions --seed {options.seed}",
+        [("Time and memory", rows)],
+        f"Time of one `choose` alone: median, least and greatest of {ROUNDS} "
+        f"rounds of {DECISIONS}; bookkeeping is `started` and `finished` of "
+        "one attempt; bytes are what a policy holds per target once all were "
+        "used.",
     )
-    write(options.out, "decisions", text, rows)
 
 
 if __name__ == "__main__":
--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -136,7 +136,7 @@
         in_flight = self.in_flight
         if in_flight:
             on_trial = answer_s > TRIAL_FACTOR * typical_s
-            age_s = now - self.starts_s / in_flight
+            age_s = now - self.starts_s / in_flight - self.hop_s
             answer_s = max(answer_s, age_s)
             if on_trial:
                 answer_s *= TRIAL_BUSY_FACTOR
