Bring slow targets back by explicit trials

Fading alone left a recovered straggler for ever a hair dearer than the others at an even load: a test waited 76 s of its clock for one pick. One decision in a hundred may now go to a near target that was slow and silent for 2 s, or that was never used, one attempt at a time; a usual answer then halves the gap. The typical answer time is clipped, since three answers of a straggler had raised it from 10 to 38 ms. Ties fall to a random candidate.

Ruled out: giving unknown targets a lower cost, since a node would then send its first request to every new target at once.

--- a/src/radishwind/routing/balanced.py
+++ b/src/radishwind/routing/balanced.py
@@ -32,6 +32,10 @@
 FAILURE_FACTOR = 4.0
 MAX_DOUBLINGS = 6
 
+#: Share of decisions that may go to a near target not heard of for long,
+#: whatever its expected answer time; it bounds what trials cost the tail.
+TRIAL_SHARE = 0.01
+
 #: How long a target that said it is leaving is passed over (s); by then the
 #: membership has dropped it.
 LEAVING_S = 5.0
@@ -45,6 +49,7 @@
 #: as one that is half loaded, so that it is tried like any other.
 _UNKNOWN_ADDED = SPREAD / 4
 _TYPICAL_WEIGHT = 0.02
+_TYPICAL_CLIP = 4.0
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
 
 #: Refusals that tell of the request or of its lateness, not of the target.
@@ -101,6 +106,11 @@
         if best is None:
             drawn = service.scan(self._rng, exclude)
             best = self._least(drawn, service, now)
+        if best is None:
+            return None
+        if self._rng.random() < TRIAL_SHARE:
+            best = self._trial(drawn, service, now) or best
+        self._remember(best, service, now)
         return best
 
     def started(self, name: str, now: float) -> None:
@@ -152,10 +162,21 @@
                 cost_s = state.cost_s(typical_s, now, exact and exact())
             if cost_s < least_s:
                 best, least_s = member, cost_s
-        if best is not None:
-            self._remember(best, service, now)
         return best
 
+    def _trial(
+        self, drawn: list[Member], service: Candidates, now: float
+    ) -> Member | None:
+        """Returns a near member whose answer time is not known, if any."""
+        most_s = FORWARDING_S + min(self._hop_s(m) for m in drawn)
+        for member in drawn:
+            if self._hop_s(member) > most_s:
+                continue
+            state = self._table.get(member.name)
+            if state is None or state.trial_due(service.typical_s, now):
+                return member
+        return None
+
     def _derive(
         self, state: TargetState, member: Member, service: Candidates
     ) -> None:
@@ -223,7 +244,9 @@
     state.failures = 0
     state.learn(answer_s, typical_s, now)
     before = typical_s or answer_s
-    service.typical_s = before + _TYPICAL_WEIGHT * (answer_s - before)
+    # Clipped, so that a straggler's answers do not make it typical.
+    clipped_s = min(answer_s, before * _TYPICAL_CLIP)
+    service.typical_s = before + _TYPICAL_WEIGHT * (clipped_s - before)
 
 
 def _is_leaving(outcome: Outcome | None, load: LoadReport | None) -> bool:
--- a/src/radishwind/routing/sample.py
+++ b/src/radishwind/routing/sample.py
@@ -6,7 +6,8 @@
 
 from radishwind.membership.directory import Member
 
-#: Candidates drawn from the nearest, the second nearest, and the rest.
+#: Candidates drawn from the nearest, the second nearest, and the rest: one or
+#: two each.
 DRAWS = (2, 1, 1)
 
 #: Members looked at in turn when none of those drawn is fit.
@@ -23,14 +24,17 @@
       typical_s: smoothed answer time of the service's targets (s).
     """
 
-    __slots__ = ("_tiers", "members", "own", "typical_s", "version")
+    __slots__ = ("_fixed", "_large", "members", "own", "typical_s", "version")
 
     def __init__(self) -> None:
         self.members: Sequence[Member] = ()
         self.own: Member | None = None
         self.version = 0
         self.typical_s = 0.0
-        self._tiers: list[list[Member]] = []
+        # Members always drawn; and the larger groups to draw from, each with
+        # its size and the number of draws.
+        self._fixed: list[Member] = []
+        self._large: list[tuple[list[Member], int, int]] = []
 
     def update(
         self,
@@ -48,15 +52,32 @@
         self.members = members
         self.own = next((m for m in members if m.name == own_name), None)
         self.version += 1
-        self._tiers = _tiers(members, distance_s)
+        self._fixed = [self.own] if self.own is not None else []
+        self._large = []
+        tiers = _tiers(members, distance_s)
+        nearest, *farther = DRAWS
+        # The own member stands for one draw of its group, the nearest.
+        draws = (nearest - len(self._fixed), *farther)
+        for tier, count in zip(tiers, draws, strict=False):
+            others = [m for m in tier if m is not self.own]
+            if len(others) <= count:
+                self._fixed += others
+            else:
+                self._large.append((others, len(others), count))
 
     def draw(self, rng: random.Random, exclude: frozenset[str]) -> list[Member]:
-        """Returns a few members that are not in `exclude`."""
-        drawn = [self.own] if self.own is not None else []
-        for tier, count in zip(self._tiers, DRAWS, strict=False):
-            drawn += _draw_from(tier, count, rng)
+        """Returns a few different members that are not in `exclude`."""
+        # In turn from a random one on, so that ties do not fall to the first.
+        start = int(rng.random() * len(self._fixed))
+        drawn = self._fixed[start:] + self._fixed[:start]
+        for tier, size, count in self._large:
+            first = int(rng.random() * size)
+            drawn.append(tier[first])
+            if count == 2:
+                second = int(rng.random() * (size - 1))
+                drawn.append(tier[second + (second >= first)])
         if exclude:
-            drawn = [m for m in drawn if m.name not in exclude]
+            return [m for m in drawn if m.name not in exclude]
         return drawn
 
     def scan(self, rng: random.Random, exclude: frozenset[str]) -> list[Member]:
@@ -81,17 +102,3 @@
     groups = [by_distance[d] for d in sorted(by_distance)]
     rest = [m for group in groups[2:] for m in group]
     return [*groups[:2], rest] if rest else groups[:2]
-
-
-def _draw_from(
-    tier: list[Member], count: int, rng: random.Random
-) -> list[Member]:
-    """Draws one or two different members of `tier`, or all if it is small."""
-    size = len(tier)
-    if size <= count:
-        return tier
-    first = int(rng.random() * size)
-    if count == 1:
-        return [tier[first]]
-    second = int(rng.random() * (size - 1))
-    return [tier[first], tier[second + (second >= first)]]
--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -31,6 +31,10 @@
 #: Weight of one answer in the smoothed answer time.
 ANSWER_WEIGHT = 0.1
 
+#: Weight of an answer in the usual time from a target smoothed as slow: a few
+#: trials bring it back.
+TRIAL_WEIGHT = 0.5
+
 #: A target is forgotten once unused for so long (s).
 FORGET_S = 60.0
 
@@ -107,7 +111,11 @@
     def learn(self, sample_s: float, typical_s: float, now: float) -> None:
         """Takes one answer time (s) into the smoothed one."""
         before = self.answer_now_s(typical_s, now) or sample_s
-        self.answer_s = before + ANSWER_WEIGHT * (sample_s - before)
+        slow_s = TRIAL_FACTOR * typical_s
+        weight = ANSWER_WEIGHT
+        if sample_s < slow_s < before:
+            weight = TRIAL_WEIGHT
+        self.answer_s = before + weight * (sample_s - before)
         self.answered = now
 
     def report(self, load: LoadReport, now: float) -> None:
@@ -119,6 +127,14 @@
         self.reported = now
         self.capacity = capacity(load)
 
+    def trial_due(self, typical_s: float, now: float) -> bool:
+        """Returns whether only a trial can tell that the target recovered."""
+        if self.in_flight or now < self.leaving_until:
+            return False
+        if now - self.used < RECOVERY_S:
+            return False
+        return self.answer_s > TRIAL_FACTOR * typical_s
+
     def cost_s(
         self, typical_s: float, now: float, exact: LoadReport | None = None
     ) -> float:
@@ -137,7 +153,8 @@
         if in_flight:
             on_trial = answer_s > TRIAL_FACTOR * typical_s
             age_s = now - self.starts_s / in_flight - self.hop_s
-            answer_s = max(answer_s, age_s)
+            if age_s > answer_s:
+                answer_s = age_s
             if on_trial:
                 answer_s *= TRIAL_BUSY_FACTOR
         if exact is not None:
@@ -163,6 +180,8 @@
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
+        #: Returns the state of a target by its name, or `None`.
+        self.get = self._states.get
 
     def __len__(self) -> int:
         return len(self._states)
@@ -170,10 +189,6 @@
     def __iter__(self) -> Iterator[str]:
         return iter(self._states)
 
-    def get(self, name: str) -> TargetState | None:
-        """Returns the state of the target `name`, if there is one."""
-        return self._states.get(name)
-
     def use(self, name: str, state: TargetState, now: float) -> None:
         """Keeps `state` as the most recently used and sweeps a little."""
         self._states.pop(name, None)
