Test attempts, retry budget and hedges

Races between a first attempt and its hedge are driven by events, without timed waits: the loser is cancelled or its body aborted, never both answers, never the same target twice, a failed hedge leaves the first attempt running.

--- /dev/null
+++ b/src/radishwind/entry/tests/test_attempts.py
@@ -0,0 +1,300 @@
+import random
+
+import anyio
+import pytest
+
+from radishwind.claims import NoClaims
+from radishwind.config.index import ConfigIndex
+from radishwind.config.model import Configuration
+from radishwind.config.model import Inventory
+from radishwind.config.model import Service
+from radishwind.core import ManualClock
+from radishwind.core import ResultCode
+from radishwind.entry import AttemptResult
+from radishwind.entry import AttemptRunner
+from radishwind.entry import EntryPipeline
+from radishwind.hedging import HedgePolicy
+from radishwind.http.types import Address
+from radishwind.http.types import BodyStream
+from radishwind.http.types import header
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.retries import RetryNotRun
+from radishwind.routing.baselines import RoundRobin
+
+pytestmark = pytest.mark.anyio
+
+REFUSED = NotRun(ResultCode.CONNECT_FAILED, "refused")
+BROKEN = Unknown(ResultCode.EXCHANGE_BROKEN, "broken")
+INDEX = ConfigIndex(
+    Configuration(inventory=Inventory(services=(Service("tags"),)))
+)
+
+
+class Stream(BodyStream):
+    aborted = False
+
+    async def __aiter__(self):
+        yield b"piece"
+
+    def abort(self):
+        self.aborted = True
+
+
+class ListedDirectory(Directory):
+    def __init__(self, count):
+        self._members = tuple(
+            Member(f"t{i}", "tags", "a", Address("127.0.0.1", i + 1))
+            for i in range(count)
+        )
+
+    def of_service(self, service):
+        return self._members
+
+    def members(self):
+        return self._members
+
+
+class ScriptedRunner(AttemptRunner):
+    """Plays one entry of the script per attempt: an outcome, or a wait."""
+
+    def __init__(self, *script):
+        self._script = list(script)
+        self.attempts = []
+        self.cancelled = []
+
+    async def run(self, call, member, attempt_id):
+        number = len(self.attempts)
+        self.attempts.append((attempt_id.rpartition(".")[2], member.name))
+        step = self._script[number]
+        try:
+            while isinstance(step, anyio.Event):
+                await step.wait()
+                step = self._script[number]
+        except BaseException:
+            self.cancelled.append(member.name)
+            raise
+        return AttemptResult(step)
+
+
+class HedgeAtOnce(HedgePolicy):
+    def __init__(self, tokens=1):
+        self.tokens = tokens
+        self.ended = []
+
+    def delay_s(self, call, now):
+        return 0.0 if call.idempotent else None
+
+    def spend(self, call, now):
+        self.tokens -= 1
+        return self.tokens >= 0
+
+    def finished(self, call, now, elapsed_s, outcome, load):
+        self.ended.append(outcome)
+
+
+class Entry:
+    def __init__(self, *script, targets=3, hedges=None):
+        self.runner = ScriptedRunner(*script)
+        self.chooser = RoundRobin(random.Random(1))
+        self.pipeline = EntryPipeline(
+            node_name="n",
+            clock=ManualClock(),
+            rng=random.Random(1),
+            index=lambda: INDEX,
+            directory=ListedDirectory(targets),
+            chooser=self.chooser,
+            retries=RetryNotRun(),
+            runner=self.runner,
+            claims=NoClaims(),
+            hedges=hedges,
+        )
+
+    async def ask(self, method="GET", body=b""):
+        with anyio.fail_after(10):
+            return await self.pipeline.handle(
+                Request(method, "/tags/1", (), body)
+            )
+
+    def targets(self):
+        return [name for _, name in self.runner.attempts]
+
+
+def done(text=b"ok", body=None):
+    return Done(Response(200, (), body or text))
+
+
+async def test_refused_attempts_go_to_other_targets():
+    entry = Entry(REFUSED, REFUSED, done())
+
+    response = await entry.ask("POST")
+
+    assert response.body == b"ok"
+    assert len(set(entry.targets())) == 3
+    assert [number for number, _ in entry.runner.attempts] == ["1", "2", "3"]
+
+
+async def test_unknown_is_final_for_a_request_that_is_not_idempotent():
+    entry = Entry(BROKEN, done())
+
+    response = await entry.ask("POST")
+
+    assert header(response.headers, "radishwind-outcome") == "unknown"
+    assert len(entry.runner.attempts) == 1
+
+
+async def test_unknown_is_repeated_for_an_idempotent_request():
+    entry = Entry(BROKEN, done())
+
+    assert (await entry.ask()).status == 200
+
+
+async def test_streamed_body_is_sent_once():
+    entry = Entry(REFUSED, done())
+
+    response = await entry.ask("GET", Stream())
+
+    assert header(response.headers, "radishwind-outcome") == "not-run"
+    assert len(entry.runner.attempts) == 1
+
+
+async def test_given_up_call_tells_when_to_come_back():
+    entry = Entry(REFUSED, targets=1)
+
+    response = await entry.ask("POST")
+
+    assert header(response.headers, "retry-after") == "1"
+    assert header(response.headers, "radishwind-outcome") == "not-run"
+
+
+async def test_no_target_is_not_run():
+    response = await Entry(targets=0).ask()
+
+    assert header(response.headers, "radishwind-code") == "3001"
+
+
+async def test_malformed_field_is_answered_by_number():
+    request = Request("GET", "/tags/1", (("Radishwind-Depth", "x"),))
+
+    response = await Entry().pipeline.handle(request)
+
+    assert response.status == 400
+    assert header(response.headers, "radishwind-code") == "2001"
+
+
+async def test_hedge_wins_and_the_slow_attempt_is_cancelled():
+    hedges = HedgeAtOnce()
+    entry = Entry(anyio.Event(), done(b"hedge"), hedges=hedges)
+
+    response = await entry.ask()
+
+    assert response.body == b"hedge"
+    first, second = entry.targets()
+    assert first != second
+    assert entry.runner.cancelled == [first]
+    assert hedges.ended[0].response is response
+    assert hedges.ended[1] is None
+    assert not entry.chooser._in_flight
+
+
+async def test_first_attempt_wins_and_the_hedge_is_cancelled():
+    entry = Entry(anyio.Event(), anyio.Event(), hedges=HedgeAtOnce())
+    responses = []
+
+    async def ask():
+        responses.append(await entry.ask())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        while len(entry.runner.attempts) < 2:
+            await anyio.wait_all_tasks_blocked()
+        release, entry.runner._script[0] = entry.runner._script[0], done(b"1")
+        release.set()
+
+    assert responses[0].body == b"1"
+    assert entry.runner.cancelled == [entry.targets()[1]]
+
+
+async def test_both_answers_at_once_one_is_aborted():
+    first, second = Stream(), Stream()
+    gate = anyio.Event()
+    entry = Entry(gate, gate, hedges=HedgeAtOnce())
+    responses = []
+
+    async def ask():
+        responses.append(await entry.ask())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        while len(entry.runner.attempts) < 2:
+            await anyio.wait_all_tasks_blocked()
+        entry.runner._script[:] = [done(body=first), done(body=second)]
+        gate.set()
+
+    kept = responses[0].body
+    # The other was aborted, or cancelled before it came to be an answer.
+    assert kept in (first, second)
+    assert not kept.aborted
+    other = second if kept is first else first
+    assert other.aborted or len(entry.runner.cancelled) == 1
+
+
+async def test_failed_hedge_leaves_the_first_attempt_running():
+    entry = Entry(anyio.Event(), REFUSED, hedges=HedgeAtOnce())
+    responses = []
+
+    async def ask():
+        responses.append(await entry.ask())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        while len(entry.runner.attempts) < 2:
+            await anyio.wait_all_tasks_blocked()
+        await anyio.wait_all_tasks_blocked()
+        assert not responses
+        release, entry.runner._script[0] = entry.runner._script[0], done(b"1")
+        release.set()
+
+    assert responses[0].body == b"1"
+    assert not entry.runner.cancelled
+
+
+async def test_first_refused_before_the_hedge_is_retried():
+    entry = Entry(REFUSED, done(), hedges=HedgeAtOnce(tokens=0))
+
+    assert (await entry.ask()).status == 200
+    assert len(set(entry.targets())) == 2
+
+
+async def test_no_hedge_for_a_request_that_is_not_idempotent():
+    hedges = HedgeAtOnce()
+    entry = Entry(done(), hedges=hedges)
+
+    await entry.ask("POST")
+
+    assert hedges.tokens == 1
+
+
+async def test_no_hedge_at_the_only_target():
+    hedges = HedgeAtOnce()
+    gate = anyio.Event()
+    entry = Entry(gate, targets=1, hedges=hedges)
+    responses = []
+
+    async def ask():
+        responses.append(await entry.ask())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.wait_all_tasks_blocked()
+        await anyio.wait_all_tasks_blocked()
+        entry.runner._script[0] = done()
+        gate.set()
+
+    assert len(entry.runner.attempts) == 1
+    assert hedges.tokens == 1
--- /dev/null
+++ b/src/radishwind/retries/tests/test_budget.py
@@ -0,0 +1,132 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishwind.config.model import ServiceRules
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.retries import RetryBudget
+from radishwind.retries.budget import MAX_ATTEMPTS
+from radishwind.retries.budget import MAX_SAVED
+
+FULL = NotRun(ResultCode.OVERLOADED, "full", 1.0)
+SHED = NotRun(ResultCode.SERVER_SHED, "shed", 1.0)
+NO_CONNECTION = NotRun(ResultCode.CONNECT_FAILED, "refused")
+BROKEN = Unknown(ResultCode.EXCHANGE_BROKEN, "broken")
+
+
+def call_with(depth=0, idempotent=True, share=0.1, service="tags"):
+    return Call(
+        call_id="c",
+        service=service,
+        request=Request("GET", "/tags"),
+        rules=ServiceRules(retry_share=share),
+        idempotent=idempotent,
+        deadline=1e9,
+        expires_ms=0,
+        caller="coach",
+        depth=depth,
+    )
+
+
+def again(call, outcome, attempts=1, now=0.0):
+    """Returns the decision of a budget that has a token."""
+    budget = RetryBudget()
+    budget.first(call, now)
+    return budget.again(call, outcome, attempts, now)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "idempotent", "expected"),
+    [
+        (NO_CONNECTION, False, True),
+        (FULL, False, True),
+        (SHED, False, True),
+        (BROKEN, False, False),
+        (BROKEN, True, True),
+        (Done(Response(503)), True, False),
+        (NotRun(ResultCode.DEADLINE_PASSED, "late"), True, False),
+        (NotRun(ResultCode.QUARANTINED, "suspect"), True, False),
+    ],
+)
+def test_what_is_repeated(outcome, idempotent, expected):
+    assert again(call_with(idempotent=idempotent), outcome) is expected
+
+
+@pytest.mark.parametrize("depth", [1, 25])
+def test_work_that_may_have_run_is_repeated_at_the_outermost_level(depth):
+    assert not again(call_with(depth), BROKEN)
+    assert not again(call_with(depth), SHED)
+    assert again(call_with(depth), FULL)
+    assert again(call_with(depth), NO_CONNECTION)
+
+
+def test_limits_of_one_call():
+    call = call_with()
+
+    assert not again(call, FULL, attempts=MAX_ATTEMPTS)
+    assert not again(call, FULL, now=call.deadline)
+    assert not again(call_with(share=0.0), FULL)
+
+
+def test_half_refusing_causes_no_storm():
+    budget = RetryBudget()
+    call = call_with()
+    calls, retries = 10_000, 0
+
+    for number in range(calls):
+        now = number * 0.003
+        budget.first(call, now)
+        attempts = 1
+        # Every second target refuses: half of all attempts.
+        while (number + attempts) % 2 and budget.again(
+            call, FULL, attempts, now
+        ):
+            attempts += 1
+            retries += 1
+
+    assert retries / calls <= 0.1 + MAX_SAVED / calls
+
+
+def test_seldom_called_service_may_retry_too():
+    budget = RetryBudget()
+    call = call_with()
+
+    for number in range(10):
+        now = number * 60.0
+        budget.first(call, now)
+        assert budget.again(call, FULL, 1, now)
+
+
+def test_services_have_budgets_of_their_own():
+    budget = RetryBudget()
+    budget.first(call_with(service="a"), 0.0)
+    while budget.again(call_with(service="a"), FULL, 1, 0.0):
+        pass
+
+    budget.first(call_with(service="b"), 0.0)
+
+    assert budget.again(call_with(service="b"), FULL, 1, 0.0)
+
+
+@given(
+    gaps_s=st.lists(st.floats(0.0, 0.4), min_size=1, max_size=200),
+    share=st.floats(0.01, 0.5),
+)
+def test_retries_never_exceed_the_share_and_what_was_saved(gaps_s, share):
+    # Gaps short enough that the floor stays below the share.
+    budget = RetryBudget()
+    call = call_with(share=max(share, 0.1))
+    now, retries = 0.0, 0
+    for gap_s in gaps_s:
+        now += gap_s
+        budget.first(call, now)
+        retries += sum(budget.again(call, FULL, 1, now) for _ in range(3))
+
+    most = len(gaps_s) * call.rules.retry_share + 1.0
+    assert retries <= most + 1e-6
