--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -7,15 +7,33 @@
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.sample import Candidates
 
+#: Share of the answer time that a target with all slots taken adds before
+#: anything queues. It spreads work, and bounds how long the own failure
+#: domain is preferred.
+SPREAD = 0.5
+
+#: A target smoothed above so many times the typical answer time gets one
+#: attempt at a time until an answer shows that it has recovered; a second one
+#: counts as so many times as long.
+TRIAL_FACTOR = 2.0
+TRIAL_BUSY_FACTOR = 10.0
+
+#: The least a cold server counts for.
+MIN_WARM = 0.1
+
 #: How fast a load report loses weight against its long-run mean (s). Load
 #: swings within milliseconds, so it is short.
-REPORT_FADE_S = 0.1
+REPORT_FADE_S = 0.03
 
 #: How fast what was learned fades towards "as any other" without news (s).
 RECOVERY_S = 2.0
 
 #: Weight of one answer in the smoothed answer time.
-ANSWER_WEIGHT = 0.2
+ANSWER_WEIGHT = 0.1
+
+#: Weight of an answer in the usual time from a target smoothed as slow: a few
+#: trials bring it back.
+TRIAL_WEIGHT = 0.5
 
 #: A target is forgotten once unused for so long (s).
 FORGET_S = 60.0
@@ -35,7 +53,7 @@
       service: the candidates it is one of.
       derived: the version of those that `hop_s` was derived from.
       hop_s: network time to the target and back (s), not part of answer times.
-      slots: requests it runs at once.
+      capacity: requests it runs at once; fewer for a cold server.
       in_flight: own attempts without an answer yet.
       starts_s: sum of the start times of those (s), for their mean age.
       answer_s: smoothed answer time (s) as of `answered`; 0 before the first.
@@ -44,7 +62,6 @@
       others: requests of others there, by the last report.
       others_mean: the same, smoothed over a second.
       reported: when the last report came (s).
-      warm: 0 for a server just started to 1 for a warm one.
       leaving_until: it takes no new work before this time (s).
       used: when an attempt last began or ended (s).
     """
@@ -52,7 +69,7 @@
     service: Candidates
     derived: int
     hop_s: float
-    slots: int
+    capacity: float
     in_flight: int = 0
     starts_s: float = 0.0
     answer_s: float = 0.0
@@ -61,7 +78,6 @@
     others: float = 0.0
     others_mean: float = 0.0
     reported: float = -math.inf
-    warm: float = 1.0
     leaving_until: float = -math.inf
     used: float = -math.inf
 
@@ -80,12 +96,6 @@
             # Drops what rounding left over.
             self.starts_s = 0.0
 
-    def mean_age_s(self, now: float) -> float:
-        """Returns the mean age of the attempts in flight (s)."""
-        if not self.in_flight:
-            return 0.0
-        return now - self.starts_s / self.in_flight
-
     def answer_now_s(self, typical_s: float, now: float) -> float:
         """Returns the answer time to expect (s), before this moment's load.
 
@@ -101,7 +111,11 @@
     def learn(self, sample_s: float, typical_s: float, now: float) -> None:
         """Takes one answer time (s) into the smoothed one."""
         before = self.answer_now_s(typical_s, now) or sample_s
-        self.answer_s = before + ANSWER_WEIGHT * (sample_s - before)
+        slow_s = TRIAL_FACTOR * typical_s
+        weight = ANSWER_WEIGHT
+        if sample_s < slow_s < before:
+            weight = TRIAL_WEIGHT
+        self.answer_s = before + weight * (sample_s - before)
         self.answered = now
 
     def report(self, load: LoadReport, now: float) -> None:
@@ -111,14 +125,54 @@
         self.others_mean = others + (self.others_mean - others) * kept
         self.others = others
         self.reported = now
-        self.slots = max(1, load.slots)
-        self.warm = min(1.0, max(0.0, load.warm))
+        self.capacity = capacity(load)
+
+    def trial_due(self, typical_s: float, now: float) -> bool:
+        """Returns whether only a trial can tell that the target recovered."""
+        if self.in_flight or now < self.leaving_until:
+            return False
+        if now - self.used < RECOVERY_S:
+            return False
+        return self.answer_s > TRIAL_FACTOR * typical_s
 
-    def others_now(self, now: float) -> float:
-        """Returns the requests of others to expect there."""
-        age_s = now - self.reported
-        mean = self.others_mean * math.exp(-age_s / RECOVERY_S)
-        return mean + (self.others - mean) * math.exp(-age_s / REPORT_FADE_S)
+    def cost_s(
+        self, typical_s: float, now: float, exact: LoadReport | None = None
+    ) -> float:
+        """Returns the answer time to expect of one more attempt (s).
+
+        Args:
+          typical_s: the answer time of the service's targets (s).
+          now: monotonic time (s).
+          exact: the load as of now, where it is known.
+        """
+        fade = math.exp((self.answered - now) / RECOVERY_S)
+        answer_s = typical_s
+        if self.answer_s:
+            answer_s += (self.answer_s - typical_s) * fade
+        in_flight = self.in_flight
+        if in_flight:
+            on_trial = answer_s > TRIAL_FACTOR * typical_s
+            age_s = now - self.starts_s / in_flight - self.hop_s
+            if age_s > answer_s:
+                answer_s = age_s
+            if on_trial:
+                answer_s *= TRIAL_BUSY_FACTOR
+        if exact is not None:
+            share = (exact.in_flight + exact.queued + 1) / capacity(exact)
+        else:
+            aged = math.exp((self.reported - now) / REPORT_FADE_S)
+            mean = self.others_mean * fade
+            others = mean + (self.others - mean) * aged
+            share = (in_flight + others + 1) / self.capacity
+        added = SPREAD * share * share
+        if share > 1:
+            added += share - 1
+        return self.hop_s + answer_s * (1 + added)
+
+
+def capacity(load: LoadReport) -> float:
+    """Returns the slots that a target offers; a cold server's are fewer."""
+    return max(1, load.slots) * min(1.0, max(MIN_WARM, load.warm))
 
 
 class TargetTable:
@@ -126,6 +180,8 @@
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
+        #: Returns the state of a target by its name, or `None`.
+        self.get = self._states.get
 
     def __len__(self) -> int:
         return len(self._states)
@@ -133,10 +189,6 @@
     def __iter__(self) -> Iterator[str]:
         return iter(self._states)
 
-    def get(self, name: str) -> TargetState | None:
-        """Returns the state of the target `name`, if there is one."""
-        return self._states.get(name)
-
     def use(self, name: str, state: TargetState, now: float) -> None:
         """Keeps `state` as the most recently used and sweeps a little."""
         self._states.pop(name, None)
