Prove the server beside through processes: announce, probe, crash, drain

A request before the first announcement is not run; a server that the inventory lacks is told and gets nothing; silence is probed; a crash is told as unknown and its request suspected; a server's planned stop marks the target as leaving. The test of probing once read the status within a probe, before its cost was known; it now waits for the cost.

The admission bench gained a run without the assumed gap between two requests, to tell the policy's waste from the gap's. The target side logs by PartLogger.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -74,11 +74,13 @@
       load: slot time asked for, as a share of capacity.
       rates: requests of each caller relative to the others.
       costs: mean time of its requests relative to `SERVICE_S`.
+      gap_s: time a slot is empty between two requests (s).
     """
 
     load: float
     rates: dict[str, float]
     costs: dict[str, float]
+    gap_s: float = GAP_S
 
     def arrivals(self, seconds: float, seed: int) -> list[Arrival]:
         """Returns the requests in order of time."""
@@ -99,7 +101,8 @@
 class Server:
     """The server behind the node: its slots, and its own queue beyond."""
 
-    def __init__(self) -> None:
+    def __init__(self, gap_s: float) -> None:
+        self._gap_s = gap_s
         self._free_at = [0.0] * SLOTS
 
     def run(self, now: float, service_s: float, deadline: float) -> float:
@@ -108,7 +111,7 @@
         A server stops what is late, and what is late before it begins.
         """
         free_at = heapq.heappop(self._free_at)
-        began = max(now + GAP_S / 2, free_at)
+        began = max(now + self._gap_s / 2, free_at)
         ends = max(began, min(began + service_s, deadline))
         heapq.heappush(self._free_at, ends)
         return ends
@@ -117,9 +120,10 @@
 class Run:
     """One policy under one workload."""
 
-    def __init__(self, admission: Admission) -> None:
+    def __init__(self, admission: Admission, gap_s: float) -> None:
         self._admission = admission
-        self._server = Server()
+        self._gap_s = gap_s
+        self._server = Server(gap_s)
         self._ends: list[tuple[float, int, Ticket, Arrival, float]] = []
         self._numbers = itertools.count()
         self.good_s = 0.0
@@ -155,7 +159,7 @@
             return
         sent = self._now if now is None else now
         end = self._server.run(sent, arrival.service_s, ticket.deadline)
-        seen = end + GAP_S / 2
+        seen = end + self._gap_s / 2
         entry = (seen, next(self._numbers), ticket, arrival, sent)
         heapq.heappush(self._ends, entry)
 
@@ -163,7 +167,7 @@
         while self._ends and self._ends[0][0] <= until:
             now, _, ticket, arrival, sent = heapq.heappop(self._ends)
             self._now = now
-            self._note(arrival, now - GAP_S / 2)
+            self._note(arrival, now - self._gap_s / 2)
             self._admission.release(ticket, now, now - sent)
         self._now = until
 
@@ -225,7 +229,7 @@
     make: _Make, extra: int, workload: Workload, seconds: float, seed: int
 ) -> dict[str, float]:
     arrivals = workload.arrivals(seconds, seed)
-    run = Run(make(_limits(extra)))
+    run = Run(make(_limits(extra)), workload.gap_s)
     cpu_s = run.play(arrivals)
     modest = HdrHistogram(1, 10**7, 3)
     for caller, histogram in run.histograms.items():
@@ -248,11 +252,13 @@
     return 100 * answered / offered
 
 
-def _workload(load: float, *, rate: float, cost: float) -> Workload:
+def _workload(
+    load: float, *, rate: float, cost: float, gap_s: float
+) -> Workload:
     modest = [f"modest-{n}" for n in range(MODEST)]
     rates = {"greedy": rate} | dict.fromkeys(modest, 1.0)
     costs = {"greedy": cost} | dict.fromkeys(modest, 1.0)
-    return Workload(load, rates, costs)
+    return Workload(load, rates, costs, gap_s)
 
 
 def main() -> None:
@@ -266,15 +272,16 @@
     policies = list(_policies())
     short = policies[:2]
     sections = []
-    for title, names, loads, rate, cost in (
-        ("Asks ten times as often", policies, (1.5,), GREED, 1.0),
-        ("Asks for ten times as long", policies, (1.5,), 1.0, GREED),
-        ("By load", short, (0.8, 1.0, 1.5, 3.0), GREED, 1.0),
+    for title, names, loads, rate, cost, gap_s in (
+        ("Asks ten times as often", policies, (1.5,), GREED, 1.0, GAP_S),
+        ("Asks for ten times as long", policies, (1.5,), 1.0, GREED, GAP_S),
+        ("By load", short, (0.8, 1.0, 1.5, 3.0), GREED, 1.0, GAP_S),
+        ("Without the gap", short, (1.5,), GREED, 1.0, 0.0),
     ):
         rows = [
             _row(
                 name,
-                _workload(load, rate=rate, cost=cost),
+                _workload(load, rate=rate, cost=cost, gap_s=gap_s),
                 options.seconds,
                 seeds,
             )
--- a/src/radishwind/quarantine/gate.py
+++ b/src/radishwind/quarantine/gate.py
@@ -5,7 +5,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import eliot
 import msgspec
 
 from radishwind.core.clock import Clock
@@ -18,6 +17,7 @@
 from radishwind.quarantine.suspects import QUARANTINE_S
 from radishwind.quarantine.suspects import Ruling
 from radishwind.quarantine.suspects import SuspectBook
+from radishwind.telemetry.logs import PartLogger
 
 if TYPE_CHECKING:
     from radishwind.entry.call import Call
@@ -54,6 +54,7 @@
         self._clock = clock
         self._board = board
         self._books: dict[str, SuspectBook] = {}
+        self._log = PartLogger("quarantine", clock)
         board.subscribe(TOPIC, self._learn)
 
     def refusal(self, call: "Call") -> NotRun | None:
@@ -83,10 +84,9 @@
         """Tells every node what ran when the server beside crashed."""
         if not suspects:
             return
-        eliot.log_message(
-            "quarantine:crash",
-            target=self._target,
-            suspects=[s.fingerprint for s in suspects],
+        self._log.error(
+            "The server crashed; what it ran is suspected.",
+            suspects=" ".join(s.fingerprint for s in suspects),
         )
         now_ms = self._now_ms()
         for suspect in suspects:
@@ -125,7 +125,7 @@
         try:
             self._take(service, _decoder.decode(value))
         except msgspec.MsgspecError as exc:
-            eliot.log_message("quarantine:malformed", key=key, reason=str(exc))
+            self._log.warning("A fact is malformed.", reason=str(exc))
 
     def _take(self, service: str, fact: Fact) -> None:
         book = self._books.setdefault(service, SuspectBook())
--- a/src/radishwind/target/announce.py
+++ b/src/radishwind/target/announce.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import eliot
 import msgspec
 
 from radishwind.core.clock import Clock
@@ -14,6 +13,7 @@
 from radishwind.target.server import Announcement
 from radishwind.target.server import AnnouncementRefusedError
 from radishwind.target.server import ServerBeside
+from radishwind.telemetry.logs import PartLogger
 
 #: Announcements are small; more is not read.
 MAX_BYTES = 4096
@@ -37,6 +37,7 @@
         self._clock = clock
         self._server = server
         self._started = started
+        self._log = PartLogger("target", clock)
         self._reported_unlisted = False
 
     async def handle(self, request: Request) -> Response:
@@ -49,12 +50,11 @@
         except msgspec.MsgspecError as exc:
             return _refused(str(exc))
         except AnnouncementRefusedError as exc:
-            eliot.log_message("target:announcement-refused", reason=str(exc))
+            self._log.warning("An announcement was refused.", reason=str(exc))
             return _refused(str(exc.args[0]))
         if fresh:
-            eliot.log_message(
-                "target:server-announced",
-                target=announcement.target,
+            self._log.info(
+                "The server announced a new start.",
                 address=announcement.address,
             )
             self._started()
@@ -65,7 +65,10 @@
         """Logs once that the inventory lacks the target."""
         unlisted = self._server.listed is False
         if unlisted and not self._reported_unlisted:
-            eliot.log_message("target:not-in-inventory", target=target)
+            self._log.error(
+                "The server is not in the inventory and gets nothing.",
+                target=target,
+            )
         self._reported_unlisted = unlisted
 
 
--- a/src/radishwind/target/tests/test_pipeline.py
+++ b/src/radishwind/target/tests/test_pipeline.py
@@ -3,9 +3,9 @@
 import pytest
 from tests.support.direct import DirectSender
 from tests.support.direct import Fault
+from tests.support.targets import make_parts
 
 from radishwind.admission import AdmissionLimits
-from radishwind.admission import FairAdmission
 from radishwind.config.model import ServiceRules
 from radishwind.core import ManualClock
 from radishwind.core import ResultCode
@@ -15,15 +15,9 @@
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.http.types import BodyStream
-from radishwind.membership import SilentBoard
 from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
-from radishwind.probing import HealthModel
-from radishwind.quarantine import Quarantine
-from radishwind.target import ServerBeside
-from radishwind.target import ServerWatch
-from radishwind.target import TargetPipeline
 from radishwind.target.server import ServerState
 
 ADDRESS = Address("127.0.0.1", 9000)
@@ -50,23 +44,13 @@
 
     def __init__(self, slots=1):
         self.clock, self.sender = ManualClock(), DirectSender()
-        self.server = ServerBeside("a", ADDRESS)
-        self.server.list(True)
-        self.health = HealthModel()
-        self.quarantine = Quarantine(
-            target="a", service="s", clock=self.clock, board=SilentBoard()
-        )
-        self.admission = FairAdmission(AdmissionLimits(slots, 10, 8, 1.0))
+        limits = AdmissionLimits(slots, 10, 8, 1.0)
+        parts = make_parts("a", "s", self.clock, self.sender, ADDRESS, limits)
+        self.pipeline, self.server = parts.pipeline, parts.server
+        self.health, self.quarantine = parts.health, parts.quarantine
+        self.admission = parts.admission
         self.response = Response(200, (), b"ok", 2)
         self.sender.handlers[ADDRESS] = self.handle
-        self.watch = ServerWatch(self.clock, self.health, self.quarantine)
-        self.pipeline = TargetPipeline(
-            clock=self.clock,
-            admission=self.admission,
-            sender=self.sender,
-            server=self.server,
-            watch=self.watch,
-        )
 
     async def handle(self, request):
         return self.response
--- /dev/null
+++ b/tests/test_server_beside.py
@@ -0,0 +1,105 @@
+"""The node and the server beside it, as processes."""
+
+import json
+import pathlib
+import signal
+
+import pytest
+
+from tests.support.processes import fetch
+from tests.support.processes import Fleet
+from tests.support.processes import wait_until
+
+INVENTORY = (
+    pathlib.Path(__file__).parents[1] / "examples/quickstart/inventory.json"
+)
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with Fleet() as fleet:
+        fleet.start_node("bollettino-1", "bollettino", "genova-a")
+        fleet.start_node("stranger-1", "bollettino", "genova-a")
+        fleet.start_backend("stranger-1")
+        fleet.apply("inventory", INVENTORY)
+        yield fleet
+
+
+def counters(fleet, target):
+    url = fleet.backend_url(target) + "/standin/counters"
+    return json.loads(fetch(url)[2])
+
+
+def served(fleet, path="/bollettino/x"):
+    url = fleet.caller_url("bollettino-1") + path
+    return wait_until(lambda: fetch(url)[0] == 200, url)
+
+
+def test_requests_are_not_run_until_the_server_announces_itself(fleet):
+    url = fleet.caller_url("bollettino-1") + "/bollettino/x"
+    told = wait_until(
+        lambda: (
+            fetch(url)[1]
+            if fetch(url)[1].get("radishwind-code") == "3009"
+            else None
+        ),
+        "the refusal",
+    )
+    assert told["radishwind-outcome"] == "not-run"
+
+    fleet.start_backend("bollettino-1", "--probe-ms", "1")
+    served(fleet)
+
+
+def test_a_server_missing_from_the_inventory_is_told_and_gets_nothing(fleet):
+    served(fleet)
+    status = wait_until(
+        lambda: (
+            fleet.status("stranger-1")["server"]
+            if fleet.status("stranger-1")["server"]["listed"] is False
+            else None
+        ),
+        "the status",
+    )
+    assert status["announced"]
+    assert counters(fleet, "stranger-1")["runs"] == {}
+
+
+def test_silence_is_probed_and_the_cost_is_told(fleet):
+    served(fleet)
+    probing = wait_until(
+        lambda: (
+            fleet.status("bollettino-1")["probing"]
+            if fleet.status("bollettino-1")["probing"]["cost_s"]
+            else None
+        ),
+        "a probe",
+    )
+    assert probing["probes"] > 0
+    assert counters(fleet, "bollettino-1")["probes_into_full"] == 0
+
+
+def test_a_crash_is_unknown_once_and_the_suspect_is_known(fleet):
+    served(fleet)
+    url = fleet.caller_url("bollettino-1") + "/bollettino/standin-crash"
+    status, fields, _ = fetch(url, "POST", b"x")
+    assert status == 502
+    assert fields["radishwind-outcome"] == "unknown"
+    assert fleet.processes["backend bollettino-1"].wait() == 70
+
+    fleet.start_backend("bollettino-1")
+    served(fleet)
+    assert "bollettino" in fleet.status("bollettino-1")["quarantine"]
+
+
+def test_a_planned_stop_of_the_server_cuts_nothing(fleet):
+    served(fleet)
+    backend = fleet.processes["backend bollettino-1"]
+    backend.send(signal.SIGTERM)
+    assert backend.wait() == 0
+    assert fleet.status("bollettino-1")["leaving"]
+
+    fleet.start_backend("bollettino-1")
+    served(fleet)
