Keep two requests at the server beyond its slots, and meter probing

A slot stood empty from the end of a request until the node had heard of it and sent the next one. A server that sheds a request sent beyond its slots gets none for 60 s.

The bench counted a request twice that started within its own offer; mended.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -27,6 +27,7 @@
 from radishwind.admission import FifoAdmission
 from radishwind.admission import Ticket
 from radishwind.admission.fair import _Flow
+from radishwind.node.target import OVERLAP
 
 SLOTS = 9
 SERVICE_S = 0.005
@@ -126,6 +127,7 @@
         self._server = Server(gap_s)
         self._ends: list[tuple[float, int, Ticket, Arrival, float]] = []
         self._numbers = itertools.count()
+        self._now = 0.0
         self.good_s = 0.0
         self.offered: dict[str, int] = {}
         self.answered: dict[str, int] = {}
@@ -137,6 +139,7 @@
         began = time.process_time()
         for arrival in arrivals:
             self._end_until(arrival.at)
+            self._now = arrival.at
             self._offer(arrival)
         self._end_until(math.inf)
         return time.process_time() - began
@@ -149,15 +152,16 @@
         ticket = Ticket(caller, now + DEADLINE_S, now, _nothing)
         ticket.notify = lambda: self._start(ticket, arrival)
         self._admission.offer(ticket, now)
-        if ticket.admitted:
-            self._start(ticket, arrival, now)
+        if ticket.admitted and not self._sent(ticket):
+            self._start(ticket, arrival)
 
-    def _start(
-        self, ticket: Ticket, arrival: Arrival, now: float | None = None
-    ) -> None:
+    def _sent(self, ticket: Ticket) -> bool:
+        return any(entry[2] is ticket for entry in self._ends)
+
+    def _start(self, ticket: Ticket, arrival: Arrival) -> None:
         if not ticket.admitted:
             return
-        sent = self._now if now is None else now
+        sent = self._now
         end = self._server.run(sent, arrival.service_s, ticket.deadline)
         seen = end + self._gap_s / 2
         entry = (seen, next(self._numbers), ticket, arrival, sent)
@@ -169,7 +173,6 @@
             self._now = now
             self._note(arrival, now - self._gap_s / 2)
             self._admission.release(ticket, now, now - sent)
-        self._now = until
 
     def _note(self, arrival: Arrival, now: float) -> None:
         caller = arrival.caller
@@ -191,19 +194,20 @@
 
 
 def _limits(extra: int = 0) -> AdmissionLimits:
-    return AdmissionLimits(SLOTS + extra, 250, 64, 0.5)
+    return AdmissionLimits(SLOTS, 250, extra, 64, 0.5)
 
 
 def _policies() -> dict[str, tuple[_Make, int]]:
     """Returns how to make each policy and its D beyond the slots."""
     policies: dict[str, tuple[_Make, int]] = {
         "FIFO": (FifoAdmission, 0),
-        "SFQ, D = slots (ours)": (FairAdmission, 0),
+        "SFQ, D = slots + 2 (ours)": (FairAdmission, OVERLAP),
+        "SFQ, D = slots": (FairAdmission, 0),
     }
-    for extra in (1, 3, 9):
+    for extra in (1, 4, 9):
         policies[f"SFQ, D = slots + {extra}"] = (FairAdmission, extra)
     for lead_ms in (2, 10, 50, 250):
-        policies[f"SFQ, T = {lead_ms} ms"] = (_lead(lead_ms / 1000), 0)
+        policies[f"SFQ, T = {lead_ms} ms"] = (_lead(lead_ms / 1000), OVERLAP)
     return policies
 
 
@@ -270,7 +274,7 @@
     options = parser.parse_args()
     seeds = range(options.seed, options.seed + options.rounds)
     policies = list(_policies())
-    short = policies[:2]
+    short = policies[:3]
     sections = []
     for title, names, loads, rate, cost, gap_s in (
         ("Asks ten times as often", policies, (1.5,), GREED, 1.0, GAP_S),
--- /dev/null
+++ b/bench/probing.py
@@ -0,0 +1,128 @@
+"""What probing costs the server, metered at the server.
+
+    python -m bench.probing
+
+One backend stand-in of Onda's size (9 slots, a probe of 6 ms) and its node, as
+processes: silent, at 80% load, and at 150% load where its slots are full.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+import uvloop
+from tests.support.processes import fetch
+from tests.support.processes import Fleet
+from tests.support.processes import wait_until
+
+from bench.load import LoadPlan
+from bench.load import run_load
+from bench.load import Shot
+from bench.report import keep
+
+TARGET = "bollettino-1"
+SLOTS = 9
+SERVICE_MS = 20.0
+PROBE_MS = 6.0
+
+
+def _counters(fleet: Fleet) -> dict[str, Any]:
+    url = fleet.backend_url(TARGET) + "/standin/counters"
+    counters: dict[str, Any] = json.loads(fetch(url)[2])
+    return counters
+
+
+def _start(fleet: Fleet, folder: pathlib.Path) -> None:
+    target = {
+        "name": TARGET,
+        "service": "bollettino",
+        "failure_domain": "genova-a",
+        "slots": SLOTS,
+        "connections": 250,
+    }
+    inventory = {
+        "failure_domains": [{"name": "genova-a"}],
+        "services": [{"name": "bollettino"}],
+        "targets": [target],
+    }
+    file = folder / "inventory.json"
+    file.write_text(json.dumps(inventory))
+    fleet.start_backend(
+        TARGET,
+        *("--slots", str(SLOTS), "--service-ms", str(SERVICE_MS)),
+        *("--probe-ms", str(PROBE_MS)),
+    )
+    fleet.start_node(TARGET, "bollettino", "genova-a")
+    fleet.apply("inventory", file)
+    url = fleet.caller_url(TARGET) + "/bollettino/x"
+    wait_until(lambda: fetch(url)[0] == 200, url)
+
+
+def _phase(
+    fleet: Fleet, name: str, load: float, options: argparse.Namespace
+) -> dict[str, Any]:
+    before = _counters(fleet)
+    answers: Any = ""
+    seconds = options.seconds
+    if load:
+        rate = load * SLOTS / (SERVICE_MS / 1000)
+        shot = Shot(fleet.caller_url(TARGET) + "/bollettino/x")
+        plan = LoadPlan((shot,), rate, seconds, options.seed, 0.0)
+        result = asyncio.run(run_load(plan))
+        good = result.good.get_total_count()
+        answers = f"{100 * good / result.count():.1f}"
+    else:
+        asyncio.run(asyncio.sleep(seconds))
+    after = _counters(fleet)
+    spent = {
+        key: after[key] - before[key]
+        for key in ("probes", "probe_s", "probes_into_full", "run_s")
+    }
+    slot_s = seconds * SLOTS
+    return {
+        "phase": name,
+        "probes": spent["probes"],
+        "probe time s": spent["probe_s"],
+        "probe % of slot time": 100 * spent["probe_s"] / slot_s,
+        "probes into full slots": spent["probes_into_full"],
+        "requests % of slot time": 100 * spent["run_s"] / slot_s,
+        "answered %": answers,
+    }
+
+
+def main() -> None:
+    """Runs the bench."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15.0, help="a phase")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    uvloop.install()
+    with tempfile.TemporaryDirectory() as folder, Fleet() as fleet:
+        _start(fleet, pathlib.Path(folder))
+        rows = [
+            _phase(fleet, name, load, options)
+            for name, load in (
+                ("silent", 0.0),
+                ("80% load", 0.8),
+                ("150% load", 1.5),
+                ("silent again", 0.0),
+            )
+        ]
+        told = fleet.status(TARGET)["probing"]
+    keep(
+        "probing",
+        "What probing costs the server",
+        f"python -m bench.probing --seconds {options.seconds:g} "
+        f"--seed {options.seed}",
+        [("Metered at the stand-in", rows), ("Told by the node", [told])],
+        f"{SLOTS} slots, requests of {SERVICE_MS:g} ms, probes of "
+        f"{PROBE_MS:g} ms, a budget of 1% of slot time. The node's own figure "
+        "counts from its start and includes the way there and back.",
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/radishwind/admission/gate.py
+++ b/src/radishwind/admission/gate.py
@@ -20,7 +20,8 @@
       caller: who asks, for the shares between callers.
       deadline: monotonic time (s) after which it is of no use.
       offered: monotonic time (s) of the offer.
-      notify: called once, when the ticket is admitted or refused later.
+      notify: called once, when the ticket is admitted or refused after it
+        was queued; that may be within the offer.
       alone: whether it must be the only one that runs.
       admitted: whether it holds a slot.
       refused: the refusal, if it was turned away.
@@ -44,6 +45,8 @@
     Attributes:
       slots: requests the server runs at once.
       connections: connections it accepts; one stays free for probing.
+      overlap: waiting requests sent to the server beyond its slots, so that
+        it has the next one at hand when a slot comes free.
       queue_length: requests that may wait.
       queue_wait_s: the longest a request waits (s).
       caller_weights: share by caller; 1 where not named.
@@ -51,6 +54,7 @@
 
     slots: int = 0
     connections: int = 0
+    overlap: int = 0
     queue_length: int = 0
     queue_wait_s: float = 0.0
     caller_weights: Mapping[str, float] = dataclasses.field(
@@ -60,9 +64,18 @@
     @property
     def usable_slots(self) -> int:
         """Requests that may run at once, as each holds a connection."""
-        if self.connections <= 1:
-            return min(self.slots, self.connections)
-        return min(self.slots, self.connections - 1)
+        return min(self.slots, self._usable_connections)
+
+    @property
+    def most_sent(self) -> int:
+        """Requests that may be at the server at once."""
+        if not self.slots:
+            return 0
+        return min(self.slots + self.overlap, self._usable_connections)
+
+    @property
+    def _usable_connections(self) -> int:
+        return max(min(1, self.connections), self.connections - 1)
 
 
 class Admission(abc.ABC):
@@ -88,6 +101,10 @@
     def expire(self, now: float) -> None:
         """Refuses the waiting tickets that cannot run in time any more."""
 
+    @abc.abstractmethod
+    def shed(self, now: float) -> None:
+        """Takes that the server refused a request that was admitted."""
+
     @abc.abstractmethod
     def resize(self, limits: AdmissionLimits) -> None:
         """Takes new limits; those already admitted keep their slots."""
--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -24,12 +24,19 @@
 #: Multiples of its expected run time that a request must have left to start.
 _COST_MARGIN = 2.0
 
+#: How long nothing is sent beyond the slots after the server shed it (s).
+NO_OVERLAP_S = 60.0
+
 _SMOOTHING = 0.1
 
 
 class QueueingAdmission(Admission):
     """Slots with a bounded queue; the order is the subclass's.
 
+    A few waiting tickets go to the server beyond its slots: a slot would
+    otherwise stand empty until the node has heard of it and sent the next
+    request. A server that sheds them gets none for a while.
+
     A ticket that must run alone waits until the server is empty, and nothing
     else starts meanwhile. So that a row of such tickets cannot stop the
     server, the next one waits at least as long as the last one held it up.
@@ -44,6 +51,7 @@
         self._alone_since = 0.0
         self._alone_after = 0.0
         self._earliest = math.inf
+        self._overlap_after = 0.0
 
     @property
     def slots(self) -> int:
@@ -61,6 +69,10 @@
         self._limits = limits
         self._earliest = 0.0
 
+    def shed(self, now: float) -> None:
+        if self._in_flight > self.slots:
+            self._overlap_after = now + NO_OVERLAP_S
+
     def offer(self, ticket: Ticket, now: float) -> None:
         if ticket.alone:
             self._offer_alone(ticket, now)
@@ -119,7 +131,10 @@
         if self._alone and self._alone_due(now):
             self._start_alone(now)
             return
-        while self._in_flight < self.slots and self._waiting():
+        most = self.slots
+        if now >= self._overlap_after:
+            most = self._limits.most_sent
+        while self._in_flight < most and self._waiting():
             ticket = self._pop(now)
             self._admit(ticket)
             ticket.notify()
--- a/src/radishwind/admission/tests/test_admission.py
+++ b/src/radishwind/admission/tests/test_admission.py
@@ -11,7 +11,7 @@
 
 
 def limits(slots=1, length=8, wait_s=10.0, **weights):
-    return AdmissionLimits(slots, 100, length, wait_s, weights)
+    return AdmissionLimits(slots, 100, 0, length, wait_s, weights)
 
 
 class Driver:
@@ -71,13 +71,24 @@
         assert (driver.admission.in_flight, driver.admission.queued) == (0, 0)
 
     def test_connections_bound_what_runs_and_one_is_left(self, cls):
-        driver = Driver(cls, AdmissionLimits(9, 3, 8, 1.0))
+        driver = Driver(cls, AdmissionLimits(9, 3, 2, 8, 1.0))
         admitted = [driver.offer().admitted for _ in range(3)]
         assert admitted == [True, True, False]
 
     def test_without_slots_nobody_waits(self, cls):
         assert Driver(cls, limits(slots=0)).offer().refused is not None
 
+    def test_a_few_go_beyond_the_slots_until_the_server_sheds_one(self, cls):
+        driver = Driver(cls, AdmissionLimits(1, 100, 1, 8, 100.0))
+        tickets = [driver.offer() for _ in range(4)]
+        assert [t.admitted for t in tickets] == [True, True, False, False]
+
+        driver.admission.shed(0.0)
+        driver.admission.release(tickets[1], 0.0, 0.0)
+        assert not tickets[2].admitted
+        driver.admission.expire(60.0)
+        assert tickets[2].admitted
+
     def test_who_runs_alone_runs_with_nobody(self, cls):
         driver = Driver(cls, limits(slots=3))
         before = driver.offer()
--- a/src/radishwind/node/target.py
+++ b/src/radishwind/node/target.py
@@ -20,6 +20,9 @@
 from radishwind.target import ServerWatch
 from radishwind.target import TargetPipeline
 
+#: Requests sent beyond the slots (`docs/design/06-admission.md`).
+OVERLAP = 2
+
 
 class TargetSide:
     """The parts that decide on the server beside, and their tasks."""
@@ -81,6 +84,7 @@
         limits = AdmissionLimits(
             slots=own.slots if own else 0,
             connections=own.connections if own else 0,
+            overlap=OVERLAP,
             queue_length=rules.queue_length,
             queue_wait_s=rules.queue_wait_ms / 1000,
             caller_weights=rules.caller_weights,
--- a/src/radishwind/probing/tests/test_probing.py
+++ b/src/radishwind/probing/tests/test_probing.py
@@ -91,7 +91,7 @@
         told = Announcement("a", str(ADDRESS), health_path="/healthz")
         self.server.announce(told, 100.0)
         self.health = HealthModel()
-        self.admission = FairAdmission(AdmissionLimits(1, 10, 8, 1.0))
+        self.admission = FairAdmission(AdmissionLimits(1, 10, 0, 8, 1.0))
         self.prober = Prober(
             clock=self.clock,
             sender=self.sender,
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -157,8 +157,12 @@
         self, ticket: Ticket, outcome: Outcome | None, began: float
     ) -> None:
         """Gives the slot back; what did not run costs no service time."""
-        ran = not isinstance(outcome, NotRun)
-        elapsed_s = self._clock.monotonic() - began if ran else 0.0
+        now = self._clock.monotonic()
+        elapsed_s = now - began
+        if isinstance(outcome, NotRun):
+            elapsed_s = 0.0
+            if outcome.code is ResultCode.SERVER_SHED:
+                self._admission.shed(now)
         if isinstance(outcome, Done) and outcome.response.status < 500:
             step = _SMOOTHING if self._service_s else 1.0
             self._service_s += step * (elapsed_s - self._service_s)
--- a/src/radishwind/target/tests/test_pipeline.py
+++ b/src/radishwind/target/tests/test_pipeline.py
@@ -44,7 +44,7 @@
 
     def __init__(self, slots=1):
         self.clock, self.sender = ManualClock(), DirectSender()
-        limits = AdmissionLimits(slots, 10, 8, 1.0)
+        limits = AdmissionLimits(slots, 10, 0, 8, 1.0)
         parts = make_parts("a", "s", self.clock, self.sender, ADDRESS, limits)
         self.pipeline, self.server = parts.pipeline, parts.server
         self.health, self.quarantine = parts.health, parts.quarantine
