--- a/src/radishwind/node/target.py
+++ b/src/radishwind/node/target.py
@@ -55,6 +55,7 @@
             server=self._server,
             admission=self._admission,
             health=health,
+            gone=self._watch.gone,
         )
         self.pipeline = TargetPipeline(
             clock=clock,
--- a/src/radishwind/probing/prober.py
+++ b/src/radishwind/probing/prober.py
@@ -1,6 +1,7 @@
 """The task that probes the server beside; one probe at a time."""
 
 import collections
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -9,6 +10,7 @@
 from radishwind.admission.gate import Admission
 from radishwind.admission.gate import Ticket
 from radishwind.core.clock import Clock
+from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import SendError
 from radishwind.http.sender import Sender
 from radishwind.http.types import Request
@@ -45,6 +47,7 @@
     """Asks the server's health endpoint when the policy says so.
 
     A probe holds a slot like a request, so it never joins a full server.
+    `gone` is called when the server takes no connection.
     """
 
     def __init__(
@@ -55,11 +58,13 @@
         server: ServerBeside,
         admission: Admission,
         health: HealthModel,
+        gone: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._sender = sender
         self._server = server
         self._admission = admission
+        self._gone = gone
         self._began = clock.monotonic()
         self._budget = ProbeBudget()
         self._policy = ProbePolicy(self._budget, health)
@@ -122,6 +127,9 @@
                     view.address, request, TIMEOUT_S
                 )
                 body = await whole_body(response.body)
+        except ConnectFailedError:
+            self._gone()
+            return None
         except (SendError, TimeoutError):
             return None
         try:
--- a/src/radishwind/probing/tests/test_probing.py
+++ b/src/radishwind/probing/tests/test_probing.py
@@ -91,6 +91,7 @@
         told = Announcement("a", str(ADDRESS), health_path="/healthz")
         self.server.announce(told, 100.0)
         self.health = HealthModel()
+        self.gone = []
         self.admission = FairAdmission(AdmissionLimits(1, 10, 0, 8, 1.0))
         self.prober = Prober(
             clock=self.clock,
@@ -98,6 +99,7 @@
             server=self.server,
             admission=self.admission,
             health=self.health,
+            gone=lambda: self.gone.append(True),
         )
         self.prober.resize(0.1)
         self.answer = {"state": "ready"}
@@ -129,6 +131,7 @@
     beside.sender.faults[ADDRESS] = Fault.REFUSED
     await beside.prober.tick()
     assert beside.health.fitness(beside.clock.monotonic()) < 1.0
+    assert beside.gone == [True]
 
 
 @pytest.mark.anyio
--- a/src/radishwind/target/watch.py
+++ b/src/radishwind/target/watch.py
@@ -48,12 +48,15 @@
 
     def refused(self) -> None:
         """Takes a connection that the server did not accept."""
+        self._health.answered(False, self._clock.monotonic())
+        self.gone()
+
+    def gone(self) -> None:
+        """Takes that the server is not there; what broke before crashed it."""
         now = self._clock.monotonic()
-        self._health.answered(False, now)
         self._quarantine.crashed(self._crashes.gone(now))
 
     def restarted(self) -> None:
         """Takes a new start of the server."""
-        now = self._clock.monotonic()
-        self._health.restarted(now)
-        self._quarantine.crashed(self._crashes.gone(now))
+        self._health.restarted(self._clock.monotonic())
+        self.gone()
