Split a group of claims that fails, and shrink the next

Cause: a transaction with one claim that exists fails whole.

Now the halves are tried, the next groups are a quarter as large and grow by one with each that succeeds, and four transactions may be under way, so that small groups use the store's rate.

--- a/src/radishwind/claims/writer.py
+++ b/src/radishwind/claims/writer.py
@@ -15,6 +15,9 @@
 #: Claims in one transaction; stores allow some 128 operations in each.
 GROUP_LENGTH = 32
 
+#: Transactions under way at a time, so that one that hangs stops no others.
+UNDER_WAY = 4
+
 
 class ClaimWriter(abc.ABC):
     """Writes claims that must not exist yet, or must be unchanged."""
@@ -66,19 +69,21 @@
 class GroupWriter(ClaimWriter):
     """Sends what waits at the same moment in one transaction.
 
-    A claim that finds none under way goes at once, by itself; those that come
-    meanwhile go together after it. A transaction with one claim that exists
-    already fails whole, and its claims then go singly.
+    A claim goes at once, by itself, while few transactions are under way;
+    those that come meanwhile go together. A transaction with one claim that
+    exists already fails whole; its halves are then tried, and groups are made
+    smaller until they succeed again.
     """
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self._waiting: list[_Waiting] = []
-        self._busy = False
+        self._under_way = 0
+        self._most = GROUP_LENGTH
         self._wake = anyio.Event()
 
     async def write(self, compare: Compare, put: Put) -> TxnResult:
-        if not self._busy:
+        if self._under_way < UNDER_WAY and not self._waiting:
             return await self._write_alone(compare, put)
         waiting = _Waiting(compare, put, anyio.Event())
         self._waiting.append(waiting)
@@ -95,57 +100,70 @@
 
     async def run(self) -> None:
         """Sends the groups, for ever."""
-        while True:
-            await self._wake.wait()
-            self._wake = anyio.Event()
-            while self._waiting and not self._busy:
-                await self._write_waiting()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wake.wait()
+                self._wake = anyio.Event()
+                while self._waiting and self._under_way < UNDER_WAY:
+                    self._under_way += 1
+                    tasks.start_soon(self._write_waiting, self._next_group())
 
     async def _write_alone(self, compare: Compare, put: Put) -> TxnResult:
-        self._busy = True
+        self._under_way += 1
         try:
             return await self._store.transact((compare,), (put,))
         finally:
-            self._busy = False
-            self._wake.set()
+            self._end_one()
 
-    async def _write_waiting(self) -> None:
-        group = self._next_group()
-        self._busy = True
+    async def _write_waiting(self, group: list[_Waiting]) -> None:
         try:
             await self._write_group(group)
         except StoreError as exc:
-            self._end(group, exc)
+            _end(group, exc)
         finally:
-            self._busy = False
+            self._end_one()
             # Cancelled: nobody knows what became of them.
-            self._end(group, StoreAnswerLostError("the node is stopping"))
+            _end(group, StoreAnswerLostError("the node is stopping"))
 
     async def _write_group(self, group: list[_Waiting]) -> None:
+        if await self._write_whole(group):
+            self._most = min(self._most + 1, GROUP_LENGTH)
+            return
+        self._most = max(1, self._most // 4)
+        await self._write_halves(group)
+
+    async def _write_halves(self, group: list[_Waiting]) -> None:
+        half = len(group) // 2
+        for part in (group[:half], group[half:]):
+            if not await self._write_whole(part):
+                await self._write_halves(part)
+
+    async def _write_whole(self, group: list[_Waiting]) -> bool:
+        """Returns whether each claim of the group has its result."""
         result = await self._store.transact(
             [w.compare for w in group], [w.put for w in group]
         )
-        if result.succeeded or len(group) == 1:
-            self._end(group, result)
-            return
-        for waiting in group:
-            waiting.end(
-                await self._store.transact((waiting.compare,), (waiting.put,))
-            )
+        if not result.succeeded and len(group) > 1:
+            return False
+        _end(group, result)
+        return True
 
     def _next_group(self) -> list[_Waiting]:
         """Takes the first that wait; a transaction may name a key once."""
         group: dict[str, _Waiting] = {}
         for waiting in self._waiting:
-            if len(group) == GROUP_LENGTH or waiting.put.key in group:
+            if len(group) == self._most or waiting.put.key in group:
                 break
             group[waiting.put.key] = waiting
         del self._waiting[: len(group)]
         return list(group.values())
 
-    def _end(
-        self, group: list[_Waiting], result: TxnResult | StoreError
-    ) -> None:
-        for waiting in group:
-            if not waiting.ended.is_set():
-                waiting.end(result)
+    def _end_one(self) -> None:
+        self._under_way -= 1
+        self._wake.set()
+
+
+def _end(group: list[_Waiting], result: TxnResult | StoreError) -> None:
+    for waiting in group:
+        if not waiting.ended.is_set():
+            waiting.end(result)
