Compare whole bodies of keyed requests; drop a lease the store may have lost

Cause: of a streamed body (over 64 kB) only the length went into the fingerprint, so another body of the same length got the recorded answer. Ruled out: hashing the body on its way to the server, since a repeat would have to be read whole anyway before it can be told anything.

A claim refused because its shared lease is gone would have been refused until the end of the bucket; the lease is now forgotten with any unsettled claim.

--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -6,6 +6,7 @@
 import anyio.abc
 import msgspec
 
+from radishwind.claims.body import with_whole_body
 from radishwind.claims.capture import capture
 from radishwind.claims.guard import ClaimGuard
 from radishwind.claims.guard import Execute
@@ -47,6 +48,7 @@
       registry: the claims in the store.
       memory: what this node remembers of them.
       answer_bytes: the most of an answer that is recorded (bytes).
+      body_bytes: the largest body of a keyed request (bytes).
       repeat_wait_s: how long a repeat waits here for the first to end (s).
     """
 
@@ -57,12 +59,14 @@
         registry: ClaimRegistry,
         memory: ClaimMemory,
         answer_bytes: int,
+        body_bytes: int,
         repeat_wait_s: float,
     ) -> None:
         self._clock = clock
         self._registry = registry
         self._memory = memory
         self._answer_bytes = answer_bytes
+        self._body_bytes = body_bytes
         self._repeat_wait_s = repeat_wait_s
         self._running: dict[tuple[str, str], anyio.Event] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -107,7 +111,7 @@
     async def _work(self, job: _Job) -> None:
         self._jobs += 1
         try:
-            job.outcome = await self._one_at_a_time(job)
+            job.outcome = await self._whole(job)
         except Exception as exc:
             job.error = exc
         except BaseException:
@@ -123,6 +127,14 @@
         if job.abandoned and isinstance(job.outcome, Done):
             abort_body(job.outcome.response.body)
 
+    async def _whole(self, job: _Job) -> Outcome:
+        left_s = job.call.deadline - self._clock.monotonic()
+        whole = await with_whole_body(job.call, self._body_bytes, left_s)
+        if not isinstance(whole, Call):
+            return whole
+        job.call = whole
+        return await self._one_at_a_time(job)
+
     async def _one_at_a_time(self, job: _Job) -> Outcome:
         """Lets one sending of a key at a time pass in this node."""
         sending = Sending.of(job.call)
--- a/src/radishwind/claims/record.py
+++ b/src/radishwind/claims/record.py
@@ -108,17 +108,11 @@
 
 
 def fingerprint(call: Call) -> str:
-    """Returns a digest of method, path and body.
-
-    Of a body that is streamed only its length counts: the claim is written
-    before the body has been read.
-    """
+    """Returns a digest of method, path and body, which is held whole."""
     request = call.request
+    assert isinstance(request.body, bytes)
     digest = xxhash.xxh3_128(f"{request.method} {request.path}\n".encode())
-    if isinstance(request.body, bytes):
-        digest.update(request.body)
-    else:
-        digest.update(f"stream of {request.body_bytes}".encode())
+    digest.update(request.body)
     return digest.hexdigest()
 
 
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -198,6 +198,9 @@
             )
         except StoreAnswerLostError:
             mod_revision = await self._settle(record, store_key)
+            if mod_revision is None:
+                # Perhaps the store refused it since it lost the lease.
+                self._lease.forget()
         except BaseException:
             # Cancelled: it may be written and will never be dispatched.
             self._lose(record, store_key)
--- a/src/radishwind/node/claims.py
+++ b/src/radishwind/node/claims.py
@@ -102,6 +102,7 @@
         registry=registry,
         memory=memory,
         answer_bytes=settings.claim_answer_bytes,
+        body_bytes=settings.claim_body_bytes,
         repeat_wait_s=settings.claim_repeat_wait_s,
     )
     return NodeClaims(guard, settler, memory)
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -154,6 +154,12 @@
         default=32 * 1024,
         unit="bytes",
     )
+    claim_body_bytes: int = setting(
+        parsers.whole_number(1024, 2**30),
+        "The largest body of a request with an idempotency key.",
+        default=1024 * 1024,
+        unit="bytes",
+    )
     claim_memory_bytes: int = setting(
         parsers.whole_number(64 * 1024, 2**32),
         "What a node remembers of claims, and again what waits to be written.",
