--- a/src/radishwind/claims/settler.py
+++ b/src/radishwind/claims/settler.py
@@ -32,6 +32,9 @@
 #: How often the store is asked for claims that may yet appear (s).
 _LOST_POLL_S = 5.0
 
+#: Lost claims looked for; the oldest go first, and stay "unknown".
+_LOST_LENGTH = 1_000
+
 #: Nonces remembered as never dispatched.
 _UNDISPATCHED_LENGTH = 10_000
 
@@ -110,7 +113,9 @@
         self._limit_bytes = limit_bytes
         self._waiting: collections.deque[Settlement] = collections.deque()
         self._waiting_bytes = 0
-        self._lost: collections.deque[LostClaim] = collections.deque()
+        self._lost: collections.deque[LostClaim] = collections.deque(
+            maxlen=_LOST_LENGTH
+        )
         self._undispatched: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
--- a/src/radishwind/claims/tests/test_at_most_once.py
+++ b/src/radishwind/claims/tests/test_at_most_once.py
@@ -20,7 +20,7 @@
 from radishwind.store import StoreError
 
 SEEDS = range(1, 201)
-KEYS = ("k1", "k2", "k3")
+KEYS = ("k1", "k2", "k3", "k4", "k5")
 
 
 class Session:
@@ -57,7 +57,7 @@
         if paused:
             node.sender.paused = anyio.Event()
         async with anyio.create_task_group() as sendings:
-            for _ in range(rng.randrange(1, 5)):
+            for _ in range(rng.randrange(1, 9)):
                 sendings.start_soon(self._send, rng.choice(self._nodes))
             for _ in range(rng.randrange(20)):
                 await anyio.lowlevel.checkpoint()
--- a/src/radishwind/claims/writer.py
+++ b/src/radishwind/claims/writer.py
@@ -73,17 +73,22 @@
     those that come meanwhile go together. A transaction with one claim that
     exists already fails whole; its halves are then tried, and groups are made
     smaller until they succeed again.
+
+    Args:
+      store: the store.
+      under_way: the most transactions under way at a time.
     """
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, under_way: int = UNDER_WAY) -> None:
         self._store = store
+        self._limit = under_way
         self._waiting: list[_Waiting] = []
         self._under_way = 0
         self._most = GROUP_LENGTH
         self._wake = anyio.Event()
 
     async def write(self, compare: Compare, put: Put) -> TxnResult:
-        if self._under_way < UNDER_WAY and not self._waiting:
+        if self._under_way < self._limit and not self._waiting:
             return await self._write_alone(compare, put)
         waiting = _Waiting(compare, put, anyio.Event())
         self._waiting.append(waiting)
@@ -104,7 +109,7 @@
             while True:
                 await self._wake.wait()
                 self._wake = anyio.Event()
-                while self._waiting and self._under_way < UNDER_WAY:
+                while self._waiting and self._under_way < self._limit:
                     self._under_way += 1
                     tasks.start_soon(self._write_waiting, self._next_group())
 
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -12,6 +12,7 @@
 import anyio.lowlevel
 
 from radishwind.claims import ClaimGuard
+from radishwind.claims.writer import GroupWriter
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
 from radishwind.config.model import Inventory
@@ -171,7 +172,12 @@
         )
         store = EtcdStore(cluster.sender, STORE)
         self.claims: NodeClaims = make_claims(
-            cfg, cluster.clock, cluster.rng, store, lambda: 1
+            cfg,
+            cluster.clock,
+            cluster.rng,
+            store,
+            lambda: 1,
+            GroupWriter(store, under_way=1),  # So that groups are made.
         )
         guard: ClaimGuard = self.claims.guard
         if cluster.guard is not None:
