--- a/src/radishwind/claims/gate.py
+++ b/src/radishwind/claims/gate.py
@@ -2,6 +2,8 @@
 
 import random
 
+from radishwind.store.budget import Backoff
+
 _FIRST_S = 0.25
 _MOST_S = 5.0
 
@@ -17,8 +19,7 @@
     """
 
     def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._failures = 0
+        self._backoff = Backoff(rng, _FIRST_S, _MOST_S)
         self._closed_until = 0.0
         self._trying = False
 
@@ -27,7 +28,7 @@
 
         Each call that may must be followed by `succeeded` or `failed`.
         """
-        if not self._failures:
+        if not self._backoff.failures:
             return True
         if self._trying or now < self._closed_until:
             return False
@@ -36,7 +37,7 @@
 
     def succeeded(self) -> None:
         """Notes that the store answered."""
-        self._failures = 0
+        self._backoff.succeeded()
         self._trying = False
 
     def failed(self, now: float) -> None:
@@ -44,9 +45,7 @@
         self._trying = False
         if now < self._closed_until:
             return  # Calls made together fail together, and count once.
-        wait_s = min(_FIRST_S * 2 ** min(self._failures, 10), _MOST_S)
-        self._failures += 1
-        self._closed_until = now + wait_s * self._rng.uniform(0.5, 1.0)
+        self._closed_until = now + self._backoff.failed()
 
     def wait_s(self, now: float) -> float:
         """Returns when to come back (s)."""
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -76,11 +76,15 @@
             client=self._client,
             store=self._store,
         )
+        # Connections of its own: no watch or slow reader stands before a claim.
+        self._claims_store = EtcdStore(
+            make_sender(library, connections=8), self._settings.store
+        )
         self._claims = make_claims(
             self._settings,
             self._clock,
             self._rng,
-            self._store,
+            self._claims_store,
             lambda: len(self._membership.directory.members()),
         )
         self._observation = Observation(
@@ -177,6 +181,7 @@
             await server.close(1.0)
         await self._sender.close()
         await self._store.close()
+        await self._claims_store.close()
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
