--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -34,9 +34,11 @@
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
 
-#: Connections kept to one peer or to the server, and to the store.
+#: Connections kept to one peer or to the server, and to the store; claims have
+#: their own, so that no watch or slow reader stands before them.
 _PEER_CONNECTIONS = 250
 _STORE_CONNECTIONS = 4
+_CLAIM_CONNECTIONS = 8
 
 
 class Node:
@@ -59,6 +61,7 @@
         self._stores = make_stores(
             self._settings,
             make_sender(library, _STORE_CONNECTIONS),
+            make_sender(library, _CLAIM_CONNECTIONS),
             self._clock,
             self._rng,
         )
--- a/src/radishwind/node/config.py
+++ b/src/radishwind/node/config.py
@@ -42,13 +42,17 @@
     async def close(self) -> None:
         """Closes the connections."""
         await self.control.close()
+        await self.claims.close()
 
 
 def make_stores(
-    settings: NodeSettings, sender: Sender, clock: Clock, rng: random.Random
+    settings: NodeSettings,
+    control_sender: Sender,
+    claims_sender: Sender,
+    clock: Clock,
+    rng: random.Random,
 ) -> NodeStores:
     """Returns the store within the node's budgets."""
-    inner = EtcdStore(sender, settings.store)
     control = StoreBudget(settings.store_calls_per_s, settings.store_burst)
     claims_per_s = settings.claim_writes_per_s + settings.claim_reads_per_s
     claims = StoreBudget(
@@ -57,8 +61,12 @@
         failures_before_pause=_NEVER,
     )
     return NodeStores(
-        BudgetedStore(inner, clock, rng, control),
-        BudgetedStore(inner, clock, rng, claims),
+        BudgetedStore(
+            EtcdStore(control_sender, settings.store), clock, rng, control
+        ),
+        BudgetedStore(
+            EtcdStore(claims_sender, settings.store), clock, rng, claims
+        ),
     )
 
 
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -12,6 +12,7 @@
 import anyio.lowlevel
 
 from radishwind.claims import ClaimGuard
+from radishwind.claims.writer import GroupWriter
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
 from radishwind.config.model import Inventory
@@ -26,6 +27,7 @@
 from radishwind.http import ExchangeBrokenError
 from radishwind.http import Request
 from radishwind.http import Response
+from radishwind.http.types import Body
 from radishwind.http.types import header
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
@@ -170,7 +172,12 @@
         )
         store = EtcdStore(cluster.sender, STORE)
         self.claims: NodeClaims = make_claims(
-            cfg, cluster.clock, cluster.rng, store, lambda: 1
+            cfg,
+            cluster.clock,
+            cluster.rng,
+            store,
+            lambda: 1,
+            GroupWriter(store, under_way=1),  # So that groups are made.
         )
         guard: ClaimGuard = self.claims.guard
         if cluster.guard is not None:
@@ -205,12 +212,13 @@
     async def send(
         self,
         key: str,
-        body: bytes,
+        body: Body,
         *fields: tuple[str, str],
         method: str = "POST",
     ) -> Response:
         headers = (("Idempotency-Key", key), *fields) if key else fields
-        request = Request(method, "/prenota/x", headers, body, len(body))
+        size = len(body) if isinstance(body, bytes) else None
+        request = Request(method, "/prenota/x", headers, body, size)
         return await self._entry.handle(request)
 
 
