--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -97,9 +97,12 @@
             self._clock,
             self._sender,
             self._membership.board,
-            self._drain_changed,
+            self._ready_changed,
         )
         self._target = self._target_side.pipeline
+        if not self._target_side.ready:
+            # A server not heard of yet gets no work that would be refused.
+            self._ready_changed(False)
         forward = ForwardRunner(
             node_name=self._settings.target,
             clock=self._clock,
@@ -199,11 +202,12 @@
             async for _ in signals:
                 self._stopping.set()
 
-    def _drain_changed(self, draining: bool) -> None:
-        if self._target.leaving and not draining:
+    def _ready_changed(self, ready: bool) -> None:
+        """Tells peers whether the server beside takes new work."""
+        if self._stopping.is_set():
             return
         self._membership.announce(
-            Announced.DRAINING if draining else Announced.ALIVE
+            Announced.ALIVE if ready else Announced.DRAINING
         )
 
     def _status(self) -> dict[str, Any]:
--- a/src/radishwind/node/target.py
+++ b/src/radishwind/node/target.py
@@ -33,12 +33,12 @@
         clock: Clock,
         sender: Sender,
         board: RumorBoard,
-        drain_changed: Callable[[bool], None],
+        ready_changed: Callable[[bool], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._server = ServerBeside(
-            settings.target, settings.server, drain_changed
+            settings.target, settings.server, ready_changed
         )
         self._admission: Admission = FairAdmission()
         self.quarantine = Quarantine(
@@ -65,6 +65,11 @@
             watch=self._watch,
         )
 
+    @property
+    def ready(self) -> bool:
+        """Whether the server beside is known and takes new work."""
+        return self._server.ready
+
     async def run(self) -> None:
         """Probes the server until cancelled."""
         await self._prober.run()
--- a/src/radishwind/target/server.py
+++ b/src/radishwind/target/server.py
@@ -83,21 +83,22 @@
     Args:
       target: the name of the target in the inventory.
       address: from the settings; `None` for a server that announces itself.
+      ready_changed: told whenever `ready` changes.
     """
 
     def __init__(
         self,
         target: str,
         address: Address | None,
-        drain_changed: Callable[[bool], None] = lambda draining: None,
+        ready_changed: Callable[[bool], None] = lambda ready: None,
     ) -> None:
         self._target = target
         self._view = ServerView(address) if address else None
         self._listed: bool | None = None
         self._told_warm: float | None = None
         self._health_draining = False
-        self._drain_changed = drain_changed
-        self._drain_told = False
+        self._ready_changed = ready_changed
+        self._ready_told = self.ready
 
     @property
     def view(self) -> ServerView | None:
@@ -109,6 +110,11 @@
         """Whether the inventory lists the target; `None` before the first."""
         return self._listed
 
+    @property
+    def ready(self) -> bool:
+        """Whether the server is known and says that it takes new work."""
+        return self._view is not None and not self.draining
+
     @property
     def draining(self) -> bool:
         """Whether the server says that it takes no new work."""
@@ -151,7 +157,7 @@
         if fresh:
             self._told_warm = None
             self._health_draining = False
-        self._tell_drain()
+        self._tell_ready()
         return fresh
 
     def health(self, state: ServerState, warm: float | None) -> None:
@@ -161,13 +167,13 @@
         """
         self._health_draining = state is ServerState.DRAINING
         self._told_warm = warm
-        self._tell_drain()
+        self._tell_ready()
 
-    def _tell_drain(self) -> None:
-        if self.draining == self._drain_told:
+    def _tell_ready(self) -> None:
+        if self.ready == self._ready_told:
             return
-        self._drain_told = self.draining
-        self._drain_changed(self.draining)
+        self._ready_told = self.ready
+        self._ready_changed(self.ready)
 
     def refusal(self) -> NotRun | None:
         """Returns why nothing may be sent to the server, if so."""
--- a/src/radishwind/target/tests/test_server.py
+++ b/src/radishwind/target/tests/test_server.py
@@ -28,6 +28,19 @@
     assert server.refusal().code is ResultCode.TARGET_UNLISTED
 
 
+def test_ready_is_told_once_at_each_change():
+    told = []
+    server = ServerBeside("a", None, told.append)
+    assert not server.ready
+
+    server.announce(Announcement("a", ADDRESS), 0.0)
+    server.announce(Announcement("a", ADDRESS), 1.0)
+    server.health(ServerState.DRAINING, None)
+    server.health(ServerState.READY, None)
+
+    assert told == [True, False, True]
+
+
 def test_announced_draining_outweighs_a_health_answer_of_ready():
     server = ServerBeside("a", None)
     server.list(True)
