Log to standard error; read the data path's counters as metrics

Cause found on the way: processes of tests wrote their log into a pipe that nobody read, which would stop a node once the pipe is full; it is a file now.

--- a/src/radishwind/cli/node.py
+++ b/src/radishwind/cli/node.py
@@ -1,5 +1,7 @@
 """`radishwind node`."""
 
+import sys
+
 import anyio
 import typer
 
@@ -10,6 +12,9 @@
 
 def _run(settings: NodeSettings) -> None:
     from radishwind.node import Node
+    from radishwind.telemetry import start_logging
+
+    start_logging(sys.stderr)
 
     async def main() -> None:
         await Node(settings, SystemClock()).run()
--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -1,5 +1,7 @@
 """Runs the attempts of one call: the first, hedges beside it, retries after."""
 
+import dataclasses
+
 import anyio
 import anyio.abc
 
@@ -21,6 +23,21 @@
 NO_TARGET_RETRY_S = 1.0
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptCounts:
+    """What was sent for callers since the start.
+
+    Attributes:
+      calls: calls that came to an attempt or to a refusal.
+      attempts: attempts in all, hedges included.
+      hedges: attempts beside one still running.
+    """
+
+    calls: int = 0
+    attempts: int = 0
+    hedges: int = 0
+
+
 class Attempts:
     """Runs calls to their final outcome; holds no state of a call."""
 
@@ -40,10 +57,12 @@
         self._retries = retries
         self._hedges = hedges
         self._runner = runner
+        self.counts = AttemptCounts()
 
     async def run(self, call: Call) -> Outcome:
         """Returns the final outcome of `call`."""
         history = _History(call)
+        self.counts.calls += 1
         now = self._clock.monotonic()
         self._retries.first(call, now)
         delay_s = self._hedges.delay_s(call, now)
@@ -94,10 +113,12 @@
             if self._hedges.spend(history.call, self._clock.monotonic()):
                 break
         race.hedged = True
+        self.counts.hedges += 1
         race.take(await self._attempt(history, member))
 
     async def _attempt(self, history: "_History", member: Member) -> Outcome:
         call = history.call
+        self.counts.attempts += 1
         attempt_id = history.next_attempt(member.name)
         began = self._clock.monotonic()
         self._chooser.started(member.name, began)
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -9,6 +9,7 @@
 from radishwind.claims.guard import ClaimGuard
 from radishwind.config.index import ConfigIndex
 from radishwind.core.clock import Clock
+from radishwind.entry.attempts import AttemptCounts
 from radishwind.entry.attempts import Attempts
 from radishwind.entry.call import Call
 from radishwind.entry.call import CallRejectedError
@@ -72,6 +73,11 @@
         self._id_prefix = f"{node_name}-{rng.getrandbits(64):016x}"
         self._calls = itertools.count(1)
 
+    @property
+    def counts(self) -> AttemptCounts:
+        """What was sent for callers since the start."""
+        return self._attempts.counts
+
     async def handle(self, request: Request) -> Response:
         """Returns the final answer to a caller's request."""
         began = self._clock.monotonic()
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -24,6 +24,7 @@
 from radishwind.node.entry import node_chooser
 from radishwind.node.in_progress import CallersInProgress
 from radishwind.node.membership_tasks import MembershipTasks
+from radishwind.node.metrics import add_metrics
 from radishwind.node.observe import Observation
 from radishwind.node.peer_security import make_peer_security
 from radishwind.node.target import TargetSide
@@ -33,6 +34,7 @@
 from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries import RetryBudget
 from radishwind.settings import NodeSettings
+from radishwind.telemetry.logs import PartLogger
 
 #: Connections kept to one peer or to the server, and to the store; claims have
 #: their own, so that no watch or slow reader stands before them.
@@ -51,6 +53,7 @@
         self._rng = random.Random(seed)
         self._index = ConfigIndex(Configuration())
         self._stopping = anyio.Event()
+        self._log = PartLogger("node", clock)
         self._build_control()
         self._build_data_path()
         self._build_admin()
@@ -143,6 +146,9 @@
         self._admin.add_status(self._membership.status)
         self._admin.add_status(self._claims.status)
         self._target_side.add_to(self._admin)
+        add_metrics(
+            self._observation, self._entry, self._target_side, self._membership
+        )
         self._observation.add_to(self._admin, self._peers)
         self._config = make_config(
             settings=self._settings,
@@ -174,8 +180,13 @@
             await callers.start(
                 self._callers.handle, self._settings.caller_listen
             )
+            self._log.info(
+                "Receives callers.", address=str(self._settings.caller_listen)
+            )
             await self._stopping.wait()
+            self._log.info("Stops as planned; finishes what is in progress.")
             await self._stop()
+            self._log.info("Stopped.")
             tasks.cancel_scope.cancel()
 
     async def _stop(self) -> None:
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -124,14 +124,18 @@
         """Tells peers by and by which configuration is in force here."""
         self.gossip.revision = revision
 
-    def status(self) -> dict[str, Any]:
-        """Returns the fields for the status of the node."""
-        members = self.directory.members()
+    def members_by_state(self) -> dict[str, int]:
+        """Returns how many members are known, by state."""
         states: dict[str, int] = {}
-        for member in members:
+        for member in self.directory.members():
             states[member.state] = states.get(member.state, 0) + 1
+        return states
+
+    def status(self) -> dict[str, Any]:
+        """Returns the fields for the status of the node."""
+        states = self.members_by_state()
         return {
-            "members": len(members),
+            "members": sum(states.values()),
             "member_states": states,
             "not_in_inventory": list(self.directory.refused()),
             "incarnation": self.gossip.own.incarnation,
--- a/src/radishwind/node/observe.py
+++ b/src/radishwind/node/observe.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -72,7 +73,7 @@
         name: str,
         unit: str,
         text: str,
-        read: Callable[[], dict[str, float]],
+        read: Callable[[], Mapping[str, float]],
     ) -> None:
         """Adds a metric that only grows, by kind."""
         if self._metrics is not None:
@@ -83,7 +84,7 @@
         name: str,
         unit: str,
         text: str,
-        read: Callable[[], dict[str, float]],
+        read: Callable[[], Mapping[str, float]],
     ) -> None:
         """Adds a metric that goes up and down, by kind."""
         if self._metrics is not None:
--- a/src/radishwind/node/target.py
+++ b/src/radishwind/node/target.py
@@ -98,13 +98,24 @@
         self._admission.resize(limits)
         self._prober.resize(rules.probe_share)
 
-    def _status(self) -> dict[str, Any]:
-        now = self._clock.monotonic()
+    def load_by_kind(self) -> dict[str, float]:
+        """Returns requests at the target: slots, in flight, waiting."""
         return {
-            "server": self._server.status(now),
             "slots": self._admission.slots,
             "in_flight": self._admission.in_flight,
             "queued": self._admission.queued,
+        }
+
+    def probe_cost_s(self) -> float:
+        """Returns the time that probes took of the server (s)."""
+        cost_s: float = self._prober.status()["cost_s"]
+        return cost_s
+
+    def _status(self) -> dict[str, Any]:
+        now = self._clock.monotonic()
+        return {
+            "server": self._server.status(now),
+            **self.load_by_kind(),
             "probing": self._prober.status(),
             "quarantine": self.quarantine.status(),
         }
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import urllib.error
 import urllib.request
@@ -85,10 +86,12 @@
     """One `radishwind` process; it is ended by its id and by nothing else."""
 
     def __init__(self, *arguments: str, **environ: str) -> None:
+        # A file, since nobody reads along and a full pipe would stop it.
+        self._log = tempfile.TemporaryFile()  # noqa: SIM115
         self._popen = subprocess.Popen(
             [sys.executable, "-m", "radishwind", *arguments],
             env={**os.environ, "PYTHONPATH": SRC, **environ},
-            stderr=subprocess.PIPE,
+            stderr=self._log,
         )
 
     def send(self, number: signal.Signals) -> None:
@@ -119,7 +122,13 @@
         if self.running():
             self.send(signal.SIGCONT)
             self._popen.kill()
-        self._popen.communicate()
+        self._popen.wait()
+        self._log.close()
+
+    def log(self) -> str:
+        """Returns what the process has logged so far."""
+        size = os.fstat(self._log.fileno()).st_size
+        return os.pread(self._log.fileno(), size, 0).decode()
 
 
 class Fleet:
