Start hedges from one task of the node, not from a group per call

Ruled out: leaving the group to calls whose delay has passed, since a task that runs cannot be moved into one.

--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -1,17 +1,14 @@
 """Runs the attempts of one call: the first, hedges beside it, retries after."""
 
-import anyio
-import anyio.abc
-
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.race import HedgeTimer
+from radishwind.entry.race import Race
 from radishwind.entry.runner import AttemptRunner
 from radishwind.hedging.policy import HedgePolicy
-from radishwind.http.types import abort_body
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
-from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
 from radishwind.retries.policy import RetryPolicy
@@ -40,6 +37,11 @@
         self._retries = retries
         self._hedges = hedges
         self._runner = runner
+        self._timer = HedgeTimer(clock)
+
+    async def run_hedges(self) -> None:
+        """Starts the hedges that fall due, until cancelled."""
+        await self._timer.run()
 
     async def run(self, call: Call) -> Outcome:
         """Returns the final outcome of `call`."""
@@ -74,27 +76,28 @@
 
         The loser is cancelled, which closes its connection.
         """
-        race = _Race()
-        async with anyio.create_task_group() as tasks:
-            race.tasks = tasks
-            tasks.start_soon(self._hedge, history, race, delay_s)
-            race.take(await self._attempt(history, member))
-        return race.outcome()
+        race = Race()
+        self._hedge_later(history, race, delay_s)
+        return await race.run_first(lambda: self._attempt(history, member))
+
+    def _hedge_later(
+        self, history: "_History", race: Race, delay_s: float
+    ) -> None:
+        due = self._clock.monotonic() + delay_s
+        self._timer.add(due, race, lambda: self._hedge(history, race, delay_s))
 
     async def _hedge(
-        self, history: "_History", race: "_Race", delay_s: float
+        self, history: "_History", race: Race, delay_s: float
     ) -> None:
-        while True:
-            await anyio.sleep(delay_s)
-            member = self._choose(history)
-            if member is None or race.first_ended:
-                return
-            # Without a token now, one may be there after the next wait: who
+        member = self._choose(history)
+        if member is None:
+            return
+        if not self._hedges.spend(history.call, self._clock.monotonic()):
+            # Without a token now, one may be there after another wait: who
             # has no answer then is among the slowest.
-            if self._hedges.spend(history.call, self._clock.monotonic()):
-                break
-        race.hedged = True
-        race.take(await self._attempt(history, member))
+            self._hedge_later(history, race, delay_s)
+            return
+        await race.run_hedge(lambda: self._attempt(history, member))
 
     async def _attempt(self, history: "_History", member: Member) -> Outcome:
         call = history.call
@@ -130,49 +133,6 @@
         return f"{self.call.call_id}.{self.attempts}"
 
 
-class _Race:
-    """Takes the outcomes of attempts side by side and keeps one.
-
-    Attributes:
-      tasks: runs them; cancelled once one has answered.
-      first_ended: whether any has ended.
-      hedged: whether a second one began.
-    """
-
-    __slots__ = ("_kept", "first_ended", "hedged", "tasks")
-
-    def __init__(self) -> None:
-        self.tasks: anyio.abc.TaskGroup | None = None
-        self.first_ended = False
-        self.hedged = False
-        self._kept: Outcome | None = None
-
-    def take(self, outcome: Outcome) -> None:
-        """Takes one outcome; an answer ends the race."""
-        if isinstance(self._kept, Done):
-            if isinstance(outcome, Done):
-                abort_body(outcome.response.body)
-            return
-        others_run = self.hedged and not self.first_ended
-        self.first_ended = True
-        self._kept = _graver(self._kept, outcome)
-        if isinstance(outcome, Done) or not others_run:
-            assert self.tasks is not None
-            self.tasks.cancel_scope.cancel()
-
-    def outcome(self) -> Outcome:
-        """Returns the outcome of the race."""
-        assert self._kept is not None
-        return self._kept
-
-
-def _graver(kept: Outcome | None, outcome: Outcome) -> Outcome:
-    """Returns what holds of both: an answer, else unknown, else not run."""
-    if kept is None or isinstance(outcome, Done):
-        return outcome
-    return outcome if isinstance(kept, NotRun) else kept
-
-
 def _no_target(call: Call) -> NotRun:
     return NotRun(
         ResultCode.NO_TARGET,
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -72,6 +72,13 @@
         self._id_prefix = f"{node_name}-{rng.getrandbits(64):016x}"
         self._calls = itertools.count(1)
 
+    async def run_hedges(self) -> None:
+        """Starts the hedges that fall due, until cancelled.
+
+        Without this task calls are answered, and none is hedged.
+        """
+        await self._attempts.run_hedges()
+
     async def handle(self, request: Request) -> Response:
         """Returns the final answer to a caller's request."""
         began = self._clock.monotonic()
--- a/src/radishwind/entry/tests/test_attempts.py
+++ b/src/radishwind/entry/tests/test_attempts.py
@@ -116,10 +116,14 @@
         )
 
     async def ask(self, method="GET", body=b""):
+        request = Request(method, "/tags/1", (), body)
         with anyio.fail_after(10):
-            return await self.pipeline.handle(
-                Request(method, "/tags/1", (), body)
-            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.pipeline.run_hedges)
+                response = await self.pipeline.handle(request)
+                await anyio.wait_all_tasks_blocked()
+                tasks.cancel_scope.cancel()
+        return response
 
     def targets(self):
         return [name for _, name in self.runner.attempts]
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -162,6 +162,7 @@
             await peers.start(self._peers.handle, self._settings.peer_listen)
             await admin.start(self._admin.handle, self._settings.admin_listen)
             tasks.start_soon(self._config.run)
+            tasks.start_soon(self._entry.run_hedges)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._target_side.run)
             tasks.start_soon(self._wait_for_signal)
