Pass over a target that takes no work after one refusal

test_planned_stop_under_load_loses_nothing failed with 31 answers of 3009: the node's own target, whose server had not been announced yet, counted as a mild failure, was drawn at each decision, and the retry budget ran dry. A refusal that says that the target takes no work now keeps it out for 1 s (5 s if it is leaving), unless all candidates are away. Such refusals ran nothing, so any level of a call may repeat them; a service starts with 3 saved retries, since a new node knows least. Ruled out: the forwarding (every answer was a refusal by the own node).

--- a/src/radishwind/retries/budget.py
+++ b/src/radishwind/retries/budget.py
@@ -22,6 +22,9 @@
 #: Retries saved up at most, for a burst of refusals.
 MAX_SAVED = 10.0
 
+#: Retries that a service may make before it has earned any.
+FIRST_SAVED = 3.0
+
 #: Services whose budget is kept; the longest unused is forgotten.
 MAX_SERVICES = 256
 
@@ -33,6 +36,8 @@
         ResultCode.OVERLOADED,
         ResultCode.LEAVING,
         ResultCode.CONNECT_FAILED,
+        ResultCode.SERVER_UNANNOUNCED,
+        ResultCode.TARGET_UNLISTED,
     }
 )
 
@@ -97,7 +102,9 @@
 
     def earn(self, service: str, share: float, now: float) -> None:
         """Adds the tokens of one first attempt of `service`."""
-        bucket = self._buckets.pop(service, None) or TokenBucket(1.0, now)
+        bucket = self._buckets.pop(service, None) or TokenBucket(
+            FIRST_SAVED, now
+        )
         self._buckets[service] = bucket
         if len(self._buckets) > MAX_SERVICES:
             del self._buckets[next(iter(self._buckets))]
--- a/src/radishwind/routing/balanced.py
+++ b/src/radishwind/routing/balanced.py
@@ -36,9 +36,15 @@
 #: whatever its expected answer time; it bounds what trials cost the tail.
 TRIAL_SHARE = 0.01
 
-#: How long a target that said it is leaving is passed over (s); by then the
-#: membership has dropped it.
-LEAVING_S = 5.0
+#: How long a target that takes no work is passed over (s), by what it said. By
+#: then the membership has dropped one that is leaving.
+AWAY_S = {
+    ResultCode.LEAVING: 5.0,
+    ResultCode.NO_TARGET: 1.0,
+    ResultCode.CONNECT_FAILED: 1.0,
+    ResultCode.SERVER_UNANNOUNCED: 1.0,
+    ResultCode.TARGET_UNLISTED: 1.0,
+}
 
 MAX_SERVICES = 256
 
@@ -105,7 +111,8 @@
         best = self._least(drawn, service, now)
         if best is None:
             drawn = service.scan(self._rng, exclude)
-            best = self._least(drawn, service, now)
+            # If all of those are away too, one of them may be back by now.
+            best = self._least(drawn, service, now) or next(iter(drawn), None)
         if best is None:
             return None
         if self._rng.random() < TRIAL_SHARE:
@@ -135,8 +142,9 @@
         state.end(now, elapsed_s)
         if load is not None:
             state.report(load, now)
-        if _is_leaving(outcome, load):
-            state.leaving_until = now + LEAVING_S
+        away_s = _away_s(outcome, load)
+        if away_s:
+            state.away_until = now + away_s
             return
         _learn(state, now, elapsed_s, outcome, load)
 
@@ -153,7 +161,7 @@
             if state is None:
                 hop_s = self._hop_s(member)
                 cost_s = hop_s + typical_s * (1 + _UNKNOWN_ADDED)
-            elif state.leaving_until > now:
+            elif state.away_until > now:
                 continue
             else:
                 if state.derived != service.version:
@@ -249,10 +257,13 @@
     service.typical_s = before + _TYPICAL_WEIGHT * (clipped_s - before)
 
 
-def _is_leaving(outcome: Outcome | None, load: LoadReport | None) -> bool:
+def _away_s(outcome: Outcome | None, load: LoadReport | None) -> float:
+    """Returns how long the target says that it takes no work (s)."""
     if load is not None and load.leaving:
-        return True
-    return isinstance(outcome, NotRun) and outcome.code is ResultCode.LEAVING
+        return AWAY_S[ResultCode.LEAVING]
+    if not isinstance(outcome, NotRun):
+        return 0.0
+    return AWAY_S.get(outcome.code, 0.0)
 
 
 def _tells_nothing(outcome: Outcome, load: LoadReport | None) -> bool:
--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -62,7 +62,7 @@
       others: requests of others there, by the last report.
       others_mean: the same, smoothed over a second.
       reported: when the last report came (s).
-      leaving_until: it takes no new work before this time (s).
+      away_until: it takes no new work before this time (s).
       used: when an attempt last began or ended (s).
     """
 
@@ -78,7 +78,7 @@
     others: float = 0.0
     others_mean: float = 0.0
     reported: float = -math.inf
-    leaving_until: float = -math.inf
+    away_until: float = -math.inf
     used: float = -math.inf
 
     def begin(self, now: float) -> None:
@@ -129,7 +129,7 @@
 
     def trial_due(self, typical_s: float, now: float) -> bool:
         """Returns whether only a trial can tell that the target recovered."""
-        if self.in_flight or now < self.leaving_until:
+        if self.in_flight or now < self.away_until:
             return False
         if now - self.used < RECOVERY_S:
             return False
