--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -78,6 +78,13 @@
         """What was sent for callers since the start."""
         return self._attempts.counts
 
+    async def run_hedges(self) -> None:
+        """Starts the hedges that fall due, until cancelled.
+
+        Without this task calls are answered, and none is hedged.
+        """
+        await self._attempts.run_hedges()
+
     async def handle(self, request: Request) -> Response:
         """Returns the final answer to a caller's request."""
         began = self._clock.monotonic()
