--- a/bench/probing.py
+++ b/bench/probing.py
@@ -3,7 +3,9 @@
     python -m bench.probing
 
 One backend stand-in of Onda's size (9 slots, a probe of 6 ms) and its node, as
-processes: silent, at 80% load, and at 150% load where its slots are full.
+processes: silent, at 80% load, and at 150% load where its slots are full; once
+with requests short enough that the node's processor time is the limit, and once
+with longer ones.
 """
 
 import argparse
@@ -25,7 +27,7 @@
 
 TARGET = "bollettino-1"
 SLOTS = 9
-SERVICE_MS = 20.0
+SERVICES_MS = (20.0, 60.0)
 PROBE_MS = 6.0
 
 
@@ -35,7 +37,7 @@
     return counters
 
 
-def _start(fleet: Fleet, folder: pathlib.Path) -> None:
+def _start(fleet: Fleet, folder: pathlib.Path, service_ms: float) -> None:
     target = {
         "name": TARGET,
         "service": "bollettino",
@@ -52,7 +54,7 @@
     file.write_text(json.dumps(inventory))
     fleet.start_backend(
         TARGET,
-        *("--slots", str(SLOTS), "--service-ms", str(SERVICE_MS)),
+        *("--slots", str(SLOTS), "--service-ms", str(service_ms)),
         *("--probe-ms", str(PROBE_MS)),
     )
     fleet.start_node(TARGET, "bollettino", "genova-a")
@@ -62,13 +64,18 @@
 
 
 def _phase(
-    fleet: Fleet, name: str, load: float, options: argparse.Namespace
+    fleet: Fleet,
+    name: str,
+    load: float,
+    service_ms: float,
+    options: argparse.Namespace,
 ) -> dict[str, Any]:
     before = _counters(fleet)
+    node_s = fleet.processes[f"node {TARGET}"].cpu_s()
     answers: Any = ""
     seconds = options.seconds
     if load:
-        rate = load * SLOTS / (SERVICE_MS / 1000)
+        rate = load * SLOTS / (service_ms / 1000)
         shot = Shot(fleet.caller_url(TARGET) + "/bollettino/x")
         plan = LoadPlan((shot,), rate, seconds, options.seed, 0.0)
         result = asyncio.run(run_load(plan))
@@ -77,6 +84,7 @@
     else:
         asyncio.run(asyncio.sleep(seconds))
     after = _counters(fleet)
+    node_s = fleet.processes[f"node {TARGET}"].cpu_s() - node_s
     spent = {
         key: after[key] - before[key]
         for key in ("probes", "probe_s", "probes_into_full", "run_s")
@@ -90,20 +98,17 @@
         "probes into full slots": spent["probes_into_full"],
         "requests % of slot time": 100 * spent["run_s"] / slot_s,
         "answered %": answers,
+        "node % of a core": 100 * node_s / seconds,
     }
 
 
-def main() -> None:
-    """Runs the bench."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=15.0, help="a phase")
-    parser.add_argument("--seed", type=int, default=1)
-    options = parser.parse_args()
-    uvloop.install()
+def _measure(
+    service_ms: float, options: argparse.Namespace
+) -> tuple[list[dict[str, Any]], dict[str, Any]]:
     with tempfile.TemporaryDirectory() as folder, Fleet() as fleet:
-        _start(fleet, pathlib.Path(folder))
+        _start(fleet, pathlib.Path(folder), service_ms)
         rows = [
-            _phase(fleet, name, load, options)
+            _phase(fleet, name, load, service_ms, options)
             for name, load in (
                 ("silent", 0.0),
                 ("80% load", 0.8),
@@ -111,16 +116,30 @@
                 ("silent again", 0.0),
             )
         ]
-        told = fleet.status(TARGET)["probing"]
+        return rows, fleet.status(TARGET)["probing"]
+
+
+def main() -> None:
+    """Runs the bench."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15.0, help="a phase")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    uvloop.install()
+    sections = []
+    for service_ms in SERVICES_MS:
+        rows, told = _measure(service_ms, options)
+        title = f"Requests of {service_ms:g} ms"
+        sections += [(title, rows), (f"{title}: told by the node", [told])]
     keep(
         "probing",
         "What probing costs the server",
         f"python -m bench.probing --seconds {options.seconds:g} "
         f"--seed {options.seed}",
-        [("Metered at the stand-in", rows), ("Told by the node", [told])],
-        f"{SLOTS} slots, requests of {SERVICE_MS:g} ms, probes of "
-        f"{PROBE_MS:g} ms, a budget of 1% of slot time. The node's own figure "
-        "counts from its start and includes the way there and back.",
+        sections,
+        f"Metered at the stand-in: {SLOTS} slots, probes of {PROBE_MS:g} ms, a "
+        "budget of 1% of slot time. The node's own figure counts from its "
+        "start and includes the way there and back.",
     )
 
 
