Keep a call unknown once an attempt of it may have run

An idempotent call whose first attempt broke off and whose next one was refused was told "not run", by the outcome of its last attempt. The server may have run the first. Found while reading what a call does after it crashed a server.

Now a refusal after an unknown attempt leaves the call unknown; an answer still wins. The test was seen failing first (two of its four cases).

--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -14,6 +14,7 @@
 from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
+from radishwind.outcomes import Unknown
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
 
@@ -52,11 +53,13 @@
             member = self._choose(history)
             if member is None:
                 return last or _no_target(call)
+            before = last
             if delay_s is None:
                 last = await self._attempt(history, member)
             else:
                 last = await self._race(history, member, delay_s)
                 delay_s = None
+            last = _so_far(before, last)
             now = self._clock.monotonic()
             if not self._retries.again(call, last, history.attempts, now):
                 return last
@@ -173,6 +176,13 @@
     return outcome if isinstance(kept, NotRun) else kept
 
 
+def _so_far(before: Outcome | None, outcome: Outcome) -> Outcome:
+    """Returns what holds of a call: what may have run stays unknown."""
+    if isinstance(before, Unknown) and isinstance(outcome, NotRun):
+        return before
+    return outcome
+
+
 def _no_target(call: Call) -> NotRun:
     return NotRun(
         ResultCode.NO_TARGET,
--- /dev/null
+++ b/src/radishwind/entry/tests/test_not_run_is_true.py
@@ -0,0 +1,66 @@
+import random
+
+import pytest
+
+from radishwind.config.model import ServiceRules
+from radishwind.core import ManualClock
+from radishwind.core import ResultCode
+from radishwind.entry import AttemptResult
+from radishwind.entry import AttemptRunner
+from radishwind.entry.attempts import Attempts
+from radishwind.entry.call import Call
+from radishwind.hedging.policy import NoHedges
+from radishwind.http import Address
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.retries import RetryNotRun
+from radishwind.routing.baselines import RandomChooser
+
+BROKEN = Unknown(ResultCode.EXCHANGE_BROKEN, "broken")
+REFUSED = NotRun(ResultCode.OVERLOADED, "full")
+ANSWER = Done(Response(200))
+CALL = Call("1", "s", Request("GET", "/"), ServiceRules(), True, 9.0, 0, "c")
+
+
+class Three(Directory):
+    def of_service(self, service):
+        address = Address("127.0.0.1", 1)
+        return tuple(Member(n, "s", "d", address) for n in ("a", "b", "c"))
+
+    def members(self):
+        return self.of_service("s")
+
+
+class Plays(AttemptRunner):
+    def __init__(self, *outcomes):
+        self._outcomes = iter(outcomes)
+
+    async def run(self, call, member, attempt_id):
+        return AttemptResult(next(self._outcomes))
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("outcomes", "told"),
+    [
+        ((BROKEN, REFUSED, REFUSED), BROKEN),
+        ((REFUSED, BROKEN, REFUSED), BROKEN),
+        ((BROKEN, REFUSED, ANSWER), ANSWER),
+        ((REFUSED, REFUSED, REFUSED), REFUSED),
+    ],
+)
+async def test_what_may_have_run_once_is_not_told_as_not_run(outcomes, told):
+    attempts = Attempts(
+        clock=ManualClock(),
+        directory=Three(),
+        chooser=RandomChooser(random.Random(1)),
+        retries=RetryNotRun(),
+        hedges=NoHedges(),
+        runner=Plays(*outcomes),
+    )
+    assert await attempts.run(CALL) == told
