Take from a server's answer what only nodes may tell

A server that answers with Radishwind-Node-Answer could tell the entry node another outcome than its own node did (the first such field counted), and one that passes on the answer of a call of its own told "not run" of a request that ran. Fields of nodes and of outcomes are now dropped from servers' answers. Seen failing first.

--- a/src/radishwind/target/exchange.py
+++ b/src/radishwind/target/exchange.py
@@ -20,6 +20,7 @@
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
+from radishwind.target.outgoing import incoming
 from radishwind.target.outgoing import outgoing
 from radishwind.target.server import ServerView
 from radishwind.target.watch import ServerWatch
@@ -85,7 +86,7 @@
             )
         if not isinstance(response.body, BodyStream):
             self._watch.answered(call, response.status, alone)
-        return Done(response)
+        return Done(incoming(response))
 
     def hold(
         self,
--- a/src/radishwind/target/tests/test_pipeline.py
+++ b/src/radishwind/target/tests/test_pipeline.py
@@ -84,6 +84,20 @@
     )
 
 
+async def test_the_server_cannot_tell_an_outcome_in_the_name_of_a_node():
+    target = Target()
+    fields = (
+        ("Radishwind-Node-Answer", '["1.1","not-run",3002,"",null,[]]'),
+        ("Radishwind-Outcome", "not-run"),
+        ("radishwind-code", "3002"),
+        ("Retry-After", "1"),
+    )
+    target.response = Response(503, fields, b"passed on")
+    outcome = await target.run()
+
+    assert outcome.response.headers == (("Retry-After", "1"),)
+
+
 async def test_a_streamed_answer_holds_the_slot_to_its_end():
     target = Target()
     target.response = Response(200, (), Stream())
