Tell the target side's counts as metrics

Requests at the server and waiting, attempts by outcome, time waited for a slot and time that probes cost; read when asked for, nothing is added to a request but one count. Checked through a process.

--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -143,6 +143,7 @@
         self._admin.add_status(self._membership.status)
         self._admin.add_status(self._claims.status)
         self._target_side.add_to(self._admin)
+        self._target_side.add_metrics(self._observation)
         self._observation.add_to(self._admin, self._peers)
         self._config = make_config(
             settings=self._settings,
--- a/src/radishwind/node/target.py
+++ b/src/radishwind/node/target.py
@@ -11,6 +11,7 @@
 from radishwind.http import Sender
 from radishwind.membership import RumorBoard
 from radishwind.node.admin import AdminListener
+from radishwind.node.observe import Observation
 from radishwind.probing import HealthModel
 from radishwind.probing import Prober
 from radishwind.quarantine import Quarantine
@@ -82,6 +83,33 @@
         admin.add("POST", "/v1/server", announcements.handle)
         admin.add_status(self._status)
 
+    def add_metrics(self, observation: Observation) -> None:
+        """Adds what the target side counts."""
+        observation.gauge(
+            "target.requests",
+            "{request}",
+            "Requests at the server and waiting for a slot.",
+            lambda: {
+                "in_flight": self._admission.in_flight,
+                "queued": self._admission.queued,
+            },
+        )
+        observation.counter(
+            "target.attempts",
+            "{attempt}",
+            "Attempts by outcome, those refused by code.",
+            self.pipeline.outcomes,
+        )
+        observation.counter(
+            "target.time",
+            "s",
+            "Time spent waiting for a slot, and time that probes cost.",
+            lambda: {
+                "queue_wait": self.pipeline.queue_wait_s,
+                "probe": self._prober.cost_s,
+            },
+        )
+
     def adopt(self, index: ConfigIndex) -> None:
         """Takes the limits of a configuration."""
         own = index.targets.get(self._settings.target)
--- a/src/radishwind/probing/prober.py
+++ b/src/radishwind/probing/prober.py
@@ -138,6 +138,11 @@
             good = response.status in _GOOD_STATUSES
             return _Health() if good else None
 
+    @property
+    def cost_s(self) -> float:
+        """What probing cost since the start (s)."""
+        return self._budget.spent_s
+
     def status(self) -> dict[str, Any]:
         """Returns what probing cost, and why it was not done."""
         elapsed_s = max(1e-9, self._clock.monotonic() - self._began)
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -1,5 +1,7 @@
 """Admits an attempt, runs it on the server beside, and says what came of it."""
 
+import collections
+
 import anyio
 
 from radishwind.admission.gate import Admission
@@ -42,6 +44,8 @@
         self._watch = watch
         self._exchange = ServerExchange(clock, sender, watch)
         self._service_s = 0.0
+        self._outcomes: collections.Counter[str] = collections.Counter()
+        self._queue_wait_s = 0.0
         self._leaving = False
         self._drained = anyio.Event()
 
@@ -75,9 +79,19 @@
             warm=round(warm * self._watch.fitness(), 3),
         )
 
+    def outcomes(self) -> dict[str, float]:
+        """Returns how many attempts ended how, by code for those refused."""
+        return dict(self._outcomes)
+
+    @property
+    def queue_wait_s(self) -> float:
+        """How long attempts waited for a slot, in all (s)."""
+        return self._queue_wait_s
+
     async def run(self, call: Call) -> AttemptResult:
         """Runs `call` on the server beside."""
         outcome = await self._run(call)
+        self._outcomes[_kind(outcome)] += 1
         return AttemptResult(outcome, self.load())
 
     async def _run(self, call: Call) -> Outcome:
@@ -92,6 +106,7 @@
         try:
             if not ticket.admitted and ticket.refused is None:
                 await self._wait(ready)
+                self._queue_wait_s += self._clock.monotonic() - now
         except BaseException:
             self._release(ticket, 0.0)
             raise
@@ -175,3 +190,9 @@
 
     def _idle(self) -> bool:
         return not self._admission.in_flight and not self._admission.queued
+
+
+def _kind(outcome: Outcome) -> str:
+    if isinstance(outcome, Done):
+        return "done"
+    return outcome.code.name.lower().replace("_", "-")
--- a/tests/test_server_beside.py
+++ b/tests/test_server_beside.py
@@ -79,6 +79,9 @@
     )
     assert probing["probes"] > 0
     assert counters(fleet, "bollettino-1")["probes_into_full"] == 0
+    metrics = fetch(fleet.admin_url("bollettino-1") + "/v1/metrics")[2]
+    for name in ("requests", "attempts", "time"):
+        assert b'"radishwind.target.%s"' % name.encode() in metrics
 
 
 def test_a_crash_is_unknown_once_and_the_suspect_is_known(fleet):
