--- a/src/radishwind/admission/tests/test_admission.py
+++ b/src/radishwind/admission/tests/test_admission.py
@@ -10,8 +10,8 @@
 from radishwind.core import ResultCode
 
 
-def limits(slots=1, length=8, wait_s=10.0, **weights):
-    return AdmissionLimits(slots, 100, 0, length, wait_s, weights)
+def limits(slots=1, length=8, wait_s=10.0, overlap=0, **weights):
+    return AdmissionLimits(slots, 100, overlap, length, wait_s, weights)
 
 
 class Driver:
@@ -157,7 +157,7 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["offer", "alone", "end", "resize"]),
+        st.sampled_from(["offer", "alone", "end", "resize", "shed"]),
         st.integers(0, 30),
         st.floats(0.0, 3.0),
     ),
@@ -166,9 +166,10 @@
 
 
 @pytest.mark.parametrize("cls", [FifoAdmission, FairAdmission])
-@given(steps=STEPS)
-def test_no_order_of_events_leaks_a_slot(cls, steps):
-    driver = Driver(cls, limits(slots=2, length=3, wait_s=4.0))
+@given(steps=STEPS, overlap=st.integers(0, 2))
+def test_no_order_of_events_leaks_a_slot(cls, steps, overlap):
+    cfg = limits(slots=2, length=3, wait_s=4.0, overlap=overlap)
+    driver = Driver(cls, cfg)
     now, tickets = 0.0, []
     for kind, number, pause_s in steps:
         now += pause_s
@@ -176,13 +177,16 @@
             caller = f"caller-{number % 3}"
             tickets.append(driver.offer(caller, now, now + 5, kind == "alone"))
         elif kind == "resize":
-            driver.admission.resize(limits(slots=1 + number % 3, length=3))
+            cfg = limits(slots=1 + number % 3, length=3, overlap=overlap)
+            driver.admission.resize(cfg)
+        elif kind == "shed":
+            driver.admission.shed(now)
         elif tickets:
             ticket = tickets[number % len(tickets)]
             driver.admission.release(ticket, now, pause_s)
         running = [t for t in tickets if t.admitted and not t.released]
         assert driver.admission.in_flight == len(running)
-        assert len(running) <= 3
+        assert len(running) <= 3 + overlap
         assert sum(t.alone for t in running) in (0, len(running) == 1)
 
     for _ in range(2):
