--- a/src/radishwind/node/metrics.py
+++ b/src/radishwind/node/metrics.py
@@ -3,13 +3,11 @@
 from radishwind.entry import EntryPipeline
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.node.observe import Observation
-from radishwind.node.target import TargetSide
 
 
 def add_metrics(
     observation: Observation,
     entry: EntryPipeline,
-    target: TargetSide,
     membership: MembershipTasks,
 ) -> None:
     """Adds the counters and gauges that the slices keep anyway."""
@@ -23,18 +21,6 @@
             "hedges": entry.counts.hedges,
         },
     )
-    observation.gauge(
-        "target.requests",
-        "{request}",
-        "Requests at the target beside: slots, in flight, waiting.",
-        target.load_by_kind,
-    )
-    observation.counter(
-        "target.probe.cost",
-        "s",
-        "Time of the server beside that probes took.",
-        lambda: {"probe": target.probe_cost_s()},
-    )
     observation.gauge(
         "peers",
         "{member}",
--- a/src/radishwind/node/target.py
+++ b/src/radishwind/node/target.py
@@ -11,6 +11,7 @@
 from radishwind.http import Sender
 from radishwind.membership import RumorBoard
 from radishwind.node.admin import AdminListener
+from radishwind.node.observe import Observation
 from radishwind.probing import HealthModel
 from radishwind.probing import Prober
 from radishwind.quarantine import Quarantine
@@ -82,6 +83,33 @@
         admin.add("POST", "/v1/server", announcements.handle)
         admin.add_status(self._status)
 
+    def add_metrics(self, observation: Observation) -> None:
+        """Adds what the target side counts."""
+        observation.gauge(
+            "target.requests",
+            "{request}",
+            "Requests at the server and waiting for a slot.",
+            lambda: {
+                "in_flight": self._admission.in_flight,
+                "queued": self._admission.queued,
+            },
+        )
+        observation.counter(
+            "target.attempts",
+            "{attempt}",
+            "Attempts by outcome, those refused by code.",
+            self.pipeline.outcomes,
+        )
+        observation.counter(
+            "target.time",
+            "s",
+            "Time spent waiting for a slot, and time that probes cost.",
+            lambda: {
+                "queue_wait": self.pipeline.queue_wait_s,
+                "probe": self._prober.cost_s,
+            },
+        )
+
     def adopt(self, index: ConfigIndex) -> None:
         """Takes the limits of a configuration."""
         own = index.targets.get(self._settings.target)
@@ -98,24 +126,13 @@
         self._admission.resize(limits)
         self._prober.resize(rules.probe_share)
 
-    def load_by_kind(self) -> dict[str, float]:
-        """Returns requests at the target: slots, in flight, waiting."""
-        return {
-            "slots": self._admission.slots,
-            "in_flight": self._admission.in_flight,
-            "queued": self._admission.queued,
-        }
-
-    def probe_cost_s(self) -> float:
-        """Returns the time that probes took of the server (s)."""
-        cost_s: float = self._prober.status()["cost_s"]
-        return cost_s
-
     def _status(self) -> dict[str, Any]:
         now = self._clock.monotonic()
         return {
             "server": self._server.status(now),
-            **self.load_by_kind(),
+            "slots": self._admission.slots,
+            "in_flight": self._admission.in_flight,
+            "queued": self._admission.queued,
             "probing": self._prober.status(),
             "quarantine": self.quarantine.status(),
         }
