Check a whole configuration on adoption by its models

Most of it went to the check made for operators' files, which works on decoded JSON to list every fault. Nodes now make a small check on the models.

--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,278 @@
+"""Sizes, times and store calls of configuration at three sizes.
+
+    python -m bench.configuration --seed 1
+
+The first two tables take each step alone, in this process. The third runs the
+configuration tasks of many nodes in this process, over a sender without
+sockets, with the default periods and no board of rumors; times are those of
+one busy event loop that all of them share.
+"""
+
+import argparse
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import msgspec
+from tests.support.configs import ConfigFleet
+from tests.support.configs import Desk
+
+from bench.report import keep
+from radishwind.config import records
+from radishwind.config.adopter import Adopter
+from radishwind.config.files import read_inventory
+from radishwind.config.files import read_rules
+from radishwind.config.files import write_file
+from radishwind.config.index import ConfigIndex
+from radishwind.config.model import FailureDomain
+from radishwind.config.model import Inventory
+from radishwind.config.model import Link
+from radishwind.config.model import Rules
+from radishwind.config.model import Service
+from radishwind.config.model import ServiceRules
+from radishwind.config.model import Target
+from radishwind.config.parts import assemble
+from radishwind.config.parts import decode_part
+from radishwind.config.parts import encode_part
+from radishwind.config.parts import Snapshot
+from radishwind.config.parts import split
+from radishwind.config.spread import Catch
+from radishwind.config.spread import decode_offer
+from radishwind.config.spread import Offers
+from radishwind.config.spread import Pull
+from radishwind.node.config_tasks import ConfigPeriods
+
+#: Services and targets: both deployments of today, then growth.
+SIZES = ((6, 24), (125, 1_000), (1_100, 8_900))
+DOMAINS = 7
+NODES = (13, 50, 200)
+ROUNDS = 7
+CHANGES = 5
+
+_COMMAND = "python -m bench.configuration --seed 1"
+_NOTES = (
+    "Times are the median over rounds, with the least and the most. "
+    "Memory is what tracemalloc counts for the snapshot and its index."
+)
+
+
+def made_inventory(services: int, targets: int, slots: int = 9) -> Inventory:
+    """Returns an inventory of a size; `slots` are those of one target."""
+    domains = [f"domain-{number}" for number in range(DOMAINS)]
+    return Inventory(
+        tuple(FailureDomain(name, f"region-{name[-1]}") for name in domains),
+        tuple(
+            Service(f"service-{number:04d}", f"team-{number % 40:02d}")
+            for number in range(services)
+        ),
+        tuple(
+            Target(
+                f"service-{number % services:04d}-{number // services:03d}",
+                f"service-{number % services:04d}",
+                domains[number % DOMAINS],
+                slots if number == 0 else 9,
+                250,
+            )
+            for number in range(targets)
+        ),
+        tuple(
+            Link(a, b, 1.5)
+            for number, a in enumerate(domains)
+            for b in domains[number + 1 :]
+        ),
+    )
+
+
+def made_rules(services: int) -> Rules:
+    """Returns rules in which every second service has its own."""
+    return Rules(
+        services={
+            f"service-{number:04d}": ServiceRules(deadline_ms=900 + number)
+            for number in range(0, services, 2)
+        }
+    )
+
+
+def timed(run: Callable[[], Any], rounds: int) -> str:
+    """Returns the times of `run` as text (ms): median (least to most)."""
+    took_ms = []
+    for _ in range(rounds):
+        start = time.perf_counter()
+        run()
+        took_ms.append((time.perf_counter() - start) * 1000)
+    middle = statistics.median(took_ms)
+    return f"{middle:.3g} ({min(took_ms):.3g} to {max(took_ms):.3g})"
+
+
+async def accepted(
+    inventory: Inventory, rules: Rules, changed: Inventory
+) -> tuple[Desk, list[Snapshot], dict[str, int]]:
+    """Returns snapshots before and after one change, and its store calls."""
+    desk = Desk()
+    await desk.apply(inventory)
+    await desk.apply(rules)
+    before = await desk.loaded()
+    counted = dict(desk.standin.calls)
+    await desk.apply(changed)
+    calls = {k: v - counted.get(k, 0) for k, v in desk.standin.calls.items()}
+    return desk, [before, await desk.loaded()], calls
+
+
+def sizes_row(
+    size: tuple[int, int], desk: Desk, snapshots: list[Snapshot]
+) -> dict[str, Any]:
+    """Returns the sizes of what is kept and sent (bytes)."""
+    before, after = snapshots
+    encoded = [len(encode_part(part)) for part in after.parts.values()]
+    inventory_file = write_file(after.cfg.inventory)
+    offer = _offer(after, before)
+    whole = _offer(after, Snapshot())
+    return {
+        "services": size[0],
+        "targets": size[1],
+        "inventory file": len(inventory_file),
+        "rules file": len(write_file(after.cfg.rules)),
+        "parts": len(encoded),
+        "all parts": sum(encoded),
+        "largest part": max(encoded),
+        "manifest": len(records.encode_manifest(after.refs)),
+        "root after a change of one target": len(desk.value(records.ROOT_KEY)),
+        "difference from a peer": len(msgspec.json.encode(offer)),
+        "first answer to a new node": len(msgspec.json.encode(whole)),
+    }
+
+
+def times_row(
+    size: tuple[int, int], snapshots: list[Snapshot], rounds: int
+) -> dict[str, Any]:
+    """Returns the times of each step (ms)."""
+    before, after = snapshots
+    cfg = after.cfg
+    inventory_file = write_file(cfg.inventory)
+    rules_file = write_file(cfg.rules)
+    encoded = {name: encode_part(part) for name, part in after.parts.items()}
+    record = after.record
+    assert record is not None
+    offer = msgspec.json.encode(_offer(after, before))
+
+    def take_difference() -> None:
+        Catch(before, decode_offer(offer)).whole()
+
+    return {
+        "targets": size[1],
+        "check inventory file": timed(
+            lambda: read_inventory(inventory_file), rounds
+        ),
+        "check rules file": timed(lambda: read_rules(rules_file), rounds),
+        "cut and encode": timed(
+            lambda: [
+                encode_part(p) for p in split(cfg.inventory, cfg.rules).values()
+            ],
+            rounds,
+        ),
+        "decode": timed(
+            lambda: {n: decode_part(n, c) for n, c in encoded.items()}, rounds
+        ),
+        "put together and check": timed(
+            lambda: assemble(record, after.refs, after.parts), rounds
+        ),
+        "index": timed(lambda: ConfigIndex(cfg), rounds),
+        "take a difference": timed(take_difference, rounds),
+        "memory (MB)": _memory_mb(encoded, after),
+    }
+
+
+def _memory_mb(encoded: dict[str, bytes], after: Snapshot) -> float:
+    assert after.record is not None
+    tracemalloc.start()
+    parts = {name: decode_part(name, c) for name, c in encoded.items()}
+    snapshot = assemble(after.record, after.refs, parts)
+    index = ConfigIndex(snapshot.cfg)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert index.cfg is snapshot.cfg
+    return held / 1e6
+
+
+def _offer(after: Snapshot, held: Snapshot) -> Any:
+    adopter = Adopter()
+    adopter.adopt(after)
+    return Offers(adopter).offer(Pull(held.revision, held.change_id))
+
+
+async def spread_row(nodes: int, changes: int) -> dict[str, Any]:
+    """Returns what changes of one target cost among many nodes."""
+    desk = Desk()
+    fleet = ConfigFleet(desk, ConfigPeriods())
+    services = max(3, nodes // 8)
+    async with anyio.create_task_group() as tasks:
+        for number in range(nodes):
+            fleet.start(tasks, f"n-{number:04d}", f"domain-{number % DOMAINS}")
+        await desk.apply(made_inventory(services, nodes))
+        await fleet.in_force(1)
+        watches = desk.standin.watching
+        took_s, calls, asked, received = [], [], [], []
+        for revision in range(2, 2 + changes):
+            before = fleet.totals()
+            counted = sum(desk.standin.calls.values())
+            desk.sender.sent.clear()
+            start = time.perf_counter()
+            await desk.apply(made_inventory(services, nodes, revision))
+            await fleet.in_force(revision)
+            took_s.append(time.perf_counter() - start)
+            after = fleet.totals()
+            calls.append(sum(desk.standin.calls.values()) - counted)
+            asked.append((after[0] - before[0]) / nodes)
+            received.append((after[1] - before[1]) / nodes)
+        tasks.cancel_scope.cancel()
+    return {
+        "nodes": nodes,
+        "changes": changes,
+        "watches": watches,
+        "time to be in force (s)": f"{statistics.median(took_s):.3g} "
+        f"({min(took_s):.3g} to {max(took_s):.3g})",
+        "store calls a change": statistics.mean(calls),
+        "questions a node and change": statistics.mean(asked),
+        "bytes received a node and change": statistics.mean(received),
+    }
+
+
+def main() -> None:
+    """Runs the bench and keeps its tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rounds", type=int, default=ROUNDS)
+    options = parser.parse_args()
+    random.seed(options.seed)
+    sizes, times, calls = [], [], []
+    for size in SIZES:
+        contents = made_inventory(*size), made_rules(size[0])
+        changed = made_inventory(*size, slots=8)
+        desk, snapshots, counted = anyio.run(accepted, *contents, changed)
+        sizes.append(sizes_row(size, desk, snapshots))
+        times.append(times_row(size, snapshots, options.rounds))
+        calls.append({"targets": size[1], **counted})
+    spread = [anyio.run(spread_row, nodes, CHANGES) for nodes in NODES]
+    keep(
+        "configuration",
+        "Configuration: sizes, times, store calls, spread",
+        _COMMAND,
+        (
+            ("Sizes (bytes)", sizes),
+            ("Times (ms)", times),
+            (
+                "Store calls of the operator's program, change of one target",
+                calls,
+            ),
+            ("Changes of one target among many nodes in one process", spread),
+        ),
+        _NOTES,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/radishwind/config/parts.py
+++ b/src/radishwind/config/parts.py
@@ -6,13 +6,14 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Mapping
 from typing import TypeAlias
 
 import msgspec
 
-from radishwind.config import consistency
 from radishwind.config.errors import RevisionRefusedError
+from radishwind.config.integrity import first_fault
 from radishwind.config.model import Configuration
 from radishwind.config.model import FailureDomain
 from radishwind.config.model import Inventory
@@ -168,7 +169,7 @@
     inventory = Inventory(
         common.failure_domains,
         tuple(part.service for part in services),
-        tuple(target for part in services for target in part.targets),
+        tuple(itertools.chain.from_iterable(p.targets for p in services)),
         common.links,
     )
     rules = Rules(
@@ -179,9 +180,6 @@
 
 
 def _check(cfg: Configuration) -> None:
-    faults = consistency.inventory_faults(msgspec.to_builtins(cfg.inventory))
-    if faults:
-        raise RevisionRefusedError(
-            f"revision {cfg.revision}: {len(faults)} fault(s), "
-            f"the first is {faults[0]}"
-        )
+    fault = first_fault(cfg)
+    if fault:
+        raise RevisionRefusedError(f"revision {cfg.revision}: {fault}")
--- a/src/radishwind/config/tests/test_files.py
+++ b/src/radishwind/config/tests/test_files.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,6 +13,9 @@
 from radishwind.config.files import read_inventory
 from radishwind.config.files import read_rules
 from radishwind.config.files import write_file
+from radishwind.config.integrity import first_fault
+from radishwind.config.model import Configuration
+from radishwind.config.model import Inventory
 
 EXAMPLES = pathlib.Path(__file__).parents[4] / "examples"
 
@@ -120,6 +124,26 @@
     check_together(listed, rules)
 
 
+@pytest.mark.parametrize(
+    ("kind", "entry"),
+    [
+        ("failure_domains", {"name": "a"}),
+        ("services", {"name": "s"}),
+        ("services", {"name": "u", "path_prefixes": ["/s"]}),
+        ("targets", inventory()["targets"][0]),
+        ("targets", {**inventory()["targets"][0], "failure_domain": "x"}),
+        ("targets", {**inventory()["targets"][0], "service": "x"}),
+        ("links", {"a": "a", "b": "x", "one_way_ms": 1}),
+    ],
+)
+def test_a_node_finds_what_the_check_of_files_finds(kind, entry):
+    doc = inventory()
+    doc[kind].append(entry)
+    assert faults(read_inventory, doc)
+    listed = msgspec.convert(doc, Inventory)
+    assert first_fault(Configuration(inventory=listed))
+
+
 def outcome(read, content):
     try:
         return read(content), ()
@@ -148,6 +172,7 @@
     listed, found = outcome(read_inventory, content)
     assert (listed is None) is bool(found)
     if listed is not None:
+        assert first_fault(Configuration(inventory=listed)) == ""
         assert len(listed.targets) == 4
         assert read_inventory(write_file(listed)) == listed
 
--- a/tests/support/configs.py
+++ b/tests/support/configs.py
@@ -1,6 +1,8 @@
 """Configurations for tests, and operators who accept them in this process."""
 
+import base64
 import random
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -11,14 +13,20 @@
 from radishwind.config.model import FailureDomain
 from radishwind.config.model import Inventory
 from radishwind.config.model import Link
+from radishwind.config.model import Rules
 from radishwind.config.model import Service
 from radishwind.config.model import Target
 from radishwind.config.parts import Snapshot
+from radishwind.config.records import ChangeRecord
 from radishwind.config.records import ROOT_KEY
 from radishwind.config.repository import ConfigRepository
 from radishwind.core import ManualClock
 from radishwind.core import SystemClock
 from radishwind.http import Address
+from radishwind.http import Handler
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http.types import whole_body
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.membership.rumors import SilentBoard
@@ -67,29 +75,42 @@
         self.standin = StoreStandin(self.clock)
         self.sender = DirectSender()
         self.sender.handlers[STORE] = self._handle
-        self.on_swap = self.standin.handle
+        self.on_swap: Handler = self.standin.handle
         self.store = EtcdStore(self.sender, STORE, timeout_s=0.2)
         self.repository = ConfigRepository(self.store)
         self.acceptor = Acceptor(
             self.store, self.clock, random.Random(seed), settle_s
         )
 
-    async def _handle(self, request):
+    async def _handle(self, request: Request) -> Response:
         """Lets other tasks run; hands the swap of the root to `on_swap`."""
         await anyio.lowlevel.checkpoint()
-        swap = request.path == "/v3/kv/txn" and _ROOT in request.body
+        body = await whole_body(request.body)
+        swap = request.path == "/v3/kv/txn" and _ROOT in body
         handle = self.on_swap if swap else self.standin.handle
         return await handle(request)
 
-    async def apply(self, content, operator="ada", base=None, above=0):
+    async def apply(
+        self,
+        content: Inventory | Rules,
+        operator: str = "ada",
+        base: int | None = None,
+        above: int = 0,
+    ) -> ChangeRecord | None:
         return await self.acceptor.accept(
             Change(content, operator, base, above)
         )
 
     async def loaded(self) -> Snapshot:
         root, _ = await self.repository.newest()
+        assert root is not None
         return await self.repository.load(root, Snapshot())
 
+    def value(self, key: str) -> bytes:
+        """Returns what the store holds under `key`."""
+        held = self.standin.state._values[key.encode()]
+        return base64.b64decode(held.value)
+
     def keys(self, prefix: str) -> list[str]:
         held = self.standin.state._values
         return sorted(k.decode() for k in held if k.decode().startswith(prefix))
@@ -147,7 +168,13 @@
     def revisions(self) -> set[int]:
         return {n.adopter.snapshot.revision for n in self.nodes.values()}
 
-    async def until(self, condition) -> None:
+    def totals(self) -> tuple[int, int]:
+        """Returns the questions asked and bytes received by all nodes."""
+        exchanges = [node.exchange for node in self.nodes.values()]
+        asked = sum(e.asked for e in exchanges)
+        return asked, sum(e.bytes_received for e in exchanges)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
         """Waits until `condition` holds; fails after a long time."""
         with anyio.fail_after(20):
             while not condition():
