--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -44,7 +44,11 @@
 from radishwind.config.spread import decode_offer
 from radishwind.config.spread import Offers
 from radishwind.config.spread import Pull
+from radishwind.config.watchers import WATCHERS_PER_DOMAIN
+from radishwind.http import Request
+from radishwind.http import Response
 from radishwind.node.config_tasks import ConfigPeriods
+from radishwind.standins.store import StoreFaults
 
 #: Services and targets: both deployments of today, then growth.
 SIZES = ((6, 24), (125, 1_000), (1_100, 8_900))
@@ -204,7 +208,21 @@
     return Offers(adopter).offer(Pull(held.revision, held.change_id))
 
 
-async def spread_row(nodes: int, changes: int) -> dict[str, Any]:
+def fail_once_told(desk: Desk, fleet: ConfigFleet, revision: int) -> None:
+    """Lets the store fail once one node has the accepted revision."""
+
+    async def accept_and_fail(request: Request) -> Response:
+        response = await desk.standin.handle(request)
+        await fleet.until(lambda: revision in fleet.revisions())
+        desk.standin.set_faults(StoreFaults(down="refuse"))
+        return response
+
+    desk.on_swap = accept_and_fail
+
+
+async def spread_row(
+    nodes: int, changes: int, store_fails: bool
+) -> dict[str, Any]:
     """Returns what changes of one target cost among many nodes."""
     desk = Desk()
     fleet = ConfigFleet(desk, ConfigPeriods())
@@ -214,9 +232,17 @@
             fleet.start(tasks, f"n-{number:04d}", f"domain-{number % DOMAINS}")
         await desk.apply(made_inventory(services, nodes))
         await fleet.in_force(1)
-        watches = desk.standin.watching
+        watches = sum(
+            min(WATCHERS_PER_DOMAIN, len(range(d, nodes, DOMAINS)))
+            for d in range(DOMAINS)
+        )
+        await fleet.until(lambda: desk.standin.watching == watches)
         took_s, calls, asked, received = [], [], [], []
         for revision in range(2, 2 + changes):
+            if store_fails:
+                desk.standin.set_faults(StoreFaults())
+                await fleet.until(lambda: desk.standin.watching == watches)
+                fail_once_told(desk, fleet, revision)
             before = fleet.totals()
             counted = sum(desk.standin.calls.values())
             desk.sender.sent.clear()
@@ -232,6 +258,7 @@
     return {
         "nodes": nodes,
         "changes": changes,
+        "store": "fails after acceptance" if store_fails else "up",
         "watches": watches,
         "time to be in force (s)": f"{statistics.median(took_s):.3g} "
         f"({min(took_s):.3g} to {max(took_s):.3g})",
@@ -256,7 +283,11 @@
         sizes.append(sizes_row(size, desk, snapshots))
         times.append(times_row(size, snapshots, options.rounds))
         calls.append({"targets": size[1], **counted})
-    spread = [anyio.run(spread_row, nodes, CHANGES) for nodes in NODES]
+    spread = [
+        anyio.run(spread_row, nodes, CHANGES, fails)
+        for nodes in NODES
+        for fails in (False, True)
+    ]
     keep(
         "configuration",
         "Configuration: sizes, times, store calls, spread",
