Restore inventory and rules in one change; bound the size of a part

Cause: bringing a restored store up to the nodes by inventory and rules one after the other would have put the copy's old rules in force in between. `changes restore` accepts both at once above the nodes' revision. A service too large for one value of the store is refused before anything is written. Nodes ask a random peer every 5 s, no longer 2, now that the board tells of changes, and make the list of members anew every 10 s only from 256 on, since the directory builds it on each call. Not measured here.

--- a/src/radishwind/cli/changes.py
+++ b/src/radishwind/cli/changes.py
@@ -4,9 +4,14 @@
 
 import typer
 
+from radishwind.cli import fleet
 from radishwind.cli.documents import acceptor
+from radishwind.cli.documents import operator_name
+from radishwind.cli.documents import OperatorOption
 from radishwind.cli.documents import StoreOption
+from radishwind.cli.documents import tell_accepted
 from radishwind.cli.documents import with_store
+from radishwind.config.accept import Change
 from radishwind.config.accept import describe
 from radishwind.config.accept import Settlement
 from radishwind.config.errors import ChangeUnsettledError
@@ -43,6 +48,30 @@
         typer.echo(describe(record))
 
 
+@_app.command("restore")
+def _restore(
+    store: StoreOption,
+    admin: Annotated[
+        str,
+        typer.Option(
+            envvar="RADISHWIND_ADMIN",
+            metavar="HOST:PORT",
+            help="Admin listener of a node that has the newest one.",
+        ),
+    ],
+    operator: OperatorOption = None,
+) -> None:
+    """Bring a store restored from an old copy up to what nodes have.
+
+    The configuration in force at the node, inventory and rules at once, is
+    accepted with a revision above it.
+    """
+    cfg = fleet.config_of(admin)
+    change = Change(cfg, operator_name(operator), above=cfg.revision)
+    record = with_store(store, lambda s: acceptor(s).accept(change))
+    tell_accepted(record)
+
+
 async def _last(store: Store, count: int) -> tuple[ChangeRecord, ...]:
     repository = ConfigRepository(store)
     root, _ = await repository.newest()
--- a/src/radishwind/cli/documents.py
+++ b/src/radishwind/cli/documents.py
@@ -132,10 +132,10 @@
         if wait_s and admin is None:
             raise SettingError("expected --admin with --wait, got none")
         change = Change(
-            read(_content(file)), operator or getpass.getuser(), base, above
+            read(_content(file)), operator_name(operator), base, above
         )
         record = with_store(store, lambda s: acceptor(s).accept(change))
-        _tell_accepted(record)
+        tell_accepted(record)
         if record is not None and wait_s and admin is not None:
             fleet.wait_in_force(admin, record.revision, wait_s)
 
@@ -190,7 +190,13 @@
         raise SettingError(f"expected a readable file: {exc}") from exc
 
 
-def _tell_accepted(record: ChangeRecord | None) -> None:
+def operator_name(given: str | None) -> str:
+    """Returns who makes a change."""
+    return given or getpass.getuser()
+
+
+def tell_accepted(record: ChangeRecord | None) -> None:
+    """Prints an accepted change."""
     if record is None:
         typer.echo("nothing differs from the one in force")
         return
--- a/src/radishwind/config/accept.py
+++ b/src/radishwind/config/accept.py
@@ -3,12 +3,15 @@
 import dataclasses
 import enum
 import random
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import anyio
 import msgspec
 
 from radishwind.config import records
+from radishwind.config.checking import FileFault
+from radishwind.config.checking import FileInvalidError
 from radishwind.config.diff import differences
 from radishwind.config.errors import ChangeConflictError
 from radishwind.config.errors import ChangeUnsettledError
@@ -17,6 +20,7 @@
 from radishwind.config.model import Inventory
 from radishwind.config.model import Rules
 from radishwind.config.parts import encode_part
+from radishwind.config.parts import Part
 from radishwind.config.parts import Snapshot
 from radishwind.config.parts import split
 from radishwind.config.records import ChangeRecord
@@ -38,6 +42,9 @@
 MAX_PUTS = 100
 MAX_PUT_BYTES = 512 * 1024
 
+#: A part must stay below the 1 MB that the store takes for a value.
+MAX_PART_BYTES = 1_000_000
+
 #: Lines of a change kept with it.
 KEPT_LINES = 50
 #: Parts up to this sum (bytes) are told with the record itself.
@@ -63,14 +70,14 @@
     """What an operator wants.
 
     Attributes:
-      content: the new inventory or the new rules.
+      content: the new inventory, the new rules, or both at once.
       operator: who wants it.
       base: the revision it was made on; `None` for the newest.
       above: the new revision shall be higher than this one too; for a store
         that was restored from an old copy.
     """
 
-    content: Inventory | Rules
+    content: Inventory | Rules | Configuration
     operator: str
     base: int | None = None
     above: int = 0
@@ -154,11 +161,13 @@
         lines = differences(
             (base.cfg.inventory, base.cfg.rules), (inventory, rules)
         )
-        if not lines and base.record is not None:
+        level = base.record is not None and base.revision >= change.above
+        if not lines and level:
             return None, base
         revision = max(base.revision, change.above) + 1
         change_id = records.change_id(revision, self._rng.getrandbits(64))
         parts = split(inventory, rules)
+        _check_sizes(parts)
         changed = [n for n, p in parts.items() if base.parts.get(n) != p]
         refs = {name: base.refs.get(name, change_id) for name in parts}
         refs |= dict.fromkeys(changed, change_id)
@@ -269,13 +278,29 @@
 
 
 def _replaced(
-    cfg: Configuration, content: Inventory | Rules
+    cfg: Configuration, content: Inventory | Rules | Configuration
 ) -> tuple[Inventory, Rules, str]:
+    if isinstance(content, Configuration):
+        return content.inventory, content.rules, "inventory and rules"
     if isinstance(content, Inventory):
         return content, cfg.rules, "inventory"
     return cfg.inventory, content, "rules"
 
 
+def _check_sizes(parts: Mapping[str, Part]) -> None:
+    faults = [
+        FileFault(
+            name,
+            f"expected at most {MAX_PART_BYTES} bytes as kept in the store, "
+            f"got {size}",
+        )
+        for name, size in ((n, len(encode_part(p))) for n, p in parts.items())
+        if size > MAX_PART_BYTES
+    ]
+    if faults:
+        raise FileInvalidError(faults)
+
+
 def _root(record: ChangeRecord, snapshot: Snapshot) -> Root:
     """Returns the root value; it carries the parts if they are small."""
     encoded = {
--- a/src/radishwind/config/records.py
+++ b/src/radishwind/config/records.py
@@ -54,7 +54,7 @@
       base_change_id: the change it was made on; empty for the first.
       operator: who made it.
       at: when it was made by the operator's clock, UTC.
-      what: `inventory` or `rules`.
+      what: `inventory`, `rules`, or `inventory and rules`.
       lines: what it changed, a line each, the first ones of many.
       more_lines: how many lines were left out.
       changed: the parts it wrote.
--- a/src/radishwind/config/tests/test_accept.py
+++ b/src/radishwind/config/tests/test_accept.py
@@ -199,6 +199,28 @@
     assert (await desk.loaded()).revision == 121
 
 
+async def test_inventory_and_rules_are_restored_in_one_change():
+    desk, lost = Desk(), Desk(seed=2)
+    await lost.apply(inventory())
+    await lost.apply(inventory(slots=4))
+    await lost.apply(Rules(services={"svc-0002": ServiceRules(deadline_ms=7)}))
+    in_force = (await lost.loaded()).cfg
+    await desk.apply(inventory(services=2))
+    record = await desk.apply(in_force, above=in_force.revision)
+    assert record.revision == 4
+    restored = (await desk.loaded()).cfg
+    assert restored.inventory == in_force.inventory
+    assert restored.rules == in_force.rules
+    assert (await desk.apply(in_force, above=9)).revision == 10
+
+
+async def test_a_service_too_large_for_one_value_is_refused():
+    desk = Desk()
+    with pytest.raises(FileInvalidError, match="service/svc-0000: expected"):
+        await desk.apply(inventory(services=1, targets=12_000))
+    assert desk.standin.calls == {"range": 1}
+
+
 @pytest.mark.parametrize("damage", ["gone", "cut", "another"])
 async def test_a_configuration_that_is_not_whole_is_not_loaded(damage):
     desk = Desk()
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -50,6 +50,10 @@
 
 _HEARD_WAITING = 16
 
+#: From so many members on, the list of all is made anew only so often (s).
+_MANY_MEMBERS = 256
+_MEMBERS_AGE_S = 10.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigPeriods:
@@ -73,7 +77,7 @@
     """
 
     told_members: int = 3
-    peer_s: float = 2.0
+    peer_s: float = 5.0
     lagging_peer_s: float = 0.3
     watch_turn_s: float = 60.0
     short_turn_s: float = 2.0
@@ -149,6 +153,8 @@
         self._newly_adopted = anyio.Event()
         self._lagging = anyio.Event()
         self._known_newest = 1
+        self._known: tuple[Member, ...] = ()
+        self._members_at = clock.monotonic()
         self._read_at = clock.monotonic()
         self.watching = False
         self.adopter = Adopter()
@@ -193,11 +199,20 @@
         """Returns the members that can be asked."""
         return [
             member
-            for member in self._directory.members()
+            for member in self._members()
             if member.name != self._settings.target
             and member.state is not MemberState.DEAD
         ]
 
+    def _members(self) -> tuple[Member, ...]:
+        """Returns the members; of a large fleet those of a moment ago."""
+        now = self._clock.monotonic()
+        age_s = now - self._members_at
+        if len(self._known) < _MANY_MEMBERS or age_s > _MEMBERS_AGE_S:
+            self._known = self._directory.members()
+            self._members_at = now
+        return self._known
+
     def _adopted(self, snapshot: Snapshot, source: Source) -> None:
         self.index = ConfigIndex(snapshot.cfg)
         self._on_adopted(self.index)
@@ -298,7 +313,7 @@
         self.watching = is_watcher(
             self._settings.target,
             self._settings.failure_domain,
-            self._directory.members(),
+            self._members(),
         )
         if self.watching:
             await self._watch_turn()
--- a/tests/support/configs.py
+++ b/tests/support/configs.py
@@ -10,6 +10,7 @@
 
 from radishwind.config.accept import Acceptor
 from radishwind.config.accept import Change
+from radishwind.config.model import Configuration
 from radishwind.config.model import FailureDomain
 from radishwind.config.model import Inventory
 from radishwind.config.model import Link
@@ -92,7 +93,7 @@
 
     async def apply(
         self,
-        content: Inventory | Rules,
+        content: Inventory | Rules | Configuration,
         operator: str = "ada",
         base: int | None = None,
         above: int = 0,
