End a watch of the store once others rank before

Cause: in a trial with 16 nodes in 3 failure domains all 16 watched the store for up to a minute after the start, since each knew nobody when it began. Ruled out: a task group around the watch, which hands on its errors in a group.

--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -153,6 +153,7 @@
         self._newly_adopted = anyio.Event()
         self._lagging = anyio.Event()
         self._known_newest = 1
+        self._turn: anyio.CancelScope | None = None
         self._known: tuple[Member, ...] = ()
         self._members_at = clock.monotonic()
         self._read_at = clock.monotonic()
@@ -173,6 +174,7 @@
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_store)
+            tasks.start_soon(self._end_turn_when_outranked)
             tasks.start_soon(self._ask_peers)
             tasks.start_soon(self._ask_heard)
             tasks.start_soon(self._tell_members)
@@ -310,11 +312,7 @@
                 await anyio.sleep(backoff.failed())
 
     async def _follow_once(self) -> None:
-        self.watching = is_watcher(
-            self._settings.target,
-            self._settings.failure_domain,
-            self._members(),
-        )
+        self.watching = self._is_watcher()
         if self.watching:
             await self._watch_turn()
             return
@@ -325,21 +323,32 @@
             await self._read_store()
         await anyio.sleep(jittered(self._rng, self._periods.rank_s))
 
+    def _is_watcher(self) -> bool:
+        return is_watcher(
+            self._settings.target,
+            self._settings.failure_domain,
+            self._members(),
+        )
+
     async def _watch_turn(self) -> None:
         """Reads the store, then watches it for one turn."""
         stored_at = await self._read_store()
         try:
-            with anyio.move_on_after(
-                jittered(self._rng, self._periods.watch_turn_s)
-            ):
-                async for event in self._store.watch(ROOT_KEY, stored_at + 1):
-                    await self._take_event(event)
+            await self._watch(stored_at + 1, self._periods.watch_turn_s)
         except StoreCompactedError:
-            with anyio.move_on_after(
-                jittered(self._rng, self._periods.short_turn_s)
-            ):
-                async for event in self._store.watch(ROOT_KEY, 0):
-                    await self._take_event(event)
+            await self._watch(0, self._periods.short_turn_s)
+
+    async def _watch(self, from_revision: int, turn_s: float) -> None:
+        """Watches for about `turn_s` (s), or until others rank before."""
+        with anyio.move_on_after(jittered(self._rng, turn_s)) as self._turn:
+            async for event in self._store.watch(ROOT_KEY, from_revision):
+                await self._take_event(event)
+
+    async def _end_turn_when_outranked(self) -> None:
+        while True:
+            await anyio.sleep(jittered(self._rng, self._periods.rank_s))
+            if self._turn is not None and not self._is_watcher():
+                self._turn.cancel()
 
     async def _take_event(self, event: WatchEvent) -> None:
         refusals = self.adopter.refusals
--- a/src/radishwind/node/tests/test_config_tasks.py
+++ b/src/radishwind/node/tests/test_config_tasks.py
@@ -10,6 +10,7 @@
 
 from radishwind.config.records import ROOT_KEY
 from radishwind.http import Request
+from radishwind.membership.ranking import rank
 from radishwind.node.config_tasks import ConfigPeriods
 from radishwind.standins.store import StoreFaults
 from radishwind.store import Put
@@ -131,3 +132,16 @@
             request = Request("POST", "/radishwind/v1/config", (), body)
             response = await node.handle_control(request)
             assert response.status >= 400
+
+
+async def test_a_watch_ends_once_others_rank_before():
+    async with running(0) as (fleet, tasks):
+        names = sorted((f"svc-0000-{n}" for n in range(6)), key=rank)
+        standin = fleet.desk.standin
+        for name in reversed(names):
+            fleet.start(tasks, name, "dom-a")
+            await fleet.until(lambda n=name: fleet.nodes[n].watching)
+        await fleet.until(
+            lambda: [n for n in names if fleet.nodes[n].watching] == names[:2]
+        )
+        await fleet.until(lambda: standin.watching == 2)
