--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -50,6 +50,10 @@
 
 _HEARD_WAITING = 16
 
+#: From so many members on, the list of all is made anew only so often (s).
+_MANY_MEMBERS = 256
+_MEMBERS_AGE_S = 10.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigPeriods:
@@ -73,7 +77,7 @@
     """
 
     told_members: int = 3
-    peer_s: float = 2.0
+    peer_s: float = 5.0
     lagging_peer_s: float = 0.3
     watch_turn_s: float = 60.0
     short_turn_s: float = 2.0
@@ -149,6 +153,9 @@
         self._newly_adopted = anyio.Event()
         self._lagging = anyio.Event()
         self._known_newest = 1
+        self._turn: anyio.CancelScope | None = None
+        self._known: tuple[Member, ...] = ()
+        self._members_at = clock.monotonic()
         self._read_at = clock.monotonic()
         self.watching = False
         self.adopter = Adopter()
@@ -167,6 +174,7 @@
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_store)
+            tasks.start_soon(self._end_turn_when_outranked)
             tasks.start_soon(self._ask_peers)
             tasks.start_soon(self._ask_heard)
             tasks.start_soon(self._tell_members)
@@ -193,11 +201,20 @@
         """Returns the members that can be asked."""
         return [
             member
-            for member in self._directory.members()
+            for member in self._members()
             if member.name != self._settings.target
             and member.state is not MemberState.DEAD
         ]
 
+    def _members(self) -> tuple[Member, ...]:
+        """Returns the members; of a large fleet those of a moment ago."""
+        now = self._clock.monotonic()
+        age_s = now - self._members_at
+        if len(self._known) < _MANY_MEMBERS or age_s > _MEMBERS_AGE_S:
+            self._known = self._directory.members()
+            self._members_at = now
+        return self._known
+
     def _adopted(self, snapshot: Snapshot, source: Source) -> None:
         self.index = ConfigIndex(snapshot.cfg)
         self._on_adopted(self.index)
@@ -295,11 +312,7 @@
                 await anyio.sleep(backoff.failed())
 
     async def _follow_once(self) -> None:
-        self.watching = is_watcher(
-            self._settings.target,
-            self._settings.failure_domain,
-            self._directory.members(),
-        )
+        self.watching = self._is_watcher()
         if self.watching:
             await self._watch_turn()
             return
@@ -310,21 +323,32 @@
             await self._read_store()
         await anyio.sleep(jittered(self._rng, self._periods.rank_s))
 
+    def _is_watcher(self) -> bool:
+        return is_watcher(
+            self._settings.target,
+            self._settings.failure_domain,
+            self._members(),
+        )
+
     async def _watch_turn(self) -> None:
         """Reads the store, then watches it for one turn."""
         stored_at = await self._read_store()
         try:
-            with anyio.move_on_after(
-                jittered(self._rng, self._periods.watch_turn_s)
-            ):
-                async for event in self._store.watch(ROOT_KEY, stored_at + 1):
-                    await self._take_event(event)
+            await self._watch(stored_at + 1, self._periods.watch_turn_s)
         except StoreCompactedError:
-            with anyio.move_on_after(
-                jittered(self._rng, self._periods.short_turn_s)
-            ):
-                async for event in self._store.watch(ROOT_KEY, 0):
-                    await self._take_event(event)
+            await self._watch(0, self._periods.short_turn_s)
+
+    async def _watch(self, from_revision: int, turn_s: float) -> None:
+        """Watches for about `turn_s` (s), or until others rank before."""
+        with anyio.move_on_after(jittered(self._rng, turn_s)) as self._turn:
+            async for event in self._store.watch(ROOT_KEY, from_revision):
+                await self._take_event(event)
+
+    async def _end_turn_when_outranked(self) -> None:
+        while True:
+            await anyio.sleep(jittered(self._rng, self._periods.rank_s))
+            if self._turn is not None and not self._is_watcher():
+                self._turn.cancel()
 
     async def _take_event(self, event: WatchEvent) -> None:
         refusals = self.adopter.refusals
