Measure membership by states and by processes

Adds python -m bench.membership. node_count replaces the count of members for the shares of the store's rates: a node that just started knows only itself and took the whole rate. A drain that ends while the node is leaving no longer takes the leaving back. wait_until is bounded by time: its bound by steps let a test whose store stand-in lost its port hang for ten minutes.

--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,106 @@
+"""What membership costs, by state machines and by real node processes.
+
+    python -m bench.membership --seed 1 [--sizes 10,50,100] [--nodes 10,50,100]
+
+Empty lists leave a part out. Tables go to docs/measurements/membership.md.
+"""
+
+import argparse
+from typing import Any
+
+from bench import membership_nodes
+from bench import membership_states
+from bench.report import keep
+
+_CHURN_SIZES = (200, 1_000)
+_NOTES = (
+    "Each message has one sender and one receiver: what a node sends and "
+    "receives together is twice what it sends. "
+    "States run on a clock of their own with 1 ms each way; payload is the "
+    "JSON without HTTP's fields. For processes, all reads and writes are those "
+    "of the process by its own count in /proc (HTTP included, TCP and IP "
+    "headers not; the polling of the store and the bench's status requests "
+    "included). A spread over 8,900 nodes is run with 300 members known to "
+    "each, to save memory; a death takes a full table and isn't run there."
+)
+
+
+def main() -> None:
+    """Runs the parts asked for and keeps their tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--sizes", default="10,50,100,200,1000")
+    parser.add_argument("--spread", default="10,50,100,200,1000,8900")
+    parser.add_argument("--nodes", default="10,50,100")
+    parser.add_argument("--leaves", type=int, default=5)
+    args = parser.parse_args()
+    sections = [
+        *_states(args.seed, args.seconds, _numbers(args.sizes)),
+        *_spread(args.seed, _numbers(args.spread)),
+        *_processes(_numbers(args.nodes), args.seconds, args.leaves),
+    ]
+    command = (
+        f"python -m bench.membership --seed {args.seed} --seconds "
+        f"{args.seconds:g} --sizes {args.sizes} --spread {args.spread} "
+        f"--nodes {args.nodes} --leaves {args.leaves}"
+    )
+    keep("membership", "Membership", command, sections, _NOTES)
+
+
+def _numbers(text: str) -> list[int]:
+    return [int(part) for part in text.split(",") if part]
+
+
+def _states(
+    seed: int, seconds: float, sizes: list[int]
+) -> list[tuple[str, list[dict[str, Any]]]]:
+    rows = [
+        membership_states.load_row(size, seed, seconds, churn)
+        for size in sizes
+        for churn in (False, True)
+    ]
+    starts = [membership_states.start_row(n, seed) for n in sizes if n <= 200]
+    merges = [membership_states.merge_row(n, seed) for n in sizes if n <= 100]
+    memory = [
+        membership_states.memory_row(n)
+        for n in (*sizes, membership_states.DESIGN_NODES)
+    ]
+    return [
+        ("State machines at rest and with the churn of 8,900 nodes", rows),
+        ("Start of all at once by eight contacts", starts),
+        ("Two sides apart for ten minutes meet again", merges),
+        ("Memory of one node's members", memory),
+        ("Signing and verifying", [membership_states.security_row()]),
+        ("Codec of a push of one fact", [membership_states.codec_row()]),
+    ]
+
+
+def _spread(
+    seed: int, sizes: list[int]
+) -> list[tuple[str, list[dict[str, Any]]]]:
+    rows = [
+        membership_states.spread_row(size, number)
+        for size in sizes
+        for number in range(seed, seed + (3 if size <= 200 else 1))
+    ]
+    return [("Time until every node knows", rows)]
+
+
+def _processes(
+    sizes: list[int], seconds: float, leaves: int
+) -> list[tuple[str, list[dict[str, Any]]]]:
+    rows = [
+        row
+        for size in sizes
+        for row in membership_nodes.node_rows(size, seconds)
+    ]
+    stops = [membership_nodes.leaving_row(n + 1) for n in range(leaves)]
+    return [
+        ("Real node processes", rows),
+        ("Planned stop under load: 4 nodes, 12 callers by 2 others", stops),
+    ]
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/membership_states.py
@@ -0,0 +1,251 @@
+"""Many gossip states in one process: messages, bytes, times, memory."""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from tests.support.gossip_net import fact_of
+from tests.support.gossip_net import GossipNet
+
+from radishwind.config import Configuration
+from radishwind.config.index import ConfigIndex
+from radishwind.core import ManualClock
+from radishwind.http import Address
+from radishwind.membership import Announced
+from radishwind.membership import Gossip
+from radishwind.membership import GossipDirectory
+from radishwind.membership import GossipOptions
+from radishwind.membership.facts import RumorFact
+from radishwind.membership.messages import decode
+from radishwind.membership.messages import encode
+from radishwind.membership.messages import Push
+from radishwind.peers import PeerSigner
+from radishwind.peers import PeerVerifier
+
+DESIGN_NODES = 8_900
+_LIMIT_S = 120.0
+_SETTLE_S = 3.0
+#: At the design size: 3,133 restarts and failures a day, three facts each.
+_MEMBER_FACTS_S = 3 * 3_133 / 86_400
+#: 17,000 changes of the configuration a day.
+_CONFIG_FACTS_S = 17_000 / 86_400
+_VIEW = 300
+
+Row = dict[str, Any]
+
+
+def load_row(size: int, seed: int, seconds: float, churn: bool) -> Row:
+    """Returns messages, payload bytes and CPU of nodes that know each other."""
+    net = GossipNet(seed=seed, coded=True)
+    net.fill(size)
+    net.run(_SETTLE_S)
+    net.messages = net.bytes = 0
+    if churn:
+        _schedule_churn(net, size, seconds)
+    began = time.process_time()
+    net.run(seconds)
+    cpu_s = time.process_time() - began
+    per_node = size * seconds
+    return {
+        "nodes": size,
+        "churn": "design size" if churn else "none",
+        "messages sent/s/node": net.messages / per_node,
+        "payload sent B/s/node": net.bytes / per_node,
+        "CPU us/message": cpu_s / net.messages * 1e6,
+        "CPU %/node": cpu_s / per_node * 100,
+    }
+
+
+def _schedule_churn(net: GossipNet, size: int, seconds: float) -> None:
+    rng = random.Random(net.rng.random())
+    at = net.now
+    version = 0
+    while at < net.now + seconds:
+        at += rng.expovariate(_MEMBER_FACTS_S + _CONFIG_FACTS_S)
+        version += 1
+        config = rng.random() * (_MEMBER_FACTS_S + _CONFIG_FACTS_S)
+        number = rng.randrange(size)
+        if config < _CONFIG_FACTS_S:
+            fact = RumorFact(
+                "config", "root", version, '{"revision":1,"id":"x"}', 30_000
+            )
+            net.at(at, _publisher(net, number, fact))
+        else:
+            net.at(at, _turner(net, number))
+
+
+def _publisher(
+    net: GossipNet, number: int, fact: RumorFact
+) -> Callable[[], None]:
+    def publish() -> None:
+        net.nodes[number].publish(fact, net.now)
+        net.send(number, net.nodes[number].tick(net.now))
+
+    return publish
+
+
+def _turner(net: GossipNet, number: int) -> Callable[[], None]:
+    def turn() -> None:
+        node = net.nodes[number]
+        new = Announced.DRAINING
+        if node.own.announced is Announced.DRAINING:
+            new = Announced.ALIVE
+        net.send(number, node.announce(new, net.now))
+
+    return turn
+
+
+def spread_row(size: int, seed: int) -> Row:
+    """Returns the times for a leave, a death and a rumour to reach all."""
+    net = GossipNet(seed=seed)
+    if size > 2_000:
+        _fill_views(net, size)
+    else:
+        net.fill(size)
+    net.run(_SETTLE_S)
+    net.send(1, net.nodes[1].announce(Announced.LEAVING, net.now))
+    leave = _time_to_all(
+        net, lambda: net.knowing(1, lambda f: f.announced is Announced.LEAVING)
+    )
+    fact = RumorFact("config", "root", 1, "{}", 600_000)
+    _publisher(net, 2, fact)()
+    key = (fact.topic, fact.key)
+    rumor = _time_to_all(
+        net,
+        lambda: sum(
+            n.table.rumor(key, net.now) is not None for n in net.nodes.values()
+        ),
+    )
+    row: Row = {"nodes": size, "seed": seed}
+    row |= {"leave s": leave, "rumour s": rumor}
+    row["death s"] = _death_s(net) if size <= 2_000 else "not run"
+    return row
+
+
+def _death_s(net: GossipNet) -> float | None:
+    net.kill(3)
+    return _time_to_all(net, lambda: net.knowing(3, lambda f: f.gone))
+
+
+def _time_to_all(net: GossipNet, count: Callable[[], int]) -> float | None:
+    size = len(net.nodes)
+    return net.run_until(lambda: count() == size, _LIMIT_S, 0.05)
+
+
+def _fill_views(net: GossipNet, size: int) -> None:
+    """Starts nodes that know some of the others each, to save memory."""
+    facts = [fact_of(number) for number in range(size)]
+    for number in range(size):
+        node = net.add(number)
+        for fact in net.rng.sample(facts, _VIEW):
+            node.table.merge_member(fact)
+
+
+def start_row(size: int, seed: int) -> Row:
+    """Returns what a start of all at once costs, by eight contacts."""
+    net = GossipNet(seed=seed, coded=True)
+    for number in range(size):
+        net.add(number)
+        net.join(number, range(8))
+    took = net.run_until(
+        lambda: all(len(n.table.members) == size for n in net.nodes.values()),
+        _LIMIT_S,
+    )
+    return {
+        "nodes": size,
+        "all know all s": took,
+        "payload sent kB/node": net.bytes / size / 1e3,
+        "messages sent/node": net.messages / size,
+    }
+
+
+def merge_row(size: int, seed: int) -> Row:
+    """Returns how long two sides apart for ten minutes take to merge."""
+    net = GossipNet(seed=seed, coded=True)
+    net.fill(size)
+    net.side = {number: int(number >= size // 3) for number in range(size)}
+    net.run(600.0)
+    net.side = {}
+    net.bytes = 0
+
+    def merged() -> bool:
+        return all(
+            not fact.belief
+            for node in net.nodes.values()
+            for fact in node.table.members.values()
+        )
+
+    took = net.run_until(merged, 600.0, 0.5)
+    return {
+        "nodes": size,
+        "merged after s": took,
+        "payload sent kB/node": net.bytes / size / 1e3,
+    }
+
+
+def memory_row(size: int) -> Row:
+    """Returns the memory of one node's state and directory."""
+    clock = ManualClock()
+    data = [encode(Push("x", 0, (fact_of(n),))) for n in range(1, size)]
+    gc.collect()
+    tracemalloc.start()
+    node = Gossip(fact_of(0), GossipOptions(), random.Random(1), 0.0)
+    index = ConfigIndex(Configuration())
+    directory = GossipDirectory(node, lambda: index, clock, 10.0)
+    for item in data:
+        for fact in decode(item).members:
+            node.table.merge_member(fact)
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert directory.of_service("none") == ()
+    return {
+        "members": size,
+        "MB": held / 1e6,
+        "bytes/member": held / size,
+    }
+
+
+def security_row(count: int = 20_000) -> Row:
+    """Returns what it costs to sign and to verify one request."""
+    clock = ManualClock()
+    clock.advance(1.0)
+    own = Address("10.0.0.1", 8081)
+    key = b"0123456789abcdef0123456789abcdef"
+    signer = PeerSigner(key, clock, "0123456789abcdef")
+    verifier = PeerVerifier((key,), clock, own)
+    body = b"x" * 300
+    began = time.perf_counter()
+    fields = [
+        signer.sign(own, "POST", "/prenota/1", body) for _ in range(count)
+    ]
+    signed = time.perf_counter()
+    for field in fields:
+        verifier.verify(field, "POST", "/prenota/1", body)
+    verified = time.perf_counter()
+    return {
+        "requests": count,
+        "covered bytes": len(body),
+        "sign us": (signed - began) / count * 1e6,
+        "verify us": (verified - signed) / count * 1e6,
+    }
+
+
+def codec_row(count: int = 20_000) -> Row:
+    """Returns what the codec costs for a push of one fact."""
+    push = Push("target-00001", 7, (fact_of(8_000, 10**12),))
+    began = time.perf_counter()
+    for _ in range(count):
+        data = encode(push)
+    encoded = time.perf_counter()
+    for _ in range(count):
+        decode(data)
+    decoded = time.perf_counter()
+    return {
+        "bytes": len(data),
+        "encode us": (encoded - began) / count * 1e6,
+        "decode us": (decoded - encoded) / count * 1e6,
+    }
--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -96,8 +96,13 @@
         self._rumor_listeners.append(listener)
 
     def announce(self, announced: Announced, now: float) -> list[Call]:
-        """Says something else of this node, to everyone at once."""
-        if announced is not self.own.announced:
+        """Says something else of this node, to everyone at once.
+
+        One that is leaving takes no word of a drain any more.
+        """
+        said = self.own.announced
+        leaving = said >= Announced.LEAVING
+        if announced is not said and not (leaving and announced < said):
             self._restate(self._incarnation + 1, announced)
             self._next_push = now
         return self.tick(now)
--- a/src/radishwind/membership/tests/test_gossip.py
+++ b/src/radishwind/membership/tests/test_gossip.py
@@ -77,6 +77,15 @@
         assert took is not None
 
 
+def test_end_of_a_drain_does_not_take_leaving_back():
+    node = GossipNet().add(1)
+    node.announce(Announced.LEAVING, 0.0)
+
+    node.announce(Announced.ALIVE, 0.0)
+
+    assert node.own.announced is Announced.LEAVING
+
+
 def test_paused_process_that_comes_back_refutes(net):
     net.pause(5)
     suspected = net.run_until(
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -79,7 +79,7 @@
             self._clock,
             self._rng,
             self._stores.claims,
-            lambda: len(self._membership.directory.members()),
+            self._membership.node_count,
         )
         self._observation = Observation(
             self._settings,
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -120,6 +120,15 @@
         self.gossip.suspect_hint(name, self._now())
         self._wake()
 
+    def node_count(self) -> int:
+        """Returns how many nodes there may be that share the store.
+
+        Rather too many than too few: a node that just started knows only
+        itself, and those believed dead may be apart and still there.
+        """
+        known = len(self.gossip.table.members)
+        return max(known, len(self._index().targets))
+
     def note_revision(self, revision: int) -> None:
         """Tells peers by and by which configuration is in force here."""
         self.gossip.revision = revision
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import threading
+import time
 import urllib.error
 import urllib.request
 from collections.abc import Callable
@@ -38,8 +39,8 @@
 ) -> Any:
     """Returns the first true value of `condition`; fails after `limit_s`."""
     pause = threading.Event()
-    steps = int(limit_s / _STEP_S)
-    for _ in range(steps):
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
         with contextlib.suppress(OSError):
             value = condition()
             if value:
