Split attempts, listener and outbox; replace dead contacts

A contact that doesn't answer may now be replaced in the store's record, and a record that may stay costs a starting node one call of the store instead of two. What a node says of itself is pushed outside the byte rate, so that a leave is not held up by a merge of regions.

--- a/bench/membership_nodes.py
+++ b/bench/membership_nodes.py
@@ -81,6 +81,16 @@
     return calls
 
 
+def _contact_calls(fleet: Fleet, sample: range) -> dict[str, float]:
+    """Returns the mean calls of a node for the contact records, by kind."""
+    total: dict[str, float] = {}
+    for number in sample:
+        calls = fleet.status(_name(number))["contact_store_calls"]
+        for kind, count in calls.items():
+            total[kind] = total.get(kind, 0) + count / len(sample)
+    return total
+
+
 def _io_bytes(process: Process) -> int:
     """Returns what the process read and wrote, sockets included (bytes)."""
     text = pathlib.Path(f"/proc/{process.pid()}/io").read_text()
@@ -103,11 +113,13 @@
             )
         started_s = time.monotonic() - began
         calls = _store_calls(fleet)
+        contact_calls = _contact_calls(fleet, sample)
         rows = [
             _measured(fleet, size, sample, store, seconds) for store in _FAULTS
         ]
         _faults(fleet, {})
         rows[0] |= {"all known s": started_s, "store calls at start": calls}
+        rows[0] |= {"contact calls": contact_calls}
         rows[-1] |= {"left known s": _left_s(fleet, size, sample)}
         columns = {key: "" for row in rows for key in row}
         return [columns | row for row in rows]
--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -21,6 +21,7 @@
 from radishwind.store import StoreError
 
 _WRITE_TRIES = 3
+_MAX_UNREACHABLE = 1_024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,9 +87,20 @@
         self._rng = rng
         self._options = options
         self._budget = CallBudget(options, clock.monotonic())
-        self.unreachable: set[Address] = set()
+        self._unreachable: set[Address] = set()
+        self._read_record: ContactRecord | None = None
         self.calls: dict[str, int] = {"read": 0, "write": 0, "failed": 0}
 
+    def note_failed(self, address: Address) -> None:
+        """Notes that nothing answers at `address`; it may be replaced."""
+        if len(self._unreachable) >= _MAX_UNREACHABLE:
+            self._unreachable.clear()
+        self._unreachable.add(address)
+
+    def note_answered(self, address: Address) -> None:
+        """Notes that a node answers at `address`."""
+        self._unreachable.discard(address)
+
     async def read(self) -> tuple[Address, ...] | None:
         """Returns all contacts by one call; `None` if it failed."""
         if not self._budget.take(self._clock.monotonic()):
@@ -99,17 +111,22 @@
         except StoreError:
             self.calls["failed"] += 1
             return None
+        records = {e.key: read_record(e.value) for e in entries}
+        self._read_record = records.get(self._key, ContactRecord())
         found: list[Address] = []
-        for entry in entries:
-            found += addresses(read_record(entry.value))
+        for record in records.values():
+            found += addresses(record)
         return tuple(a for a in dict.fromkeys(found) if a != self._own)
 
     async def enter(self) -> bool:
         """Puts this node into the record if that is short; `False` if failed.
 
         It waits a random time first and then looks, so that of many nodes
-        that find the record empty only the first few write.
+        that find the record empty only the first few write. Where the record
+        just read may stay it makes no call.
         """
+        if self._read_record and self._revised(self._read_record) is None:
+            return True
         for _ in range(_WRITE_TRIES):
             await anyio.sleep(self._rng.random() * self._options.spread_s)
             done = await self._enter_once()
@@ -125,10 +142,7 @@
             self.calls["read"] += 1
             entry = await self._store.get(self._key)
             record = read_record(entry.value) if entry else ContactRecord()
-            now_ms = int(self._clock.now().timestamp() * 1000)
-            new = revised(
-                record, self._own, frozenset(self.unreachable), now_ms
-            )
+            new = self._revised(record)
             if new is None:
                 return True
             if not self._budget.take(self._clock.monotonic()):
@@ -146,3 +160,8 @@
             self.calls["failed"] += 1
             return False
         return True if result.succeeded else None
+
+    def _revised(self, record: ContactRecord) -> ContactRecord | None:
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        dead = frozenset(self._unreachable)
+        return revised(record, self._own, dead, now_ms)
--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -30,8 +30,8 @@
 from radishwind.membership.messages import SyncNewer
 from radishwind.membership.messages import SyncPage
 from radishwind.membership.options import GossipOptions
+from radishwind.membership.outbox import Outbox
 from radishwind.membership.probe import Prober
-from radishwind.membership.spread import FactKey
 from radishwind.membership.spread import Spreader
 from radishwind.membership.sync import Syncer
 from radishwind.membership.table import FactTable
@@ -44,7 +44,6 @@
 #: A hint brings a probe forward at most this often (s).
 _HINT_PERIOD_S = 0.25
 _JOIN_CONTACTS = 3
-_CALL_TIMEOUT_S = 2.0
 
 
 class Gossip:
@@ -68,23 +67,19 @@
         self.prober = Prober(own.name, self.table, options, rng)
         self._syncer = Syncer(own.name, self.table, options.page_bytes)
         self._rumor_listeners: list[RumorListener] = []
-        self._outbox: list[Call] = []
+        self._outbox = Outbox()
         self._pages_left = 0
         self._sync_wanted: tuple[int, ...] = ()
         self._conflict_until = now
         self._next_probe = now + rng.random() * options.probe_period_s
         self._next_sync = now + rng.random() * options.sync_period_s
         self._next_rejoin = now + rng.random() * options.rejoin_period_s
-        self._next_sweep = now
-        self._next_push = now
-        self._next_hint = now
+        self._next_sweep = self._next_push = self._next_hint = now
         self._due = now
         self.conflicts = 0
         self.revision = 0
-        self.revisions: dict[str, int] = {}
-        self.table.listen(self._changed)
         self.table.merge_member(own)
-        self._spread(own.name)
+        self._spreader.add(own.name)
 
     @property
     def own(self) -> MemberFact:
@@ -104,7 +99,7 @@
         leaving = said >= Announced.LEAVING
         if announced is not said and not (leaving and announced < said):
             self._restate(self._incarnation + 1, announced)
-            self._next_push = now
+            self._push_own()
         return self.tick(now)
 
     def publish(self, fact: RumorFact, now: float) -> bool:
@@ -126,10 +121,12 @@
         self._rng.shuffle(others)
         push = Push(self._name, self.revision, (self.own,))
         for address in others[:_JOIN_CONTACTS]:
-            self._emit(address, push, Purpose.TELL)
+            self._outbox.send_to_address(address, push, Purpose.TELL)
         for address in others[:1]:
-            self._emit(address, self._syncer.open(self.revision), Purpose.JOIN)
-        return self._flush()
+            self._outbox.send_to_address(
+                address, self._syncer.open(self.revision), Purpose.JOIN
+            )
+        return self._outbox.flush()
 
     def next_due(self) -> float:
         """Returns when `tick` has something to do (monotonic s)."""
@@ -158,14 +155,14 @@
             self._next_push = now + self._options.push_delay_s
             self._push(now)
         self._due = max(self._due, now)
-        return self._flush()
+        return self._outbox.flush()
 
     def receive(
         self, message: Message, now: float
     ) -> tuple[Message, list[Call]]:
         """Takes a message; returns its answer and the messages to send."""
         answer = self._answer(message, now)
-        return answer, self._flush()
+        return answer, self._outbox.flush()
 
     def answered(self, call: Call, answer: Message, now: float) -> list[Call]:
         """Takes the answer to a call."""
@@ -183,7 +180,7 @@
             self.prober.answered(call.member)
         elif call.purpose is Purpose.RELAYED_PROBE:
             self._relay(call, answer, now)
-        return self._flush()
+        return self._outbox.flush()
 
     def failed(self, call: Call, now: float) -> list[Call]:
         """Takes it that a call got no good answer in time."""
@@ -193,7 +190,7 @@
             self._sync_wanted = ()
         elif call.purpose in (Purpose.JOIN, Purpose.SYNC_GROUPS):
             self._sync_soon(now)
-        return self._flush()
+        return self._outbox.flush()
 
     def _answer(self, message: Message, now: float) -> Message:
         about_sender = self.table.members.get(message.sender)
@@ -219,7 +216,7 @@
 
     def _take(self, message: Message, now: float) -> None:
         if message.sender in self.table.members:
-            self.revisions[message.sender] = message.revision
+            self.table.revisions[message.sender] = message.revision
         for member in message.members:
             self._take_member(member, now)
         for rumor in message.rumors:
@@ -237,7 +234,7 @@
                 self.prober.note_dead(fact.name, now)
         elif fact.belief is Belief.SUSPECT:
             self.prober.note_suspected(fact.name, now)
-        self._spread(fact.name)
+        self._spreader.add(fact.name)
 
     def _hear_of_self(self, fact: MemberFact, now: float) -> None:
         own = self.own
@@ -257,12 +254,12 @@
             self.own, incarnation=incarnation, announced=announced
         )
         self.table.merge_member(fact)
-        self._spread(self._name)
+        self._spreader.add(self._name)
 
     def _take_rumor(self, fact: RumorFact, now: float) -> bool:
         if not self.table.merge_rumor(fact, now):
             return False
-        self._spread((fact.topic, fact.key))
+        self._spreader.add((fact.topic, fact.key))
         for listener in self._rumor_listeners:
             listener(fact)
         return True
@@ -296,7 +293,7 @@
         fact = self.prober.random_dead()
         if fact is not None:
             ping = Ping(self._name, self.revision, (fact,), (), fact.name)
-            self._emit(Address.parse(fact.address), ping, Purpose.REJOIN)
+            self._outbox.send(fact, ping, Purpose.REJOIN)
 
     def _emit_ping(
         self, fact: MemberFact, purpose: Purpose, now: float
@@ -306,11 +303,10 @@
         )
         if fact.belief is not Belief.FINE:
             members = _unique((fact, *members))
-        self._emit(
-            Address.parse(fact.address),
+        self._outbox.send(
+            fact,
             Ping(self._name, self.revision, members, rumors, fact.name),
             purpose,
-            fact.name,
             timeout_s=self._options.probe_timeout_s,
         )
 
@@ -327,19 +323,17 @@
             request = PingRequest(
                 self._name, self.revision, (), (), name, str(call.address)
             )
-            address = Address.parse(helper.address)
-            self._emit(address, request, Purpose.REQUEST_PROBE, helper.name)
+            self._outbox.send(helper, request, Purpose.REQUEST_PROBE)
 
     def _probe_for(self, message: PingRequest, now: float) -> None:
         fact = self.table.members.get(message.target)
         if fact is None or message.sender not in self.table.members:
             return
         ping = Ping(self._name, self.revision, (fact,), (), fact.name)
-        self._emit(
-            Address.parse(fact.address),
+        self._outbox.send(
+            fact,
             ping,
             Purpose.RELAYED_PROBE,
-            fact.name,
             message.sender,
             self._options.probe_timeout_s,
         )
@@ -350,14 +344,13 @@
             return
         facts = (self.table.members[call.member],)
         told = Relayed(self._name, self.revision, facts, (), call.member)
-        self._emit(Address.parse(requester.address), told, Purpose.TELL)
+        self._outbox.send(requester, told, Purpose.TELL)
 
     def _open_sync(self) -> None:
         exclude = frozenset((self._name,))
         for peer in self.table.sample(self._rng, 1, exclude):
             message = self._syncer.open(self.revision)
-            address = Address.parse(peer.address)
-            self._emit(address, message, Purpose.SYNC_GROUPS, peer.name)
+            self._outbox.send(peer, message, Purpose.SYNC_GROUPS)
 
     def _next_page(
         self, address: Address, now: float, covered: tuple[int, ...] = ()
@@ -372,15 +365,24 @@
             return
         self._pages_left -= 1
         page = self._syncer.page(left, self.revision, now)
-        self._emit(address, page, Purpose.SYNC_PAGE)
+        self._outbox.send_to_address(address, page, Purpose.SYNC_PAGE)
 
     def _sync_soon(self, now: float) -> None:
         self._next_sync = min(self._next_sync, now + self._options.sync_soon_s)
 
+    def _push_own(self) -> None:
+        """Tells what this node says of itself, whatever the byte rate."""
+        self._spreader.pushed(self._name)
+        push = Push(self._name, self.revision, (self.own,))
+        for peer in self._push_peers():
+            self._outbox.send(peer, push, Purpose.TELL)
+
+    def _push_peers(self) -> list[MemberFact]:
+        exclude = frozenset((self._name,))
+        return self.table.sample(self._rng, self._options.fanout, exclude)
+
     def _push(self, now: float) -> None:
-        peers = self.table.sample(
-            self._rng, self._options.fanout, frozenset((self._name,))
-        )
+        peers = self._push_peers()
         if not peers:
             return
         members, rumors = self._spreader.take_pushes(
@@ -390,31 +392,7 @@
             return
         push = Push(self._name, self.revision, members, rumors)
         for peer in peers:
-            self._emit(Address.parse(peer.address), push, Purpose.TELL)
-
-    def _spread(self, key: FactKey) -> None:
-        self._spreader.add(key)
-
-    def _changed(self, old: MemberFact | None, new: MemberFact | None) -> None:
-        if new is None and old is not None:
-            self.revisions.pop(old.name, None)
-
-    def _emit(
-        self,
-        address: Address,
-        message: Message,
-        purpose: Purpose,
-        member: str = "",
-        requester: str = "",
-        timeout_s: float = _CALL_TIMEOUT_S,
-    ) -> None:
-        self._outbox.append(
-            Call(address, message, timeout_s, purpose, member, requester)
-        )
-
-    def _flush(self) -> list[Call]:
-        calls, self._outbox = self._outbox, []
-        return calls
+            self._outbox.send(peer, push, Purpose.TELL)
 
 
 def _unique(facts: tuple[MemberFact, ...]) -> tuple[MemberFact, ...]:
--- a/src/radishwind/membership/spread.py
+++ b/src/radishwind/membership/spread.py
@@ -39,6 +39,10 @@
         self._rides[key] = math.ceil(_RIDES_PER_DOUBLING * count)
         self._to_push[key] = None
 
+    def pushed(self, key: FactKey) -> None:
+        """Notes that the fact of `key` was pushed by other means."""
+        self._to_push.pop(key, None)
+
     def take_pushes(
         self, limit_bytes: int, copies: int, now: float
     ) -> tuple[tuple[MemberFact, ...], tuple[RumorFact, ...]]:
--- a/src/radishwind/membership/table.py
+++ b/src/radishwind/membership/table.py
@@ -46,6 +46,8 @@
         self._rumors: dict[RumorKey, _HeldRumor] = {}
         self._listeners: list[MemberListener] = []
         self.members: dict[str, MemberFact] = {}
+        #: The configuration revision that each member told last.
+        self.revisions: dict[str, int] = {}
         self.digests = DigestTree()
 
     def listen(self, listener: MemberListener) -> None:
@@ -67,6 +69,7 @@
     def forget_member(self, name: str) -> None:
         """Removes a member."""
         old = self.members.pop(name)
+        self.revisions.pop(name, None)
         self._toggle_member(old)
         place = self._places.pop(name)
         last = self._names.pop()
--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -116,6 +116,34 @@
     assert all(sum(f.calls.values()) <= 6 for f in finders)
 
 
+async def test_record_that_may_stay_costs_no_further_call():
+    platform = Platform()
+    for number in range(1, MAX_CONTACTS + 1):
+        await platform.finder(number).enter()
+    finder = platform.finder(99)
+
+    await finder.read()
+    entered = await finder.enter()
+
+    assert entered
+    assert finder.calls == {"read": 1, "write": 0, "failed": 0}
+
+
+async def test_contact_that_is_found_dead_is_replaced():
+    platform = Platform()
+    for number in range(1, MAX_CONTACTS + 1):
+        await platform.finder(number).enter()
+    finder = platform.finder(99)
+    finder.note_failed(Address("10.0.0.1", 3))
+
+    await finder.read()
+    await finder.enter()
+
+    contacts = await platform.finder(100).read()
+    assert Address("10.0.0.1", 99) in contacts
+    assert Address("10.0.0.1", 3) not in contacts
+
+
 async def test_lost_answer_is_settled_by_a_look_not_by_a_second_write():
     platform = Platform()
     finder = platform.finder(1)
--- a/src/radishwind/membership/view.py
+++ b/src/radishwind/membership/view.py
@@ -131,7 +131,7 @@
     def _revision(self, name: str) -> int:
         if name == self._gossip.own.name:
             return self._gossip.revision
-        return self._gossip.revisions.get(name, 0)
+        return self._gossip.table.revisions.get(name, 0)
 
     def _changed(self, old: MemberFact | None, new: MemberFact | None) -> None:
         if old is not None:
--- a/src/radishwind/node/callers.py
+++ b/src/radishwind/node/callers.py
@@ -8,7 +8,7 @@
 from radishwind.http.hygiene import end_to_end
 from radishwind.http.hygiene import origin_path
 from radishwind.outcomes import problem
-from radishwind.peers.forward import without_node_fields
+from radishwind.peers.attempts import without_node_fields
 
 
 class CallerListener:
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -192,9 +192,11 @@
             )
             message = decode(answer)
         except (PeerError, MessageError):
+            self._finder.note_failed(call.address)
             self._start(self.gossip.failed(call, self._now()))
             return
         self.traffic.received(len(answer))
+        self._finder.note_answered(call.address)
         self._start(self.gossip.answered(call, message, self._now()))
         self._wake_if_due_sooner()
 
--- a/src/radishwind/peers/__init__.py
+++ b/src/radishwind/peers/__init__.py
@@ -5,7 +5,7 @@
 from radishwind.peers.client import PeerError
 from radishwind.peers.client import PeerUnreachableError
 from radishwind.peers.forward import ForwardRunner
-from radishwind.peers.forward import PeerListener
+from radishwind.peers.listener import PeerListener
 from radishwind.peers.security import PeerSigner
 from radishwind.peers.security import PeerVerifier
 
--- /dev/null
+++ b/src/radishwind/peers/attempts.py
@@ -0,0 +1,225 @@
+"""How an attempt and its answer look on the wire between two nodes.
+
+A forwarded attempt is the caller's request plus fields that only nodes send;
+the answer echoes the attempt's id and says which of the three outcomes it is.
+"""
+
+import msgspec
+
+from radishwind.core.codes import ResultCode
+from radishwind.core.errors import RadishwindError
+from radishwind.entry.call import Call
+from radishwind.entry.pipeline import AttemptResult
+from radishwind.http.types import abort_body
+from radishwind.http.types import header
+from radishwind.http.types import Headers
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.membership.directory import Member
+from radishwind.outcomes import answer
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Outcome
+from radishwind.outcomes import Unknown
+from radishwind.peers.security import AUTH_FIELD
+from radishwind.peers.security import PeerSigner
+from radishwind.routing.chooser import LoadReport
+
+#: Fields that start so are removed from callers' requests.
+NODE_FIELD_PREFIX = "radishwind-node-"
+ATTEMPT_FIELD = "Radishwind-Node-Attempt"
+ANSWER_FIELD = "Radishwind-Node-Answer"
+
+
+class PeerMalformedError(RadishwindError):
+    """What a peer sent cannot be read."""
+
+    code = ResultCode.PEER_MALFORMED
+
+
+class AttemptInfo(msgspec.Struct, frozen=True, array_like=True):
+    """What the entry node tells the target's node of an attempt.
+
+    Attributes:
+      attempt_id: unique over nodes and restarts.
+      target: the name of the target meant.
+      service: the service of the call.
+      idempotent: whether the call may run more than once.
+      remaining_ms: time left to its deadline when it was sent (ms).
+      expires_ms: its deadline as wall-clock time (ms since the epoch, UTC).
+      caller: who asks.
+      depth: how many calls it is nested in.
+      suspect: whether an attempt before broke off.
+    """
+
+    attempt_id: str
+    target: str
+    service: str
+    idempotent: bool
+    remaining_ms: int
+    expires_ms: int
+    caller: str
+    depth: int
+    suspect: bool = False
+
+
+class AnswerInfo(msgspec.Struct, frozen=True, array_like=True):
+    """What the target's node tells the entry node with an answer.
+
+    Attributes:
+      attempt_id: the attempt it answers.
+      outcome: `done`, `not-run` or `unknown`.
+      code: the result code; 0 for `done`.
+      detail: a sentence for the caller; empty for `done`.
+      retry_after_s: when to come back (s).
+      load: the target's load; `None` to a peer that isn't authentic.
+    """
+
+    attempt_id: str
+    outcome: str
+    code: int
+    detail: str
+    retry_after_s: float | None
+    load: LoadReport | None
+
+
+_attempt_decoder = msgspec.json.Decoder(AttemptInfo)
+_answer_decoder = msgspec.json.Decoder(AnswerInfo)
+_encoder = msgspec.json.Encoder()
+
+
+def without_node_fields(headers: Headers) -> Headers:
+    """Returns `headers` without the fields that only nodes may send."""
+    return tuple(
+        item
+        for item in headers
+        if not item[0].lower().startswith(NODE_FIELD_PREFIX)
+    )
+
+
+def forwarded(
+    call: Call,
+    member: Member,
+    attempt_id: str,
+    remaining_s: float,
+    signer: PeerSigner | None,
+) -> Request:
+    """Returns the request of an attempt, signed where there is a key."""
+    info = AttemptInfo(
+        attempt_id,
+        member.name,
+        call.service,
+        call.idempotent,
+        max(1, int(remaining_s * 1000)),
+        call.expires_ms,
+        call.caller,
+        call.depth,
+        call.suspect,
+    )
+    request = call.request
+    field = _encoder.encode(info)
+    headers: Headers = (
+        *request.headers,
+        (ATTEMPT_FIELD, field.decode()),
+    )
+    if signer is not None:
+        auth = signer.sign(member.address, request.method, request.path, field)
+        headers += ((AUTH_FIELD, auth),)
+    return Request(
+        request.method,
+        request.path,
+        headers,
+        request.body,
+        request.body_bytes,
+    )
+
+
+def with_answer(
+    attempt_id: str, outcome: Outcome, load: LoadReport | None
+) -> Response:
+    """Returns the answer to an attempt, with what only nodes read of it."""
+    response = answer(outcome)
+    field = _encoder.encode(_answer_info(attempt_id, outcome, load)).decode()
+    return Response(
+        response.status,
+        (*response.headers, (ANSWER_FIELD, field)),
+        response.body,
+        response.body_bytes,
+    )
+
+
+def _answer_info(
+    attempt_id: str, outcome: Outcome, load: LoadReport | None
+) -> AnswerInfo:
+    if isinstance(outcome, Done):
+        return AnswerInfo(attempt_id, "done", 0, "", None, load)
+    code = int(outcome.code)
+    if isinstance(outcome, NotRun):
+        return AnswerInfo(
+            attempt_id,
+            "not-run",
+            code,
+            outcome.detail,
+            outcome.retry_after_s,
+            load,
+        )
+    return AnswerInfo(attempt_id, "unknown", code, outcome.detail, None, load)
+
+
+def read_result(response: Response, attempt_id: str) -> AttemptResult:
+    """Reads the outcome that the target's node tells.
+
+    Anything that is not plainly the answer to this attempt is `Unknown`.
+    """
+    info = _read_answer(response, attempt_id)
+    if info is None:
+        abort_body(response.body)
+        return AttemptResult(
+            Unknown(
+                ResultCode.ANSWER_MISMATCH,
+                "The answer was not to this attempt.",
+            )
+        )
+    if info.outcome == "done":
+        clean = Response(
+            response.status,
+            without_node_fields(response.headers),
+            response.body,
+            response.body_bytes,
+        )
+        return AttemptResult(Done(clean), info.load)
+    abort_body(response.body)
+    try:
+        code = ResultCode(info.code)
+    except ValueError:
+        code = ResultCode.ANSWER_MISMATCH
+    if info.outcome == "not-run":
+        outcome: Outcome = NotRun(code, info.detail, info.retry_after_s)
+    else:
+        outcome = Unknown(code, info.detail)
+    return AttemptResult(outcome, info.load)
+
+
+def read_attempt(field: str) -> AttemptInfo:
+    """Returns what `ATTEMPT_FIELD` tells.
+
+    Raises:
+      PeerMalformedError: it cannot be read.
+    """
+    try:
+        return _attempt_decoder.decode(field)
+    except (msgspec.MsgspecError, UnicodeEncodeError) as exc:
+        raise PeerMalformedError(str(exc)) from exc
+
+
+def _read_answer(response: Response, attempt_id: str) -> AnswerInfo | None:
+    field = header(response.headers, ANSWER_FIELD.lower())
+    if field is None:
+        return None
+    try:
+        info = _answer_decoder.decode(field)
+    except msgspec.MsgspecError:
+        return None
+    if info.attempt_id != attempt_id:
+        return None
+    return info
--- /dev/null
+++ b/src/radishwind/peers/listener.py
@@ -0,0 +1,165 @@
+"""Serves the peer listener: forwarded attempts and control messages."""
+
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeAlias
+
+from radishwind.config.index import ConfigIndex
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http.types import abort_body
+from radishwind.http.types import header
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.http.types import whole_body
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Outcome
+from radishwind.outcomes import problem
+from radishwind.outcomes import Unknown
+from radishwind.peers.attempts import ATTEMPT_FIELD
+from radishwind.peers.attempts import AttemptInfo
+from radishwind.peers.attempts import PeerMalformedError
+from radishwind.peers.attempts import read_attempt
+from radishwind.peers.attempts import with_answer
+from radishwind.peers.attempts import without_node_fields
+from radishwind.peers.client import CONTROL_PREFIX
+from radishwind.peers.security import AUTH_FIELD
+from radishwind.peers.security import PeerRefusedError
+from radishwind.peers.security import PeerReplayedError
+from radishwind.peers.security import PeerVerifier
+from radishwind.target.pipeline import TargetPipeline
+
+#: Control messages up to this size (bytes) are read where a slice asks for
+#: no other limit.
+MAX_CONTROL_BYTES = 64 * 1024
+
+ControlHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
+
+
+class PeerListener:
+    """Serves the peer listener: forwarded attempts and control messages."""
+
+    def __init__(
+        self,
+        *,
+        node_name: str,
+        clock: Clock,
+        index: Callable[[], ConfigIndex],
+        target: TargetPipeline,
+        verifier: PeerVerifier | None = None,
+    ) -> None:
+        self._node_name = node_name
+        self._clock = clock
+        self._index = index
+        self._target = target
+        self._verifier = verifier
+        self._control: dict[str, tuple[ControlHandler, int]] = {}
+        #: Requests refused, by result code.
+        self.refused: dict[int, int] = {}
+
+    def add_control(
+        self,
+        name: str,
+        handler: ControlHandler,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> None:
+        """Routes the control path `/radishwind/v1/NAME` to `handler`.
+
+        The handler gets authentic requests only, with the whole body.
+
+        Args:
+          name: the last part of the path.
+          handler: answers the messages.
+          max_bytes: longer messages are refused unread (bytes).
+        """
+        self._control[CONTROL_PREFIX + name] = (handler, max_bytes)
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request of a peer."""
+        field = header(request.headers, ATTEMPT_FIELD.lower())
+        if field is None:
+            return await self._handle_control(request)
+        try:
+            info = read_attempt(field)
+        except PeerMalformedError as exc:
+            return self._refuse(exc.code, exc.args[0])
+        try:
+            self._verify(request, field.encode("utf-8", "surrogateescape"))
+        except PeerRefusedError as exc:
+            return self._refuse_attempt(info, exc)
+        if info.target != self._node_name:
+            # The address has passed to another target since the peer heard.
+            outcome: Outcome = NotRun(
+                ResultCode.NO_TARGET,
+                f"expected target {self._node_name}, got {info.target}",
+            )
+            return self._answered(info.attempt_id, outcome)
+        result = await self._target.run(self._call(info, request))
+        return self._answered(info.attempt_id, result.outcome)
+
+    async def _handle_control(self, request: Request) -> Response:
+        path = request.path.partition("?")[0]
+        handler, max_bytes = self._control.get(path, (None, 0))
+        if handler is None:
+            return self._refuse(
+                ResultCode.PEER_MALFORMED,
+                f"expected a known path, got {request.path[:80]!r}",
+            )
+        size = request.body_bytes
+        if size is None or size > max_bytes:
+            abort_body(request.body)
+            return self._refuse(
+                ResultCode.PEER_TOO_LARGE,
+                f"expected a body of at most {max_bytes} bytes, got {size}",
+            )
+        body = await whole_body(request.body)
+        try:
+            self._verify(request, body)
+        except PeerRefusedError as exc:
+            return self._refuse(exc.code, exc.args[0])
+        return await handler(dataclasses.replace(request, body=body))
+
+    def _verify(self, request: Request, covered: bytes) -> None:
+        if self._verifier is None:
+            return
+        field = header(request.headers, AUTH_FIELD.lower())
+        self._verifier.verify(field, request.method, request.path, covered)
+
+    def _refuse(self, code: ResultCode, detail: str) -> Response:
+        self.refused[code] = self.refused.get(code, 0) + 1
+        return problem(code, detail, "not-run")
+
+    def _refuse_attempt(
+        self, info: AttemptInfo, exc: PeerRefusedError
+    ) -> Response:
+        self.refused[exc.code] = self.refused.get(exc.code, 0) + 1
+        outcome: Outcome = NotRun(exc.code, exc.args[0], 1.0)
+        if isinstance(exc, PeerReplayedError):
+            # The first one may have run.
+            outcome = Unknown(exc.code, exc.args[0])
+        return with_answer(info.attempt_id, outcome, None)
+
+    def _call(self, info: AttemptInfo, request: Request) -> Call:
+        return Call(
+            call_id=info.attempt_id,
+            service=info.service,
+            request=Request(
+                request.method,
+                request.path,
+                without_node_fields(request.headers),
+                request.body,
+                request.body_bytes,
+            ),
+            rules=self._index().cfg.rules.for_service(info.service),
+            idempotent=info.idempotent,
+            deadline=self._clock.monotonic() + info.remaining_ms / 1000,
+            expires_ms=info.expires_ms,
+            caller=info.caller,
+            depth=info.depth,
+            suspect=info.suspect,
+        )
+
+    def _answered(self, attempt_id: str, outcome: Outcome) -> Response:
+        return with_answer(attempt_id, outcome, self._target.load())
