--- a/bench/policies.py
+++ b/bench/policies.py
@@ -72,6 +72,13 @@
     _first(queues).lying = True
 
 
+def _stale(queues: dict[str, Queue]) -> None:
+    """Each target repeats one report for 0.1 s."""
+    _straggler(queues)
+    for queue in queues.values():
+        queue.hold_s = 0.1
+
+
 def _failing(queues: dict[str, Queue]) -> None:
     _first(queues).failing = True
 
@@ -111,6 +118,9 @@
     Scenario("80% load, no fault", 0.8, _steady),
     Scenario("80% load, one straggler (10 times slower)", 0.8, _straggler),
     Scenario("80% load, one straggler reporting it is idle", 0.8, _lying),
+    Scenario(
+        "80% load, one straggler, reports repeated for 0.1 s", 0.8, _stale
+    ),
     Scenario("60% load, one target failing fast", 0.6, _failing),
     Scenario("80% load, one target starting cold", 0.8, _cold),
     Scenario("150% load, no fault", 1.5, _steady),
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -115,6 +115,7 @@
       failing: answers 500 at once.
       refusing: refuses everything.
       lying: reports that it is idle.
+      hold_s: how long it repeats one report (s).
     """
 
     slow: Callable[[float], float] = lambda now: 1.0
@@ -122,6 +123,9 @@
     failing: bool = False
     refusing: bool = False
     lying: bool = False
+    hold_s: float = 0.0
+    held: LoadReport | None = None
+    held_since: float = -1.0
     running: int = 0
     waiting: collections.deque[Attempt] = dataclasses.field(
         default_factory=collections.deque
@@ -131,10 +135,13 @@
         """Returns what its node reports."""
         if self.lying:
             return LoadReport(SLOTS, 0, 0, 1.0)
-        waiting = sum(not a.ended for a in self.waiting)
-        return LoadReport(
-            SLOTS, self.running, waiting, 10.0, warm=self.warm(now)
-        )
+        if self.held is None or now - self.held_since >= self.hold_s:
+            waiting = sum(not a.ended for a in self.waiting)
+            self.held = LoadReport(
+                SLOTS, self.running, waiting, 10.0, warm=self.warm(now)
+            )
+            self.held_since = now
+        return self.held
 
 
 @dataclasses.dataclass(slots=True)
