--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -25,6 +25,10 @@
 #: swings within milliseconds, so it is short.
 REPORT_FADE_S = 0.03
 
+#: Weight of the last report against the mean of the last second, when it is
+#: new. A target that was idle a moment ago would draw every entry node at once.
+REPORT_WEIGHT = 0.1
+
 #: How fast what was learned fades towards "as any other" without news (s).
 RECOVERY_S = 2.0
 
@@ -42,6 +46,9 @@
 MAX_TARGETS = 4096
 
 _MEAN_FADE_S = 1.0
+
+#: When the last report counts for nothing beside the mean (s).
+_REPORT_END_S = 3 * REPORT_FADE_S
 _SWEEP_STEPS = 2
 
 
@@ -160,9 +167,11 @@
         if exact is not None:
             share = (exact.in_flight + exact.queued + 1) / capacity(exact)
         else:
-            aged = math.exp((self.reported - now) / REPORT_FADE_S)
-            mean = self.others_mean * fade
-            others = mean + (self.others - mean) * aged
+            others = self.others_mean * fade
+            age_s = now - self.reported
+            if age_s < _REPORT_END_S:
+                weight = REPORT_WEIGHT * math.exp(-age_s / REPORT_FADE_S)
+                others += (self.others - others) * weight
             share = (in_flight + others + 1) / self.capacity
         added = SPREAD * share * share
         if share > 1:
