Pass on small pieces of a streamed answer with httpx

Cause: the httpx sender asked for pieces of 64 KB, and httpx holds back smaller ones until so much is there. A watch of the store, and any caller's stream of small events, was silent.

--- a/src/radishwind/http/httpx_sender.py
+++ b/src/radishwind/http/httpx_sender.py
@@ -28,7 +28,7 @@
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         try:
-            async for piece in self._response.aiter_raw(SMALL_BODY_BYTES):
+            async for piece in self._response.aiter_raw():
                 if self._aborted:
                     break
                 yield piece
