--- a/src/radishwind/config/accept.py
+++ b/src/radishwind/config/accept.py
@@ -250,6 +250,16 @@
             await anyio.sleep(pause_s)
 
     async def _conflict(self, base: int) -> ChangeConflictError:
+        """Returns the conflict, with what changed since `base` if readable."""
+        try:
+            return await self._conflict_with_changes(base)
+        except StoreError as exc:
+            return ChangeConflictError(
+                f"expected revision {base} to be the newest, got another; "
+                f"what changed could not be read: {exc}"
+            )
+
+    async def _conflict_with_changes(self, base: int) -> ChangeConflictError:
         root, _ = await self._repository.newest()
         if root is None:
             return ChangeConflictError(f"base {base}: the store has none")
