Learn the first delay of hedges from 32 answers, not 256

Cause: at today's sizes a node sees few calls of a service, and no hedge began in a run of 6 s at 93 calls a second over six nodes. Before: a service needs 256 answers a node for its first delay; the new test failed. After: 32, and windows double up to 256; the test passes.

--- a/src/radishwind/cli/standins.py
+++ b/src/radishwind/cli/standins.py
@@ -48,6 +48,9 @@
     slots: Annotated[int, typer.Option(help="Requests run at once.")] = 9,
     queue: Annotated[int, typer.Option(help="Requests that wait.")] = 1024,
     service_ms: Annotated[float, typer.Option(help="Mean time (ms).")] = 5.0,
+    service_shape: Annotated[
+        float, typer.Option(help="Gamma shape of times; 1 is exponential.")
+    ] = 1.0,
     probe_ms: Annotated[float, typer.Option(help="Time of a probe (ms).")] = 6,
     cold_s: Annotated[float, typer.Option(help="Slow at first (s).")] = 0.0,
     cold_factor: Annotated[float, typer.Option(help="How slow at first.")] = 5,
@@ -61,6 +64,7 @@
         name=name,
         slots=slots,
         service_s=service_ms / 1000,
+        service_shape=service_shape,
         queue_length=queue,
         probe_s=probe_ms / 1000,
         cold_s=cold_s,
--- a/src/radishwind/hedging/quantile.py
+++ b/src/radishwind/hedging/quantile.py
@@ -19,6 +19,10 @@
 #: Answer times in one window of the histogram; a window gives one quantile.
 WINDOW = 256
 
+#: Answer times in the first window; each one after is twice as long, up to
+#: `WINDOW`, so that a service with few calls need not wait for its delay.
+FIRST_WINDOW = 32
+
 #: Weight of the newest window's quantile in the delay.
 WINDOW_WEIGHT = 0.5
 
@@ -48,12 +52,13 @@
 class _AnswerTimes:
     """Answer times of one service, and the quantile to hedge after."""
 
-    __slots__ = ("_histogram", "_recorded", "delay_s", "overload")
+    __slots__ = ("_histogram", "_recorded", "_window", "delay_s", "overload")
 
     def __init__(self) -> None:
         self.delay_s: float | None = None
         self.overload = 0.0
         self._recorded = 0
+        self._window = FIRST_WINDOW
         self._histogram = HdrHistogram(1, _MAX_US, _DIGITS)
 
     @property
@@ -70,7 +75,7 @@
         value_us = min(_MAX_US, max(1, int(elapsed_s * 1e6)))
         self._histogram.record_value(value_us)
         self._recorded += 1
-        if self._recorded < WINDOW:
+        if self._recorded < self._window:
             return
         percent = 100 * (1 - AIM * share)
         newest_us = self._histogram.get_value_at_percentile(percent)
@@ -80,6 +85,7 @@
         # A new one costs less than a reset.
         self._histogram = HdrHistogram(1, _MAX_US, _DIGITS)
         self._recorded = 0
+        self._window = min(WINDOW, 2 * self._window)
 
 
 class HedgeAfterQuantile(HedgePolicy):
--- a/src/radishwind/hedging/tests/test_quantile.py
+++ b/src/radishwind/hedging/tests/test_quantile.py
@@ -8,6 +8,7 @@
 from radishwind.entry.call import Call
 from radishwind.hedging import HedgeAfterQuantile
 from radishwind.hedging.quantile import AIM
+from radishwind.hedging.quantile import FIRST_WINDOW
 from radishwind.hedging.quantile import MAX_SAVED
 from radishwind.hedging.quantile import MAX_SERVICES
 from radishwind.hedging.quantile import WINDOW
@@ -64,6 +65,16 @@
     assert later == pytest.approx(AIM * 0.05, abs=0.015)
 
 
+def test_a_service_with_few_calls_gets_a_delay_early():
+    policy = HedgeAfterQuantile()
+
+    for _ in range(FIRST_WINDOW):
+        assert policy.delay_s(CALL, 0.0) is None
+        policy.finished(CALL, 0.0, 0.01, OK, None)
+
+    assert policy.delay_s(CALL, 0.0) == pytest.approx(0.01, rel=0.02)
+
+
 def test_delay_follows_a_change():
     policy = learned()
     before_s = policy.delay_s(CALL, 0.0)
