--- a/bench/service.py
+++ b/bench/service.py
@@ -364,8 +364,8 @@
         [("Scenarios", rows)],
         f"Service {site.service}, {len(site.targets())} targets of "
         f"{site.slots} slots, {_SERVICE_MS:g} ms a request on average "
-        f"(gamma, shape {_SHAPE:g}). Load is a share of the capacity that the faults "
-        "leave. Median of the rounds; times are of good answers only.",
+        f"(gamma, shape {_SHAPE:g}). Load is a share of the capacity that the "
+        "faults leave. Median of the rounds; times are of good answers only.",
     )
 
 
