Take the bench's ports from below the range of outgoing connections

At 50, 100 and 200 processes a node found its port taken by somebody's outgoing connection and ended, so that 'all known' was never reached: seen as 'address already in use' in the node's standard error. Requests that fail in a planned stop are told with their codes.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -41,10 +41,12 @@
     parser.add_argument("--sizes", default="10,50,100,200,1000")
     parser.add_argument("--spread", default="10,50,100,200,1000,8900")
     parser.add_argument("--nodes", default="10,50,100")
+    parser.add_argument("--name", default="membership")
     parser.add_argument("--leaves", type=int, default=5)
     args = parser.parse_args()
+    sections: list[Section] = []
     with Pool(_WORKERS) as pool:
-        sections = [
+        sections += [
             *_states(pool, args.seed, args.seconds, _numbers(args.sizes)),
             *_spread(pool, args.seed, _numbers(args.spread)),
         ]
@@ -52,9 +54,9 @@
     command = (
         f"python -m bench.membership --seed {args.seed} --seconds "
         f"{args.seconds:g} --sizes {args.sizes} --spread {args.spread} "
-        f"--nodes {args.nodes} --leaves {args.leaves}"
+        f"--nodes {args.nodes} --leaves {args.leaves} --name {args.name}"
     )
-    keep("membership", "Membership", command, sections, _NOTES)
+    keep(args.name, "Membership", command, sections, _NOTES)
 
 
 def _numbers(text: str) -> list[int]:
--- a/bench/membership_nodes.py
+++ b/bench/membership_nodes.py
@@ -17,7 +17,9 @@
 KEY = ("--peer-key", "0123456789abcdef0123456789abcdef")
 _DOMAINS = ("genova-a", "genova-b", "savona")
 _SAMPLE = 10
-_START_LIMIT_S = 120.0
+_START_LIMIT_S = 60.0
+#: Below the range that outgoing connections take their ports from.
+_FIRST_PORT = 21_000
 _FAULTS: dict[str, dict[str, Any]] = {
     "up": {},
     "slow": {"delay_ms": 500.0},
@@ -54,6 +56,8 @@
 def _start(fleet: Fleet, size: int) -> None:
     for number in range(size):
         domain = _DOMAINS[number % len(_DOMAINS)]
+        first = _FIRST_PORT + 4 * number
+        fleet.ports[_name(number)] = list(range(first, first + 4))
         fleet.start_node(_name(number), "prenota", domain, *KEY)
 
 
@@ -236,6 +240,7 @@
     return {
         "requests": len(served),
         "not answered 200": len(failed),
+        "their codes": ", ".join(sorted(set(failed))),
         "last new request s": max(0.0, last - stopped),
         "exit s": ended - stopped,
         "exit code": code,
