Take the ports of tests from below the range of outgoing connections

Ruled out: a fault of membership, whose file passed each time it ran alone. Before: 0 reserved. After: ports from 10,000 to 31,999, which the system does not give to outgoing connections by itself.

--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -25,14 +26,28 @@
 LIMIT_S = 30.0
 _STEP_S = 0.05
 
+#: Below the usual start of the range for outgoing connections (32768).
+_PORTS = (10_000, 32_000)
+_SYSTEM_RANDOM = random.SystemRandom()
+
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports of 127.0.0.1 that were free a moment ago."""
+    """Returns ports of 127.0.0.1 that were free a moment ago.
+
+    They lie below the range that outgoing connections take theirs from, so that
+    none of those can take one before its process listens.
+    """
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        while len(ports) < count:
+            port = _SYSTEM_RANDOM.randrange(*_PORTS)
+            sock = stack.enter_context(socket.socket())
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
 
 
 def wait_until(
