--- /dev/null
+++ b/bench/data_path.py
@@ -0,0 +1,207 @@
+"""The data path of a node alone, composed from the node's own slices.
+
+Without membership, claims, configuration tasks and metrics; for the benches
+that measure it. `python -m bench.data_path --listen HOST:PORT --server
+HOST:PORT` serves it until it is ended.
+"""
+
+import argparse
+import dataclasses
+import random
+
+import anyio
+
+from radishwind.admission import AdmissionLimits
+from radishwind.admission import FairAdmission
+from radishwind.claims import NoClaims
+from radishwind.config.index import ConfigIndex
+from radishwind.config.model import Configuration
+from radishwind.config.model import FailureDomain
+from radishwind.config.model import Inventory
+from radishwind.config.model import Service
+from radishwind.config.model import Target
+from radishwind.core import SystemClock
+from radishwind.entry import EntryPipeline
+from radishwind.entry.runner import AttemptRunner
+from radishwind.hedging import HedgePolicy
+from radishwind.http import Address
+from radishwind.http import make_sender
+from radishwind.http import make_server
+from radishwind.http import Sender
+from radishwind.http.factory import HttpLibrary
+from radishwind.membership import Directory
+from radishwind.membership import Member
+from radishwind.membership import SilentBoard
+from radishwind.node.callers import CallerListener
+from radishwind.node.in_progress import CallersInProgress
+from radishwind.peers import ForwardRunner
+from radishwind.peers import PeerListener
+from radishwind.peers import PeerSigner
+from radishwind.peers import PeerVerifier
+from radishwind.probing import HealthModel
+from radishwind.quarantine import Quarantine
+from radishwind.quarantine.runner import CarefulRunner
+from radishwind.retries import RetryBudget
+from radishwind.routing import make_chooser
+from radishwind.routing import RoutingPolicy
+from radishwind.target import ServerBeside
+from radishwind.target import ServerWatch
+from radishwind.target import TargetPipeline
+
+SERVICE = "echo"
+SLOTS = 64
+_KEY = b"a key of the bench, not a secret"
+
+
+class FixedDirectory(Directory):
+    """Members that never change."""
+
+    def __init__(self, *members: Member) -> None:
+        self._members = members
+
+    def of_service(self, service: str) -> tuple[Member, ...]:
+        return self._members
+
+    def members(self) -> tuple[Member, ...]:
+        return self._members
+
+
+def index_of(*targets: str) -> ConfigIndex:
+    """Returns a configuration with one service of `targets`."""
+    listed = tuple(Target(name, SERVICE, "a", SLOTS) for name in targets)
+    inventory = Inventory(
+        failure_domains=(FailureDomain("a"),),
+        services=(Service(SERVICE),),
+        targets=listed,
+    )
+    return ConfigIndex(Configuration(inventory=inventory))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataPath:
+    """The parts of one node that a request passes.
+
+    Attributes:
+      entry: answers callers.
+      callers: the handler of the caller listener.
+      peers: the handler of the peer listener.
+    """
+
+    entry: EntryPipeline
+    callers: CallersInProgress
+    peers: PeerListener
+
+
+def make_data_path(
+    member: Member,
+    members: tuple[Member, ...],
+    server: Address,
+    sender: Sender,
+    *,
+    signed: bool,
+    hedges: HedgePolicy,
+    runner: AttemptRunner | None = None,
+) -> DataPath:
+    """Returns the data path of the node beside the target `member`.
+
+    Args:
+      member: the node's own target.
+      members: the targets that requests go to.
+      server: the server beside the node.
+      sender: sends to the server and to peers.
+      signed: whether peers sign what they forward.
+      hedges: the hedging policy.
+      runner: runs attempts in place of this node and its peers.
+    """
+    clock, rng = SystemClock(), random.Random(1)
+    index = index_of(*(m.name for m in (member, *members)))
+    target = _target(member.name, server, sender, clock)
+    signer = PeerSigner(_KEY, clock, member.name) if signed else None
+    keys = (_KEY,)
+    verifier = PeerVerifier(keys, clock, member.address) if signed else None
+    forward = ForwardRunner(
+        node_name=member.name,
+        clock=clock,
+        target=target,
+        sender=sender,
+        signer=signer,
+    )
+    entry = EntryPipeline(
+        node_name=member.name,
+        clock=clock,
+        rng=rng,
+        index=lambda: index,
+        directory=FixedDirectory(*members),
+        chooser=make_chooser(
+            RoutingPolicy.BALANCED,
+            rng,
+            node_name=member.name,
+            failure_domain="a",
+            index=lambda: index,
+            own_load=target.load,
+        ),
+        retries=RetryBudget(),
+        hedges=hedges,
+        runner=CarefulRunner(runner or forward),
+        claims=NoClaims(),
+    )
+    peers = PeerListener(
+        node_name=member.name,
+        clock=clock,
+        index=lambda: index,
+        target=target,
+        verifier=verifier,
+    )
+    callers = CallersInProgress(CallerListener(entry).handle)
+    return DataPath(entry, callers, peers)
+
+
+def _target(
+    name: str, address: Address, sender: Sender, clock: SystemClock
+) -> TargetPipeline:
+    server = ServerBeside(name, address)
+    server.list(True)
+    quarantine = Quarantine(
+        target=name, service=SERVICE, clock=clock, board=SilentBoard()
+    )
+    return TargetPipeline(
+        clock=clock,
+        admission=FairAdmission(AdmissionLimits(SLOTS, SLOTS)),
+        sender=sender,
+        server=server,
+        watch=ServerWatch(clock, HealthModel(), quarantine),
+    )
+
+
+async def _serve(listen: Address, server: Address) -> None:
+    from radishwind.hedging import HedgeAfterQuantile
+
+    member = Member("echo-1", SERVICE, "a", listen)
+    path = make_data_path(
+        member,
+        (member,),
+        server,
+        make_sender(HttpLibrary.AIOHTTP, 250),
+        signed=False,
+        hedges=HedgeAfterQuantile(),
+    )
+    await make_server(HttpLibrary.AIOHTTP).start(path.callers.handle, listen)
+    await path.entry.run_hedges()
+
+
+def main() -> None:
+    """Serves the data path."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", type=Address.parse, required=True)
+    parser.add_argument("--server", type=Address.parse, required=True)
+    options = parser.parse_args()
+    anyio.run(
+        _serve,
+        options.listen,
+        options.server,
+        backend_options={"use_uvloop": True},
+    )
+
+
+if __name__ == "__main__":
+    main()
