--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -33,7 +33,7 @@
 from radishwind.membership import Member
 from radishwind.membership import SilentBoard
 from radishwind.node.callers import CallerListener
-from radishwind.node.in_progress import CallersInProgress
+from radishwind.node.in_progress import RequestsInProgress
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
 from radishwind.peers import PeerSigner
@@ -88,7 +88,7 @@
     """
 
     entry: EntryPipeline
-    callers: CallersInProgress
+    callers: RequestsInProgress
     peers: PeerListener
 
 
@@ -152,7 +152,7 @@
         target=target,
         verifier=verifier,
     )
-    callers = CallersInProgress(CallerListener(entry).handle)
+    callers = RequestsInProgress(CallerListener(entry).handle, clock)
     return DataPath(entry, callers, peers)
 
 
