--- a/src/radishwind/http/hypercorn_server.py
+++ b/src/radishwind/http/hypercorn_server.py
@@ -108,7 +108,7 @@
         if key.lower() != "content-length"
     ]
     length = response.body_bytes
-    if isinstance(response.body, bytes):
+    if isinstance(response.body, bytes) and scope["method"] != "HEAD":
         length = len(response.body)
     if length is not None:
         headers.append((b"content-length", str(length).encode()))
