Tell unknown when a refusal follows an attempt that may have run

Cause: an idempotent call whose first attempt broke off (unknown) and whose next one was refused was answered by the refusal alone, as "not run", though the first attempt may have run. The race of hedges kept the graver of two outcomes already; attempts one after the other did not. Before: test_refusal_after_an_unknown_attempt_is_not_told_as_not_run failed ('not-run' == 'unknown'). After: it passes, with the tests of entry and claims. Ruled out: calls that are not idempotent, which end at the first unknown.

--- a/src/radishwind/entry/tests/test_attempts.py
+++ b/src/radishwind/entry/tests/test_attempts.py
@@ -302,3 +302,12 @@
 
     assert len(entry.runner.attempts) == 1
     assert hedges.tokens == 1
+
+
+async def test_refusal_after_an_unknown_attempt_is_not_told_as_not_run():
+    entry = Entry(BROKEN, REFUSED, targets=2)
+
+    response = await entry.ask()
+
+    assert len(entry.runner.attempts) == 2
+    assert header(response.headers, "radishwind-outcome") == "unknown"
