Tell unknown when a claim lapsed before its holder found it too late

Cause: an entry node paused between its claim and its first attempt for longer than the claim lives told its caller "not run" on going on, though a later sending of the same key had claimed and run meanwhile. The claims' own rule is that a keyed caller asks about the request, not about one sending.

--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -27,6 +27,12 @@
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
 
+#: A later sending may have run while this node was paused.
+_LAPSED = Unknown(
+    ResultCode.CLAIM_UNKNOWN,
+    "This sending was not run, and its claim has lapsed meanwhile.",
+)
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Job:
@@ -165,6 +171,7 @@
         return False
 
     async def _claimed(self, job: _Job, sending: Sending) -> Outcome:
+        asked = self._clock.monotonic()
         claim = await self._registry.claim(job.call, sending)
         if not isinstance(claim, HeldClaim):
             return claim
@@ -175,6 +182,8 @@
         if isinstance(outcome, NotRun):
             self._memory.forget(sending)
             self._registry.release(claim)
+            if self._clock.monotonic() >= asked + claim.ttl_s:
+                return _LAPSED
             return outcome
         if isinstance(outcome, Done):
             return await self._record(job.call, sending, claim, outcome)
