--- a/conftest.py
+++ b/conftest.py
@@ -8,6 +8,14 @@
 eliot.add_destinations(lambda message: None)
 
 
+def pytest_addoption(parser):
+    parser.addoption(
+        "--refresh-golden",
+        action="store_true",
+        help="write the golden files of tests/golden anew",
+    )
+
+
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
--- a/src/radishwind/quarantine/tests/test_quarantine.py
+++ b/src/radishwind/quarantine/tests/test_quarantine.py
@@ -1,4 +1,5 @@
 import pytest
+from tests.support.targets import DirectBoard
 
 from radishwind.config.model import ServiceRules
 from radishwind.core import ManualClock
@@ -6,7 +7,6 @@
 from radishwind.entry.call import Call
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http import Request
-from radishwind.membership import RumorBoard
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
 from radishwind.quarantine import CrashDetector
@@ -98,27 +98,12 @@
     assert book.judge("f0", 11.0).ruling is Ruling.RUN
 
 
-class Board(RumorBoard):
-    """Hands each fact to every subscriber at once."""
-
-    def __init__(self):
-        self.handlers = []
-
-    def publish(self, topic, key, version, value, ttl_s):
-        assert len(value) <= 512
-        for handler in self.handlers:
-            handler(key, value)
-
-    def subscribe(self, topic, handler):
-        self.handlers.append(handler)
-
-
 def call(request):
     return Call("1", "s", request, ServiceRules(), True, 9e9, 1 << 60, "c")
 
 
 def test_every_node_refuses_what_crashed_two_targets():
-    clock, board = ManualClock(), Board()
+    clock, board = ManualClock(), DirectBoard()
     nodes = [
         Quarantine(target=name, service="s", clock=clock, board=board)
         for name in ("a", "b", "c")
@@ -144,7 +129,7 @@
 
 
 def test_a_malformed_fact_is_left_out():
-    board = Board()
+    board = DirectBoard()
     node = Quarantine(target="a", service="s", clock=ManualClock(), board=board)
     board.publish("quarantine", "s/f/b/crash", 1, b'["f"', 1.0)
     assert node.status() == {}
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -29,12 +29,16 @@
 from radishwind.http import Response
 from radishwind.http.types import Body
 from radishwind.http.types import header
+from radishwind.membership import RumorBoard
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.node.claims import make_claims
 from radishwind.node.claims import NodeClaims
 from radishwind.peers import ForwardRunner
 from radishwind.peers import PeerListener
+from radishwind.quarantine import Quarantine
+from radishwind.quarantine.gate import QuarantineGate
+from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries import RetryNotRun
 from radishwind.retries import RetryPolicy
 from radishwind.routing.baselines import RandomChooser
@@ -182,6 +186,12 @@
         guard: ClaimGuard = self.claims.guard
         if cluster.guard is not None:
             guard = cluster.guard(guard, store, cluster.clock)
+        runner = ForwardRunner(
+            node_name=name,
+            clock=cluster.clock,
+            target=cluster.targets[0],
+            sender=self.sender,
+        )
         self._entry = EntryPipeline(
             node_name=name,
             clock=cluster.clock,
@@ -190,16 +200,24 @@
             directory=cluster.directory,
             chooser=RandomChooser(cluster.rng),
             retries=cluster.retries,
-            runner=ForwardRunner(
-                node_name=name,
-                clock=cluster.clock,
-                target=cluster.targets[0],
-                sender=self.sender,
-            ),
+            runner=CarefulRunner(runner) if cluster.board else runner,
             claims=guard,
+            quarantine=self._quarantine(cluster, name),
         )
         self._scope = anyio.CancelScope()
 
+    def _quarantine(
+        self, cluster: "Cluster", name: str
+    ) -> QuarantineGate | None:
+        if cluster.board is None:
+            return None
+        return Quarantine(
+            target=name,
+            service="prenota",
+            clock=cluster.clock,
+            board=cluster.board,
+        )
+
     async def main(self) -> None:
         with self._scope:
             async with anyio.create_task_group() as tasks:
@@ -233,7 +251,9 @@
         store_wait_s: float = 10.0,
         repeat_wait_s: float = 0.0,
         writes_per_s: float = 10_000.0,
+        board: RumorBoard | None = None,
     ) -> None:
+        self.board = board
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.guard = guard
@@ -258,7 +278,8 @@
         name = f"prenota-{number}"
         server, peer = (Address(f"10.0.1.{number}", p) for p in (80, 81))
         target = make_target(
-            name, "prenota", self.clock, self.sender, server, 100
+            *(name, "prenota", self.clock, self.sender, server, 100),
+            self.board,
         )
         listener = PeerListener(
             node_name=name,
--- a/tests/support/targets.py
+++ b/tests/support/targets.py
@@ -1,6 +1,7 @@
 """A target side without sockets, for tests of it and of what is around it."""
 
 import dataclasses
+from collections.abc import Callable
 
 from radishwind.admission import Admission
 from radishwind.admission import AdmissionLimits
@@ -8,6 +9,7 @@
 from radishwind.core import Clock
 from radishwind.http import Address
 from radishwind.http import Sender
+from radishwind.membership import RumorBoard
 from radishwind.membership import SilentBoard
 from radishwind.probing import HealthModel
 from radishwind.quarantine import Quarantine
@@ -16,6 +18,25 @@
 from radishwind.target import TargetPipeline
 
 
+class DirectBoard(RumorBoard):
+    """Hands each fact to every subscriber at once."""
+
+    def __init__(self) -> None:
+        self.handlers: list[Callable[[str, bytes], None]] = []
+
+    def publish(
+        self, topic: str, key: str, version: int, value: bytes, ttl_s: float
+    ) -> None:
+        assert len(value) <= 512
+        for handler in self.handlers:
+            handler(key, value)
+
+    def subscribe(
+        self, topic: str, handler: Callable[[str, bytes], None]
+    ) -> None:
+        self.handlers.append(handler)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetParts:
     """A pipeline and what it decides by."""
@@ -34,10 +55,13 @@
     sender: Sender,
     server: Address,
     slots: int,
+    board: RumorBoard | None = None,
 ) -> TargetPipeline:
     """Returns the pipeline of a target that the inventory lists."""
     limits = AdmissionLimits(slots, slots, queue_length=10, queue_wait_s=1.0)
-    return make_parts(name, service, clock, sender, server, limits).pipeline
+    return make_parts(
+        name, service, clock, sender, server, limits, board
+    ).pipeline
 
 
 def make_parts(
@@ -47,6 +71,7 @@
     sender: Sender,
     address: Address,
     limits: AdmissionLimits,
+    board: RumorBoard | None = None,
 ) -> TargetParts:
     """Returns the parts of a target that the inventory lists."""
     server = ServerBeside(name, address)
@@ -54,7 +79,10 @@
     admission = FairAdmission(limits)
     health = HealthModel()
     quarantine = Quarantine(
-        target=name, service=service, clock=clock, board=SilentBoard()
+        target=name,
+        service=service,
+        clock=clock,
+        board=board or SilentBoard(),
     )
     pipeline = TargetPipeline(
         clock=clock,
