Prove measuring, leaving, the planned stop and configuration

Over the real prober, gossip, directory, target pipeline, acceptor, adopter and messages, with named failures alone and in pairs; two promises over processes (SIGKILL of a target's node under load, SIGSTOP/SIGCONT of an entry node past its deadline and a store that is gone).

--- /dev/null
+++ b/tests/proofs/test_configuration.py
@@ -0,0 +1,238 @@
+"""Operators and nodes over the real acceptor, adopter and messages."""
+
+import random
+from unittest import mock
+
+import anyio
+import msgspec
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from radishwind.config.adopter import Adopter
+from radishwind.config.errors import ChangeConflictError
+from radishwind.config.errors import ChangeUnsettledError
+from radishwind.config.parts import Snapshot
+from radishwind.config.spread import Catch
+from radishwind.config.spread import decode_offer
+from radishwind.config.spread import decode_pull
+from radishwind.config.spread import Offers
+from radishwind.config.spread import Pull
+from radishwind.http import ExchangeBrokenError
+from radishwind.standins.store import StoreFaults
+from radishwind.standins.store_state import StoreState
+from radishwind.store import StoreError
+from tests.support.configs import Desk
+from tests.support.configs import inventory
+from tests.support.configs import STORE
+
+scenarios("configuration.feature")
+
+NODES = 12
+ROUNDS = 6
+
+
+class AdoptsAnything(Adopter):
+    """Weak: puts in force what it was told last."""
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        self.snapshot = snapshot
+        return True
+
+
+class Fleet:
+    """Nodes that learn in an order drawn from a seed, and two operators."""
+
+    def __init__(self, adopter: type[Adopter]) -> None:
+        self.rng = random.Random(7)
+        self.desk, other = Desk(settle_s=0.0), Desk(seed=2)
+        other.sender.handlers[STORE] = self.desk._handle
+        self.operators = {"ada": self.desk, "ben": other}
+        self._adopter = adopter
+        self.nodes = [adopter() for _ in range(NODES)]
+        self.frozen: set[int] = set()
+        self.failures: tuple[str, str] = ("", "")
+        self.late: list[tuple[int, Snapshot]] = []
+        self.accepted: list[tuple[int, str]] = []
+        self.told: list[str] = []
+        self.lines: list[str] = []
+        self.reverted = False
+
+    def fails(self, text: str) -> bool:
+        return any(text in failure for failure in self.failures)
+
+    async def run(self) -> None:
+        await self.desk.apply(inventory())
+        for number in range(ROUNDS):
+            self.note("both operators", "change revision " + self._newest())
+            await self._race(number)
+            if self.fails("store is down"):
+                self.desk.standin.set_faults(StoreFaults(down="refuse"))
+            if self.fails("nodes freeze"):
+                third = range(NODES // 3)
+                self.frozen = set(third) if number % 2 else set()
+            for _ in range(3 * NODES):
+                await self._learn(self.rng.randrange(NODES))
+            self._deliver_late()
+            if self.fails("are new"):
+                start = number * 4 % NODES
+                for index in range(start, start + 4):
+                    self.nodes[index] = self._adopter()
+            self.desk.standin.set_faults(StoreFaults())
+        self.frozen.clear()
+        for _ in range(4):
+            for number in range(NODES):
+                await self._learn(number)
+        self._deliver_late()
+
+    def note(self, who: str, text: str) -> None:
+        self.lines.append(f"{who:15} {text}")
+
+    def _newest(self) -> str:
+        return str(self.accepted[-1][0] if self.accepted else 1)
+
+    async def _race(self, number: int) -> None:
+        if self.fails("write is lost"):
+            self.desk.on_swap = self._lose_answer
+        in_turn = sorted(self.operators, reverse=bool(number % 2))
+        async with anyio.create_task_group() as tasks:
+            for operator in in_turn:
+                tasks.start_soon(self._change, operator, number)
+        root, _ = await self.desk.repository.newest()
+        newest = (root.record.revision, root.record.change_id)
+        if newest not in self.accepted:
+            self.accepted.append(newest)
+
+    async def _lose_answer(self, request):
+        await self.desk.standin.handle(request)
+        self.note("store", "swaps or refuses, and its answer is lost")
+        raise ExchangeBrokenError("answer lost")
+
+    async def _change(self, operator: str, number: int) -> None:
+        slots = 10 + 2 * number + (operator == "ben")
+        desk = self.operators[operator]
+        try:
+            record = await desk.apply(inventory(slots=slots), operator)
+        except ChangeConflictError:
+            told = "refused: the other came first"
+        except ChangeUnsettledError:
+            told = "to be settled by reading"
+        except StoreError:
+            told = "not accepted"
+        else:
+            told = f"accepted as revision {record.revision}"
+        self.told.append(told)
+        self.note(operator, told)
+
+    async def _learn(self, number: int) -> None:
+        if number in self.frozen:
+            return
+        held = self.nodes[number].snapshot
+        found = await self._found(held)
+        if found is None:
+            return
+        if self.fails("arrive late") and self.rng.random() < 0.5:
+            self.late.append((number, found))
+            return
+        self._adopt(number, found)
+
+    async def _found(self, held: Snapshot) -> Snapshot | None:
+        """Returns what the store or a peer holds beyond `held`."""
+        if self.rng.random() < 0.3:
+            try:
+                root, _ = await self.desk.repository.newest()
+                if root.record.revision <= held.revision:
+                    return None
+                return await self.desk.repository.load(root, held)
+            except StoreError:
+                return None
+        offers = Offers(self.rng.choice(self.nodes))
+        pull = Pull(held.revision, held.change_id)
+        pull = decode_pull(msgspec.json.encode(pull))
+        offer = decode_offer(msgspec.json.encode(offers.offer(pull)))
+        if offer.record is None or offer.revision <= held.revision:
+            return None
+        return Catch(held, offer).whole()
+
+    def _deliver_late(self) -> None:
+        self.rng.shuffle(self.late)
+        while self.late:
+            self._adopt(*self.late.pop())
+
+    def _adopt(self, number: int, found: Snapshot) -> None:
+        node = self.nodes[number]
+        before = node.snapshot.revision
+        if node.adopt(found):
+            self.note(f"node {number}", f"has revision {found.revision}")
+        self.reverted |= node.snapshot.revision < before
+
+
+@given(
+    "12 nodes that learn from a store and from each other",
+    target_fixture="fleet",
+)
+def learning():
+    return Fleet(Adopter)
+
+
+@given(
+    "12 nodes that adopt whatever they are told last", target_fixture="fleet"
+)
+def adopting_anything():
+    return Fleet(AdoptsAnything)
+
+
+@given("a store whose conditions always hold", target_fixture="store_patch")
+def no_conditions(request):
+    patch = mock.patch.object(StoreState, "_holds", return_value=True)
+    patch.start()
+    request.addfinalizer(patch.stop)
+
+
+@when(
+    parsers.parse("two operators race six times while {first} and {second}"),
+)
+def race(story, fleet, first, second):
+    fleet.failures = (first, second)
+    anyio.run(fleet.run)
+    story.name = f"operators race while {first}"
+    story.lines = fleet.lines
+
+
+@then("one of the two is accepted each time, or is told that it is not")
+def one_accepted(fleet):
+    rounds = [fleet.told[n : n + 2] for n in range(0, 2 * ROUNDS, 2)]
+    for told in rounds:
+        accepted = [text for text in told if text.startswith("accepted")]
+        assert len(accepted) <= 1
+        assert len(accepted) == 1 or any("settled" in t for t in told)
+    assert [revision for revision, _ in fleet.accepted] == list(
+        range(2, ROUNDS + 2)
+    )
+
+
+@then("no node ever went back to an older revision")
+def never_back(fleet):
+    assert not fleet.reverted
+
+
+@then("each node has the newest accepted configuration in force")
+def in_force(fleet):
+    newest = fleet.accepted[-1]
+    held = {(n.snapshot.revision, n.snapshot.change_id) for n in fleet.nodes}
+    assert held == {newest}
+
+
+@then("some node went back to an older revision")
+def went_back(fleet):
+    assert fleet.reverted
+
+
+@then("both of the two were accepted at some time")
+def both_accepted(fleet):
+    rounds = [fleet.told[n : n + 2] for n in range(0, 2 * ROUNDS, 2)]
+    assert any(
+        all(text.startswith("accepted") for text in told) for told in rounds
+    )
--- /dev/null
+++ b/tests/test_proofs_processes.py
@@ -0,0 +1,162 @@
+"""Promises over real processes: kill, freeze, store gone, under load."""
+
+import collections
+import concurrent.futures
+import json
+import signal
+import threading
+
+import pytest
+
+from tests.support.processes import fetch
+from tests.support.processes import Fleet
+from tests.support.processes import wait_until
+
+pytestmark = pytest.mark.processes
+
+TARGETS = ("prenota-1", "prenota-2", "prenota-3")
+FAST = ("--probe-period-s", "0.1", "--probe-timeout-s", "0.1")
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    file = tmp_path / "inventory.json"
+    target = {"service": "prenota", "failure_domain": "savona", "slots": 9}
+    file.write_text(
+        json.dumps(
+            {
+                "failure_domains": [{"name": "savona"}],
+                "services": [{"name": "prenota"}],
+                "targets": [{"name": name, **target} for name in TARGETS],
+            }
+        )
+    )
+    with Fleet() as fleet:
+        for name in TARGETS:
+            fleet.start_backend(name, "--service-ms", "20")
+            fleet.start_node(name, "prenota", "savona", *FAST)
+        fleet.apply("inventory", file)
+        for name in TARGETS:
+            wait_until(
+                lambda name=name: fleet.status(name)["members"] == 3, name
+            )
+            url = fleet.caller_url(name) + "/prenota/x"
+            wait_until(lambda url=url: fetch(url)[0] == 200, url)
+        yield fleet
+
+
+def book(fleet, entry, key, timeout_ms):
+    """Books once; `None` where the connection to the entry node failed."""
+    url = fleet.caller_url(entry) + "/prenota/booking"
+    headers = {"Idempotency-Key": key, "Radishwind-Timeout-Ms": timeout_ms}
+    try:
+        return fetch(url, "POST", key.encode(), headers)
+    except OSError:
+        return None
+
+
+def runs(fleet):
+    """Returns how often each key ran, at all the servers together."""
+    found = collections.Counter()
+    for name in TARGETS:
+        url = fleet.backend_url(name) + "/standin/counters"
+        found.update(json.loads(fetch(url)[2])["runs"])
+    return found
+
+
+def load(fleet, entries, stop, answers, timeout_ms="2000"):
+    """Books with new keys until told to stop, each key at two nodes."""
+
+    def one(worker):
+        number = 0
+        while not stop.is_set():
+            number += 1
+            key = f"w{worker}-{number}"
+            for entry in entries:
+                answers.append((key, book(fleet, entry, key, timeout_ms)))
+
+    return one
+
+
+def code(answer):
+    return answer[1][1].get("radishwind-code") if answer[1] else None
+
+
+def judge(fleet, answers):
+    ran = runs(fleet)
+    keys = {key for key, _ in answers}
+    assert [key for key in keys if ran[key] > 1] == []
+    by_key = collections.defaultdict(list)
+    for key, answer in answers:
+        by_key[key].append(answer)
+    for key, each in by_key.items():
+        told = [a[1].get("radishwind-outcome") for a in each if a]
+        if told and len(told) == len(each) and set(told) == {"not-run"}:
+            assert ran[key] == 0, f"{key} was told not run and ran"
+        for answer in each:
+            if answer and answer[0] == 200:
+                assert ran[key] == 1
+                size = f"({len(key)} bytes)".encode()
+                assert size in answer[2]
+
+
+def test_killed_node_under_load_runs_no_booking_twice(fleet):
+    stop, answers = threading.Event(), []
+    one = load(fleet, ("prenota-1", "prenota-3"), stop, answers)
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        futures = [pool.submit(one, worker) for worker in range(6)]
+        wait_until(
+            lambda: any(
+                a and a[2].startswith(b"prenota-2") for _, a in answers
+            ),
+            "work at the node that is to be killed",
+        )
+        fleet.processes["node prenota-2"].send(signal.SIGKILL)
+        wait_until(
+            lambda: fleet.status("prenota-1")["member_states"].get("dead"),
+            "its death to be known",
+        )
+        seen = len(answers)
+        wait_until(lambda: len(answers) > seen + 50, "bookings after that")
+        stop.set()
+        for future in futures:
+            future.result()
+
+    judge(fleet, answers)
+    assert any(a[0] == 200 for _, a in answers[-50:])
+
+
+def test_frozen_entry_node_and_a_store_gone_run_no_booking_twice(fleet):
+    stop, answers = threading.Event(), []
+    # A node is believed dead later than that.
+    timeout_ms = "200"
+    entries = ("prenota-2", "prenota-1")
+    one = load(fleet, entries, stop, answers, timeout_ms)
+    frozen = fleet.processes["node prenota-2"]
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        futures = [pool.submit(one, worker) for worker in range(6)]
+        wait_until(lambda: len(answers) > 30, "bookings")
+        frozen.send(signal.SIGSTOP)
+        wait_until(
+            lambda: fleet.status("prenota-1")["member_states"].get("dead"),
+            "it to be believed dead, past every deadline",
+        )
+        frozen.send(signal.SIGCONT)
+        wait_until(
+            lambda: fleet.status("prenota-1")["member_states"] == {"alive": 3},
+            "it to be alive again",
+        )
+        seen = len(answers)
+        wait_until(lambda: len(answers) > seen + 30, "bookings after that")
+        fleet.processes["store"].send(signal.SIGKILL)
+        wait_until(
+            lambda: code(answers[-1]) == "4006",
+            "the outage to be told",
+        )
+        stop.set()
+        for future in futures:
+            future.result()
+
+    judge(fleet, answers)
+    url = fleet.caller_url("prenota-1") + "/prenota/x"
+    assert fetch(url)[0] == 200
