--- a/tests/proofs/plays.py
+++ b/tests/proofs/plays.py
@@ -17,7 +17,7 @@
 from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
-from radishwind.peers import forward
+from radishwind.peers import attempts as peer_attempts
 from radishwind.retries import RetryNotRun
 from radishwind.retries import RetryPolicy
 from tests.proofs.failures import FAILURES
@@ -53,8 +53,8 @@
 
 def _any_answer(response, attempt_id):
     """Weak: takes what arrives for the answer to this attempt."""
-    field = header(response.headers, forward.ANSWER_FIELD.lower())
-    return msgspec.json.decode(field, type=forward.AnswerInfo)
+    field = header(response.headers, peer_attempts.ANSWER_FIELD.lower())
+    return msgspec.json.decode(field, type=peer_attempts.AnswerInfo)
 
 
 def _last_outcome(kept, outcome):
@@ -77,11 +77,13 @@
     "retry on any error": Weak({"retries": RetryOnAnyError()}),
     "not run told after a cut": Weak({"guard": CutMeansNotRun}),
     "answer taken for another attempt": Weak(
-        patch=lambda: mock.patch.object(forward, "_read_answer", _any_answer)
+        patch=lambda: mock.patch.object(
+            peer_attempts, "_read_answer", _any_answer
+        )
     ),
     "last outcome told": Weak(
         patch=lambda: mock.patch(
-            "radishwind.entry.attempts._graver", _last_outcome
+            "radishwind.entry.attempts._so_far", _last_outcome
         )
     ),
 }
--- a/tests/proofs/stage.py
+++ b/tests/proofs/stage.py
@@ -18,10 +18,10 @@
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.http.types import header
-from radishwind.peers.forward import ANSWER_FIELD
-from radishwind.peers.forward import AnswerInfo
-from radishwind.peers.forward import ATTEMPT_FIELD
-from radishwind.peers.forward import AttemptInfo
+from radishwind.peers.attempts import ANSWER_FIELD
+from radishwind.peers.attempts import AnswerInfo
+from radishwind.peers.attempts import ATTEMPT_FIELD
+from radishwind.peers.attempts import AttemptInfo
 from tests.support.direct import Fault
 from tests.support.keyed import Cluster
 from tests.support.keyed import EntryNode
