Read a peer's answer that is not UTF-8 as unknown

Cause: a field of bytes that are not UTF-8 comes as surrogates; decoding it raised UnicodeEncodeError, which only the reading of attempts caught, so the entry side failed with an internal error instead of its own outcome. Before: test_any_answer_is_read_or_unknown failed with field '\\udc80'. After: it passes. The store's answers, gossip, callers' bytes and operators' files are fuzzed in their slices already; no other gap was found at peers.

--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -223,7 +223,7 @@
         return None
     try:
         info = _answer_decoder.decode(field)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeEncodeError):
         return None
     if info.attempt_id != attempt_id:
         return None
