Return no port of the tests twice

Ruled out: membership; in a trial of three fleets at a time the node that was not heard of had ended, its port taken.

--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -29,24 +29,29 @@
 #: Below the usual start of the range for outgoing connections (32768).
 _PORTS = (10_000, 32_000)
 _SYSTEM_RANDOM = random.SystemRandom()
+_returned_ports: set[int] = set()
 
 
 def free_ports(count: int) -> list[int]:
     """Returns ports of 127.0.0.1 that were free a moment ago.
 
     They lie below the range that outgoing connections take theirs from, so that
-    none of those can take one before its process listens.
+    none of those can take one before its process listens; and none is returned
+    twice, since whoever got it first may not listen yet.
     """
     ports: list[int] = []
     with contextlib.ExitStack() as stack:
         while len(ports) < count:
             port = _SYSTEM_RANDOM.randrange(*_PORTS)
+            if port in _returned_ports:
+                continue
             sock = stack.enter_context(socket.socket())
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
             ports.append(port)
+            _returned_ports.add(port)
     return ports
 
 
