Read each request's fields in fewer passes

Now: hygiene and node fields in one pass, classification in one, what the server gets in one, a forwarded attempt's fields in one; shed is looked for with status 503 only; no dataclasses.replace in them. Ruled out: a cache of lowered names, which callers could fill with long ones. A host named twice is now refused by classification too, as hygiene does.

--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -7,7 +7,7 @@
 from radishwind.config.model import ServiceRules
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
-from radishwind.http.types import header
+from radishwind.http.hygiene import NODE_FIELD_PREFIX
 from radishwind.http.types import Request
 
 #: Fields that callers may send; `docs/callers.md` describes them.
@@ -16,6 +16,11 @@
 KEY_FIELD = "idempotency-key"
 CALLER_FIELD = "radishwind-caller"
 
+_TOLD_ANEW = frozenset({TIMEOUT_FIELD, DEPTH_FIELD})
+_DECIDING = frozenset(
+    {"host", TIMEOUT_FIELD, DEPTH_FIELD, KEY_FIELD, CALLER_FIELD}
+)
+
 MAX_DEPTH = 25
 MAX_KEY_CHARS = 255
 MAX_CALLER_CHARS = 100
@@ -85,10 +90,11 @@
       ServiceUnknownError: no service takes it.
       CallRejectedError: a field that it carries is malformed.
     """
-    service = _service(request, index)
+    told = _told(request)
+    service = _service(request, told, index)
     rules = index.cfg.rules.for_service(service)
-    timeout_ms = _timeout_ms(request, rules)
-    caller = _text(request, CALLER_FIELD, MAX_CALLER_CHARS)
+    timeout_ms = _timeout_ms(told, rules)
+    caller = _text(told, CALLER_FIELD, MAX_CALLER_CHARS)
     return Call(
         call_id=call_id,
         service=service,
@@ -98,8 +104,8 @@
         deadline=now + timeout_ms / 1000,
         expires_ms=wall_ms + timeout_ms,
         caller=caller or request.remote,
-        key=_text(request, KEY_FIELD, MAX_KEY_CHARS),
-        depth=_whole_number(request, DEPTH_FIELD, 0, MAX_DEPTH) or 0,
+        key=_text(told, KEY_FIELD, MAX_KEY_CHARS),
+        depth=_whole_number(told, DEPTH_FIELD, 0, MAX_DEPTH) or 0,
     )
 
 
@@ -108,24 +114,45 @@
 
     It tells the time left and the depth of the calls that the server makes
     for it, so that a server which passes both fields on carries the deadline
-    down.
+    down. No field of nodes among themselves is in it.
     """
     request = call.request
     left_ms = max(1, int((call.deadline - now) * 1000))
-    kept = tuple(
-        item
-        for item in request.headers
-        if item[0].lower() not in (TIMEOUT_FIELD, DEPTH_FIELD)
-    )
-    told = (
-        ("Radishwind-Timeout-Ms", str(left_ms)),
-        ("Radishwind-Depth", str(call.depth + 1)),
+    kept = [item for item in request.headers if not _told_anew(item[0].lower())]
+    kept.append(("Radishwind-Timeout-Ms", str(left_ms)))
+    kept.append(("Radishwind-Depth", str(call.depth + 1)))
+    return Request(
+        request.method,
+        request.path,
+        tuple(kept),
+        request.body,
+        request.body_bytes,
+        request.remote,
     )
-    return dataclasses.replace(request, headers=kept + told)
 
 
-def _service(request: Request, index: ConfigIndex) -> str:
-    host = header(request.headers, "host") or ""
+def _told_anew(name: str) -> bool:
+    """Returns whether a server gets the field `name` from its node only."""
+    if not name.startswith("radishwind-"):
+        return False
+    return name in _TOLD_ANEW or name.startswith(NODE_FIELD_PREFIX)
+
+
+def _told(request: Request) -> dict[str, str]:
+    """Returns the fields that decide on a call, by name in lower case."""
+    told: dict[str, str] = {}
+    for field, value in request.headers:
+        name = field.lower()
+        if name not in _DECIDING:
+            continue
+        if name in told:
+            raise CallRejectedError(f"expected {name} at most once, got more")
+        told[name] = value
+    return told
+
+
+def _service(request: Request, told: dict[str, str], index: ConfigIndex) -> str:
+    host = told.get("host", "")
     service = index.service_for(host, request.path)
     if service is None:
         raise ServiceUnknownError(
@@ -155,23 +182,13 @@
     return not any(part in (".", "..") for part in path.split("/"))
 
 
-def _timeout_ms(request: Request, rules: ServiceRules) -> int:
-    asked = _whole_number(request, TIMEOUT_FIELD, 1, None)
+def _timeout_ms(told: dict[str, str], rules: ServiceRules) -> int:
+    asked = _whole_number(told, TIMEOUT_FIELD, 1, None)
     return min(asked or rules.deadline_ms, rules.max_deadline_ms)
 
 
-def _single(request: Request, name: str) -> str | None:
-    """Returns the value of a field that may stand only once."""
-    values = [v for key, v in request.headers if key.lower() == name]
-    if len(values) > 1:
-        raise CallRejectedError(
-            f"expected {name} at most once, got it {len(values)} times"
-        )
-    return values[0] if values else None
-
-
-def _text(request: Request, name: str, most: int) -> str | None:
-    text = _single(request, name)
+def _text(told: dict[str, str], name: str, most: int) -> str | None:
+    text = told.get(name)
     if text is None:
         return None
     if not 0 < len(text) <= most or not text.isprintable():
@@ -183,9 +200,9 @@
 
 
 def _whole_number(
-    request: Request, name: str, least: int, most: int | None
+    told: dict[str, str], name: str, least: int, most: int | None
 ) -> int | None:
-    text = _single(request, name)
+    text = told.get(name)
     if text is None:
         return None
     if not text.isascii() or not text.isdigit() or len(text) > 9:
--- a/src/radishwind/http/hygiene.py
+++ b/src/radishwind/http/hygiene.py
@@ -9,7 +9,6 @@
 import yarl
 
 from radishwind.http.errors import RequestRejectedError
-from radishwind.http.types import header
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
 
@@ -37,15 +36,32 @@
 _DOT_SEGMENT = re.compile(r"/(\.|%2e){1,2}(/|$)", re.IGNORECASE)
 _PATH = re.compile(r"/[\x21-\x7e]*")
 
+#: Fields that only nodes may send start so.
+NODE_FIELD_PREFIX = "radishwind-node-"
+
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns `headers` without hop-by-hop fields, listed or well known."""
-    named = header(headers, "connection")
-    dropped = _HOP_BY_HOP
-    if named is not None:
-        dropped |= {token.strip().lower() for token in named.split(",")}
-        dropped -= {"host", "content-length"}
-    return tuple(item for item in headers if item[0].lower() not in dropped)
+    """Returns `headers` as they may go on, in one pass.
+
+    Hop-by-hop fields, listed or well known, and fields of nodes are removed.
+    """
+    names = [name.lower() for name, _ in headers]
+    dropped = _dropped(headers, names)
+    kept = [
+        item
+        for item, name in zip(headers, names, strict=True)
+        if name not in dropped and not name.startswith(NODE_FIELD_PREFIX)
+    ]
+    return tuple(kept)
+
+
+def _dropped(headers: Headers, names: list[str]) -> frozenset[str]:
+    """Returns the hop-by-hop fields, by their `names` in lower case."""
+    if "connection" not in names:
+        return _HOP_BY_HOP
+    listed = headers[names.index("connection")][1].split(",")
+    tokens = {token.strip().lower() for token in listed}
+    return (_HOP_BY_HOP | tokens) - {"host", "content-length"}
 
 
 def origin_path(path: str) -> str:
--- a/src/radishwind/node/callers.py
+++ b/src/radishwind/node/callers.py
@@ -8,7 +8,6 @@
 from radishwind.http.hygiene import end_to_end
 from radishwind.http.hygiene import origin_path
 from radishwind.outcomes import problem
-from radishwind.peers.attempts import without_node_fields
 
 
 class CallerListener:
@@ -26,7 +25,7 @@
         response = await self._entry.handle(clean)
         return Response(
             response.status,
-            end_to_end(without_node_fields(response.headers)),
+            end_to_end(response.headers),
             response.body,
             response.body_bytes,
         )
@@ -42,7 +41,7 @@
     return Request(
         request.method,
         origin_path(request.path),
-        without_node_fields(end_to_end(request.headers)),
+        end_to_end(request.headers),
         request.body,
         request.body_bytes,
         request.remote,
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -10,6 +10,7 @@
 from radishwind.core.errors import RadishwindError
 from radishwind.entry.call import Call
 from radishwind.entry.pipeline import AttemptResult
+from radishwind.http.hygiene import NODE_FIELD_PREFIX
 from radishwind.http.types import abort_body
 from radishwind.http.types import header
 from radishwind.http.types import Headers
@@ -25,8 +26,6 @@
 from radishwind.peers.security import PeerSigner
 from radishwind.routing.chooser import LoadReport
 
-#: Fields that start so are removed from callers' requests.
-NODE_FIELD_PREFIX = "radishwind-node-"
 ATTEMPT_FIELD = "Radishwind-Node-Attempt"
 ANSWER_FIELD = "Radishwind-Node-Answer"
 
@@ -95,11 +94,25 @@
 
 def without_node_fields(headers: Headers) -> Headers:
     """Returns `headers` without the fields that only nodes may send."""
-    return tuple(
+    kept = [
         item
         for item in headers
         if not item[0].lower().startswith(NODE_FIELD_PREFIX)
-    )
+    ]
+    return tuple(kept)
+
+
+def split_node_fields(headers: Headers) -> tuple[dict[str, str], Headers]:
+    """Returns the fields of nodes, by name in lower case, and the others."""
+    told: dict[str, str] = {}
+    others = []
+    for item in headers:
+        name = item[0].lower()
+        if name.startswith(NODE_FIELD_PREFIX):
+            told.setdefault(name, item[1])
+        else:
+            others.append(item)
+    return told, tuple(others)
 
 
 def forwarded(
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -10,7 +10,7 @@
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
 from radishwind.http.types import abort_body
-from radishwind.http.types import header
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import whole_body
@@ -22,8 +22,8 @@
 from radishwind.peers.attempts import AttemptInfo
 from radishwind.peers.attempts import PeerMalformedError
 from radishwind.peers.attempts import read_attempt
+from radishwind.peers.attempts import split_node_fields
 from radishwind.peers.attempts import with_answer
-from radishwind.peers.attempts import without_node_fields
 from radishwind.peers.client import CONTROL_PREFIX
 from radishwind.peers.security import AUTH_FIELD
 from radishwind.peers.security import PeerRefusedError
@@ -35,6 +35,9 @@
 #: no other limit.
 MAX_CONTROL_BYTES = 64 * 1024
 
+_ATTEMPT = ATTEMPT_FIELD.lower()
+_AUTH = AUTH_FIELD.lower()
+
 ControlHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
 
@@ -78,15 +81,18 @@
 
     async def handle(self, request: Request) -> Response:
         """Answers one request of a peer."""
-        field = header(request.headers, ATTEMPT_FIELD.lower())
+        told, others = split_node_fields(request.headers)
+        field = told.get(_ATTEMPT)
+        auth = told.get(_AUTH)
         if field is None:
-            return await self._handle_control(request)
+            return await self._handle_control(request, auth)
         try:
             info = read_attempt(field)
         except PeerMalformedError as exc:
             return self._refuse(exc.code, exc.args[0])
         try:
-            self._verify(request, field.encode("utf-8", "surrogateescape"))
+            covered = field.encode("utf-8", "surrogateescape")
+            self._verify(request, auth, covered)
         except PeerRefusedError as exc:
             return self._refuse_attempt(info, exc)
         if info.target != self._node_name:
@@ -96,10 +102,12 @@
                 f"expected target {self._node_name}, got {info.target}",
             )
             return self._answered(info.attempt_id, outcome)
-        result = await self._target.run(self._call(info, request))
+        result = await self._target.run(self._call(info, request, others))
         return self._answered(info.attempt_id, result.outcome)
 
-    async def _handle_control(self, request: Request) -> Response:
+    async def _handle_control(
+        self, request: Request, auth: str | None
+    ) -> Response:
         path = request.path.partition("?")[0]
         handler, max_bytes = self._control.get(path, (None, 0))
         if handler is None:
@@ -116,16 +124,17 @@
             )
         body = await whole_body(request.body)
         try:
-            self._verify(request, body)
+            self._verify(request, auth, body)
         except PeerRefusedError as exc:
             return self._refuse(exc.code, exc.args[0])
         return await handler(dataclasses.replace(request, body=body))
 
-    def _verify(self, request: Request, covered: bytes) -> None:
+    def _verify(
+        self, request: Request, auth: str | None, covered: bytes
+    ) -> None:
         if self._verifier is None:
             return
-        field = header(request.headers, AUTH_FIELD.lower())
-        self._verifier.verify(field, request.method, request.path, covered)
+        self._verifier.verify(auth, request.method, request.path, covered)
 
     def _refuse(self, code: ResultCode, detail: str) -> Response:
         self.refused[code] = self.refused.get(code, 0) + 1
@@ -141,14 +150,16 @@
             outcome = Unknown(exc.code, exc.args[0])
         return with_answer(info.attempt_id, outcome, None)
 
-    def _call(self, info: AttemptInfo, request: Request) -> Call:
+    def _call(
+        self, info: AttemptInfo, request: Request, headers: Headers
+    ) -> Call:
         return Call(
             call_id=info.attempt_id,
             service=info.service,
             request=Request(
                 request.method,
                 request.path,
-                without_node_fields(request.headers),
+                headers,
                 request.body,
                 request.body_bytes,
             ),
--- a/src/radishwind/target/exchange.py
+++ b/src/radishwind/target/exchange.py
@@ -8,6 +8,7 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.call import nested_request
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
@@ -21,7 +22,6 @@
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
 from radishwind.target.outgoing import incoming
-from radishwind.target.outgoing import outgoing
 from radishwind.target.server import ServerView
 from radishwind.target.watch import ServerWatch
 
@@ -54,7 +54,7 @@
         try:
             with anyio.fail_after(call.deadline - now):
                 response = await self._sender.send(
-                    view.address, outgoing(call, now), CONNECT_TIMEOUT_S
+                    view.address, nested_request(call, now), CONNECT_TIMEOUT_S
                 )
         except ConnectFailedError:
             self._watch.refused()
@@ -76,8 +76,7 @@
         return self._received(call, response, alone)
 
     def _received(self, call: Call, response: Response, alone: bool) -> Outcome:
-        shed = header(response.headers, SHED_FIELD) is not None
-        if response.status == _SHED_STATUS and shed:
+        if _was_shed(response):
             abort_body(response.body)
             return NotRun(
                 ResultCode.SERVER_SHED,
@@ -109,6 +108,12 @@
         )
 
 
+def _was_shed(response: Response) -> bool:
+    if response.status != _SHED_STATUS:
+        return False
+    return header(response.headers, SHED_FIELD) is not None
+
+
 class HeldStream(BodyStream):
     """A stream that tells how it ended.
 
