--- a/bench/hops.py
+++ b/bench/hops.py
@@ -46,7 +46,8 @@
     cpu_s: float
 
 
-def _inventory(folder: pathlib.Path) -> pathlib.Path:
+def inventory_file(folder: pathlib.Path) -> pathlib.Path:
+    """Writes an inventory of two services with a target each."""
     targets = [
         {
             "name": f"{service}-1",
@@ -114,7 +115,7 @@
 
 def _measure(library: str, options: argparse.Namespace) -> list[dict[str, Any]]:
     with tempfile.TemporaryDirectory() as folder, Fleet() as fleet:
-        _start(fleet, library, _inventory(pathlib.Path(folder)))
+        _start(fleet, library, inventory_file(pathlib.Path(folder)))
         rounds = [
             _round(fleet, options.rate, options.seconds, options.seed + number)
             for number in range(options.rounds)
