Derive the slots of the limits once

Cause: slots in use were worked out from connections several times a request, for admission and for each load report; a generator made each field tuple. Ruled out: keeping the load report between changes, as it says what holds now.

--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -43,7 +43,7 @@
     """
 
     def __init__(self, limits: AdmissionLimits) -> None:
-        self._limits = limits
+        self._take(limits)
         self._in_flight = 0
         self._service_s = 0.0
         self._alone: collections.deque[Ticket] = collections.deque()
@@ -55,7 +55,7 @@
 
     @property
     def slots(self) -> int:
-        return self._limits.usable_slots
+        return self._slots
 
     @property
     def in_flight(self) -> int:
@@ -66,9 +66,15 @@
         return self._waiting() + len(self._alone)
 
     def resize(self, limits: AdmissionLimits) -> None:
-        self._limits = limits
+        self._take(limits)
         self._earliest = 0.0
 
+    def _take(self, limits: AdmissionLimits) -> None:
+        self._limits = limits
+        # Read several times a request, so they are derived here.
+        self._slots = limits.usable_slots
+        self._most_sent = limits.most_sent
+
     def shed(self, now: float) -> None:
         if self._in_flight > self.slots:
             self._overlap_after = now + NO_OVERLAP_S
@@ -133,7 +139,7 @@
             return
         most = self.slots
         if now >= self._overlap_after:
-            most = self._limits.most_sent
+            most = self._most_sent
         while self._in_flight < most and self._waiting():
             ticket = self._pop(now)
             self._admit(ticket)
--- a/src/radishwind/http/aiohttp_sender.py
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -114,10 +114,11 @@
 
 
 async def _received(response: aiohttp.ClientResponse) -> Response:
-    headers = tuple(
+    fields = [
         (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
         for key, value in response.raw_headers
-    )
+    ]
+    headers = tuple(fields)
     length = response.content_length
     if length is None or length > SMALL_BODY_BYTES:
         return Response(
--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -167,10 +167,10 @@
     length = request.content_length
     if length is not None and length > limits.body_bytes:
         raise _too_large(limits)
-    headers = tuple(
+    headers = [
         (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
         for key, value in request.raw_headers
-    )
+    ]
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(_CONTINUE)
     body: bytes | BodyStream = b""
@@ -183,7 +183,7 @@
     return Request(
         request.method,
         request.raw_path,
-        headers,
+        tuple(headers),
         body,
         length,
         request.remote or "",
