--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -4,13 +4,13 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-import anyio
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_protocol import RequestPayloadError
 from multidict import CIMultiDict
 
 from radishwind.core.codes import ResultCode
+from radishwind.core.timelimit import TimeLimit
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.errors import RequestRejectedError
 from radishwind.http.errors import RequestTooLargeError
@@ -50,7 +50,7 @@
 
     async def _read(self) -> bytes:
         try:
-            with anyio.fail_after(self._limits.body_pause_s):
+            with TimeLimit(self._limits.body_pause_s):
                 return await self._request.content.readany()
         except TimeoutError as exc:
             raise _too_slow(self._limits) from exc
@@ -167,10 +167,10 @@
     length = request.content_length
     if length is not None and length > limits.body_bytes:
         raise _too_large(limits)
-    headers = tuple(
+    headers = [
         (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
         for key, value in request.raw_headers
-    )
+    ]
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(_CONTINUE)
     body: bytes | BodyStream = b""
@@ -183,7 +183,7 @@
     return Request(
         request.method,
         request.raw_path,
-        headers,
+        tuple(headers),
         body,
         length,
         request.remote or "",
@@ -195,7 +195,7 @@
     if content.is_eof() or content.total_bytes == request.content_length:
         return await content.read(-1)
     try:
-        with anyio.fail_after(limits.body_pause_s):
+        with TimeLimit(limits.body_pause_s):
             return await content.read(-1)
     except TimeoutError as exc:
         raise _too_slow(limits) from exc
--- a/src/radishwind/target/exchange.py
+++ b/src/radishwind/target/exchange.py
@@ -3,11 +3,11 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 
-import anyio
-
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
+from radishwind.core.timelimit import TimeLimit
 from radishwind.entry.call import Call
+from radishwind.entry.call import nested_request
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
@@ -21,7 +21,6 @@
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
 from radishwind.target.outgoing import incoming
-from radishwind.target.outgoing import outgoing
 from radishwind.target.server import ServerView
 from radishwind.target.watch import ServerWatch
 
@@ -52,9 +51,9 @@
         """Runs `call` on the server; its deadline has not passed yet."""
         now = self._clock.monotonic()
         try:
-            with anyio.fail_after(call.deadline - now):
+            with TimeLimit(call.deadline - now):
                 response = await self._sender.send(
-                    view.address, outgoing(call, now), CONNECT_TIMEOUT_S
+                    view.address, nested_request(call, now), CONNECT_TIMEOUT_S
                 )
         except ConnectFailedError:
             self._watch.refused()
@@ -76,8 +75,7 @@
         return self._received(call, response, alone)
 
     def _received(self, call: Call, response: Response, alone: bool) -> Outcome:
-        shed = header(response.headers, SHED_FIELD) is not None
-        if response.status == _SHED_STATUS and shed:
+        if _was_shed(response):
             abort_body(response.body)
             return NotRun(
                 ResultCode.SERVER_SHED,
@@ -109,6 +107,12 @@
         )
 
 
+def _was_shed(response: Response) -> bool:
+    if response.status != _SHED_STATUS:
+        return False
+    return header(response.headers, SHED_FIELD) is not None
+
+
 class HeldStream(BodyStream):
     """A stream that tells how it ended.
 
@@ -146,7 +150,7 @@
 
     async def _next(self, pieces: AsyncIterator[bytes]) -> bytes | None:
         try:
-            with anyio.fail_after(STALL_S):
+            with TimeLimit(STALL_S):
                 return await anext(pieces, None)
         except TimeoutError:
             self._body.abort()
