End the processes of a bench whose fleet does not start

Cause: the fleet was built outside the block that closes it, so a run that gave up waiting left eleven processes behind; a backend server was missing among them, its port taken, which is what the run had waited for.

--- a/bench/service.py
+++ b/bench/service.py
@@ -145,6 +145,14 @@
         self.targets = site.targets()
         self.names = [t["name"] for t in self.targets]
         self.fleet = Fleet()
+        try:
+            self._start(policy)
+        except BaseException:
+            self.fleet.close()
+            raise
+
+    def _start(self, policy: str) -> None:
+        site = self._site
         for number, target in enumerate(self.targets):
             self.fleet.start_backend(
                 target["name"],
