--- a/src/radishwind/entry/tests/test_call.py
+++ b/src/radishwind/entry/tests/test_call.py
@@ -80,7 +80,7 @@
     assert str(caught.value).startswith("RW-2001: expected")
 
 
-@pytest.mark.parametrize("name", FIELDS)
+@pytest.mark.parametrize("name", [*FIELDS, "Host"])
 def test_repeated_fields_are_refused(name):
     with pytest.raises(CallRejectedError, match="at most once"):
         call_for((name, "1"), (name.lower(), "1"))
