--- a/src/radishwind/cli/app.py
+++ b/src/radishwind/cli/app.py
@@ -1,6 +1,7 @@
 """Assembles the commands and turns errors into exit codes."""
 
 import sys
+import traceback
 
 import typer
 
@@ -22,7 +23,7 @@
     pretty_exceptions_enable=False,
 )
 
-#: Exit codes by family of result code (sysexits.h where one fits).
+#: Exit codes by result code (sysexits.h where one fits).
 _EXIT_BY_CODE = {
     ResultCode.SETTING_INVALID: 78,
     ResultCode.FILE_INVALID: 65,
@@ -32,6 +33,7 @@
     ResultCode.STORE_ANSWER_LOST: 74,
 }
 _EXIT_DEFAULT = 70
+_EXIT_INTERRUPTED = 130
 
 inventory.add_to(app)
 rules.add_to(app)
@@ -44,9 +46,49 @@
 
 
 def main() -> None:
-    """Runs the command line; a known error ends it with its exit code."""
+    """Runs the command line; an error ends it with a line and a code."""
     try:
-        app()
-    except RadishwindError as exc:
+        status_code = app(standalone_mode=False)
+    except typer.Abort:
+        sys.exit(_EXIT_INTERRUPTED)
+    except typer.TyperException as exc:
+        _end_for_usage(exc)
+    except Exception as exc:
+        _end_for(_first_of(exc))
+    else:
+        sys.exit(status_code if isinstance(status_code, int) else 0)
+
+
+def _end_for_usage(exc: typer.TyperException) -> None:
+    # Typer names no public class for a command given without arguments; its
+    # message is the help.
+    if type(exc).__name__ == "NoArgsIsHelpError":
+        print(exc.format_message())
+        sys.exit(exc.exit_code)
+    _end(ResultCode.SETTING_INVALID, exc.format_message())
+
+
+def _end_for(exc: BaseException) -> None:
+    if isinstance(exc, RadishwindError):
         print(f"radishwind: {exc}", file=sys.stderr)
         sys.exit(_EXIT_BY_CODE.get(exc.code, _EXIT_DEFAULT))
+    if isinstance(exc, OSError):
+        _end(ResultCode.SETTING_INVALID, f"the system refused: {exc}")
+    frame = traceback.extract_tb(exc.__traceback__)[-1]
+    _end(
+        ResultCode.INTERNAL_ERROR,
+        f"{type(exc).__name__} at {frame.name}, line {frame.lineno}; "
+        "please report it",
+    )
+
+
+def _end(code: ResultCode, text: str) -> None:
+    print(f"radishwind: RW-{int(code)}: {text}", file=sys.stderr)
+    sys.exit(_EXIT_BY_CODE.get(code, _EXIT_DEFAULT))
+
+
+def _first_of(exc: BaseException) -> BaseException:
+    """Returns the first error in groups of them, as tasks raise."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
--- a/src/radishwind/cli/fleet.py
+++ b/src/radishwind/cli/fleet.py
@@ -47,9 +47,22 @@
     return anyio.run(run)
 
 
+def fetched(admin: str, path: str, model: type[_T]) -> _T:
+    """Returns what a node answers to GET `path`, read as `model`.
+
+    Raises:
+      AdminError: it gave no good answer.
+      SettingError: `admin` is not HOST:PORT.
+    """
+    try:
+        return msgspec.json.decode(fetch(admin, path), type=model)
+    except msgspec.MsgspecError as exc:
+        raise AdminError(f"{admin}{path}: {exc}") from exc
+
+
 def config_of(admin: str) -> Configuration:
     """Returns the configuration in force at a node."""
-    found = _decode(fetch(admin, CONFIG_PATH), ConfigInForce, admin)
+    found = fetched(admin, CONFIG_PATH, ConfigInForce)
     return Configuration(
         found.revision, found.change_id, found.inventory, found.rules
     )
@@ -57,7 +70,7 @@
 
 def report_of(admin: str) -> FleetReport:
     """Returns where the configuration is in force, as a node sees it."""
-    return _decode(fetch(admin, FLEET_PATH), FleetReport, admin)
+    return fetched(admin, FLEET_PATH, FleetReport)
 
 
 def wait_in_force(admin: str, revision: int, limit_s: float) -> None:
@@ -97,10 +110,3 @@
         if names:
             text += f"; {what}: {', '.join(names)}"
     return text
-
-
-def _decode(content: bytes, model: type[_T], admin: str) -> _T:
-    try:
-        return msgspec.json.decode(content, type=model)
-    except msgspec.MsgspecError as exc:
-        raise AdminError(f"{admin}: {exc}") from exc
--- a/src/radishwind/cli/report.py
+++ b/src/radishwind/cli/report.py
@@ -5,7 +5,6 @@
 import pathlib
 from typing import Annotated
 
-import anyio
 import msgspec
 import typer
 
@@ -13,7 +12,8 @@
 from radishwind.burn import BurnRow
 from radishwind.burn import merge
 from radishwind.burn.ledger import ServiceMinutes
-from radishwind.cli.admin import fetch_admin
+from radishwind.cli import fleet
+from radishwind.settings import SettingError
 
 _app = typer.Typer(help="What the fleet did.", no_args_is_help=True)
 
@@ -54,15 +54,17 @@
     ] = None,
 ) -> None:
     """Report how fast each service burns what its objectives allow."""
-    body = anyio.run(fetch_admin, admin, "/v1/burn")
-    nodes = msgspec.json.decode(body, type=list[list[ServiceMinutes]])
+    nodes = fleet.fetched(admin, "/v1/burn", list[list[ServiceMinutes]])
     now = datetime.datetime.now(datetime.UTC)
     rows = burn_rows(merge(nodes), int(now.timestamp()) // 60)
     text = _written(rows, form, f"{now:%Y-%m-%d %H:%M} UTC, {len(nodes)} nodes")
     if out is None:
         typer.echo(text, nl=False)
         return
-    out.write_text(text)
+    try:
+        out.write_text(text)
+    except OSError as exc:
+        raise SettingError(f"--out: expected a writable file: {exc}") from exc
 
 
 def _written(rows: list[BurnRow], form: Format, made_at: str) -> str:
--- a/src/radishwind/cli/standins.py
+++ b/src/radishwind/cli/standins.py
@@ -5,12 +5,17 @@
 import anyio
 import typer
 
+from radishwind.cli import documents
 from radishwind.core.clock import SystemClock
 from radishwind.http import Address
 from radishwind.http import Handler
 from radishwind.http import HttpLibrary
+from radishwind.http import make_sender
 from radishwind.http import make_server
 
+#: Connections of the sample load to one entry node.
+_LOAD_CONNECTIONS = 64
+
 _app = typer.Typer(
     help="Stand-ins for the store and for backend servers.",
     no_args_is_help=True,
@@ -29,11 +34,13 @@
     """Run the stand-in of the platform's key-value store."""
     from radishwind.standins.store import StoreStandin
 
+    address = documents.address(listen)
+
     async def main() -> None:
         standin = StoreStandin(SystemClock())
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(standin.run)
-            await _serve_forever(standin.handle, listen)
+            await _serve_forever(standin.handle, address)
 
     anyio.run(main, backend_options={"use_uvloop": True})
 
@@ -70,12 +77,45 @@
         cold_s=cold_s,
         cold_factor=cold_factor,
     )
-    beside = Address.parse(node) if node else None
-    daemon = BackendDaemon(options, Address.parse(listen), beside, seed)
+    beside = documents.address(node) if node else None
+    daemon = BackendDaemon(options, documents.address(listen), beside, seed)
     anyio.run(daemon.run, backend_options={"use_uvloop": True})
 
 
-async def _serve_forever(handler: Handler, listen: str) -> None:
+@_app.command("load")
+def _load(
+    entry: Annotated[
+        list[str],
+        typer.Option(
+            metavar="HOST:PORT", help="Caller listener of a node; may repeat."
+        ),
+    ],
+    per_s: Annotated[
+        float, typer.Option(min=0.1, max=2000, help="Mean rate (requests/s).")
+    ] = 50.0,
+    length_s: Annotated[
+        float, typer.Option(min=0.1, max=3600, help="Length (s).")
+    ] = 8.0,
+    seed: Annotated[int, typer.Option(help="Seed of times and choices.")] = 1,
+) -> None:
+    """Read forecasts and book sessions, and tell what became of it."""
+    from radishwind.standins import load
+
+    entries = [documents.address(text) for text in entry]
+    plan = load.plan_load(entries, per_s, length_s, seed)
+
+    async def main() -> None:
+        sender = make_sender(HttpLibrary.AIOHTTP, _LOAD_CONNECTIONS)
+        try:
+            counts = await load.run_load(sender, plan)
+        finally:
+            await sender.close()
+        typer.echo(load.counts_table(counts))
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+async def _serve_forever(handler: Handler, listen: Address) -> None:
     server = make_server(HttpLibrary.AIOHTTP)
-    await server.start(handler, Address.parse(listen))
+    await server.start(handler, listen)
     await anyio.sleep_forever()
--- a/src/radishwind/cli/status.py
+++ b/src/radishwind/cli/status.py
@@ -2,6 +2,7 @@
 
 import json
 from typing import Annotated
+from typing import Any
 
 import typer
 
@@ -29,7 +30,7 @@
     ] = False,
 ) -> None:
     """Print a node's state, and name the nodes that lag."""
-    status = json.loads(fleet.fetch(admin, _STATUS_PATH))
+    status = fleet.fetched(admin, _STATUS_PATH, dict[str, Any])
     if as_json:
         typer.echo(json.dumps(status, indent=2, sort_keys=True))
         return
--- a/src/radishwind/entry/race.py
+++ b/src/radishwind/entry/race.py
@@ -12,13 +12,13 @@
 from collections.abc import Callable
 
 import anyio
-import eliot
 
 from radishwind.core.clock import Clock
 from radishwind.http.types import abort_body
 from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
+from radishwind.telemetry.logs import PartLogger
 
 
 class Race:
@@ -90,6 +90,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._log = PartLogger("entry", clock)
         self._due: list[
             tuple[float, int, Race, Callable[[], Awaitable[None]]]
         ] = []
@@ -110,7 +111,7 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 for hedge in self._take_due():
-                    tasks.start_soon(_run_hedge, hedge)
+                    tasks.start_soon(self._run_hedge, hedge)
                 await self._sleep()
 
     def _take_due(self) -> list[Callable[[], Awaitable[None]]]:
@@ -130,11 +131,10 @@
             await self._wake.wait()
         self._wakes_at = -math.inf
 
-
-async def _run_hedge(hedge: Callable[[], Awaitable[None]]) -> None:
-    try:
-        await hedge()
-    except Exception:
-        # A fault in one hedge ends neither the others nor the node; the first
-        # attempt goes on.
-        eliot.write_traceback()
+    async def _run_hedge(self, hedge: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await hedge()
+        except Exception as exc:
+            # A fault in one hedge ends neither the others nor the node; the
+            # first attempt goes on.
+            self._log.failure("A hedge failed.", exc)
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -22,6 +22,7 @@
 from radishwind.node.config import make_config
 from radishwind.node.config import make_stores
 from radishwind.node.entry import node_chooser
+from radishwind.node.failures import logging_failures
 from radishwind.node.in_progress import RequestsInProgress
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.node.metrics import add_metrics
@@ -179,15 +180,22 @@
         async with anyio.create_task_group() as tasks:
             callers, peers, admin = self._servers
             self._claims.start(tasks)
-            await peers.start(self._attempts.handle, self._settings.peer_listen)
-            await admin.start(self._admin.handle, self._settings.admin_listen)
+            await peers.start(
+                logging_failures(self._attempts.handle, self._log),
+                self._settings.peer_listen,
+            )
+            await admin.start(
+                logging_failures(self._admin.handle, self._log),
+                self._settings.admin_listen,
+            )
             tasks.start_soon(self._config.run)
             tasks.start_soon(self._entry.run_hedges)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._target_side.run)
             tasks.start_soon(self._wait_for_signal)
             await callers.start(
-                self._callers.handle, self._settings.caller_listen
+                logging_failures(self._callers.handle, self._log),
+                self._settings.caller_listen,
             )
             self._log.info(
                 "Receives callers.", address=str(self._settings.caller_listen)
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -218,7 +218,7 @@
     def _adopted(self, snapshot: Snapshot, source: Source) -> None:
         self.index = ConfigIndex(snapshot.cfg)
         self._on_adopted(self.index)
-        self._report(f"revision {snapshot.revision} is in force")
+        self._report(f"Revision {snapshot.revision} is in force.")
         self._newly_adopted.set()
         if source is not Source.STORE:
             return
@@ -232,7 +232,7 @@
 
     def _refuse(self, source: Source, exc: RevisionRefusedError) -> None:
         if self.adopter.refuse(source, exc):
-            self._report(f"refused: {self.adopter.last_refusal}")
+            self._report(f"Refused: {self.adopter.last_refusal}")
 
     def _heard(self, revision: int, address: Address) -> None:
         if revision <= self.adopter.snapshot.revision:
@@ -247,7 +247,7 @@
         try:
             rumor = msgspec.json.decode(value, type=RumorOfRevision)
         except msgspec.MsgspecError as exc:
-            self._report(f"malformed rumor {key[:40]}: {exc}")
+            self._report(f"Malformed rumor {key[:40]}: {exc}")
             return
         if rumor.revision > self._known_newest:
             self._known_newest = rumor.revision
@@ -364,7 +364,7 @@
 
     def _report_refusal(self, before: int) -> None:
         if self.adopter.refusals > before:
-            self._report(f"refused: {self.adopter.last_refusal}")
+            self._report(f"Refused: {self.adopter.last_refusal}")
 
 
 def _json(content: bytes) -> Response:
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -22,6 +22,7 @@
 from radishwind.membership import GossipRumorBoard
 from radishwind.membership import MemberFact
 from radishwind.membership.actions import Call
+from radishwind.membership.changes import ChangeTeller
 from radishwind.membership.contacts import MAX_CONTACTS
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
@@ -38,10 +39,13 @@
 from radishwind.peers import PeerListener
 from radishwind.settings import NodeSettings
 from radishwind.store import Store
+from radishwind.telemetry.logs import PartLogger
 
 #: Messages on their way at once; further ones count as lost.
 _MAX_IN_FLIGHT = 64
 _LAST_WORD_S = 1.0
+#: Names of members that are gone in the status; they are counted anyway.
+_NAMES_TOLD = 20
 #: Looks at the store at short intervals after the start.
 _EARLY_LOOKS = 4
 
@@ -77,6 +81,12 @@
             self.gossip, index, clock, self._options.refute_grace_s
         )
         self.board = GossipRumorBoard(self.gossip, clock, self._wake)
+        self._teller = ChangeTeller(
+            settings.target, PartLogger("membership", clock).info
+        )
+        self.gossip.table.listen(
+            lambda old, new: self._teller.changed(old, new, self._now())
+        )
         self._discovery = DiscoveryOptions(spread_s=settings.start_spread_s)
         self._finder = ContactFinder(
             store=store,
@@ -146,6 +156,8 @@
         return {
             "members": sum(states.values()),
             "member_states": states,
+            "members_dead": self._gone_names(left=False),
+            "members_left": self._gone_names(left=True),
             "not_in_inventory": list(self.directory.refused()),
             "incarnation": self.gossip.own.incarnation,
             "name_conflicts": self.gossip.conflicts,
@@ -153,6 +165,15 @@
             "contact_store_calls": dict(self._finder.calls),
         }
 
+    def _gone_names(self, *, left: bool) -> list[str]:
+        """Returns the first names of those that left, or are dead."""
+        names = [
+            fact.name
+            for fact in self.gossip.table.members.values()
+            if fact.gone and (fact.announced is Announced.LEFT) is left
+        ]
+        return sorted(names)[:_NAMES_TOLD]
+
     def _now(self) -> float:
         return self._clock.monotonic()
 
@@ -166,6 +187,7 @@
     async def _tick_forever(self) -> None:
         while True:
             self._start(self.gossip.tick(self._now()))
+            self._teller.flush(self._now())
             self._sleeps_until = self.gossip.next_due()
             wait_s = self._sleeps_until - self._now()
             with anyio.move_on_after(max(0.0, wait_s)):
--- a/src/radishwind/node/peer_security.py
+++ b/src/radishwind/node/peer_security.py
@@ -3,7 +3,6 @@
 import ipaddress
 import os
 import pathlib
-import sys
 
 from radishwind.core.clock import Clock
 from radishwind.http.types import Address
@@ -12,6 +11,7 @@
 from radishwind.settings import NodeSettings
 from radishwind.settings import SettingError
 from radishwind.settings.parsers import peer_keys
+from radishwind.telemetry.logs import PartLogger
 
 _NONCE_PREFIX_BYTES = 8
 
@@ -43,10 +43,8 @@
             "expected --peer-key or --peer-key-file where --peer-listen is "
             f"not on loopback, got neither and {settings.peer_listen}"
         )
-    print(
-        "radishwind peers: WARNING no --peer-key: anyone on this machine can "
-        "speak as a node",
-        file=sys.stderr,
+    PartLogger("peers", clock).warning(
+        "No --peer-key is set: anyone on this machine can speak as a node."
     )
     return None, None
 
--- a/src/radishwind/standins/backend.py
+++ b/src/radishwind/standins/backend.py
@@ -31,8 +31,10 @@
 CRASH_FIELD = "radishwind-standin-crash"
 CRASH_TEXT = "standin-crash"
 
-#: A request with this field gets an answer of so many bytes, in pieces.
+#: A request with this field, or with this in its path before the number, gets
+#: an answer of so many bytes, in pieces.
 BYTES_FIELD = "radishwind-standin-bytes"
+BYTES_TEXT = "/standin/bytes/"
 
 _JSON = (("Content-Type", "application/json"),)
 _TEXT = (("Content-Type", "text/plain"),)
@@ -185,9 +187,9 @@
             await anyio.sleep(self._service_s())
         finally:
             self.counters.run_s += self._clock.monotonic() - began
-        wanted = header(request.headers, BYTES_FIELD)
-        if wanted and wanted.isdigit():
-            return Response(200, _TEXT, Pieces(int(wanted)), int(wanted))
+        wanted = _wanted_bytes(request)
+        if wanted is not None:
+            return Response(200, _TEXT, Pieces(wanted), wanted)
         text = (
             f"{self._options.name} ran {request.method} {request.path} "
             f"({size} bytes)\n"
@@ -310,6 +312,12 @@
     return size
 
 
+def _wanted_bytes(request: Request) -> int | None:
+    path = request.path.partition("?")[0]
+    text = header(request.headers, BYTES_FIELD) or path.partition(BYTES_TEXT)[2]
+    return int(text) if text.isdigit() else None
+
+
 def _timeout_s(request: Request) -> float | None:
     text = header(request.headers, "radishwind-timeout-ms")
     return int(text) / 1000 if text and text.isdigit() else None
--- a/src/radishwind/telemetry/logs.py
+++ b/src/radishwind/telemetry/logs.py
@@ -5,6 +5,8 @@
 pass names, numbers and codes, never bodies, keys or field values of requests.
 """
 
+import pathlib
+import traceback
 from typing import TextIO
 
 import eliot
@@ -17,6 +19,9 @@
 #: Sentences remembered for that, a part.
 _REMEMBERED = 256
 
+#: Innermost calls told of an error.
+_FRAMES = 4
+
 
 class PartLogger:
     """Logs for one part of the system."""
@@ -44,6 +49,21 @@
         """Logs a fault that an operator must look at."""
         self._log("error", sentence, fields)
 
+    def failure(self, sentence: str, exc: BaseException) -> None:
+        """Logs an error that ought not to be: its kind and where it arose.
+
+        The error's own text is left out, since it may hold what a caller sent.
+        """
+        frames = traceback.extract_tb(exc.__traceback__)[-_FRAMES:]
+        self.error(
+            sentence,
+            kind=type(exc).__name__,
+            at=" < ".join(
+                f"{pathlib.PurePath(f.filename).name}:{f.lineno} {f.name}"
+                for f in reversed(frames)
+            ),
+        )
+
     def _log(
         self, level: str, sentence: str, fields: dict[str, str | float | None]
     ) -> None:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -133,6 +133,12 @@
         statm = pathlib.Path(f"/proc/{self.pid()}/statm").read_text()
         return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    def peak_resident_bytes(self) -> int:
+        """Returns the most resident memory since the start (bytes)."""
+        status = pathlib.Path(f"/proc/{self.pid()}/status").read_text()
+        (line,) = (x for x in status.splitlines() if x.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024
+
     def end(self) -> None:
         """Kills the process if it still runs."""
         if self.running():
