Give a silent admin listener its own code; test commands against other programs

A store address of another program gave a bare DecodeError.

Ruled out: showing what the other program answered, since it may hold values.

--- a/src/radishwind/cli/admin.py
+++ b/src/radishwind/cli/admin.py
@@ -16,7 +16,7 @@
 class AdminError(RadishwindError):
     """A node's admin listener gave no good answer."""
 
-    code = ResultCode.PEER_MALFORMED
+    code = ResultCode.ADMIN_UNAVAILABLE
 
 
 async def fetch_admin(address: str, path: str) -> bytes:
@@ -37,7 +37,9 @@
         )
         body = await whole_body(response.body)
     except SendError as exc:
-        raise AdminError(f"{address}: {exc}") from exc
+        raise AdminError(
+            f"{address}: expected a node's admin listener, got {exc.args[0]}"
+        ) from exc
     finally:
         await sender.close()
     if response.status != 200:
--- a/src/radishwind/cli/fleet.py
+++ b/src/radishwind/cli/fleet.py
@@ -57,7 +57,9 @@
     try:
         return msgspec.json.decode(fetch(admin, path), type=model)
     except msgspec.MsgspecError as exc:
-        raise AdminError(f"{admin}{path}: {exc}") from exc
+        raise AdminError(
+            f"{admin}{path}: expected a node's answer, got {exc}"
+        ) from exc
 
 
 def config_of(admin: str) -> Configuration:
--- a/src/radishwind/core/codes.py
+++ b/src/radishwind/core/codes.py
@@ -47,3 +47,4 @@
     PEER_REPLAYED = 6003
     PEER_STALE = 6004
     PEER_TOO_LARGE = 6005
+    ADMIN_UNAVAILABLE = 6006
--- a/src/radishwind/store/gateway.py
+++ b/src/radishwind/store/gateway.py
@@ -73,9 +73,13 @@
     try:
         answer = msgspec.json.decode(content)
     except (msgspec.MsgspecError, *_MALFORMED) as exc:
-        raise StoreAnswerMalformedError(f"{what}: {exc!r}") from exc
+        raise StoreAnswerMalformedError(
+            f"{what}: expected a JSON object of etcd's gateway, got {exc}"
+        ) from exc
     if not isinstance(answer, dict):
-        raise StoreAnswerMalformedError(f"{what}: expected an object")
+        raise StoreAnswerMalformedError(
+            f"{what}: expected a JSON object, got {type(answer).__name__}"
+        )
     return answer
 
 
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -74,6 +74,30 @@
     assert "Traceback" not in err
 
 
+@pytest.mark.parametrize(
+    ("arguments", "code", "text"),
+    [
+        (("status", "--admin"), 69, "RW-6006: 127.0.0.1:"),
+        (("report", "burn", "--admin"), 69, "RW-6006: 127.0.0.1:"),
+        (("inventory", "show", "--admin"), 69, "RW-6006: 127.0.0.1:"),
+        (("inventory", "show", "--store"), 70, "RW-5003: kv/range: expected"),
+        (
+            ("inventory", "apply", str(INVENTORY), "--store"),
+            *(69, "RW-5001: change not accepted: RW-5003: kv/range: expected"),
+        ),
+        (("changes", "show", "--store"), 70, "RW-5003: kv/range: expected"),
+    ],
+)
+def test_an_answer_of_another_program_is_one_line(fleet, arguments, code, text):
+    other = fleet.backend_url("prenota-1").removeprefix("http://")
+
+    exit_code, _, err = command(*arguments, other)
+
+    assert exit_code == code
+    assert err.startswith(f"radishwind: {text}")
+    assert len(err.splitlines()) == 1
+
+
 def test_a_read_and_a_booking_are_answered(fleet):
     entry = fleet.caller_url("bollettino-1")
 
