--- a/bench/admission.py
+++ b/bench/admission.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+from collections.abc import Callable
 import dataclasses
 import heapq
 import itertools
@@ -15,7 +16,6 @@
 import random
 import statistics
 import time
-from collections.abc import Callable
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -10,13 +10,13 @@
 
 import argparse
 import collections
+from collections.abc import Sequence
 import os
 import random
 import statistics
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
 from typing import Any
 
 import anyio
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -9,11 +9,11 @@
 """
 
 import argparse
+from collections.abc import Callable
 import random
 import statistics
 import time
 import tracemalloc
-from collections.abc import Callable
 from typing import Any
 
 import anyio
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -5,12 +5,12 @@
 """
 
 import argparse
+from collections.abc import Callable
 import gc
 import random
 import statistics
 import time
 import tracemalloc
-from collections.abc import Callable
 
 import msgspec
 
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -20,7 +20,6 @@
 import time
 from typing import Any
 
-import uvloop
 from tests.support.processes import fetch
 from tests.support.processes import Fleet
 from tests.support.processes import free_ports
@@ -28,6 +27,7 @@
 from tests.support.processes import Process
 from tests.support.processes import SRC
 from tests.support.processes import wait_until
+import uvloop
 
 from bench.hops import inventory_file
 from bench.load import LoadPlan
--- a/bench/hops.py
+++ b/bench/hops.py
@@ -17,10 +17,10 @@
 import tempfile
 from typing import Any
 
-import uvloop
 from tests.support.processes import fetch
 from tests.support.processes import Fleet
 from tests.support.processes import wait_until
+import uvloop
 
 from bench.load import LoadPlan
 from bench.load import LoadResult
--- a/bench/load.py
+++ b/bench/load.py
@@ -6,10 +6,10 @@
 
 import asyncio
 import collections
+from collections.abc import Sequence
 import dataclasses
 import random
 import time
-from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
--- a/bench/membership_states.py
+++ b/bench/membership_states.py
@@ -1,10 +1,10 @@
 """Many gossip states in one process: messages, bytes, times, memory."""
 
+from collections.abc import Callable
 import gc
 import random
 import time
 import tracemalloc
-from collections.abc import Callable
 from typing import Any
 
 from tests.support.gossip_net import fact_of
--- a/bench/pipeline.py
+++ b/bench/pipeline.py
@@ -9,12 +9,12 @@
 """
 
 import argparse
+from collections.abc import Callable
 import cProfile
 import gc
 import pstats
 import statistics
 import time
-from collections.abc import Callable
 from typing import Any
 
 import anyio
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,11 +6,11 @@
 """
 
 import argparse
+from collections.abc import Callable
 import concurrent.futures
 import dataclasses
 import random
 import statistics
-from collections.abc import Callable
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -5,11 +5,11 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import heapq
 import itertools
 import random
-from collections.abc import Callable
 
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,11 +1,11 @@
 """Prints a table and keeps it with its JSON under docs/measurements/."""
 
+from collections.abc import Sequence
 import json
 import os
 import pathlib
 import platform
 import subprocess
-from collections.abc import Sequence
 from typing import Any
 
 _FOLDER = pathlib.Path(__file__).parents[1] / "docs" / "measurements"
--- a/bench/service.py
+++ b/bench/service.py
@@ -10,19 +10,19 @@
 
 import argparse
 import asyncio
+from collections.abc import Sequence
 import dataclasses
 import functools
 import json
 import pathlib
 import statistics
 import tempfile
-from collections.abc import Sequence
 from typing import Any
 
-import uvloop
 from tests.support.processes import fetch
 from tests.support.processes import Fleet
 from tests.support.processes import wait_until
+import uvloop
 
 from bench.load import LoadPlan
 from bench.load import LoadResult
--- a/src/radishwind/admission/fair.py
+++ b/src/radishwind/admission/fair.py
@@ -10,8 +10,8 @@
 """
 
 import collections
-import dataclasses
 from collections.abc import Iterable
+import dataclasses
 
 import xxhash
 
--- a/src/radishwind/admission/gate.py
+++ b/src/radishwind/admission/gate.py
@@ -5,9 +5,9 @@
 """
 
 import abc
-import dataclasses
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 
 from radishwind.outcomes.model import NotRun
 
--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -6,8 +6,8 @@
 
 import abc
 import collections
-import math
 from collections.abc import Iterable
+import math
 
 from radishwind.admission.gate import Admission
 from radishwind.admission.gate import AdmissionLimits
--- a/src/radishwind/admission/tests/test_admission.py
+++ b/src/radishwind/admission/tests/test_admission.py
@@ -1,6 +1,6 @@
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from radishwind.admission import AdmissionLimits
 from radishwind.admission import fair
--- a/src/radishwind/burn/page.py
+++ b/src/radishwind/burn/page.py
@@ -1,8 +1,8 @@
 """The report as a page with a plot, whole in one file."""
 
+from collections.abc import Sequence
 import html
 import io
-from collections.abc import Sequence
 
 from radishwind.burn.report import BurnRow
 from radishwind.burn.report import WINDOWS_MIN
--- a/src/radishwind/burn/report.py
+++ b/src/radishwind/burn/report.py
@@ -4,8 +4,8 @@
 allowance in two days. Fast windows catch outages, slow ones a lasting loss.
 """
 
-import dataclasses
 from collections.abc import Iterable
+import dataclasses
 
 from radishwind.burn.ledger import merged
 from radishwind.burn.ledger import ServiceMinutes
--- a/src/radishwind/claims/capture.py
+++ b/src/radishwind/claims/capture.py
@@ -1,7 +1,7 @@
 """Takes a copy of a server's answer on its way to the caller."""
 
-import dataclasses
 from collections.abc import AsyncIterator
+import dataclasses
 
 from radishwind.claims.record import RecordedAnswer
 from radishwind.http.types import BodyStream
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -1,9 +1,9 @@
 """Claims in the store: one compare-and-swap before anything runs."""
 
-import dataclasses
-import random
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
+import random
 from typing import TypeVar
 
 import anyio
--- a/src/radishwind/cli/documents.py
+++ b/src/radishwind/cli/documents.py
@@ -1,11 +1,11 @@
 """`check`, `apply` and `show` for the operators' two documents."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import getpass
 import os
 import pathlib
 import random
-from collections.abc import Awaitable
-from collections.abc import Callable
 from typing import Annotated
 from typing import TypeAlias
 from typing import TypeVar
--- a/src/radishwind/cli/options.py
+++ b/src/radishwind/cli/options.py
@@ -1,9 +1,9 @@
 """Makes a typer command from a data class of settings."""
 
+from collections.abc import Callable
 import dataclasses
 import inspect
 import os
-from collections.abc import Callable
 from typing import Annotated
 from typing import Any
 from typing import TypeVar
--- a/src/radishwind/config/accept.py
+++ b/src/radishwind/config/accept.py
@@ -1,10 +1,10 @@
 """Accepting a change: parts first, then one compare-and-swap of the root."""
 
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import enum
 import random
-from collections.abc import Mapping
-from collections.abc import Sequence
 
 import anyio
 import msgspec
--- a/src/radishwind/config/checking.py
+++ b/src/radishwind/config/checking.py
@@ -1,9 +1,9 @@
 """Checks a decoded JSON document against a model and lists every fault."""
 
-import math
-import re
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
+import re
 from typing import Any
 
 import msgspec
--- a/src/radishwind/config/consistency.py
+++ b/src/radishwind/config/consistency.py
@@ -4,8 +4,8 @@
 entry still gets every other fault listed in the same run.
 """
 
-import itertools
 from collections.abc import Iterator
+import itertools
 from typing import Any
 
 from radishwind.config.checking import FileFault
--- a/src/radishwind/config/exchange.py
+++ b/src/radishwind/config/exchange.py
@@ -1,7 +1,7 @@
 """Gets newer configurations from peers and from the store."""
 
-import random
 from collections.abc import Callable
+import random
 
 import msgspec
 
--- a/src/radishwind/config/parts.py
+++ b/src/radishwind/config/parts.py
@@ -5,9 +5,9 @@
 grows with the number of services.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import itertools
-from collections.abc import Mapping
 from typing import TypeAlias
 
 import msgspec
--- a/src/radishwind/config/records.py
+++ b/src/radishwind/config/records.py
@@ -5,8 +5,8 @@
 written before under a key of its own version and never changed.
 """
 
-import datetime
 from collections.abc import Mapping
+import datetime
 from typing import Annotated
 
 import msgspec
--- a/src/radishwind/config/tests/test_files.py
+++ b/src/radishwind/config/tests/test_files.py
@@ -3,10 +3,10 @@
 import json
 import pathlib
 
-import msgspec
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
+import pytest
 
 from radishwind.config.checking import FileInvalidError
 from radishwind.config.files import check_together
--- a/src/radishwind/config/tests/test_spread.py
+++ b/src/radishwind/config/tests/test_spread.py
@@ -4,11 +4,11 @@
 import random
 
 import anyio
-import msgspec
-import pytest
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import msgspec
+import pytest
 from tests.support.configs import Desk
 from tests.support.configs import inventory
 
--- a/src/radishwind/config/tidy.py
+++ b/src/radishwind/config/tidy.py
@@ -4,9 +4,9 @@
 its newer version, one left behind is removed by a later sweep.
 """
 
-import contextlib
 from collections.abc import Mapping
 from collections.abc import Sequence
+import contextlib
 
 from radishwind.config import records
 from radishwind.config.errors import RevisionRefusedError
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -1,10 +1,10 @@
 """Answers callers: classify, run once by claim, answer."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable
-from collections.abc import Sequence
 
 from radishwind.claims.guard import ClaimGuard
 from radishwind.config.index import ConfigIndex
--- a/src/radishwind/entry/race.py
+++ b/src/radishwind/entry/race.py
@@ -5,11 +5,11 @@
 and one task of the node starts the hedges that fall due.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import heapq
 import itertools
 import math
-from collections.abc import Awaitable
-from collections.abc import Callable
 
 import anyio
 
--- a/src/radishwind/entry/tests/test_call.py
+++ b/src/radishwind/entry/tests/test_call.py
@@ -1,9 +1,9 @@
 import dataclasses
 
-import msgspec
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
+import pytest
 
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
--- a/src/radishwind/http/aiohttp_sender.py
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -3,8 +3,8 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
-import yarl
 from multidict import CIMultiDict
+import yarl
 
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -1,8 +1,8 @@
 """`Server` by aiohttp's low-level web server."""
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator
+import contextlib
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
--- a/src/radishwind/http/hypercorn_server.py
+++ b/src/radishwind/http/hypercorn_server.py
@@ -1,9 +1,9 @@
 """`Server` by hypercorn, through ASGI."""
 
-import socket
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 from typing import Any
 from typing import TypeAlias
 
--- a/src/radishwind/http/tests/test_server_edges.py
+++ b/src/radishwind/http/tests/test_server_edges.py
@@ -3,11 +3,11 @@
 import contextlib
 
 import anyio
-import pytest
 from hypothesis import given
 from hypothesis import HealthCheck
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
 from radishwind.http import Address
 from radishwind.http import BodyStream
--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -1,8 +1,8 @@
 """Requests and responses as values, independent of any HTTP library."""
 
 import abc
-import dataclasses
 from collections.abc import AsyncIterator
+import dataclasses
 from typing import NamedTuple
 from typing import TypeAlias
 
--- a/src/radishwind/leases/holder.py
+++ b/src/radishwind/leases/holder.py
@@ -5,8 +5,8 @@
 store checks where the effect happens; the clock only saves useless calls.
 """
 
-import dataclasses
 from collections.abc import Sequence
+import dataclasses
 
 import anyio
 
--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -6,8 +6,8 @@
 its answer or failure back.
 """
 
-import random
 from collections.abc import Callable
+import random
 from typing import TypeAlias
 
 import msgspec
--- a/src/radishwind/membership/table.py
+++ b/src/radishwind/membership/table.py
@@ -1,11 +1,11 @@
 """The facts a node holds: members, rumours and their digests."""
 
-import dataclasses
-import random
-import sys
 from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterator
+import dataclasses
+import random
+import sys
 from typing import TypeAlias
 
 import msgspec
--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -3,9 +3,9 @@
 import random
 
 import anyio
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 from tests.support.direct import DirectSender
 from tests.support.direct import Fault
 
--- a/src/radishwind/membership/tests/test_facts.py
+++ b/src/radishwind/membership/tests/test_facts.py
@@ -1,9 +1,9 @@
 """Facts only move up, whatever the order in which they arrive."""
 
-import msgspec
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
+import pytest
 from tests.support.gossip_net import fact_of
 from tests.support.gossip_net import GossipNet
 
--- a/src/radishwind/node/claims.py
+++ b/src/radishwind/node/claims.py
@@ -1,8 +1,8 @@
 """Composes the guard of keyed calls for a node."""
 
+from collections.abc import Callable
 import dataclasses
 import random
-from collections.abc import Callable
 from typing import Any
 
 import anyio.abc
--- a/src/radishwind/node/config.py
+++ b/src/radishwind/node/config.py
@@ -1,8 +1,8 @@
 """Wires configuration into a node."""
 
+from collections.abc import Callable
 import dataclasses
 import random
-from collections.abc import Callable
 
 from radishwind.config.exchange import CONTROL_NAME
 from radishwind.config.index import ConfigIndex
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -6,9 +6,9 @@
 each failure domain watch it, the others read it rarely.
 """
 
+from collections.abc import Callable
 import dataclasses
 import random
-from collections.abc import Callable
 
 import anyio
 import anyio.abc
--- a/src/radishwind/node/entry.py
+++ b/src/radishwind/node/entry.py
@@ -1,7 +1,7 @@
 """Wires the entry side of a node."""
 
-import random
 from collections.abc import Callable
+import random
 
 from radishwind.config.index import ConfigIndex
 from radishwind.routing import make_chooser
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -1,8 +1,8 @@
 """Runs membership: the state machine's timers, messages and first peers."""
 
-import random
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 from typing import Any
 
 import anyio
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -1,8 +1,8 @@
 """Serves the peer listener: forwarded attempts and control messages."""
 
-import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 from typing import TypeAlias
 
 from radishwind.config.index import ConfigIndex
--- a/src/radishwind/peers/tests/test_malformed.py
+++ b/src/radishwind/peers/tests/test_malformed.py
@@ -2,9 +2,9 @@
 
 import contextlib
 
-import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 
 from radishwind.http import Response
 from radishwind.outcomes import answer
--- a/src/radishwind/peers/tests/test_security.py
+++ b/src/radishwind/peers/tests/test_security.py
@@ -1,9 +1,9 @@
 """What is not authentic, in time and new is refused, and answered truly."""
 
-import msgspec
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
+import pytest
 from tests.support.direct import DirectSender
 from tests.support.targets import make_target
 
--- a/src/radishwind/retries/tests/test_budget.py
+++ b/src/radishwind/retries/tests/test_budget.py
@@ -1,6 +1,6 @@
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from radishwind.config.model import ServiceRules
 from radishwind.core.codes import ResultCode
--- a/src/radishwind/routing/balanced.py
+++ b/src/radishwind/routing/balanced.py
@@ -6,10 +6,10 @@
 `docs/design/03-routing.md` has the ways weighed and the measurements.
 """
 
-import math
-import random
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
+import random
 
 from radishwind.config.index import ConfigIndex
 from radishwind.core.codes import ResultCode
--- a/src/radishwind/routing/baselines.py
+++ b/src/radishwind/routing/baselines.py
@@ -1,8 +1,8 @@
 """Simple policies: random, round robin, fewest own requests."""
 
 import collections
-import random
 from collections.abc import Sequence
+import random
 
 from radishwind.membership.directory import Member
 from radishwind.outcomes.model import Outcome
--- a/src/radishwind/routing/factory.py
+++ b/src/radishwind/routing/factory.py
@@ -1,8 +1,8 @@
 """Makes the routing policy that a setting names."""
 
+from collections.abc import Callable
 import enum
 import random
-from collections.abc import Callable
 
 from radishwind.config.index import ConfigIndex
 from radishwind.routing.balanced import BalancedChooser
--- a/src/radishwind/routing/sample.py
+++ b/src/radishwind/routing/sample.py
@@ -1,8 +1,8 @@
 """Draws a few candidates, near ones first, at a cost free of their number."""
 
-import random
 from collections.abc import Callable
 from collections.abc import Sequence
+import random
 
 from radishwind.membership.directory import Member
 
--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -1,8 +1,8 @@
 """What one node remembers of the targets it uses, bounded and forgotten."""
 
+from collections.abc import Iterator
 import dataclasses
 import math
-from collections.abc import Iterator
 
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.sample import Candidates
--- a/src/radishwind/settings/loader.py
+++ b/src/radishwind/settings/loader.py
@@ -5,9 +5,9 @@
 `RADISHWIND_PEER_LISTEN`; a flag goes before the variable.
 """
 
-import dataclasses
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 from typing import Any
 from typing import TypeVar
 
--- a/src/radishwind/settings/parsers.py
+++ b/src/radishwind/settings/parsers.py
@@ -1,7 +1,7 @@
 """Parsers of settings; each says what it expected in its `ValueError`."""
 
-import re
 from collections.abc import Callable
+import re
 
 from radishwind.http.types import Address
 
--- a/src/radishwind/settings/reference.py
+++ b/src/radishwind/settings/reference.py
@@ -1,8 +1,8 @@
 """What the settings are, as a table for the docs and for `settings show`."""
 
-import dataclasses
 from collections.abc import Iterator
 from collections.abc import Mapping
+import dataclasses
 from typing import Any
 
 from radishwind.settings.loader import flag
--- a/src/radishwind/standins/backend.py
+++ b/src/radishwind/standins/backend.py
@@ -5,12 +5,12 @@
 fast, crashes, and tells lies about its health and load when asked to.
 """
 
+from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import os
 import random
-from collections.abc import AsyncIterator
-from collections.abc import Callable
 
 import anyio
 import msgspec
--- a/src/radishwind/standins/load.py
+++ b/src/radishwind/standins/load.py
@@ -4,10 +4,10 @@
 Each request starts at its own time, whatever became of those before.
 """
 
-import dataclasses
-import random
 from collections.abc import Iterable
 from collections.abc import Sequence
+import dataclasses
+import random
 
 import anyio
 
--- a/src/radishwind/standins/store_state.py
+++ b/src/radishwind/standins/store_state.py
@@ -2,8 +2,8 @@
 
 import base64
 import collections
-import dataclasses
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 
 import anyio
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -1,9 +1,9 @@
 """The interface of the store: compare-and-swap, leases and watches."""
 
 import abc
-import dataclasses
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
+import dataclasses
 from typing import TypeAlias
 
 from radishwind.core.codes import ResultCode
--- a/src/radishwind/store/budget.py
+++ b/src/radishwind/store/budget.py
@@ -5,10 +5,10 @@
 keep their sum in reach of the store.
 """
 
-import dataclasses
-import random
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
+import dataclasses
+import random
 
 from radishwind.core.clock import Clock
 from radishwind.store.base import Compare
--- a/src/radishwind/store/tests/test_etcd.py
+++ b/src/radishwind/store/tests/test_etcd.py
@@ -4,10 +4,10 @@
 import random
 
 import anyio
-import msgspec
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
+import pytest
 from tests.support.direct import DirectSender
 from tests.support.direct import Fault
 
--- a/src/radishwind/target/server.py
+++ b/src/radishwind/target/server.py
@@ -1,8 +1,8 @@
 """What the node knows of the server beside it: address, state, warmth."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
--- a/tests/proofs/failures.py
+++ b/tests/proofs/failures.py
@@ -4,9 +4,9 @@
 happens while the sending is under way.
 """
 
-import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 
 import anyio
 
--- a/tests/proofs/golden.py
+++ b/tests/proofs/golden.py
@@ -4,9 +4,9 @@
 vary. `scripts/test tests/proofs --refresh-golden` writes the files anew.
 """
 
+from collections.abc import Sequence
 import difflib
 import pathlib
-from collections.abc import Sequence
 
 GOLDEN = pathlib.Path(__file__).parents[1] / "golden"
 
--- a/tests/proofs/plays.py
+++ b/tests/proofs/plays.py
@@ -1,10 +1,10 @@
 """Sessions played on a stage, and the weak variants that must fail them."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import functools
-from collections.abc import Callable
-from collections.abc import Iterator
 from unittest import mock
 
 import anyio
--- a/tests/proofs/stage.py
+++ b/tests/proofs/stage.py
@@ -1,10 +1,10 @@
 """Sessions of callers under named failures, recorded line by line."""
 
 import collections
-import contextlib
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 
 import anyio
 import anyio.abc
--- a/tests/support/configs.py
+++ b/tests/support/configs.py
@@ -1,8 +1,8 @@
 """Configurations for tests, and operators who accept them in this process."""
 
 import base64
-import random
 from collections.abc import Callable
+import random
 
 import anyio
 import anyio.abc
--- a/tests/support/gossip_net.py
+++ b/tests/support/gossip_net.py
@@ -4,11 +4,11 @@
 faults named here; there are no sockets and no real time.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import heapq
 import itertools
 import random
-from collections.abc import Callable
-from collections.abc import Iterable
 
 from radishwind.http import Address
 from radishwind.membership import Gossip
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -5,8 +5,8 @@
 """
 
 import collections
-import random
 from collections.abc import Callable
+import random
 
 import anyio
 import anyio.lowlevel
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,6 +3,7 @@
 Every wait is bounded and on a condition; nothing sleeps for a guessed time.
 """
 
+from collections.abc import Callable
 import contextlib
 import json
 import os
@@ -15,10 +16,9 @@
 import tempfile
 import threading
 import time
+from typing import Any
 import urllib.error
 import urllib.request
-from collections.abc import Callable
-from typing import Any
 
 SRC = str(pathlib.Path(__file__).resolve().parents[2] / "src")
 
--- a/tests/support/targets.py
+++ b/tests/support/targets.py
@@ -1,7 +1,7 @@
 """A target side without sockets, for tests of it and of what is around it."""
 
-import dataclasses
 from collections.abc import Callable
+import dataclasses
 
 from radishwind.admission import Admission
 from radishwind.admission import AdmissionLimits
