Fade a target's load from its last report, not its last answer

A target that refused everything as full while its reports said so kept its load only as long as an answer of it was fresh: its refusals bring reports and no answer, so the load faded to nothing within seconds and it looked idle. The new test, failing first: 507 of 1,000 decisions went to the full target of four; after the mend fewer than its quarter.

The fade now counts from the last report. Where answers carry the reports the two times are the same and nothing changes.

--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -167,6 +167,8 @@
         if exact is not None:
             share = (exact.in_flight + exact.queued + 1) / capacity(exact)
         else:
+            # A full target may send reports and no answer.
+            fade = math.exp((self.reported - now) / RECOVERY_S)
             others = self.others_mean * fade
             age_s = now - self.reported
             if age_s < _REPORT_END_S:
--- a/src/radishwind/routing/tests/test_balanced.py
+++ b/src/radishwind/routing/tests/test_balanced.py
@@ -110,6 +110,26 @@
     assert set(picks(chooser, members, now + 0.01)) <= {"t2", "t3"}
 
 
+def test_a_target_that_stays_full_gets_no_more_than_others():
+    members = members_of("a", "a", "a", "a")
+    chooser = chooser_for(members)
+    now = warmed(chooser, members)
+    full = NotRun(ResultCode.OVERLOADED, "full", 1.0)
+    chosen = []
+
+    for _ in range(2_000):
+        name = chooser.choose(members, now).name
+        chosen.append(name)
+        if name == "t0":
+            load = LoadReport(9, 9, 20, 10.0)
+            attempt(chooser, name, now, 0.001, full, load)
+        else:
+            attempt(chooser, name, now)
+        now += 0.02
+
+    assert chosen[1_000:].count("t0") < 1_000 / len(members)
+
+
 def test_stale_report_loses_weight():
     members = members_of("a", "a")
     chooser = chooser_for(members)
