--- a/src/radishwind/outcomes/model.py
+++ b/src/radishwind/outcomes/model.py
@@ -42,7 +42,8 @@
     """The request may have run; nothing tells whether it did.
 
     Attributes:
-      code: why, from the 4000 family.
+      code: why, from the 4000 family; 2005 where the body of a repeated
+        request did not end.
       detail: a sentence for the caller.
       retry_after_s: when asking again may tell more (s), if it can.
     """
