Give the hedge timer and the token buckets a module each

race.py held both the choice between two attempts and the node's timer of hedges; retries/budget.py held both the retry policy and the buckets that hedging uses too. Moved as they were; only imports changed.

--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -5,7 +5,7 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
-from radishwind.entry.race import HedgeTimer
+from radishwind.entry.hedge_timer import HedgeTimer
 from radishwind.entry.race import Race
 from radishwind.entry.runner import AttemptRunner
 from radishwind.hedging.policy import HedgePolicy
--- a/src/radishwind/hedging/quantile.py
+++ b/src/radishwind/hedging/quantile.py
@@ -10,7 +10,7 @@
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
-from radishwind.retries.budget import BucketTable
+from radishwind.retries.buckets import BucketTable
 from radishwind.routing.chooser import LoadReport
 
 if TYPE_CHECKING:
--- a/src/radishwind/retries/tests/test_budget.py
+++ b/src/radishwind/retries/tests/test_budget.py
@@ -11,7 +11,7 @@
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
 from radishwind.retries import RetryBudget
-from radishwind.retries.budget import FIRST_SAVED
+from radishwind.retries.buckets import FIRST_SAVED
 from radishwind.retries.budget import MAX_ATTEMPTS
 from radishwind.retries.budget import MAX_SAVED
 
