Read the wall clock in ms in one place

The deadline test of the target's pipeline compares whole milliseconds, which decides the same since expires_ms is whole. The name of the caller field stood twice as well; claims take the entry side's.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -213,7 +213,7 @@
             _RULES,
             False,
             now.monotonic() + 60,
-            int(now.now().timestamp() * 1000) + 60_000,
+            now.wall_ms() + 60_000,
             "kiosk",
             f"{self._rng.getrandbits(128):032x}",
         )
--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -153,7 +153,7 @@
             )
         known = self._memory.get(sending, self._clock.monotonic())
         if known is not None:
-            wall_ms = int(self._clock.now().timestamp() * 1000)
+            wall_ms = self._clock.wall_ms()
             return repeat_outcome(known, sending, wall_ms)
         turn = self._running[slot] = anyio.Event()
         try:
--- a/src/radishwind/claims/record.py
+++ b/src/radishwind/claims/record.py
@@ -8,6 +8,7 @@
 
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.call import CALLER_FIELD
 from radishwind.http.types import header
 from radishwind.http.types import Headers
 from radishwind.http.types import Response
@@ -21,8 +22,6 @@
 #: Tells a caller that the answer is the recorded one of an earlier sending.
 REPLAY_FIELD = "Radishwind-Replayed"
 
-CALLER_FIELD = "radishwind-caller"
-
 #: The longest a repeat of a running call is asked to wait (s).
 _RUNNING_RETRY_S = 1.0
 
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -266,7 +266,7 @@
             )
         if self._settler.undispatched(record.nonce):
             return None
-        wall_ms = int(self._clock.now().timestamp() * 1000)
+        wall_ms = self._clock.wall_ms()
         return repeat_outcome(record, sending, wall_ms)
 
     async def _read(self, store_key: str) -> StoreEntry | None:
--- a/src/radishwind/core/clock.py
+++ b/src/radishwind/core/clock.py
@@ -20,6 +20,10 @@
     def now(self) -> datetime.datetime:
         """Returns the wall-clock time, aware, in UTC."""
 
+    def wall_ms(self) -> int:
+        """Returns the wall-clock time (ms since the epoch, UTC)."""
+        return int(self.now().timestamp() * 1000)
+
 
 class SystemClock(Clock):
     """The clock of the machine."""
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -94,7 +94,7 @@
                 self._index(),
                 f"{self._id_prefix}-{next(self._calls)}",
                 began,
-                int(self._clock.now().timestamp() * 1000),
+                self._clock.wall_ms(),
             )
         except CallRejectedError as exc:
             return problem(exc.code, exc.args[0], "not-run")
--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -162,6 +162,6 @@
         return True if result.succeeded else None
 
     def _revised(self, record: ContactRecord) -> ContactRecord | None:
-        now_ms = int(self._clock.now().timestamp() * 1000)
+        now_ms = self._clock.wall_ms()
         dead = frozenset(self._unreachable)
         return revised(record, self._own, dead, now_ms)
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -326,7 +326,7 @@
 def _own_fact(settings: NodeSettings, clock: Clock) -> MemberFact:
     # The wall clock keeps incarnations rising over restarts without a disk;
     # where it went back, peers tell us and we raise ours above.
-    incarnation = int(clock.now().timestamp() * 1000)
+    incarnation = clock.wall_ms()
     own: Address = advertised(settings)
     return MemberFact(
         settings.target,
--- a/src/radishwind/peers/security.py
+++ b/src/radishwind/peers/security.py
@@ -66,7 +66,7 @@
 
     def sign(self, to: Address, method: str, path: str, covered: bytes) -> str:
         """Returns the value of `AUTH_FIELD` for a request to `to`."""
-        stamp = str(_now_ms(self._clock))
+        stamp = str(self._clock.wall_ms())
         nonce = f"{self._nonce_prefix}{next(self._counts):x}"
         mac = _mac(self._key, to, method, path, stamp, nonce, covered)
         return f"{_VERSION} {stamp} {nonce} {mac}"
@@ -83,7 +83,7 @@
         self._own = own
         # What was sent to an earlier process of this address could have run
         # there, and this one remembers none of its nonces.
-        self._fence_ms = _now_ms(clock)
+        self._fence_ms = clock.wall_ms()
         self._nonces = NonceMemory(MAX_NONCES)
 
     def verify(
@@ -108,7 +108,7 @@
             raise PeerReplayedError("expected a new request, got a known one")
 
     def _check_time(self, stamp_ms: int) -> None:
-        now_ms = _now_ms(self._clock)
+        now_ms = self._clock.wall_ms()
         oldest_ms = max(
             now_ms - int(WINDOW_PAST_S * 1000),
             self._fence_ms,
@@ -191,7 +191,3 @@
     )
     digest.update(covered)
     return digest.hexdigest()
-
-
-def _now_ms(clock: Clock) -> int:
-    return int(clock.now().timestamp() * 1000)
--- a/src/radishwind/quarantine/gate.py
+++ b/src/radishwind/quarantine/gate.py
@@ -88,7 +88,7 @@
             "The server crashed; what it ran is suspected.",
             suspects=" ".join(s.fingerprint for s in suspects),
         )
-        now_ms = self._now_ms()
+        now_ms = self._clock.wall_ms()
         for suspect in suspects:
             self._tell(
                 Fact(suspect.fingerprint, self._target, now_ms, suspect.alone)
@@ -115,7 +115,7 @@
         self._board.publish(
             TOPIC,
             f"{self._service}/{fact.fingerprint}/{self._target}/{kind}",
-            self._now_ms(),
+            self._clock.wall_ms(),
             msgspec.json.encode(fact),
             QUARANTINE_S,
         )
@@ -130,6 +130,3 @@
     def _take(self, service: str, fact: Fact) -> None:
         book = self._books.setdefault(service, SuspectBook())
         book.take(fact, self._clock.monotonic())
-
-    def _now_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -172,7 +172,7 @@
     def _too_late(self, call: Call) -> bool:
         if self._clock.monotonic() >= call.deadline:
             return True
-        return self._clock.now().timestamp() * 1000 >= call.expires_ms
+        return self._clock.wall_ms() >= call.expires_ms
 
     def _ended(
         self, ticket: Ticket, outcome: Outcome | None, began: float
