Name what identifies a keyed request; move a baseline to its bench

The pair of service and key stood in four places under the name "slot", which the glossary has for something else: Sending.identity is it now. SingleWriter was used by the claims bench alone and stands there. The making of a record is out of ClaimRegistry._write, with its fields named, and the revision 0 has a name.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -26,8 +26,8 @@
 from bench.report import keep
 from radishwind.claims import settler
 from radishwind.claims.record import CLAIM_PREFIX
+from radishwind.claims.writer import ClaimWriter
 from radishwind.claims.writer import GroupWriter
-from radishwind.claims.writer import SingleWriter
 from radishwind.config.model import ServiceRules
 from radishwind.core import SystemClock
 from radishwind.entry import Call
@@ -42,6 +42,7 @@
 from radishwind.settings import NodeSettings
 from radishwind.store import Compare
 from radishwind.store import EtcdStore
+from radishwind.store import Put
 from radishwind.store import Store
 from radishwind.store import TxnResult
 
@@ -104,6 +105,19 @@
         await anyio.sleep(self._next - now)
 
 
+class SingleWriter(ClaimWriter):
+    """One transaction for each claim; the baseline."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def write(self, compare: Compare, put: Put) -> TxnResult:
+        return await self._store.transact((compare,), (put,))
+
+    async def run(self) -> None:
+        """Has nothing to do."""
+
+
 WAYS = ("no claims", "results singly", "results grouped", "both grouped")
 
 
--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -144,8 +144,8 @@
     async def _one_at_a_time(self, job: _Job) -> Outcome:
         """Lets one sending of a key at a time pass in this node."""
         sending = Sending.of(job.call)
-        slot = (sending.service, sending.key)
-        if not await self._wait_for_turn(slot, job.call):
+        identity = sending.identity
+        if not await self._wait_for_turn(identity, job.call):
             return Unknown(
                 ResultCode.CLAIM_RUNNING,
                 "An earlier sending with this key still runs.",
@@ -155,18 +155,21 @@
         if known is not None:
             wall_ms = self._clock.wall_ms()
             return repeat_outcome(known, sending, wall_ms)
-        turn = self._running[slot] = anyio.Event()
+        turn = self._running[identity] = anyio.Event()
         try:
             return await self._claimed(job, sending)
         finally:
-            del self._running[slot]
+            del self._running[identity]
             turn.set()
 
-    async def _wait_for_turn(self, slot: tuple[str, str], call: Call) -> bool:
+    async def _wait_for_turn(
+        self, identity: tuple[str, str], call: Call
+    ) -> bool:
+        """Returns whether no sending of the key runs here any more."""
         left_s = call.deadline - self._clock.monotonic()
         with anyio.move_on_after(max(0.0, min(left_s, self._repeat_wait_s))):
-            while slot in self._running:
-                await self._running[slot].wait()
+            while identity in self._running:
+                await self._running[identity].wait()
             return True
         return False
 
--- a/src/radishwind/claims/memory.py
+++ b/src/radishwind/claims/memory.py
@@ -12,6 +12,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Kept:
+    """A record, kept until a monotonic time (s), and what it takes."""
+
     record: ClaimRecord
     until: float
     size_bytes: int
@@ -33,33 +35,33 @@
 
     def get(self, sending: Sending, now: float) -> ClaimRecord | None:
         """Returns the claim of the sending's key, if known at `now` (s)."""
-        slot = (sending.service, sending.key)
-        kept = self._kept.get(slot)
+        identity = sending.identity
+        kept = self._kept.get(identity)
         if kept is None:
             return None
         if kept.until <= now:
-            self._drop(slot)
+            self._drop(identity)
             return None
-        self._kept.move_to_end(slot)
+        self._kept.move_to_end(identity)
         return kept.record
 
     def put(self, sending: Sending, record: ClaimRecord, until: float) -> None:
         """Keeps `record` until the monotonic time `until` (s)."""
-        slot = (sending.service, sending.key)
-        self._drop(slot)
+        identity = sending.identity
+        self._drop(identity)
         size = _RECORD_BYTES + len(record.key)
         if record.answer is not None:
             size += record.answer.size_bytes()
-        self._kept[slot] = _Kept(record, until, size)
+        self._kept[identity] = _Kept(record, until, size)
         self.held_bytes += size
         while self.held_bytes > self._limit_bytes:
             self._drop(next(iter(self._kept)))
 
     def forget(self, sending: Sending) -> None:
         """Forgets the claim of the sending's key; it was released."""
-        self._drop((sending.service, sending.key))
+        self._drop(sending.identity)
 
-    def _drop(self, slot: tuple[str, str]) -> None:
-        kept = self._kept.pop(slot, None)
+    def _drop(self, identity: tuple[str, str]) -> None:
+        kept = self._kept.pop(identity, None)
         if kept is not None:
             self.held_bytes -= kept.size_bytes
--- a/src/radishwind/claims/record.py
+++ b/src/radishwind/claims/record.py
@@ -100,6 +100,11 @@
         name = header(call.request.headers, CALLER_FIELD) or ""
         return cls(call.service, call.key, fingerprint(call), name)
 
+    @property
+    def identity(self) -> tuple[str, str]:
+        """What all sendings of one keyed request share: service and key."""
+        return self.service, self.key
+
     def store_key(self) -> str:
         """Returns the key of the store that its claim is written at."""
         digest = xxhash.xxh3_128_hexdigest(self.key.encode())
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -32,12 +32,15 @@
 from radishwind.store.base import StoreError
 from radishwind.store.base import StoreUnavailableError
 
-#: How often a claim that is released under our eyes is tried again.
+#: How often to try to claim a key whose claim is released meanwhile.
 _TRIES = 3
 
 #: A claim lives at least so many times the longest deadline of its service.
 _TTL_DEADLINES = 10
 
+#: The revision of a key that the store does not have.
+_ABSENT = 0
+
 _T = TypeVar("_T")
 
 
@@ -161,7 +164,7 @@
         for _ in range(_TRIES):
             if not self._budget.take(self._clock.monotonic()):
                 return await self._over_budget(sending, store_key)
-            claim = await self._write(call, sending, store_key, 0)
+            claim = await self._write(call, sending, store_key, _ABSENT)
             if claim is not None:
                 return claim
             entry = await self._read(store_key)
@@ -183,14 +186,7 @@
         """Writes a claim if the key's last revision is `revision`."""
         ttl_s = claim_ttl_s(call)
         lease_id = await self._lease_id(ttl_s)
-        record = ClaimRecord(
-            sending.key,
-            f"{self._node_name}-{self._rng.getrandbits(96):024x}",
-            self._node_name,
-            sending.fingerprint,
-            call.expires_ms,
-            sending.caller,
-        )
+        record = self._new_record(call, sending)
         put = Put(store_key, msgspec.json.encode(record), lease_id)
         compare = Compare(store_key, mod_revision=revision)
         try:
@@ -214,6 +210,16 @@
             return None
         return HeldClaim(record, store_key, mod_revision, lease_id, ttl_s)
 
+    def _new_record(self, call: Call, sending: Sending) -> ClaimRecord:
+        return ClaimRecord(
+            key=sending.key,
+            nonce=f"{self._node_name}-{self._rng.getrandbits(96):024x}",
+            node=self._node_name,
+            fingerprint=sending.fingerprint,
+            expires_ms=call.expires_ms,
+            caller=sending.caller,
+        )
+
     async def _settle(self, record: ClaimRecord, store_key: str) -> int | None:
         """Returns the revision of our claim if it was written, else `None`.
 
--- a/src/radishwind/claims/writer.py
+++ b/src/radishwind/claims/writer.py
@@ -1,4 +1,4 @@
-"""Writes claims to the store, singly or several in one transaction."""
+"""Writes claims to the store, several in one transaction where they wait."""
 
 import abc
 import dataclasses
@@ -35,19 +35,6 @@
         """Does what is to be done between calls, for ever."""
 
 
-class SingleWriter(ClaimWriter):
-    """One transaction for each claim; the baseline."""
-
-    def __init__(self, store: Store) -> None:
-        self._store = store
-
-    async def write(self, compare: Compare, put: Put) -> TxnResult:
-        return await self._store.transact((compare,), (put,))
-
-    async def run(self) -> None:
-        """Has nothing to do."""
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiting:
     """A claim that waits for the transaction under way to end."""
@@ -59,6 +46,7 @@
     error: StoreError | None = None
 
     def end(self, result: TxnResult | StoreError) -> None:
+        """Tells whoever waits what became of the claim."""
         if isinstance(result, TxnResult):
             self.result = result
         else:
