Benches: drop what no table shows, name what a load sends

LoadResult kept a second histogram, the codes and a summary that no bench read, and an attempt of the simulation whether it was the first. "Shot" and "fire" were words of our own: RequestKind and _send. The fields of the simulation's state are described, with units.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -32,6 +32,8 @@
 
 SIZES = (10, 100, 1_000, 8_900)
 ROUNDS = 15
+
+#: Decisions in one round.
 DECISIONS = 200
 _DONE = Done(Response(200))
 _LOAD = LoadReport(9, 4, 0, 5.0)
@@ -91,7 +93,7 @@
         node_name="target-3",
         failure_domain=DOMAINS[0],
         index=lambda: index,
-        own_load=lambda: LoadReport(9, 4, 0, 5.0),
+        own_load=lambda: _LOAD,
     )
 
 
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -31,8 +31,8 @@
 
 from bench.hops import inventory_file
 from bench.load import LoadPlan
+from bench.load import RequestKind
 from bench.load import run_load
-from bench.load import Shot
 from bench.report import keep
 
 _STEP_S = 0.002
@@ -92,7 +92,7 @@
     time.sleep(options.idle)
     idle = process.resident_bytes()
     plan = LoadPlan(
-        (Shot(url, "POST", body=b"x" * 100),),
+        (RequestKind(url, "POST", body=b"x" * 100),),
         options.rate,
         options.requests / options.rate,
         options.seed,
--- a/bench/hops.py
+++ b/bench/hops.py
@@ -24,8 +24,8 @@
 
 from bench.load import LoadPlan
 from bench.load import LoadResult
+from bench.load import RequestKind
 from bench.load import run_load
-from bench.load import Shot
 from bench.report import keep
 
 _LIBRARIES = ("hypercorn-httpx", "aiohttp")
@@ -99,9 +99,9 @@
     urls = _urls(fleet)
     samples = {}
     for name in _PATHS:
-        shot = Shot(urls[name], "POST", body=b"x" * _BODY_BYTES)
+        kind = RequestKind(urls[name], "POST", body=b"x" * _BODY_BYTES)
         before_s = _node_cpu_s(fleet)
-        plan = LoadPlan((shot,), rate, seconds, seed)
+        plan = LoadPlan((kind,), rate, seconds, seed)
         result = asyncio.run(run_load(plan))
         cpu_s = _node_cpu_s(fleet) - before_s
         samples[name] = Sample(result, cpu_s / (rate * seconds))
--- a/bench/load.py
+++ b/bench/load.py
@@ -10,7 +10,6 @@
 import dataclasses
 import random
 import time
-from typing import Any
 
 import aiohttp
 from hdrh.histogram import HdrHistogram
@@ -27,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Shot:
+class RequestKind:
     """One kind of request of a load.
 
     Attributes:
@@ -50,14 +49,14 @@
     """What is sent and when.
 
     Attributes:
-      shots: the kinds of request.
+      kinds: the kinds of request.
       rate_per_s: mean arrivals (1/s).
       duration_s: how long requests are started (s).
       seed: fixes arrivals and draws.
       warmup_s: the first part that is not counted (s).
     """
 
-    shots: tuple[Shot, ...]
+    kinds: tuple[RequestKind, ...]
     rate_per_s: float
     duration_s: float
     seed: int
@@ -65,19 +64,22 @@
 
 
 class LoadResult:
-    """Latencies and answers of one load."""
+    """Latencies and answers of one load.
+
+    Attributes:
+      good: answer times of good answers, status below 400 (us).
+      statuses: requests by HTTP status, or by error where there was no answer.
+      counted_s: how long requests were counted (s).
+    """
 
     def __init__(self) -> None:
-        self.histogram = HdrHistogram(_LOW_US, _HIGH_US, _DIGITS)
         self.good = HdrHistogram(_LOW_US, _HIGH_US, _DIGITS)
         self.statuses: collections.Counter[str] = collections.Counter()
-        self.codes: collections.Counter[str] = collections.Counter()
         self.counted_s = 0.0
 
-    def percentile_ms(self, percent: float, only_good: bool = True) -> float:
-        """Returns a percentile of the answer times (ms)."""
-        histogram = self.good if only_good else self.histogram
-        value: float = histogram.get_value_at_percentile(percent)
+    def percentile_ms(self, percent: float) -> float:
+        """Returns a percentile of the good answers' times (ms)."""
+        value: float = self.good.get_value_at_percentile(percent)
         return value / 1000
 
     def count(self) -> int:
@@ -85,24 +87,10 @@
         return sum(self.statuses.values())
 
     def good_per_s(self) -> float:
-        """Returns good answers (status below 400) per second."""
+        """Returns good answers per second."""
         total: int = self.good.get_total_count()
         return total / self.counted_s if self.counted_s else 0.0
 
-    def summary(self) -> dict[str, Any]:
-        """Returns the figures as plain values; times in ms, rates in 1/s."""
-        return {
-            "requests": self.count(),
-            "p50_ms": self.percentile_ms(50),
-            "p90_ms": self.percentile_ms(90),
-            "p99_ms": self.percentile_ms(99),
-            "p999_ms": self.percentile_ms(99.9),
-            "max_ms": self.good.get_max_value() / 1000,
-            "good_per_s": round(self.good_per_s(), 1),
-            "statuses": dict(sorted(self.statuses.items())),
-            "codes": dict(sorted(self.codes.items())),
-        }
-
 
 async def run_load(plan: LoadPlan) -> LoadResult:
     """Runs `plan` to its end and returns what was measured."""
@@ -124,7 +112,7 @@
     session: aiohttp.ClientSession,
     result: LoadResult,
 ) -> None:
-    weights = [shot.weight for shot in plan.shots]
+    weights = [kind.weight for kind in plan.kinds]
     tasks: set[asyncio.Task[None]] = set()
     began = time.perf_counter()
     due = began
@@ -132,10 +120,10 @@
     while due - began < plan.duration_s:
         due += rng.expovariate(plan.rate_per_s)
         number += 1
-        shot = rng.choices(plan.shots, weights)[0]
+        kind = rng.choices(plan.kinds, weights)[0]
         await _sleep_until(due)
         counted = result if due - began >= plan.warmup_s else None
-        task = asyncio.create_task(_fire(session, shot, number, due, counted))
+        task = asyncio.create_task(_send(session, kind, number, due, counted))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
     if tasks:
@@ -151,39 +139,33 @@
         await asyncio.sleep(0)
 
 
-async def _fire(
+async def _send(
     session: aiohttp.ClientSession,
-    shot: Shot,
+    kind: RequestKind,
     number: int,
     due: float,
     result: LoadResult | None,
 ) -> None:
-    headers = {k: v.replace("{n}", str(number)) for k, v in shot.headers}
+    headers = {k: v.replace("{n}", str(number)) for k, v in kind.headers}
     try:
         async with session.request(
-            shot.method, shot.url, headers=headers, data=shot.body or None
+            kind.method, kind.url, headers=headers, data=kind.body or None
         ) as response:
             await response.read()
             status = str(response.status)
-            code = response.headers.get("Radishwind-Code", "")
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-        status, code = type(exc).__name__, ""
+        status = type(exc).__name__
     if result is not None:
-        _record(result, status, code, time.perf_counter() - due)
+        _record(result, status, time.perf_counter() - due)
 
 
-def _record(
-    result: LoadResult, status: str, code: str, elapsed_s: float
-) -> None:
+def _record(result: LoadResult, status: str, elapsed_s: float) -> None:
     elapsed_us = max(_LOW_US, min(_HIGH_US, int(elapsed_s * 1e6)))
     result.statuses[status] += 1
-    result.histogram.record_value(elapsed_us)
-    if code:
-        result.codes[code] += 1
     if status.isdigit() and int(status) < 400:
         result.good.record_value(elapsed_us)
 
 
-def shots_over(urls: Sequence[str], path: str) -> tuple[Shot, ...]:
-    """Returns one shot an entry, all of `path`."""
-    return tuple(Shot(url + path) for url in urls)
+def kinds_over(urls: Sequence[str], path: str) -> tuple[RequestKind, ...]:
+    """Returns one kind of request for each node, all of `path`."""
+    return tuple(RequestKind(url + path) for url in urls)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -34,6 +34,7 @@
 from radishwind.routing import make_chooser
 from radishwind.routing import RoutingPolicy
 
+#: When the faults begin and measuring does (s).
 FAULT_S = 2.0
 _CAPACITY_PER_S = TARGETS * SLOTS / SERVICE_S
 
--- a/bench/probing.py
+++ b/bench/probing.py
@@ -21,8 +21,8 @@
 import uvloop
 
 from bench.load import LoadPlan
+from bench.load import RequestKind
 from bench.load import run_load
-from bench.load import Shot
 from bench.report import keep
 
 TARGET = "bollettino-1"
@@ -76,8 +76,8 @@
     seconds = options.seconds
     if load:
         rate = load * SLOTS / (service_ms / 1000)
-        shot = Shot(fleet.caller_url(TARGET) + "/bollettino/x")
-        plan = LoadPlan((shot,), rate, seconds, options.seed, 0.0)
+        kind = RequestKind(fleet.caller_url(TARGET) + "/bollettino/x")
+        plan = LoadPlan((kind,), rate, seconds, options.seed, 0.0)
         result = asyncio.run(run_load(plan))
         good = result.good.get_total_count()
         answers = f"{100 * good / result.count():.1f}"
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -31,6 +31,8 @@
 from radishwind.routing import LoadReport
 from radishwind.routing import TargetChooser
 
+#: The sizes and times of Onda's bollettino; a forward is the extra hop between
+#: two processes, one way.
 DOMAINS = ("genova-a", "genova-b", "savona")
 ONE_WAY_S = 0.0015
 FORWARD_S = 0.00025
@@ -70,20 +72,38 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt of a call at one target."""
+    """One attempt of a call at one target.
+
+    Attributes:
+      call: the call it is of.
+      member: the target.
+      began: when it was sent (s).
+      way_s: network time from the entry node to the target (s).
+      ended: whether its call has its outcome, or no longer wants it.
+      running: whether it holds a slot of the target.
+    """
 
     call: "OpenCall"
     member: Member
     began: float
     way_s: float
-    first: bool
     ended: bool = False
     running: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class OpenCall:
-    """A call and its attempts so far."""
+    """A call and its attempts so far.
+
+    Attributes:
+      call: as the policies see it.
+      entry: where it arrived.
+      arrived: when (s).
+      tried: names of the targets tried.
+      attempts: how many were sent.
+      open: those without an outcome yet.
+      answered: whether its caller has the answer.
+    """
 
     call: Call
     entry: "Entry"
@@ -116,6 +136,10 @@
       refusing: refuses everything.
       lying: reports that it is idle.
       hold_s: how long it repeats one report (s).
+      held: the report it repeats.
+      held_since: when that was made (s).
+      running: attempts that hold a slot.
+      waiting: attempts in the queue, in order; some may have ended.
     """
 
     slow: Callable[[float], float] = lambda now: 1.0
@@ -213,7 +237,7 @@
         opened = OpenCall(call, entry, self._now)
         entry.retries.first(call, self._now)
         delay_s = entry.hedges.delay_s(call, self._now)
-        self._attempt(opened, first=True)
+        self._attempt(opened)
         if delay_s is not None and not opened.answered:
             self._at(delay_s, lambda: self._hedge(opened, delay_s))
 
@@ -221,11 +245,11 @@
         if opened.answered or opened.attempts != 1:
             return
         if opened.entry.hedges.spend(opened.call, self._now):
-            self._attempt(opened, first=False)
+            self._attempt(opened)
         else:
             self._at(delay_s, lambda: self._hedge(opened, delay_s))
 
-    def _attempt(self, opened: OpenCall, first: bool) -> None:
+    def _attempt(self, opened: OpenCall) -> None:
         entry = opened.entry
         member = entry.chooser.choose(self._members, self._now, opened.tried)
         if member is None:
@@ -235,9 +259,7 @@
         opened.tried |= {member.name}
         opened.attempts += 1
         entry.chooser.started(member.name, self._now)
-        attempt = Attempt(
-            opened, member, self._now, _way_s(entry, member), first
-        )
+        attempt = Attempt(opened, member, self._now, _way_s(entry, member))
         opened.open.append(attempt)
         self._at(attempt.way_s, lambda: self._offer(attempt))
 
@@ -293,7 +315,7 @@
         elif not opened.open:
             retries = opened.entry.retries
             if retries.again(opened.call, outcome, opened.attempts, self._now):
-                self._attempt(opened, first=False)
+                self._attempt(opened)
             else:
                 self._close(opened, outcome)
 
--- a/bench/service.py
+++ b/bench/service.py
@@ -24,10 +24,10 @@
 from tests.support.processes import wait_until
 import uvloop
 
+from bench.load import kinds_over
 from bench.load import LoadPlan
 from bench.load import LoadResult
 from bench.load import run_load
-from bench.load import shots_over
 from bench.report import keep
 
 _EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
@@ -231,8 +231,8 @@
         )
         capacity = slots / (_SERVICE_MS / 1000)
         urls = [self.fleet.caller_url(n) for n in self.names]
-        shots = shots_over(urls, f"/{self._site.service}/x")
-        plan = LoadPlan(shots, capacity * scenario.load, seconds, seed, 2.0)
+        kinds = kinds_over(urls, f"/{self._site.service}/x")
+        plan = LoadPlan(kinds, capacity * scenario.load, seconds, seed, 2.0)
         before, probed = self.attempts(), self.counters()
         result = asyncio.run(run_load(plan))
         after, then = self.attempts(), self.counters()
