--- a/bench/claims.py
+++ b/bench/claims.py
@@ -11,6 +11,7 @@
 import argparse
 import collections
 from collections.abc import Sequence
+import dataclasses
 import os
 import random
 import statistics
@@ -37,6 +38,7 @@
 from radishwind.http import Response
 from radishwind.http.factory import HttpLibrary
 from radishwind.node.claims import make_claims
+from radishwind.node.claims import NodeClaims
 from radishwind.outcomes import Done
 from radishwind.outcomes import Outcome
 from radishwind.settings import NodeSettings
@@ -64,7 +66,6 @@
         self._gap_s = 1 / writes_per_s if writes_per_s else 0.0
         self._next = 0.0
         self.calls: collections.Counter[str] = collections.Counter()
-        self.bytes = 0
 
     async def get(self, key: str) -> Any:
         self.calls["read"] += 1
@@ -121,6 +122,21 @@
 WAYS = ("no claims", "results singly", "results grouped", "both grouped")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """What one load took.
+
+    Attributes:
+      answered_s: until each call was answered (s).
+      written_s: until each result was in the store too (s).
+      cpu_s: processor time of this process until then (s).
+    """
+
+    answered_s: float
+    written_s: float
+    cpu_s: float
+
+
 class Cell:
     """One way at one load: runs it and sums it up."""
 
@@ -135,32 +151,15 @@
         self, way: str, workers: int, repeats: float, writes_per_s: float
     ) -> dict[str, Any]:
         """Returns what `way` cost with `workers` callers at a time."""
-        self._latencies_s = []
+        # Each way's results go out singly or grouped by this constant.
         settler.GROUP_LENGTH = 1 if way == "results singly" else 32
         sender = make_sender(HttpLibrary.AIOHTTP, connections=64)
-        paced = PacedStore(
-            EtcdStore(sender, self._address, timeout_s=30.0), writes_per_s
-        )
+        store = EtcdStore(sender, self._address, timeout_s=30.0)
+        paced = PacedStore(store, writes_per_s)
         async with anyio.create_task_group() as tasks:
-            grouped = way == "both grouped"
-            claims = make_claims(
-                _settings(self._address),
-                SystemClock(),
-                random.Random(self._rng.getrandbits(64)),
-                paced,
-                lambda: 1,
-                GroupWriter(paced) if grouped else SingleWriter(paced),
-            )
+            claims = self._claims(paced, grouped=way == "both grouped")
             claims.start(tasks)
-            old = await self._prepare(claims.guard, way, repeats)
-            await claims.finished()
-            paced.calls.clear()
-            began, cpu = time.perf_counter(), time.process_time()
-            await self._load(claims.guard, way, workers, repeats, old)
-            answered_s = time.perf_counter() - began
-            await claims.finished()
-            elapsed = time.perf_counter() - began
-            cpu = time.process_time() - cpu
+            spent = await self._timed(claims, paced, way, workers, repeats)
             tasks.cancel_scope.cancel()
         await sender.close()
         count = len(self._latencies_s)
@@ -171,16 +170,46 @@
             "repeat_share": repeats,
             "store_writes_per_s": writes_per_s,
             "calls": count,
-            "answered_per_s": count / answered_s,
-            "written_per_s": count / elapsed,
+            "answered_per_s": count / spent.answered_s,
+            "written_per_s": count / spent.written_s,
             "p50_ms": cuts[49] * 1000,
             "p99_ms": cuts[98] * 1000,
-            "cpu_us_per_call": cpu / count * 1e6,
+            "cpu_us_per_call": spent.cpu_s / count * 1e6,
             "writes_per_call": paced.calls["write"] / count,
             "reads_per_call": paced.calls["read"] / count,
             "grants": paced.calls["grant"],
         }
 
+    def _claims(self, store: PacedStore, *, grouped: bool) -> NodeClaims:
+        return make_claims(
+            _settings(self._address),
+            SystemClock(),
+            random.Random(self._rng.getrandbits(64)),
+            store,
+            lambda: 1,
+            GroupWriter(store) if grouped else SingleWriter(store),
+        )
+
+    async def _timed(
+        self,
+        claims: NodeClaims,
+        store: PacedStore,
+        way: str,
+        workers: int,
+        repeats: float,
+    ) -> Spent:
+        """Runs the load and returns the time that it took."""
+        old = await self._prepare(claims.guard, way, repeats)
+        await claims.finished()
+        store.calls.clear()
+        self._latencies_s = []
+        began, cpu = time.perf_counter(), time.process_time()
+        await self._load(claims.guard, way, workers, repeats, old)
+        answered_s = time.perf_counter() - began
+        await claims.finished()
+        written_s = time.perf_counter() - began
+        return Spent(answered_s, written_s, time.process_time() - cpu)
+
     async def _prepare(
         self, guard: Any, way: str, repeats: float
     ) -> list[Call]:
--- a/bench/service.py
+++ b/bench/service.py
@@ -322,24 +322,37 @@
     }
 
 
+def _run_fleet(
+    site: Site,
+    policy: str,
+    scenarios: Sequence[Scenario],
+    seconds: float,
+    seed: int,
+) -> dict[str, Sample]:
+    """Returns a sample of each scenario that `policy` takes part in."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = SiteFleet(site, policy, pathlib.Path(folder))
+        try:
+            return {
+                scenario.name: fleet.run(scenario, seconds, seed)
+                for scenario in scenarios
+                if policy == _OURS or not scenario.only_ours
+            }
+        finally:
+            fleet.fleet.close()
+
+
 def _measure(site: Site, options: argparse.Namespace) -> list[dict[str, Any]]:
     scenarios = _scenarios(len(site.targets()))
     taken: dict[str, dict[str, list[Sample]]] = {
         s.name: {p: [] for p in _POLICIES} for s in scenarios
     }
     for number in range(options.rounds):
+        seed = options.seed + number
         for policy in _POLICIES:
-            with tempfile.TemporaryDirectory() as folder:
-                fleet = SiteFleet(site, policy, pathlib.Path(folder))
-                try:
-                    for scenario in scenarios:
-                        if scenario.only_ours and policy != _OURS:
-                            continue
-                        seed = options.seed + number
-                        sample = fleet.run(scenario, options.seconds, seed)
-                        taken[scenario.name][policy].append(sample)
-                finally:
-                    fleet.fleet.close()
+            samples = _run_fleet(site, policy, scenarios, options.seconds, seed)
+            for name, sample in samples.items():
+                taken[name][policy].append(sample)
     rows: list[dict[str, Any]] = []
     for scenario in scenarios:
         rows += _rows(scenario, taken[scenario.name])
