--- a/src/radishwind/claims/budget.py
+++ b/src/radishwind/claims/budget.py
@@ -5,8 +5,11 @@
 #: Unused budget is kept for at most this long (s).
 BURST_S = 10.0
 
+#: How long to wait for a token while the rate is zero (s).
+_NO_RATE_WAIT_S = 60.0
 
-class WriteBudget:
+
+class StoreCallBudget:
     """A token bucket; one token is one call of the store.
 
     Args:
@@ -37,7 +40,7 @@
         self._fill(now)
         rate = self._rate()
         missing = max(0.0, 1 - self._tokens)
-        return missing / rate if rate > 0 else 60.0
+        return missing / rate if rate > 0 else _NO_RATE_WAIT_S
 
     def _fill(self, now: float) -> None:
         rate = self._rate()
--- a/src/radishwind/claims/gate.py
+++ b/src/radishwind/claims/gate.py
@@ -4,9 +4,13 @@
 
 from radishwind.store.budget import Backoff
 
+#: How long the store is left alone after the first failure, and at most (s).
 _FIRST_S = 0.25
 _MOST_S = 5.0
 
+#: The least time callers are told to wait before they come back (s).
+_LEAST_RETRY_S = 0.5
+
 
 class StoreGate:
     """Closed after a failure, for a while that doubles up to a limit.
@@ -49,4 +53,4 @@
 
     def wait_s(self, now: float) -> float:
         """Returns when to come back (s)."""
-        return max(0.5, self._closed_until - now)
+        return max(_LEAST_RETRY_S, self._closed_until - now)
--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -27,6 +27,9 @@
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
 
+#: When to come back while the node starts or the first sending runs (s).
+_RETRY_S = 1.0
+
 #: A later sending may have run while this node was paused.
 _LAPSED = Unknown(
     ResultCode.CLAIM_UNKNOWN,
@@ -100,7 +103,9 @@
             return await execute(call)
         if self._tasks is None:
             return NotRun(
-                ResultCode.CLAIM_UNAVAILABLE, "The node is starting.", 1.0
+                ResultCode.CLAIM_UNAVAILABLE,
+                "The node is starting.",
+                _RETRY_S,
             )
         job = _Job(call, execute, anyio.Event())
         self._tasks.start_soon(self._work, job)
@@ -149,7 +154,7 @@
             return Unknown(
                 ResultCode.CLAIM_RUNNING,
                 "An earlier sending with this key still runs.",
-                1.0,
+                _RETRY_S,
             )
         known = self._memory.get(sending, self._clock.monotonic())
         if known is not None:
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from radishwind.claims.budget import WriteBudget
+from radishwind.claims.budget import StoreCallBudget
 from radishwind.claims.gate import StoreGate
 from radishwind.claims.record import ClaimRecord
 from radishwind.claims.record import repeat_outcome
@@ -41,6 +41,9 @@
 #: The revision of a key that the store does not have.
 _ABSENT = 0
 
+#: When to come back if the key was contended at each try (s).
+_CONTENDED_RETRY_S = 1.0
+
 _T = TypeVar("_T")
 
 
@@ -98,8 +101,8 @@
         rng: random.Random,
         node_name: str,
         gate: StoreGate,
-        budget: WriteBudget,
-        reads: WriteBudget,
+        budget: StoreCallBudget,
+        reads: StoreCallBudget,
         writer: ClaimWriter,
         settler: ClaimSettler,
         lease: SharedLease,
@@ -178,7 +181,7 @@
             )
             if claim is not None:
                 return claim
-        return _unchecked(1.0)
+        return _unchecked(_CONTENDED_RETRY_S)
 
     async def _write(
         self, call: Call, sending: Sending, store_key: str, revision: int
--- a/src/radishwind/claims/settler.py
+++ b/src/radishwind/claims/settler.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from radishwind.claims.budget import WriteBudget
+from radishwind.claims.budget import StoreCallBudget
 from radishwind.claims.gate import StoreGate
 from radishwind.core.clock import Clock
 from radishwind.store.base import Compare
@@ -103,7 +103,7 @@
         store: Store,
         clock: Clock,
         gate: StoreGate,
-        budget: WriteBudget,
+        budget: StoreCallBudget,
         limit_bytes: int,
     ) -> None:
         self._store = store
--- a/src/radishwind/claims/tests/test_bounds.py
+++ b/src/radishwind/claims/tests/test_bounds.py
@@ -3,7 +3,7 @@
 import pytest
 
 from radishwind.claims.budget import BURST_S
-from radishwind.claims.budget import WriteBudget
+from radishwind.claims.budget import StoreCallBudget
 from radishwind.claims.gate import StoreGate
 from radishwind.claims.memory import ClaimMemory
 from radishwind.claims.record import ClaimRecord
@@ -29,7 +29,7 @@
 
 def test_budget_shrinks_as_nodes_join():
     nodes = 1
-    budget = WriteBudget(lambda: 10 / nodes)
+    budget = StoreCallBudget(lambda: 10 / nodes)
     assert sum(budget.take(0.0) for _ in range(1000)) == 10 * BURST_S
 
     nodes = 10
--- a/src/radishwind/leases/holder.py
+++ b/src/radishwind/leases/holder.py
@@ -22,6 +22,10 @@
 from radishwind.store.base import StoreError
 from radishwind.store.base import TxnResult
 
+#: A renewal that failed is tried again after this share of the time to live,
+#: several times within the term.
+_RETRY_SHARE = 0.1
+
 
 class LeaseLostError(RadishwindError):
     """The lease is not held, or not surely any more."""
@@ -143,8 +147,7 @@
             now = self._clock.monotonic()
             wait_s = self._term.renew_at - now
             if wait_s <= 0:
-                # The renewal failed; try again well within the term.
-                wait_s = self._ttl_s / 10
+                wait_s = self._ttl_s * _RETRY_SHARE
             await anyio.sleep(wait_s)
             if not await self.renew():
                 self._tenure = None
--- a/src/radishwind/leases/shared.py
+++ b/src/radishwind/leases/shared.py
@@ -16,6 +16,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Bucket:
+    """A lease, and until when (monotonic s) keys are put on it."""
+
     lease_id: int
     until: float
 
--- a/src/radishwind/node/claims.py
+++ b/src/radishwind/node/claims.py
@@ -7,7 +7,7 @@
 
 import anyio.abc
 
-from radishwind.claims.budget import WriteBudget
+from radishwind.claims.budget import StoreCallBudget
 from radishwind.claims.gate import StoreGate
 from radishwind.claims.keyed import KeyedClaims
 from radishwind.claims.memory import ClaimMemory
@@ -74,8 +74,12 @@
       writer: writes the claims; in groups if none is given.
     """
     gate = StoreGate(rng)
-    writes = WriteBudget(lambda: settings.claim_writes_per_s / max(1, nodes()))
-    reads = WriteBudget(lambda: settings.claim_reads_per_s / max(1, nodes()))
+    writes = StoreCallBudget(
+        lambda: settings.claim_writes_per_s / max(1, nodes())
+    )
+    reads = StoreCallBudget(
+        lambda: settings.claim_reads_per_s / max(1, nodes())
+    )
     settler = ClaimSettler(
         store=store,
         clock=clock,
--- a/src/radishwind/routing/__init__.py
+++ b/src/radishwind/routing/__init__.py
@@ -1,6 +1,6 @@
 """Which target a request goes to.
 
-`TargetChooser` is the interface and `BalancedChooser` our policy;
+`TargetChooser` is the interface and `BalancedChooser` the default;
 `radishwind.routing.baselines` holds the simple ones it is measured against.
 """
 
--- a/src/radishwind/routing/balanced.py
+++ b/src/radishwind/routing/balanced.py
@@ -1,4 +1,4 @@
-"""Our policy: the least expected answer time among a few candidates.
+"""The default policy: the least expected answer time among a few candidates.
 
 The expected answer time of a candidate is made of the hop to it, its smoothed
 answer time, and what its load adds: own attempts in flight, which are known
@@ -46,6 +46,7 @@
     ResultCode.TARGET_UNLISTED: 1.0,
 }
 
+#: Services whose candidates are kept; the longest known is forgotten.
 MAX_SERVICES = 256
 
 #: Answer time taken as typical before the first answer (s).
@@ -54,8 +55,15 @@
 #: What a target without a state is taken to add to the typical answer time:
 #: as one that is half loaded, so that it is tried like any other.
 _UNKNOWN_ADDED = SPREAD / 4
+
+#: Weight of one answer in the typical answer time of a service.
 _TYPICAL_WEIGHT = 0.02
+
+#: An answer counts there for at most so many times the typical time, so that
+#: a straggler's answers do not make it typical.
 _TYPICAL_CLIP = 4.0
+
+#: Statuses by which a server or what stands before it tells of a failure.
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
 
 #: Refusals that tell of the request or of its lateness, not of the target.
@@ -254,7 +262,6 @@
     state.failures = 0
     state.learn(answer_s, typical_s, now)
     before = typical_s or answer_s
-    # Clipped, so that a straggler's answers do not make it typical.
     clipped_s = min(answer_s, before * _TYPICAL_CLIP)
     service.typical_s = before + _TYPICAL_WEIGHT * (clipped_s - before)
 
--- a/src/radishwind/routing/state.py
+++ b/src/radishwind/routing/state.py
@@ -45,10 +45,14 @@
 #: Targets remembered at most; the longest unused goes first.
 MAX_TARGETS = 4096
 
+#: How fast a load report loses weight in the mean of reports (s).
 _MEAN_FADE_S = 1.0
 
 #: When the last report counts for nothing beside the mean (s).
 _REPORT_END_S = 3 * REPORT_FADE_S
+
+#: States looked at with each use, to forget those long unused. A use adds one
+#: at most, so that the table shrinks.
 _SWEEP_STEPS = 2
 
 
@@ -152,6 +156,8 @@
           now: monotonic time (s).
           exact: the load as of now, where it is known.
         """
+        # Written out, `answer_now_s` too: each candidate of each decision
+        # comes here, and a call costs more than what it does.
         fade = math.exp((self.answered - now) / RECOVERY_S)
         answer_s = typical_s
         if self.answer_s:
