--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -27,6 +27,9 @@
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
 
+#: When to come back while the node starts or the first sending runs (s).
+_RETRY_S = 1.0
+
 #: A later sending may have run while this node was paused.
 _LAPSED = Unknown(
     ResultCode.CLAIM_UNKNOWN,
@@ -100,7 +103,9 @@
             return await execute(call)
         if self._tasks is None:
             return NotRun(
-                ResultCode.CLAIM_UNAVAILABLE, "The node is starting.", 1.0
+                ResultCode.CLAIM_UNAVAILABLE,
+                "The node is starting.",
+                _RETRY_S,
             )
         job = _Job(call, execute, anyio.Event())
         self._tasks.start_soon(self._work, job)
@@ -144,29 +149,32 @@
     async def _one_at_a_time(self, job: _Job) -> Outcome:
         """Lets one sending of a key at a time pass in this node."""
         sending = Sending.of(job.call)
-        slot = (sending.service, sending.key)
-        if not await self._wait_for_turn(slot, job.call):
+        identity = sending.identity
+        if not await self._wait_for_turn(identity, job.call):
             return Unknown(
                 ResultCode.CLAIM_RUNNING,
                 "An earlier sending with this key still runs.",
-                1.0,
+                _RETRY_S,
             )
         known = self._memory.get(sending, self._clock.monotonic())
         if known is not None:
-            wall_ms = int(self._clock.now().timestamp() * 1000)
+            wall_ms = self._clock.wall_ms()
             return repeat_outcome(known, sending, wall_ms)
-        turn = self._running[slot] = anyio.Event()
+        turn = self._running[identity] = anyio.Event()
         try:
             return await self._claimed(job, sending)
         finally:
-            del self._running[slot]
+            del self._running[identity]
             turn.set()
 
-    async def _wait_for_turn(self, slot: tuple[str, str], call: Call) -> bool:
+    async def _wait_for_turn(
+        self, identity: tuple[str, str], call: Call
+    ) -> bool:
+        """Returns whether no sending of the key runs here any more."""
         left_s = call.deadline - self._clock.monotonic()
         with anyio.move_on_after(max(0.0, min(left_s, self._repeat_wait_s))):
-            while slot in self._running:
-                await self._running[slot].wait()
+            while identity in self._running:
+                await self._running[identity].wait()
             return True
         return False
 
--- a/src/radishwind/claims/record.py
+++ b/src/radishwind/claims/record.py
@@ -8,6 +8,7 @@
 
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.call import CALLER_FIELD
 from radishwind.http.types import header
 from radishwind.http.types import Headers
 from radishwind.http.types import Response
@@ -21,8 +22,6 @@
 #: Tells a caller that the answer is the recorded one of an earlier sending.
 REPLAY_FIELD = "Radishwind-Replayed"
 
-CALLER_FIELD = "radishwind-caller"
-
 #: The longest a repeat of a running call is asked to wait (s).
 _RUNNING_RETRY_S = 1.0
 
@@ -101,6 +100,11 @@
         name = header(call.request.headers, CALLER_FIELD) or ""
         return cls(call.service, call.key, fingerprint(call), name)
 
+    @property
+    def identity(self) -> tuple[str, str]:
+        """What all sendings of one keyed request share: service and key."""
+        return self.service, self.key
+
     def store_key(self) -> str:
         """Returns the key of the store that its claim is written at."""
         digest = xxhash.xxh3_128_hexdigest(self.key.encode())
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from radishwind.claims.budget import WriteBudget
+from radishwind.claims.budget import StoreCallBudget
 from radishwind.claims.gate import StoreGate
 from radishwind.claims.record import ClaimRecord
 from radishwind.claims.record import repeat_outcome
@@ -32,12 +32,18 @@
 from radishwind.store.base import StoreError
 from radishwind.store.base import StoreUnavailableError
 
-#: How often a claim that is released under our eyes is tried again.
+#: How often to try to claim a key whose claim is released meanwhile.
 _TRIES = 3
 
 #: A claim lives at least so many times the longest deadline of its service.
 _TTL_DEADLINES = 10
 
+#: The revision of a key that the store does not have.
+_ABSENT = 0
+
+#: When to come back if the key was contended at each try (s).
+_CONTENDED_RETRY_S = 1.0
+
 _T = TypeVar("_T")
 
 
@@ -95,8 +101,8 @@
         rng: random.Random,
         node_name: str,
         gate: StoreGate,
-        budget: WriteBudget,
-        reads: WriteBudget,
+        budget: StoreCallBudget,
+        reads: StoreCallBudget,
         writer: ClaimWriter,
         settler: ClaimSettler,
         lease: SharedLease,
@@ -161,7 +167,7 @@
         for _ in range(_TRIES):
             if not self._budget.take(self._clock.monotonic()):
                 return await self._over_budget(sending, store_key)
-            claim = await self._write(call, sending, store_key, 0)
+            claim = await self._write(call, sending, store_key, _ABSENT)
             if claim is not None:
                 return claim
             entry = await self._read(store_key)
@@ -175,7 +181,7 @@
             )
             if claim is not None:
                 return claim
-        return _unchecked(1.0)
+        return _unchecked(_CONTENDED_RETRY_S)
 
     async def _write(
         self, call: Call, sending: Sending, store_key: str, revision: int
@@ -183,14 +189,7 @@
         """Writes a claim if the key's last revision is `revision`."""
         ttl_s = claim_ttl_s(call)
         lease_id = await self._lease_id(ttl_s)
-        record = ClaimRecord(
-            sending.key,
-            f"{self._node_name}-{self._rng.getrandbits(96):024x}",
-            self._node_name,
-            sending.fingerprint,
-            call.expires_ms,
-            sending.caller,
-        )
+        record = self._new_record(call, sending)
         put = Put(store_key, msgspec.json.encode(record), lease_id)
         compare = Compare(store_key, mod_revision=revision)
         try:
@@ -214,6 +213,16 @@
             return None
         return HeldClaim(record, store_key, mod_revision, lease_id, ttl_s)
 
+    def _new_record(self, call: Call, sending: Sending) -> ClaimRecord:
+        return ClaimRecord(
+            key=sending.key,
+            nonce=f"{self._node_name}-{self._rng.getrandbits(96):024x}",
+            node=self._node_name,
+            fingerprint=sending.fingerprint,
+            expires_ms=call.expires_ms,
+            caller=sending.caller,
+        )
+
     async def _settle(self, record: ClaimRecord, store_key: str) -> int | None:
         """Returns the revision of our claim if it was written, else `None`.
 
@@ -266,7 +275,7 @@
             )
         if self._settler.undispatched(record.nonce):
             return None
-        wall_ms = int(self._clock.now().timestamp() * 1000)
+        wall_ms = self._clock.wall_ms()
         return repeat_outcome(record, sending, wall_ms)
 
     async def _read(self, store_key: str) -> StoreEntry | None:
