Heed the status of a health answer that tells no state

Every JSON object decodes as a health answer, since all its parts may be left out: a server that answered 500 with an error in JSON counted as well, against docs/probing.md. The status now decides unless a state is told. A state still counts with any status, since servers that drain often answer 503; the page says both.

--- a/src/radishwind/probing/prober.py
+++ b/src/radishwind/probing/prober.py
@@ -133,10 +133,11 @@
         except (SendError, TimeoutError):
             return None
         try:
-            return msgspec.json.decode(body, type=_Health)
+            health = msgspec.json.decode(body, type=_Health)
         except msgspec.MsgspecError:
-            good = response.status in _GOOD_STATUSES
-            return _Health() if good else None
+            health = _Health()
+        good = health.state is not None or response.status in _GOOD_STATUSES
+        return health if good else None
 
     @property
     def cost_s(self) -> float:
--- a/src/radishwind/probing/tests/test_probing.py
+++ b/src/radishwind/probing/tests/test_probing.py
@@ -102,6 +102,7 @@
             gone=lambda: self.gone.append(True),
         )
         self.prober.resize(0.1)
+        self.status = 200
         self.answer = {"state": "ready"}
         self.sender.handlers[ADDRESS] = self.handle
         self.clock.advance(10.0)
@@ -109,7 +110,7 @@
     async def handle(self, request):
         assert self.admission.in_flight == 1
         self.clock.advance(0.006)
-        return Response(200, (), msgspec.json.encode(self.answer))
+        return Response(self.status, (), msgspec.json.encode(self.answer))
 
 
 @pytest.mark.anyio
@@ -134,6 +135,14 @@
     assert beside.gone == [True]
 
 
+@pytest.mark.anyio
+async def test_json_without_a_state_does_not_outweigh_a_bad_status():
+    beside = Beside()
+    beside.status, beside.answer = 500, {"error": "no database"}
+    await beside.prober.tick()
+    assert beside.health.fitness(beside.clock.monotonic()) < 1.0
+
+
 @pytest.mark.anyio
 async def test_the_prober_leaves_a_full_server_alone():
     beside = Beside()
