Tell the latency objective in force with the burn counts

Only the two targets were compared. The test was seen failing first (100 told, 50 in force). _empty is renamed, since it made entries that were not empty.

--- a/src/radishwind/burn/ledger.py
+++ b/src/radishwind/burn/ledger.py
@@ -88,28 +88,29 @@
         return minutes[-1]
 
     def _entry(self, call: Call) -> ServiceMinutes | None:
+        """Returns the minutes of the service, told by the rules in force."""
         entry = self._services.get(call.service)
         if entry is None:
             if len(self._services) >= KEPT_SERVICES:
                 return None
-            entry = _empty(call)
-        elif entry.latency_target != call.rules.latency_target or (
-            entry.success_target != call.rules.success_target
+            entry = _with_rules(call, [])
+        elif (
+            entry.latency_target != call.rules.latency_target
+            or entry.success_target != call.rules.success_target
+            or entry.latency_objective_ms != call.rules.latency_objective_ms
         ):
-            entry = _empty(call, entry.minutes)
+            entry = _with_rules(call, entry.minutes)
         self._services[call.service] = entry
         return entry
 
 
-def _empty(
-    call: Call, minutes: list[MinuteCounts] | None = None
-) -> ServiceMinutes:
+def _with_rules(call: Call, minutes: list[MinuteCounts]) -> ServiceMinutes:
     return ServiceMinutes(
         call.service,
         call.rules.latency_target,
         call.rules.success_target,
         call.rules.latency_objective_ms,
-        minutes or [],
+        minutes,
     )
 
 
--- a/src/radishwind/burn/tests/test_burn.py
+++ b/src/radishwind/burn/tests/test_burn.py
@@ -1,5 +1,7 @@
 """Counts by minute, merged over nodes, as burn rates."""
 
+import msgspec
+
 from radishwind.burn import burn_rows
 from radishwind.burn import BurnLedger
 from radishwind.burn import merge
@@ -21,8 +23,8 @@
 REFUSED = NotRun(ResultCode.OVERLOADED, "full", 1.0)
 
 
-def call(service="prenota"):
-    return Call("1", service, Request("GET", "/"), RULES, True, 9.0, 9, "c")
+def call(service="prenota", rules=RULES):
+    return Call("1", service, Request("GET", "/"), rules, True, 9.0, 9, "c")
 
 
 def count(ledger, outcome, elapsed_s, times):
@@ -49,6 +51,16 @@
     assert burns == {"success": (100, 2, 2.0), "latency": (100, 2, 0.2)}
 
 
+def test_a_changed_latency_objective_is_told():
+    ledger = BurnLedger(ManualClock())
+    ledger.finished(call(), OK, 0.01)
+    changed = msgspec.structs.replace(RULES, latency_objective_ms=50)
+    ledger.finished(call(rules=changed), OK, 0.01)
+    (entry,) = ledger.services()
+    assert entry.latency_objective_ms == 50
+    assert entry.minutes[-1].requests == 2
+
+
 def test_windows_leave_out_what_is_older():
     clock = ManualClock()
     ledger = BurnLedger(clock)
