Build the held answer on NotifyingStream; name what answers lose

HeldStream and NotifyingStream kept the same "call ended once" twice; the one that also watches the server now derives from the other. The module target/outgoing.py held a function incoming(), which read as a slip: both are now named for what they do, target/answers.py, without_node_fields(). Nothing else changes.

--- a/src/radishwind/http/streams.py
+++ b/src/radishwind/http/streams.py
@@ -1,4 +1,4 @@
-"""Streams around streams."""
+"""A stream around another that tells when it ends."""
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
--- a/src/radishwind/target/outgoing.py
+++ b/src/radishwind/target/answers.py
@@ -1,4 +1,4 @@
-"""The server's answer as others get it."""
+"""Takes from the server's answers what nodes alone may tell."""
 
 from radishwind.http.hygiene import NODE_FIELD_PREFIX
 from radishwind.http.problems import CODE_FIELD
@@ -10,10 +10,10 @@
 _OUTCOME_FIELDS = frozenset({CODE_FIELD.lower(), OUTCOME_FIELD.lower()})
 
 
-def incoming(response: Response) -> Response:
+def without_node_fields(response: Response) -> Response:
     """Returns the server's answer without fields that nodes alone may tell."""
     headers = [
-        item for item in response.headers if not _of_nodes(item[0].lower())
+        item for item in response.headers if not _is_node_field(item[0].lower())
     ]
     if len(headers) == len(response.headers):
         return response
@@ -22,8 +22,8 @@
     )
 
 
-def _of_nodes(name: str) -> bool:
-    """Returns whether the field `name`, in lower case, is of nodes alone."""
+def _is_node_field(name: str) -> bool:
+    """Returns whether nodes alone may send the field `name` (lower case)."""
     if not name.startswith("radishwind-"):
         return False
     return name in _OUTCOME_FIELDS or name.startswith(NODE_FIELD_PREFIX)
--- a/src/radishwind/target/exchange.py
+++ b/src/radishwind/target/exchange.py
@@ -11,8 +11,8 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
+from radishwind.http.streams import NotifyingStream
 from radishwind.http.types import abort_body
-from radishwind.http.types import Body
 from radishwind.http.types import BodyStream
 from radishwind.http.types import header
 from radishwind.http.types import Response
@@ -20,7 +20,7 @@
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
-from radishwind.target.outgoing import incoming
+from radishwind.target.answers import without_node_fields
 from radishwind.target.server import ServerView
 from radishwind.target.watch import ServerWatch
 
@@ -34,6 +34,8 @@
 SHED_FIELD = "radishwind-shed"
 
 _SHED_STATUS = 503
+
+#: When a caller may come back after such a refusal (s).
 _RETRY_S = 1.0
 
 
@@ -48,7 +50,13 @@
         self._watch = watch
 
     async def send(self, call: Call, view: ServerView, alone: bool) -> Outcome:
-        """Runs `call` on the server; its deadline has not passed yet."""
+        """Runs `call` on the server; its deadline has not passed yet.
+
+        Args:
+          call: what to run.
+          view: the server as last announced.
+          alone: whether nothing else runs there meanwhile.
+        """
         now = self._clock.monotonic()
         try:
             with TimeLimit(call.deadline - now):
@@ -84,7 +92,7 @@
             )
         if not isinstance(response.body, BodyStream):
             self._watch.answered(call, response.status, alone)
-        return Done(incoming(response))
+        return Done(without_node_fields(response))
 
     def hold(
         self,
@@ -93,7 +101,14 @@
         alone: bool,
         ended: Callable[[], None],
     ) -> Response:
-        """Returns a streamed `response` that calls `ended` once at its end."""
+        """Returns a streamed `response` that calls `ended` once at its end.
+
+        Args:
+          call: what it answers.
+          response: as returned by `send`, with a stream as its body.
+          alone: whether nothing else ran on the server.
+          ended: called when the slot is free again.
+        """
 
         def whole() -> None:
             self._watch.answered(call, response.status, alone)
@@ -101,6 +116,7 @@
         def broke() -> None:
             self._watch.broke(call)
 
+        assert isinstance(response.body, BodyStream)
         body = HeldStream(response.body, whole, broke, ended)
         return Response(
             response.status, response.headers, body, response.body_bytes
@@ -113,28 +129,26 @@
     return header(response.headers, SHED_FIELD) is not None
 
 
-class HeldStream(BodyStream):
-    """A stream that tells how it ended.
+class HeldStream(NotifyingStream):
+    """The body of an answer that holds its slot until it ended.
 
     Args:
       body: the stream of the answer.
       whole: called if the answer was read to its end.
-      broke: called if the server broke it off.
+      broke: called if the server broke it off or paused too long in it.
       ended: called once, whatever happened, also if it is aborted.
     """
 
     def __init__(
         self,
-        body: Body,
+        body: BodyStream,
         whole: Callable[[], None],
         broke: Callable[[], None],
         ended: Callable[[], None],
     ) -> None:
-        assert isinstance(body, BodyStream)
-        self._body = body
+        super().__init__(body, ended)
         self._whole = whole
         self._broke = broke
-        self._ended: Callable[[], None] | None = ended
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         pieces = aiter(self._body)
@@ -157,12 +171,3 @@
             raise ExchangeBrokenError(
                 f"expected a piece of the answer in {STALL_S} s, got none"
             ) from None
-
-    def abort(self) -> None:
-        self._body.abort()
-        self._finish()
-
-    def _finish(self) -> None:
-        ended, self._ended = self._ended, None
-        if ended is not None:
-            ended()
