Say in one place which status is a server's failure

The target pipeline, the watch and the burn ledger each compared with 500 by themselves; is_server_error() in http/types decides now. In the ledger the sum of two minutes stood twice and is MinuteCounts.add(). The bare numbers in the target pipeline have names with units.

--- a/src/radishwind/burn/ledger.py
+++ b/src/radishwind/burn/ledger.py
@@ -4,13 +4,12 @@
 the fleet loses the share of the callers that used that node.
 """
 
-import collections
-
 import msgspec
 
 from radishwind.core.clock import Clock
 from radishwind.entry.call import Call
 from radishwind.entry.observer import CallObserver
+from radishwind.http.types import is_server_error
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import Outcome
 
@@ -36,6 +35,12 @@
     failed: int = 0
     slow: int = 0
 
+    def add(self, other: "MinuteCounts") -> None:
+        """Adds the requests that `other` counted."""
+        self.requests += other.requests
+        self.failed += other.failed
+        self.slow += other.slow
+
 
 class ServiceMinutes(msgspec.Struct, frozen=True):
     """The minutes of one service, with the objectives they count against.
@@ -67,8 +72,7 @@
         if counts is None:
             return
         counts.requests += 1
-        if not isinstance(outcome, Done) or outcome.response.status >= 500:
-            counts.failed += 1
+        counts.failed += _failed(outcome)
         if elapsed_s * 1000 > call.rules.latency_objective_ms:
             counts.slow += 1
 
@@ -104,6 +108,12 @@
         return entry
 
 
+def _failed(outcome: Outcome) -> bool:
+    if not isinstance(outcome, Done):
+        return True
+    return is_server_error(outcome.response.status)
+
+
 def _with_rules(call: Call, minutes: list[MinuteCounts]) -> ServiceMinutes:
     return ServiceMinutes(
         call.service,
@@ -115,26 +125,19 @@
 
 
 def totals(minutes: list[MinuteCounts], since: int) -> MinuteCounts:
-    """Returns the sum of the minutes from `since` (minute) on."""
+    """Returns the sum of the minutes from `since` on (min since the epoch)."""
     total = MinuteCounts(since)
     for counts in minutes:
         if counts.minute >= since:
-            total.requests += counts.requests
-            total.failed += counts.failed
-            total.slow += counts.slow
+            total.add(counts)
     return total
 
 
 def merged(ledgers: list[list[MinuteCounts]]) -> list[MinuteCounts]:
     """Returns the sum of several nodes' minutes, oldest first."""
-    sums: dict[int, MinuteCounts] = collections.defaultdict(
-        lambda: MinuteCounts(0)
-    )
+    sums: dict[int, MinuteCounts] = {}
     for minutes in ledgers:
         for counts in minutes:
-            total = sums[counts.minute]
-            total.minute = counts.minute
-            total.requests += counts.requests
-            total.failed += counts.failed
-            total.slow += counts.slow
+            total = sums.setdefault(counts.minute, MinuteCounts(counts.minute))
+            total.add(counts)
     return [sums[minute] for minute in sorted(sums)]
--- a/src/radishwind/burn/page.py
+++ b/src/radishwind/burn/page.py
@@ -71,7 +71,7 @@
         values = [burns.get(name, 0.0) for name in names]
         axes.barh(places, values, height, label=f"{window} min")
     axes.set_yticks([p + 0.3 for p in range(len(names))], names)
-    axes.axvline(1.0, color="black", linewidth=0.8)
+    axes.axvline(HOT_BURN, color="black", linewidth=0.8)
     axes.set_xlabel("burn (1 uses up exactly what the objective allows)")
     axes.legend()
     figure.tight_layout()
--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -9,6 +9,8 @@
 #: Bodies up to this size (bytes) are held whole; larger ones are streamed.
 SMALL_BODY_BYTES = 64 * 1024
 
+_FIRST_SERVER_ERROR = 500
+
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
 
@@ -57,6 +59,11 @@
     return None
 
 
+def is_server_error(status: int) -> bool:
+    """Returns whether the HTTP `status` says that the server failed."""
+    return status >= _FIRST_SERVER_ERROR
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request as received or as to be sent.
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -12,6 +12,7 @@
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.sender import Sender
 from radishwind.http.types import BodyStream
+from radishwind.http.types import is_server_error
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
@@ -20,15 +21,27 @@
 from radishwind.target.server import ServerBeside
 from radishwind.target.watch import ServerWatch
 
+#: The share that the newest answer has in the mean service time.
 _SMOOTHING = 0.1
 
+#: When a request that a leaving target refused may come back (s).
+_LEAVING_RETRY_S = 1.0
+
 #: How often a waiting request looks whether it is too late, and a planned
 #: stop whether all has ended (s).
 _LOOK_AGAIN_S = 0.1
 
 
 class TargetPipeline:
-    """Runs attempts on one server; exact about its slots and its leaving."""
+    """Runs attempts on one server; exact about its slots and its leaving.
+
+    Args:
+      clock: the clock.
+      admission: grants the slots of the server.
+      sender: sends to the server.
+      server: the server beside the node.
+      watch: learns from each exchange.
+    """
 
     def __init__(
         self,
@@ -55,6 +68,11 @@
         """Whether new work is refused, by this node or by the server."""
         return self._leaving or self._server.draining
 
+    @property
+    def queue_wait_s(self) -> float:
+        """How long attempts waited for a slot, in all (s)."""
+        return self._queue_wait_s
+
     def leave(self) -> None:
         """Refuses new work from now on; what runs goes on."""
         self._leaving = True
@@ -88,11 +106,6 @@
         """Returns how many attempts ended how, by code for those refused."""
         return dict(self._outcomes)
 
-    @property
-    def queue_wait_s(self) -> float:
-        """How long attempts waited for a slot, in all (s)."""
-        return self._queue_wait_s
-
     async def run(self, call: Call) -> AttemptResult:
         """Runs `call` on the server beside."""
         outcome = await self._run(call)
@@ -120,7 +133,9 @@
 
     def _refusal(self, call: Call) -> NotRun | None:
         if self._leaving:
-            return NotRun(ResultCode.LEAVING, "The target is leaving.", 1.0)
+            return NotRun(
+                ResultCode.LEAVING, "The target is leaving.", _LEAVING_RETRY_S
+            )
         if self._too_late(call):
             return NotRun(
                 ResultCode.DEADLINE_PASSED, "The deadline had passed."
@@ -184,7 +199,7 @@
             elapsed_s = 0.0
             if outcome.code is ResultCode.SERVER_SHED:
                 self._admission.shed(now)
-        if isinstance(outcome, Done) and outcome.response.status < 500:
+        if _ran_well(outcome):
             step = _SMOOTHING if self._service_s else 1.0
             self._service_s += step * (elapsed_s - self._service_s)
         self._release(ticket, elapsed_s)
@@ -198,6 +213,12 @@
         return not self._admission.in_flight and not self._admission.queued
 
 
+def _ran_well(outcome: Outcome | None) -> bool:
+    if not isinstance(outcome, Done):
+        return False
+    return not is_server_error(outcome.response.status)
+
+
 def _nobody_waits() -> None:
     """Takes the news of a ticket that is admitted or refused at once."""
 
--- a/src/radishwind/target/watch.py
+++ b/src/radishwind/target/watch.py
@@ -2,13 +2,12 @@
 
 from radishwind.core.clock import Clock
 from radishwind.entry.call import Call
+from radishwind.http.types import is_server_error
 from radishwind.outcomes.model import NotRun
 from radishwind.probing.health import HealthModel
 from radishwind.quarantine.crashes import CrashDetector
 from radishwind.quarantine.gate import Quarantine
 
-_FIRST_SERVER_ERROR = 500
-
 
 class ServerWatch:
     """Hands what became of each exchange to those who learn from it."""
@@ -34,8 +33,14 @@
         return self._health.fitness(self._clock.monotonic())
 
     def answered(self, call: Call, status: int, alone: bool) -> None:
-        """Takes a whole answer."""
-        ok = status < _FIRST_SERVER_ERROR
+        """Takes a whole answer.
+
+        Args:
+          call: what it answers.
+          status: its HTTP status.
+          alone: whether nothing else ran on the server meanwhile.
+        """
+        ok = not is_server_error(status)
         self._health.answered(ok, self._clock.monotonic())
         if alone:
             self._quarantine.ran_safely(call)
