Name the quarantine's records plainly and say what admission's times mean

"File", "held" and "convicted" were a court's words for records, crashes that count and proof. Two constants shared one comment twice. The pipeline had a branch that told a missing announcement as a passed deadline; it cannot be reached, since refusal() answers it before, so it is an assertion now.

--- a/src/radishwind/admission/fair.py
+++ b/src/radishwind/admission/fair.py
@@ -19,12 +19,16 @@
 from radishwind.admission.gate import Ticket
 from radishwind.admission.queueing import QueueingAdmission
 
-#: Callers told apart at one time; further ones share `SHARED_FLOWS`.
+#: Callers told apart at one time.
 MOST_CALLERS = 256
+
+#: Flows that further callers share, by a hash of their name.
 SHARED_FLOWS = 16
 
 #: Cost charged before anything was measured (s).
 _FIRST_COST_S = 0.005
+
+#: The share that the newest request has in a caller's means.
 _SMOOTHING = 0.2
 
 
@@ -70,7 +74,9 @@
         super().__init__(limits or AdmissionLimits())
         self._flows: dict[str, _Flow] = {}
         self._charges: dict[Ticket, _Charge] = {}
+        # Tickets in all queues; asked several times a request.
         self._length = 0
+        # Start tag of the ticket started last: the virtual time (weighted s).
         self._virtual = 0.0
 
     @property
@@ -211,7 +217,7 @@
         return self._limits.caller_weights.get(name, 1.0)
 
     def _forget(self, flow: _Flow) -> None:
-        """Drops what is not needed: a caller that owes nothing more."""
+        """Drops `flow` if it owes nothing; all once nothing runs or waits."""
         if not self._charges:
             self._flows.clear()
             self._virtual = 0.0
@@ -225,6 +231,7 @@
         return flow.start <= self._virtual
 
     def _sweep(self) -> None:
+        """Drops the callers that owe nothing more."""
         for flow in list(self._flows.values()):
             if self._owes_nothing(flow):
                 del self._flows[flow.name]
--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -27,6 +27,7 @@
 #: How long nothing is sent beyond the slots after the server shed it (s).
 NO_OVERLAP_S = 60.0
 
+#: The share that the newest request has in the mean service time.
 _SMOOTHING = 0.1
 
 
@@ -46,11 +47,17 @@
         self._take(limits)
         self._in_flight = 0
         self._service_s = 0.0
+        # Tickets that wait to run alone, and the one that does.
         self._alone: collections.deque[Ticket] = collections.deque()
         self._alone_runs: Ticket | None = None
+        # Since when the server is held up for it, and when the next one may
+        # hold it up (monotonic, s).
         self._alone_since = 0.0
         self._alone_after = 0.0
+        # No waiting ticket has to be refused before (monotonic, s), so that
+        # `expire` costs nothing until then.
         self._earliest = math.inf
+        # Nothing goes beyond the slots before (monotonic, s).
         self._overlap_after = 0.0
 
     @property
@@ -165,6 +172,10 @@
         self._dispatch(now)
 
     def _alone_due(self, now: float) -> bool:
+        """Returns whether the next one that runs alone has its turn.
+
+        It need not wait for its turn if nobody else wants the server.
+        """
         empty = not self._in_flight and not self._waiting()
         return empty or now >= self._alone_after
 
--- a/src/radishwind/probing/policy.py
+++ b/src/radishwind/probing/policy.py
@@ -6,8 +6,10 @@
 from radishwind.probing.budget import ProbeBudget
 from radishwind.probing.health import HealthModel
 
-#: Time between probes of a silent server (s), and of one in doubt.
+#: Time between probes of a silent server (s).
 CALM_INTERVAL_S = 2.0
+
+#: Time between probes of a server in doubt (s).
 DOUBT_INTERVAL_S = 0.25
 
 
@@ -47,7 +49,7 @@
     def decide(
         self, occupancy: Occupancy, in_doubt: bool, now: float
     ) -> ProbeDecision:
-        """Decides.
+        """Returns whether to probe, and the reason if not.
 
         Args:
           occupancy: of the server, as of now.
--- a/src/radishwind/quarantine/suspects.py
+++ b/src/radishwind/quarantine/suspects.py
@@ -55,7 +55,7 @@
         UTC); 0 if it never was.
       alone: whether nothing else ran then.
       cleared_ms: it ran alone and harmed nothing; the crashes up to this time
-        (ms since the epoch, UTC) are not held against it.
+        (ms since the epoch, UTC) do not count any more.
     """
 
     fingerprint: str
@@ -67,7 +67,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Crash:
-    """A crash held against a fingerprint; `learned` is monotonic time (s)."""
+    """A crash with the request in flight.
+
+    Attributes:
+      at_ms: when it was (ms since the epoch, UTC), by the clock there.
+      alone: whether nothing else ran.
+      learned: when this node heard of it (monotonic, s).
+    """
 
     at_ms: int
     alone: bool
@@ -75,8 +81,15 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _File:
-    """What is held against one fingerprint, by target."""
+class _Record:
+    """What is known of one fingerprint.
+
+    Attributes:
+      crashes: the last crash with it in flight, by target.
+      cleared_ms: crashes up to this time (ms since the epoch, UTC) no longer
+        count; 0 if it was never cleared.
+      learned: when the last fact came (monotonic, s).
+    """
 
     crashes: dict[str, _Crash] = dataclasses.field(default_factory=dict)
     cleared_ms: int = 0
@@ -87,47 +100,49 @@
     """Judges fingerprints by the facts of all targets of a service."""
 
     def __init__(self) -> None:
-        self._files: dict[str, _File] = {}
+        self._records: dict[str, _Record] = {}
 
     def __len__(self) -> int:
-        return len(self._files)
+        return len(self._records)
 
     def take(self, fact: Fact, now: float) -> None:
         """Takes a fact from this node or another; again does no harm."""
-        file = self._files.get(fact.fingerprint)
-        if file is None:
-            file = self._files[fact.fingerprint] = _File()
-        file.learned = now
-        file.cleared_ms = max(file.cleared_ms, fact.cleared_ms)
-        known = file.crashes.get(fact.target)
+        record = self._records.get(fact.fingerprint)
+        if record is None:
+            record = self._records[fact.fingerprint] = _Record()
+        record.learned = now
+        record.cleared_ms = max(record.cleared_ms, fact.cleared_ms)
+        known = record.crashes.get(fact.target)
         if fact.crashed_ms and (not known or known.at_ms < fact.crashed_ms):
-            file.crashes[fact.target] = _Crash(fact.crashed_ms, fact.alone, now)
+            record.crashes[fact.target] = _Crash(
+                fact.crashed_ms, fact.alone, now
+            )
         self._bound(now)
 
     def judge(self, fingerprint: str, now: float) -> Verdict:
         """Returns what to do with a request of this fingerprint."""
-        file = self._files.get(fingerprint)
-        if file is None:
+        record = self._records.get(fingerprint)
+        if record is None:
             return RUN
-        held = self._held(file, now)
-        if not held:
+        counting = self._counting(record, now)
+        if not counting:
             return RUN
-        if len(held) < _TARGETS_TO_REFUSE:
+        if len(counting) < _TARGETS_TO_REFUSE:
             return RUN_ALONE
-        learned = max(c.learned for c in held)
-        convicted = any(c.alone for c in held)
-        until = learned + (QUARANTINE_S if convicted else DOUBT_S)
+        learned = max(c.learned for c in counting)
+        proven = any(c.alone for c in counting)
+        until = learned + (QUARANTINE_S if proven else DOUBT_S)
         if now < until:
             return Verdict(Ruling.REFUSE, until - now)
         return RUN_ALONE
 
     def clearance(self, fingerprint: str, target: str) -> Fact | None:
         """Returns the fact that clears `fingerprint`, if it needs clearing."""
-        file = self._files.get(fingerprint)
-        if file is None or not file.crashes:
+        record = self._records.get(fingerprint)
+        if record is None or not record.crashes:
             return None
-        newest_ms = max(c.at_ms for c in file.crashes.values())
-        if newest_ms <= file.cleared_ms:
+        newest_ms = max(c.at_ms for c in record.crashes.values())
+        if newest_ms <= record.cleared_ms:
             return None
         return Fact(fingerprint, target, cleared_ms=newest_ms)
 
@@ -135,13 +150,14 @@
         """Returns the fingerprints that are refused now."""
         return tuple(
             name
-            for name in self._files
+            for name in self._records
             if self.judge(name, now).ruling is Ruling.REFUSE
         )
 
-    def _held(self, file: _File, now: float) -> list[_Crash]:
+    def _counting(self, record: _Record, now: float) -> list[_Crash]:
+        """Returns the crashes that are neither cleared nor lapsed."""
         crashes = [
-            c for c in file.crashes.values() if c.at_ms > file.cleared_ms
+            c for c in record.crashes.values() if c.at_ms > record.cleared_ms
         ]
         many = len(crashes) >= _TARGETS_TO_REFUSE
         term_s = QUARANTINE_S if many else SUSPECT_S
@@ -149,9 +165,9 @@
 
     def _bound(self, now: float) -> None:
         """Forgets what has lapsed; beyond the bound, the oldest."""
-        for name, file in list(self._files.items()):
-            if now - file.learned >= QUARANTINE_S:
-                del self._files[name]
-        while len(self._files) > MOST_SUSPECTS:
-            oldest = min(self._files, key=lambda n: self._files[n].learned)
-            del self._files[oldest]
+        for name, record in list(self._records.items()):
+            if now - record.learned >= QUARANTINE_S:
+                del self._records[name]
+        while len(self._records) > MOST_SUSPECTS:
+            oldest = min(self._records, key=lambda n: self._records[n].learned)
+            del self._records[oldest]
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -178,13 +178,19 @@
         if refused is not None:
             return refused
         view = self._server.view
-        if view is None or self._too_late(call):
+        assert view is not None, "a server unknown is refused above"
+        if self._too_late(call):
             return NotRun(
                 ResultCode.DEADLINE_PASSED, "The deadline passed in the queue."
             )
         return await self._exchange.send(call, view, ticket.alone)
 
     def _too_late(self, call: Call) -> bool:
+        """Returns whether the time here or the wall clock is past the call's.
+
+        The wall clock counts too, since monotonic time stands still while
+        some machines are paused.
+        """
         if self._clock.monotonic() >= call.deadline:
             return True
         return self._clock.now().timestamp() * 1000 >= call.expires_ms
