Shorten the document commands; one option for the store

add_document held three commands in 50 lines; each has its function now. Bare numbers of the commands and the log's memory say their units.

--- a/src/radishwind/cli/admin.py
+++ b/src/radishwind/cli/admin.py
@@ -10,6 +10,7 @@
 from radishwind.http.types import whole_body
 from radishwind.settings import SettingError
 
+#: How long a connection may take (s).
 _CONNECT_TIMEOUT_S = 2.0
 
 
--- a/src/radishwind/cli/documents.py
+++ b/src/radishwind/cli/documents.py
@@ -32,27 +32,23 @@
 from radishwind.store import EtcdStore
 from radishwind.store import Store
 
+#: How long one call of the store may take (s).
+_STORE_TIMEOUT_S = 5.0
+
+_STORE_CONNECTIONS = 2
+
 Document: TypeAlias = Inventory | Rules
 
 FileArgument: TypeAlias = Annotated[
     pathlib.Path, typer.Argument(help="The file, JSON.")
 ]
-StoreOption: TypeAlias = Annotated[
-    str,
-    typer.Option(
-        envvar="RADISHWIND_STORE",
-        metavar="HOST:PORT",
-        help="The platform's key-value store.",
-    ),
-]
-OptionalStoreOption: TypeAlias = Annotated[
-    str | None,
-    typer.Option(
-        envvar="RADISHWIND_STORE",
-        metavar="HOST:PORT",
-        help="The platform's key-value store.",
-    ),
-]
+_STORE_OPTION = typer.Option(
+    envvar="RADISHWIND_STORE",
+    metavar="HOST:PORT",
+    help="The platform's key-value store.",
+)
+StoreOption: TypeAlias = Annotated[str, _STORE_OPTION]
+OptionalStoreOption: TypeAlias = Annotated[str | None, _STORE_OPTION]
 AdminOption: TypeAlias = Annotated[
     str | None,
     typer.Option(
@@ -111,13 +107,25 @@
       read: reads the document from a file's content.
     """
     commands = typer.Typer(help=f"The operators' {name}.", no_args_is_help=True)
+    _add_check(commands, read)
+    _add_apply(commands, read)
+    _add_show(commands, name)
+    app.add_typer(commands, name=name)
+
 
+def _add_check(
+    commands: typer.Typer, read: Callable[[bytes], Document]
+) -> None:
     @commands.command("check")
     def check(file: FileArgument) -> None:
         """Check a file; every fault is listed with its place."""
         read(_content(file))
         typer.echo(f"{file}: no faults")
 
+
+def _add_apply(
+    commands: typer.Typer, read: Callable[[bytes], Document]
+) -> None:
     @commands.command("apply")
     def apply(
         file: FileArgument,
@@ -139,6 +147,8 @@
         if record is not None and wait_s and admin is not None:
             fleet.wait_in_force(admin, record.revision, wait_s)
 
+
+def _add_show(commands: typer.Typer, name: str) -> None:
     @commands.command("show")
     def show(
         store: OptionalStoreOption = None, admin: AdminOption = None
@@ -149,8 +159,6 @@
         document = cfg.inventory if name == "inventory" else cfg.rules
         typer.echo(write_file(document).decode(), nl=False)
 
-    app.add_typer(commands, name=name)
-
 
 def acceptor(store: Store) -> Acceptor:
     """Returns what accepts changes by `store`."""
@@ -158,11 +166,11 @@
 
 
 def with_store(text: str, use: Callable[[Store], Awaitable[_T]]) -> _T:
-    """Runs `use` with the store at the address `text`."""
+    """Runs `use` with the store at the address `text`; returns its result."""
 
     async def run() -> _T:
-        sender = make_sender(HttpLibrary.AIOHTTP, 2)
-        store = EtcdStore(sender, address(text), timeout_s=5.0)
+        sender = make_sender(HttpLibrary.AIOHTTP, _STORE_CONNECTIONS)
+        store = EtcdStore(sender, address(text), timeout_s=_STORE_TIMEOUT_S)
         try:
             return await use(store)
         finally:
--- a/src/radishwind/cli/fleet.py
+++ b/src/radishwind/cli/fleet.py
@@ -17,7 +17,10 @@
 from radishwind.config.reports import FleetReport
 from radishwind.core import ResultCode
 
+#: How long an answer may take (s); a node gathers from all its peers for some.
 _TIMEOUT_S = 30.0
+
+#: Time between two questions while waiting (s).
 _STEP_S = 0.2
 
 _T = TypeVar("_T")
@@ -63,7 +66,7 @@
 
 
 def config_of(admin: str) -> Configuration:
-    """Returns the configuration in force at a node."""
+    """Returns the configuration in force at the node; see `fetched`."""
     found = fetched(admin, CONFIG_PATH, ConfigInForce)
     return Configuration(
         found.revision, found.change_id, found.inventory, found.rules
--- a/src/radishwind/cli/node.py
+++ b/src/radishwind/cli/node.py
@@ -1,4 +1,4 @@
-"""`radishwind node`."""
+"""`radishwind node`: the node beside one backend server."""
 
 import sys
 
--- a/src/radishwind/telemetry/logs.py
+++ b/src/radishwind/telemetry/logs.py
@@ -24,17 +24,18 @@
 
 
 class PartLogger:
-    """Logs for one part of the system."""
+    """Logs for one part of the system.
 
-    def __init__(self, part: str, clock: Clock) -> None:
-        """Makes the logger of a part.
+    Args:
+      part: the prefix, a slice's name such as `membership`.
+      clock: for holding back what comes again.
+    """
 
-        Args:
-          part: the prefix, a slice's name such as `membership`.
-          clock: for holding back what comes again.
-        """
+    def __init__(self, part: str, clock: Clock) -> None:
         self._part = part
         self._clock = clock
+        # By sentence: when it was logged last (monotonic, s), and how often it
+        # was held back since.
         self._seen: dict[str, tuple[float, int]] = {}
 
     def info(self, sentence: str, **fields: str | float | None) -> None:
--- a/src/radishwind/telemetry/metrics.py
+++ b/src/radishwind/telemetry/metrics.py
@@ -31,14 +31,13 @@
 
 
 class NodeMetrics(CallObserver):
-    """The metrics of one node."""
+    """The metrics of one node.
 
-    def __init__(self, resource: Mapping[str, str]) -> None:
-        """Makes the instruments.
+    Args:
+      resource: what tells this node from others, e.g. its target.
+    """
 
-        Args:
-          resource: what tells this node from others, e.g. its target.
-        """
+    def __init__(self, resource: Mapping[str, str]) -> None:
         self._reader = InMemoryMetricReader()
         view = View(
             instrument_name=_DURATION,
