Shorten the benches' main functions; give their constants units

keep(), main() of admission and pipeline and a phase of probing had two jobs each: to measure or to ask for options, and to lay out the page. The kind that a profile is taken of was an index into a tuple, the method was cut from the kind by its length, and one import stood in a function for no reason.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -21,6 +21,7 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.report import keep
+from bench.report import Section
 from radishwind.admission import Admission
 from radishwind.admission import AdmissionLimits
 from radishwind.admission import FairAdmission
@@ -30,9 +31,17 @@
 from radishwind.node.target import OVERLAP
 
 SLOTS = 9
+
+#: Mean time a request runs (s).
 SERVICE_S = 0.005
+
+#: What a caller waits for an answer (s).
 DEADLINE_S = 0.25
+
+#: Callers that ask for little.
 MODEST = 4
+
+#: How many times as much the greedy caller asks for.
 GREED = 10
 
 #: Time from the end of a request at the server until the next one that the
@@ -119,7 +128,15 @@
 
 
 class Run:
-    """One policy under one workload."""
+    """One policy under one workload.
+
+    Attributes:
+      good_s: slot time of the requests answered in time (s).
+      offered: requests by caller.
+      answered: of these, those answered in time.
+      histograms: answer times (us) of those, by caller.
+      decisions: requests in all.
+    """
 
     def __init__(self, admission: Admission, gap_s: float) -> None:
         self._admission = admission
@@ -265,40 +282,42 @@
     return Workload(load, rates, costs, gap_s)
 
 
-def main() -> None:
-    """Runs the bench."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=10.0)
-    parser.add_argument("--rounds", type=int, default=5, help="seeds")
-    parser.add_argument("--seed", type=int, default=1)
-    options = parser.parse_args()
-    seeds = range(options.seed, options.seed + options.rounds)
+def _sections(seconds: float, seeds: range) -> list[Section]:
     policies = list(_policies())
     short = policies[:3]
-    sections = []
+    sections: list[Section] = []
     for title, names, loads, rate, cost, gap_s in (
         ("Asks ten times as often", policies, (1.5,), GREED, 1.0, GAP_S),
         ("Asks for ten times as long", policies, (1.5,), 1.0, GREED, GAP_S),
         ("By load", short, (0.8, 1.0, 1.5, 3.0), GREED, 1.0, GAP_S),
         ("Without the gap", short, (1.5,), GREED, 1.0, 0.0),
     ):
+        workloads = [
+            _workload(load, rate=rate, cost=cost, gap_s=gap_s) for load in loads
+        ]
         rows = [
-            _row(
-                name,
-                _workload(load, rate=rate, cost=cost, gap_s=gap_s),
-                options.seconds,
-                seeds,
-            )
-            for load in loads
+            _row(name, workload, seconds, seeds)
+            for workload in workloads
             for name in names
         ]
         sections.append((title, rows))
+    return sections
+
+
+def main() -> None:
+    """Runs the bench."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--rounds", type=int, default=5, help="seeds")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    seeds = range(options.seed, options.seed + options.rounds)
     keep(
         "admission",
         "Admission: shares between callers",
         f"python -m bench.admission --seconds {options.seconds:g} "
         f"--rounds {options.rounds} --seed {options.seed}",
-        sections,
+        _sections(options.seconds, seeds),
         f"{SLOTS} slots, {SERVICE_S * 1000:g} ms mean, deadline "
         f"{DEADLINE_S * 1000:g} ms, queue of 64, {GAP_S * 1000:g} ms between "
         "the end of a request and the begin of the next one sent. Goodput: "
--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -23,6 +23,7 @@
 from radishwind.core import SystemClock
 from radishwind.entry import EntryPipeline
 from radishwind.entry.runner import AttemptRunner
+from radishwind.hedging import HedgeAfterQuantile
 from radishwind.hedging import HedgePolicy
 from radishwind.http import Address
 from radishwind.http import make_sender
@@ -116,15 +117,12 @@
     clock, rng = SystemClock(), random.Random(1)
     index = index_of(*(m.name for m in (member, *members)))
     target = _target(member.name, server, sender, clock)
-    signer = PeerSigner(_KEY, clock, member.name) if signed else None
-    keys = (_KEY,)
-    verifier = PeerVerifier(keys, clock, member.address) if signed else None
     forward = ForwardRunner(
         node_name=member.name,
         clock=clock,
         target=target,
         sender=sender,
-        signer=signer,
+        signer=PeerSigner(_KEY, clock, member.name) if signed else None,
     )
     entry = EntryPipeline(
         node_name=member.name,
@@ -150,7 +148,9 @@
         clock=clock,
         index=lambda: index,
         target=target,
-        verifier=verifier,
+        verifier=PeerVerifier((_KEY,), clock, member.address)
+        if signed
+        else None,
     )
     callers = RequestsInProgress(CallerListener(entry).handle, clock)
     return DataPath(entry, callers, peers)
@@ -174,8 +174,6 @@
 
 
 async def _serve(listen: Address, server: Address) -> None:
-    from radishwind.hedging import HedgeAfterQuantile
-
     member = Member("echo-1", SERVICE, "a", listen)
     path = make_data_path(
         member,
--- a/bench/pipeline.py
+++ b/bench/pipeline.py
@@ -11,6 +11,7 @@
 import argparse
 from collections.abc import Callable
 import cProfile
+import functools
 import gc
 import pstats
 import statistics
@@ -126,18 +127,21 @@
 }
 
 
+_HEDGED = "GET, hedges on"
+
+
 def _policy(kind: str) -> HedgePolicy:
-    return HedgeAfterQuantile() if kind == "GET, hedges on" else NoHedges()
+    return HedgeAfterQuantile() if kind == _HEDGED else NoHedges()
 
 
-_KINDS = ("POST", "GET, hedges off", "GET, hedges on")
+_KINDS = ("POST", "GET, hedges off", _HEDGED)
 
 
 async def _loop(
-    path: DataPath, sender: DirectSender, kind: str, n: int
+    path: DataPath, sender: DirectSender, kind: str, requests: int
 ) -> None:
-    method = kind[:4].rstrip(",")
-    for _ in range(n):
+    method = kind.partition(",")[0]
+    for _ in range(requests):
         request = Request(
             method, "/echo/x?a=1", _HEADERS, _BODY, len(_BODY), "10.0.0.1"
         )
@@ -196,33 +200,27 @@
     pstats.Stats(profile).sort_stats("tottime").print_stats(40)
 
 
-def main() -> None:
-    """Runs the bench."""
+def _options() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=9)
-    parser.add_argument("--requests", type=int, default=500)
+    parser.add_argument("--requests", type=int, default=500, help="a round")
     parser.add_argument("--trial", action="store_true", help="print only")
     parser.add_argument(
-        "--profile", choices=list(_PATHS), help="print a profile instead"
+        "--profile",
+        choices=list(_PATHS),
+        help=f"print a profile of {_HEDGED!r} instead",
     )
-    options = parser.parse_args()
-    options_async = {"use_uvloop": True}
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Runs the bench."""
+    options = _options()
+    run = functools.partial(anyio.run, backend_options={"use_uvloop": True})
     if options.profile:
-        anyio.run(
-            _profiled,
-            options.profile,
-            _KINDS[2],
-            options.requests,
-            backend_options=options_async,
-        )
+        run(_profiled, options.profile, _HEDGED, options.requests)
         return
-    times = anyio.run(
-        _measure,
-        options.rounds,
-        options.requests,
-        backend_options=options_async,
-    )
-    rows = _rows(times)
+    rows = _rows(run(_measure, options.rounds, options.requests))
     if options.trial:
         print(table(rows))
         return
--- a/bench/probing.py
+++ b/bench/probing.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import tempfile
+import time
 from typing import Any
 
 from tests.support.processes import fetch
@@ -27,7 +28,11 @@
 
 TARGET = "bollettino-1"
 SLOTS = 9
+
+#: Mean times of requests (ms), a run of all phases each.
 SERVICES_MS = (20.0, 60.0)
+
+#: How long a probe holds a slot (ms).
 PROBE_MS = 6.0
 
 
@@ -63,6 +68,20 @@
     wait_until(lambda: fetch(url)[0] == 200, url)
 
 
+def _answered(
+    fleet: Fleet, load: float, service_ms: float, seconds: float, seed: int
+) -> str:
+    """Asks at `load` (share of capacity) for `seconds`; returns % answered."""
+    if not load:
+        time.sleep(seconds)
+        return ""
+    rate = load * SLOTS / (service_ms / 1000)
+    shot = Shot(fleet.caller_url(TARGET) + "/bollettino/x")
+    plan = LoadPlan((shot,), rate, seconds, seed, 0.0)
+    result = asyncio.run(run_load(plan))
+    return f"{100 * result.good.get_total_count() / result.count():.1f}"
+
+
 def _phase(
     fleet: Fleet,
     name: str,
@@ -70,21 +89,11 @@
     service_ms: float,
     options: argparse.Namespace,
 ) -> dict[str, Any]:
-    before = _counters(fleet)
-    node_s = fleet.processes[f"node {TARGET}"].cpu_s()
-    answers: Any = ""
+    node = fleet.processes[f"node {TARGET}"]
+    before, cpu_before_s = _counters(fleet), node.cpu_s()
     seconds = options.seconds
-    if load:
-        rate = load * SLOTS / (service_ms / 1000)
-        shot = Shot(fleet.caller_url(TARGET) + "/bollettino/x")
-        plan = LoadPlan((shot,), rate, seconds, options.seed, 0.0)
-        result = asyncio.run(run_load(plan))
-        good = result.good.get_total_count()
-        answers = f"{100 * good / result.count():.1f}"
-    else:
-        asyncio.run(asyncio.sleep(seconds))
-    after = _counters(fleet)
-    node_s = fleet.processes[f"node {TARGET}"].cpu_s() - node_s
+    answered = _answered(fleet, load, service_ms, seconds, options.seed)
+    after, node_s = _counters(fleet), node.cpu_s() - cpu_before_s
     spent = {
         key: after[key] - before[key]
         for key in ("probes", "probe_s", "probes_into_full", "run_s")
@@ -97,7 +106,7 @@
         "probe % of slot time": 100 * spent["probe_s"] / slot_s,
         "probes into full slots": spent["probes_into_full"],
         "requests % of slot time": 100 * spent["run_s"] / slot_s,
-        "answered %": answers,
+        "answered %": answered,
         "node % of a core": 100 * node_s / seconds,
     }
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -7,6 +7,10 @@
 import platform
 import subprocess
 from typing import Any
+from typing import TypeAlias
+
+#: A heading and the rows of the table below it.
+Section: TypeAlias = tuple[str, Sequence[dict[str, Any]]]
 
 _FOLDER = pathlib.Path(__file__).parents[1] / "docs" / "measurements"
 
@@ -56,7 +60,7 @@
     name: str,
     title: str,
     command: str,
-    sections: Sequence[tuple[str, Sequence[dict[str, Any]]]],
+    sections: Sequence[Section],
     notes: str = "",
 ) -> None:
     """Prints the sections and writes NAME.md and NAME.json.
@@ -65,17 +69,36 @@
       name: of the files.
       title: of the page.
       command: that makes them again.
-      sections: heading and rows of each table.
+      sections: the tables.
       notes: what the reader must know of the run.
     """
-    about = {
+    about = _about(command)
+    text = _page(title, about, sections, notes)
+    print(text)
+    _FOLDER.mkdir(parents=True, exist_ok=True)
+    (_FOLDER / f"{name}.md").write_text(text)
+    content = {**about, "sections": {h: list(r) for h, r in sections}}
+    (_FOLDER / f"{name}.json").write_text(json.dumps(content, indent=1) + "\n")
+
+
+def _about(command: str) -> dict[str, Any]:
+    """Returns what the figures were taken with."""
+    return {
         "command": command,
         "commit": commit(),
         "python": platform.python_version(),
         "cores": os.cpu_count(),
         "load_at_end": os.getloadavg()[0],
     }
-    lines = [f"# {title}\n", f"    {command}\n"]
+
+
+def _page(
+    title: str,
+    about: dict[str, Any],
+    sections: Sequence[Section],
+    notes: str,
+) -> str:
+    lines = [f"# {title}\n", f"    {about['command']}\n"]
     lines.append(
         f"Commit {about['commit']}, Python {about['python']}, "
         f"{about['cores']} cores, load average at the end "
@@ -86,9 +109,4 @@
     for heading, rows in sections:
         lines.append(f"## {heading}\n")
         lines.append(table(rows))
-    text = "\n".join(lines)
-    print(text)
-    _FOLDER.mkdir(parents=True, exist_ok=True)
-    (_FOLDER / f"{name}.md").write_text(text)
-    content = {**about, "sections": {h: list(r) for h, r in sections}}
-    (_FOLDER / f"{name}.json").write_text(json.dumps(content, indent=1) + "\n")
+    return "\n".join(lines)
