--- a/src/radishwind/burn/ledger.py
+++ b/src/radishwind/burn/ledger.py
@@ -4,13 +4,12 @@
 the fleet loses the share of the callers that used that node.
 """
 
-import collections
-
 import msgspec
 
 from radishwind.core.clock import Clock
 from radishwind.entry.call import Call
 from radishwind.entry.observer import CallObserver
+from radishwind.http.types import is_server_error
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import Outcome
 
@@ -36,6 +35,12 @@
     failed: int = 0
     slow: int = 0
 
+    def add(self, other: "MinuteCounts") -> None:
+        """Adds the requests that `other` counted."""
+        self.requests += other.requests
+        self.failed += other.failed
+        self.slow += other.slow
+
 
 class ServiceMinutes(msgspec.Struct, frozen=True):
     """The minutes of one service, with the objectives they count against.
@@ -67,8 +72,7 @@
         if counts is None:
             return
         counts.requests += 1
-        if not isinstance(outcome, Done) or outcome.response.status >= 500:
-            counts.failed += 1
+        counts.failed += _failed(outcome)
         if elapsed_s * 1000 > call.rules.latency_objective_ms:
             counts.slow += 1
 
@@ -88,52 +92,52 @@
         return minutes[-1]
 
     def _entry(self, call: Call) -> ServiceMinutes | None:
+        """Returns the minutes of the service, told by the rules in force."""
         entry = self._services.get(call.service)
         if entry is None:
             if len(self._services) >= KEPT_SERVICES:
                 return None
-            entry = _empty(call)
-        elif entry.latency_target != call.rules.latency_target or (
-            entry.success_target != call.rules.success_target
+            entry = _with_rules(call, [])
+        elif (
+            entry.latency_target != call.rules.latency_target
+            or entry.success_target != call.rules.success_target
+            or entry.latency_objective_ms != call.rules.latency_objective_ms
         ):
-            entry = _empty(call, entry.minutes)
+            entry = _with_rules(call, entry.minutes)
         self._services[call.service] = entry
         return entry
 
 
-def _empty(
-    call: Call, minutes: list[MinuteCounts] | None = None
-) -> ServiceMinutes:
+def _failed(outcome: Outcome) -> bool:
+    if not isinstance(outcome, Done):
+        return True
+    return is_server_error(outcome.response.status)
+
+
+def _with_rules(call: Call, minutes: list[MinuteCounts]) -> ServiceMinutes:
     return ServiceMinutes(
         call.service,
         call.rules.latency_target,
         call.rules.success_target,
         call.rules.latency_objective_ms,
-        minutes or [],
+        minutes,
     )
 
 
 def totals(minutes: list[MinuteCounts], since: int) -> MinuteCounts:
-    """Returns the sum of the minutes from `since` (minute) on."""
+    """Returns the sum of the minutes from `since` on (min since the epoch)."""
     total = MinuteCounts(since)
     for counts in minutes:
         if counts.minute >= since:
-            total.requests += counts.requests
-            total.failed += counts.failed
-            total.slow += counts.slow
+            total.add(counts)
     return total
 
 
 def merged(ledgers: list[list[MinuteCounts]]) -> list[MinuteCounts]:
     """Returns the sum of several nodes' minutes, oldest first."""
-    sums: dict[int, MinuteCounts] = collections.defaultdict(
-        lambda: MinuteCounts(0)
-    )
+    sums: dict[int, MinuteCounts] = {}
     for minutes in ledgers:
         for counts in minutes:
-            total = sums[counts.minute]
-            total.minute = counts.minute
-            total.requests += counts.requests
-            total.failed += counts.failed
-            total.slow += counts.slow
+            total = sums.setdefault(counts.minute, MinuteCounts(counts.minute))
+            total.add(counts)
     return [sums[minute] for minute in sorted(sums)]
