Bound the calls of discovery by the store's token bucket

CallBudget did what store.TokenBucket does, line by line, but for a clock that goes back. The options stay; the test of refilling now runs against the bucket with the default rate. Whether it still holds: the tests of membership, node and store pass.

--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -19,6 +19,7 @@
 from radishwind.store import Store
 from radishwind.store import StoreAnswerLostError
 from radishwind.store import StoreError
+from radishwind.store import TokenBucket
 
 _WRITE_TRIES = 3
 _MAX_UNREACHABLE = 1_024
@@ -47,26 +48,6 @@
     calls_per_hour: float = 60.0
 
 
-class CallBudget:
-    """A token bucket of store calls."""
-
-    def __init__(self, options: DiscoveryOptions, now: float) -> None:
-        self._options = options
-        self._tokens = float(options.calls_at_once)
-        self._filled = now
-
-    def take(self, now: float) -> bool:
-        """Returns whether a call may be made now."""
-        gained = (now - self._filled) * self._options.calls_per_hour / 3600
-        most = float(self._options.calls_at_once)
-        self._tokens = min(most, self._tokens + gained)
-        self._filled = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
 class ContactFinder:
     """Reads and writes the contact records; counts its calls."""
 
@@ -86,7 +67,11 @@
         self._clock = clock
         self._rng = rng
         self._options = options
-        self._budget = CallBudget(options, clock.monotonic())
+        self._budget = TokenBucket(
+            options.calls_per_hour / 3600,
+            options.calls_at_once,
+            clock.monotonic(),
+        )
         self._unreachable: set[Address] = set()
         self._read_record: ContactRecord | None = None
         self.calls: dict[str, int] = {"read": 0, "write": 0, "failed": 0}
--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -20,12 +20,12 @@
 from radishwind.membership.contacts import RENEW_MS
 from radishwind.membership.contacts import revised
 from radishwind.membership.contacts import STALE_MS
-from radishwind.membership.discovery import CallBudget
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.standins.store import StoreStandin
 from radishwind.store import EtcdStore
+from radishwind.store import TokenBucket
 
 STORE = Address("127.0.0.1", 2379)
 OPTIONS = DiscoveryOptions(spread_s=0.0)
@@ -179,7 +179,8 @@
 
 
 def test_budget_refills_by_time():
-    budget = CallBudget(DiscoveryOptions(calls_at_once=2), 0.0)
+    options = DiscoveryOptions()
+    budget = TokenBucket(options.calls_per_hour / 3600, 2, 0.0)
     taken = [budget.take(0.0) for _ in range(3)]
 
     assert taken == [True, True, False]
