Keep the state of anti-entropy in Syncer, and one incarnation

Gossip also held its incarnation beside its own fact in the table, which says the same; it is now read from there. No change of behaviour: tests of membership and node pass.

--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -59,17 +59,16 @@
         self._options = options
         self._rng = rng
         self._name = own.name
-        self._incarnation = own.incarnation
         self.table = FactTable(options.max_members, options.max_rumors)
         self._spreader = Spreader(
             self.table, options.push_bytes_s, options.push_burst_bytes, now
         )
         self.prober = Prober(own.name, self.table, options, rng)
-        self._syncer = Syncer(own.name, self.table, options.page_bytes)
+        self._syncer = Syncer(
+            own.name, self.table, options.page_bytes, options.sync_pages
+        )
         self._rumor_listeners: list[RumorListener] = []
         self._outbox = Outbox()
-        self._pages_left = 0
-        self._sync_wanted: tuple[int, ...] = ()
         self._conflict_until = now
         self._next_probe = now + rng.random() * options.probe_period_s
         self._next_sync = now + rng.random() * options.sync_period_s
@@ -98,7 +97,7 @@
         said = self.own.announced
         leaving = said >= Announced.LEAVING
         if announced is not said and not (leaving and announced < said):
-            self._restate(self._incarnation + 1, announced)
+            self._restate(self.own.incarnation + 1, announced)
             self._push_own()
         return self.tick(now)
 
@@ -168,11 +167,11 @@
         """Takes the answer to a call."""
         self._take(answer, now)
         if isinstance(answer, SyncLeaves):
-            self._pages_left = self._options.sync_pages
-            self._sync_wanted = self._syncer.differing(answer)
+            self._syncer.start_pages(answer)
             self._next_page(call.address, now)
         elif isinstance(answer, SyncNewer):
-            self._next_page(call.address, now, answer.covered)
+            self._syncer.note_covered(answer)
+            self._next_page(call.address, now)
         if call.purpose is Purpose.PROBE:
             if answer.sender != call.member:
                 # The address has passed to another member.
@@ -187,7 +186,7 @@
         if call.purpose is Purpose.PROBE:
             self._ask_others(call, now)
         elif call.purpose is Purpose.SYNC_PAGE:
-            self._sync_wanted = ()
+            self._syncer.give_up()
         elif call.purpose in (Purpose.JOIN, Purpose.SYNC_GROUPS):
             self._sync_soon(now)
         return self._outbox.flush()
@@ -249,7 +248,6 @@
         self._restate(fact.incarnation + 1, own.announced)
 
     def _restate(self, incarnation: int, announced: Announced) -> None:
-        self._incarnation = incarnation
         fact = msgspec.structs.replace(
             self.own, incarnation=incarnation, announced=announced
         )
@@ -352,20 +350,13 @@
             message = self._syncer.open(self.revision)
             self._outbox.send(peer, message, Purpose.SYNC_GROUPS)
 
-    def _next_page(
-        self, address: Address, now: float, covered: tuple[int, ...] = ()
-    ) -> None:
-        done = frozenset(covered)
-        left = tuple(n for n in self._sync_wanted if n not in done)
-        self._sync_wanted = left
-        if not left:
+    def _next_page(self, address: Address, now: float) -> None:
+        if not self._syncer.differs:
             return
         self._sync_soon(now)
-        if self._pages_left == 0:
-            return
-        self._pages_left -= 1
-        page = self._syncer.page(left, self.revision, now)
-        self._outbox.send_to_address(address, page, Purpose.SYNC_PAGE)
+        page = self._syncer.next_page(self.revision, now)
+        if page is not None:
+            self._outbox.send_to_address(address, page, Purpose.SYNC_PAGE)
 
     def _sync_soon(self, now: float) -> None:
         self._next_sync = min(self._next_sync, now + self._options.sync_soon_s)
--- a/src/radishwind/membership/sync.py
+++ b/src/radishwind/membership/sync.py
@@ -18,12 +18,33 @@
 
 
 class Syncer:
-    """Makes and answers the messages of anti-entropy."""
-
-    def __init__(self, own_name: str, table: FactTable, page_bytes: int):
+    """Makes and answers the messages of anti-entropy.
+
+    The side that opened it keeps which leaves are still to be exchanged.
+    """
+
+    def __init__(
+        self, own_name: str, table: FactTable, page_bytes: int, max_pages: int
+    ) -> None:
+        """Makes a syncer.
+
+        Args:
+          own_name: the name of this node.
+          table: the facts to make equal.
+          page_bytes: facts carried by one page (bytes).
+          max_pages: pages sent at most after one opening.
+        """
         self._own_name = own_name
         self._table = table
         self._page_bytes = page_bytes
+        self._max_pages = max_pages
+        self._pages_left = 0
+        self._wanted: tuple[int, ...] = ()
+
+    @property
+    def differs(self) -> bool:
+        """Whether leaves are left in which the tables differ."""
+        return bool(self._wanted)
 
     def open(self, revision: int) -> SyncGroups:
         """Returns the message that opens anti-entropy."""
@@ -43,19 +64,33 @@
         ]
         return SyncLeaves(self._own_name, revision, (), (), tuple(told))
 
-    def differing(self, message: SyncLeaves) -> tuple[int, ...]:
-        """Returns the leaves in which the tables differ."""
+    def start_pages(self, message: SyncLeaves) -> None:
+        """Notes the leaves in which the tables differ, to be exchanged."""
         digests = self._table.digests
         leaves: list[int] = []
         for item in message.differing:
             leaves += digests.differing_leaves(item.group, item.leaves)
-        return tuple(leaves)
-
-    def page(
-        self, leaves: tuple[int, ...], revision: int, now: float
-    ) -> SyncPage:
-        """Returns a page with the own facts of as many leaves as fit."""
-        fitting, members, rumors = self._facts_that_fit(leaves, now)
+        self._wanted = tuple(leaves)
+        self._pages_left = self._max_pages
+
+    def note_covered(self, message: SyncNewer) -> None:
+        """Notes the leaves that a page and its answer have exchanged."""
+        done = frozenset(message.covered)
+        self._wanted = tuple(n for n in self._wanted if n not in done)
+
+    def give_up(self) -> None:
+        """Forgets the leaves left; the next opening finds them again."""
+        self._wanted = ()
+
+    def next_page(self, revision: int, now: float) -> SyncPage | None:
+        """Returns a page with the own facts of as many leaves as fit.
+
+        `None` where no leaf is left or the bound of pages is reached.
+        """
+        if not self._wanted or self._pages_left == 0:
+            return None
+        self._pages_left -= 1
+        fitting, members, rumors = self._facts_that_fit(self._wanted, now)
         return SyncPage(
             self._own_name, revision, tuple(members), tuple(rumors), fitting
         )
