Follow the store for configuration in a module of its own

The second is now StoreFollower in node/config_store.py with its state (turn, last read, watching), and the periods that both use stand in node/config_periods.py. Tasks start in the same order, so draws of the random source stay the same.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -47,7 +47,7 @@
 from radishwind.config.watchers import WATCHERS_PER_DOMAIN
 from radishwind.http import Request
 from radishwind.http import Response
-from radishwind.node.config_tasks import ConfigPeriods
+from radishwind.node.config_periods import ConfigPeriods
 from radishwind.standins.store import StoreFaults
 
 #: Services and targets: both deployments of today, then growth.
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -2,16 +2,15 @@
 
 Three ways lead to it. Peers: whoever adopts a revision tells a few others,
 who ask it for the difference and tell on; a slow random exchange catches what
-that missed. The board of rumors, where there is one. The store: a few nodes of
-each failure domain watch it, the others read it rarely.
+that missed. The board of rumors, where there is one. The store
+(`config_store`): a few nodes of each failure domain watch it, the others read
+it rarely.
 """
 
 from collections.abc import Callable
-import dataclasses
 import random
 
 import anyio
-import anyio.abc
 import msgspec
 
 from radishwind.config.adopter import Adopter
@@ -21,8 +20,6 @@
 from radishwind.config.exchange import jittered
 from radishwind.config.index import ConfigIndex
 from radishwind.config.parts import Snapshot
-from radishwind.config.records import ROOT_KEY
-from radishwind.config.watchers import is_watcher
 from radishwind.core import Clock
 from radishwind.core import ResultCode
 from radishwind.http import Address
@@ -33,60 +30,27 @@
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
 from radishwind.membership.rumors import RumorBoard
+from radishwind.node.config_periods import ConfigPeriods
+from radishwind.node.config_store import StoreFollower
 from radishwind.node.peer_security import advertised
 from radishwind.outcomes import problem
 from radishwind.peers import PeerClient
 from radishwind.peers import PeerError
 from radishwind.settings import NodeSettings
-from radishwind.store import Backoff
 from radishwind.store import Store
-from radishwind.store import StoreCompactedError
-from radishwind.store import StoreError
-from radishwind.store import WatchEvent
 
 RUMOR_TOPIC = "config"
 _RUMOR_KEY = "newest"
 _RUMOR_TTL_S = 60.0
 
-_HEARD_WAITING = 16
+#: Peers said to be ahead that wait to be asked; further ones are dropped.
+_MAX_HEARD_WAITING = 16
 
 #: From so many members on, the list of all is made anew only so often (s).
 _MANY_MEMBERS = 256
 _MEMBERS_AGE_S = 10.0
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigPeriods:
-    """How often the tasks act; each time is varied by half of itself.
-
-    Attributes:
-      told_members: members told of a newly adopted revision by this node.
-      peer_s: between exchanges with a random peer (s).
-      lagging_peer_s: the same while nothing is in force yet, or a newer
-        revision is known of (s).
-      watch_turn_s: how long one watch is kept before the store is read
-        anew (s).
-      short_turn_s: the same where the store no longer tells past changes (s).
-      rank_s: between looks whether this node is to watch (s).
-      read_s: between reads of the store by nodes that don't watch (s).
-      first_read_s: the same while nothing is in force yet (s).
-      first_read_spread_s: over which time nodes that start together spread
-        their first read (s).
-      first_pause_s: the bound of the first pause after the store failed (s).
-      longest_pause_s: the longest pause (s).
-    """
-
-    told_members: int = 3
-    peer_s: float = 5.0
-    lagging_peer_s: float = 0.3
-    watch_turn_s: float = 60.0
-    short_turn_s: float = 2.0
-    rank_s: float = 2.0
-    read_s: float = 300.0
-    first_read_s: float = 10.0
-    first_read_spread_s: float = 0.5
-    first_pause_s: float = 0.2
-    longest_pause_s: float = 10.0
+_USUAL_PERIODS = ConfigPeriods()
 
 
 class RumorOfRevision(msgspec.Struct, frozen=True):
@@ -105,7 +69,6 @@
       adopter: holds the configuration and what was refused.
       exchange: asks and answers peers.
       index: look-ups over the configuration in force.
-      watching: whether this node's turn is to watch the store.
     """
 
     def __init__(
@@ -120,7 +83,7 @@
         board: RumorBoard,
         adopted: Callable[[ConfigIndex], None],
         report: Callable[[str], None],
-        periods: ConfigPeriods = ConfigPeriods(),
+        periods: ConfigPeriods = _USUAL_PERIODS,
     ) -> None:
         """Wires the tasks.
 
@@ -139,7 +102,6 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._store = store
         self._directory = directory
         self._board = board
         self._on_adopted = adopted
@@ -147,17 +109,14 @@
         self._periods = periods
         self._send_heard, self._receive_heard = (
             anyio.create_memory_object_stream[tuple[int, Address]](
-                _HEARD_WAITING
+                _MAX_HEARD_WAITING
             )
         )
         self._newly_adopted = anyio.Event()
         self._lagging = anyio.Event()
         self._known_newest = 1
-        self._turn: anyio.CancelScope | None = None
         self._known: tuple[Member, ...] = ()
         self._members_at = clock.monotonic()
-        self._read_at = clock.monotonic()
-        self.watching = False
         self.adopter = Adopter()
         self.index = ConfigIndex(self.adopter.snapshot.cfg)
         self.exchange = Exchange(
@@ -168,13 +127,28 @@
             self._heard,
             self._adopted,
         )
+        self._follower = StoreFollower(
+            settings=settings,
+            clock=clock,
+            rng=rng,
+            store=store,
+            exchange=self.exchange,
+            members=self._members,
+            refused=self._refuse,
+            report=report,
+            periods=periods,
+        )
         board.subscribe(RUMOR_TOPIC, self._take_rumor)
 
+    @property
+    def watching(self) -> bool:
+        """Whether it is this node's turn to watch the store."""
+        return self._follower.watching
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow_store)
-            tasks.start_soon(self._end_turn_when_outranked)
+            self._follower.start(tasks)
             tasks.start_soon(self._ask_peers)
             tasks.start_soon(self._ask_heard)
             tasks.start_soon(self._tell_members)
@@ -231,6 +205,7 @@
         )
 
     def _refuse(self, source: Source, exc: RevisionRefusedError) -> None:
+        """Notes a refusal; reports it unless it was the last one too."""
         if self.adopter.refuse(source, exc):
             self._report(f"Refused: {self.adopter.last_refusal}")
 
@@ -292,80 +267,6 @@
                 for member in self._rng.sample(members, count):
                     tasks.start_soon(self.ask, member.address)
 
-    async def _follow_store(self) -> None:
-        await anyio.sleep(
-            self._rng.uniform(0, self._periods.first_read_spread_s)
-        )
-        backoff = Backoff(
-            self._rng,
-            self._periods.first_pause_s,
-            self._periods.longest_pause_s,
-        )
-        while True:
-            try:
-                await self._follow_once()
-                backoff.succeeded()
-            except StoreError:
-                await anyio.sleep(backoff.failed())
-            except RevisionRefusedError as exc:
-                self._refuse(Source.STORE, exc)
-                await anyio.sleep(backoff.failed())
-
-    async def _follow_once(self) -> None:
-        self.watching = self._is_watcher()
-        if self.watching:
-            await self._watch_turn()
-            return
-        fresh = self.adopter.snapshot.revision == 0
-        period_s = self._periods.first_read_s if fresh else self._periods.read_s
-        since_s = self._clock.monotonic() - self._read_at
-        if since_s >= jittered(self._rng, period_s):
-            await self._read_store()
-        await anyio.sleep(jittered(self._rng, self._periods.rank_s))
-
-    def _is_watcher(self) -> bool:
-        return is_watcher(
-            self._settings.target,
-            self._settings.failure_domain,
-            self._members(),
-        )
-
-    async def _watch_turn(self) -> None:
-        """Reads the store, then watches it for one turn."""
-        stored_at = await self._read_store()
-        try:
-            await self._watch(stored_at + 1, self._periods.watch_turn_s)
-        except StoreCompactedError:
-            await self._watch(0, self._periods.short_turn_s)
-
-    async def _watch(self, from_revision: int, turn_s: float) -> None:
-        """Watches for about `turn_s` (s), or until others rank before."""
-        with anyio.move_on_after(jittered(self._rng, turn_s)) as self._turn:
-            async for event in self._store.watch(ROOT_KEY, from_revision):
-                await self._take_event(event)
-
-    async def _end_turn_when_outranked(self) -> None:
-        while True:
-            await anyio.sleep(jittered(self._rng, self._periods.rank_s))
-            if self._turn is not None and not self._is_watcher():
-                self._turn.cancel()
-
-    async def _take_event(self, event: WatchEvent) -> None:
-        refusals = self.adopter.refusals
-        await self.exchange.take_event(event)
-        self._report_refusal(refusals)
-
-    async def _read_store(self) -> int:
-        refusals = self.adopter.refusals
-        stored_at = await self.exchange.read_store()
-        self._read_at = self._clock.monotonic()
-        self._report_refusal(refusals)
-        return stored_at
-
-    def _report_refusal(self, before: int) -> None:
-        if self.adopter.refusals > before:
-            self._report(f"Refused: {self.adopter.last_refusal}")
-
 
 def _json(content: bytes) -> Response:
     return Response(200, (("Content-Type", "application/json"),), content)
--- a/src/radishwind/node/tests/test_config_tasks.py
+++ b/src/radishwind/node/tests/test_config_tasks.py
@@ -11,7 +11,7 @@
 from radishwind.config.records import ROOT_KEY
 from radishwind.http import Request
 from radishwind.membership.ranking import rank
-from radishwind.node.config_tasks import ConfigPeriods
+from radishwind.node.config_periods import ConfigPeriods
 from radishwind.standins.store import StoreFaults
 from radishwind.store import Put
 
--- a/tests/support/configs.py
+++ b/tests/support/configs.py
@@ -31,7 +31,7 @@
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.membership.rumors import SilentBoard
-from radishwind.node.config_tasks import ConfigPeriods
+from radishwind.node.config_periods import ConfigPeriods
 from radishwind.node.config_tasks import ConfigTasks
 from radishwind.peers import HttpPeerClient
 from radishwind.settings import NodeSettings
