--- a/src/radishwind/membership/contacts.py
+++ b/src/radishwind/membership/contacts.py
@@ -1,8 +1,9 @@
 """The few addresses kept in the store by which a new node finds the others.
 
-There is one small record for each failure domain. It is read once at start
-and written only by nodes that find it short or stale, so the store carries a
-handful of calls an hour however many nodes there are.
+There is one small record for each failure domain. It is read by nodes that
+know nobody and by the few that rank first in their domain, and written only by
+those that find it short or stale, so the store carries a handful of calls an
+hour for each domain however many nodes there are.
 """
 
 import msgspec
