Shorten what forwards an attempt and reads its answer

The names of outcomes on the wire, the pauses of refused attempts and the bound of draws of a sample are named once. No change of behaviour: tests of peers, membership, entry, whole path and process proofs pass.

--- a/src/radishwind/membership/table.py
+++ b/src/radishwind/membership/table.py
@@ -24,7 +24,10 @@
 ]
 RumorKey: TypeAlias = tuple[str, str]
 
+#: Draws for each member wanted in a sample; where many are gone or left out,
+#: more, up to the second.
 _SAMPLE_TRIES_PER_MEMBER = 4
+_MOST_SAMPLE_TRIES_PER_MEMBER = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +137,7 @@
         if not self._names:
             return []
         tries = _SAMPLE_TRIES_PER_MEMBER * count + len(self._names) // 2
-        for _ in range(min(tries, 16 * count)):
+        for _ in range(min(tries, _MOST_SAMPLE_TRIES_PER_MEMBER * count)):
             fact = self.members[rng.choice(self._names)]
             if not fact.gone and fact.name not in exclude:
                 chosen[fact.name] = fact
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -29,6 +29,11 @@
 ATTEMPT_FIELD = "Radishwind-Node-Attempt"
 ANSWER_FIELD = "Radishwind-Node-Answer"
 
+#: The values of `AnswerInfo.outcome`.
+_DONE = "done"
+_NOT_RUN = "not-run"
+_UNKNOWN = "unknown"
+
 
 class PeerMalformedError(RadishwindError):
     """What a peer sent cannot be read."""
@@ -92,16 +97,6 @@
     return header(request.headers, ATTEMPT_FIELD.lower()) is not None
 
 
-def without_node_fields(headers: Headers) -> Headers:
-    """Returns `headers` without the fields that only nodes may send."""
-    kept = [
-        item
-        for item in headers
-        if not item[0].lower().startswith(NODE_FIELD_PREFIX)
-    ]
-    return tuple(kept)
-
-
 def split_node_fields(headers: Headers) -> tuple[dict[str, str], Headers]:
     """Returns the fields of nodes, by name in lower case, and the others."""
     told: dict[str, str] = {}
@@ -122,20 +117,19 @@
     remaining_s: float,
     signer: PeerSigner | None,
 ) -> Request:
-    """Returns the request of an attempt, signed where there is a key."""
-    info = AttemptInfo(
-        attempt_id,
-        member.name,
-        call.service,
-        call.idempotent,
-        max(1, int(remaining_s * 1000)),
-        call.expires_ms,
-        call.caller,
-        call.depth,
-        call.suspect,
-    )
+    """Returns the request of an attempt, signed where there is a key.
+
+    Args:
+      call: the caller's request, classified.
+      member: the target's node.
+      attempt_id: unique over nodes and restarts.
+      remaining_s: time left to the deadline (s).
+      signer: signs it; `None` where there is no key.
+    """
     request = call.request
-    field = _encoder.encode(info)
+    field = _encoder.encode(
+        _attempt_info(call, member.name, attempt_id, remaining_s)
+    )
     headers: Headers = (
         *request.headers,
         (ATTEMPT_FIELD, field.decode()),
@@ -152,6 +146,22 @@
     )
 
 
+def _attempt_info(
+    call: Call, target: str, attempt_id: str, remaining_s: float
+) -> AttemptInfo:
+    return AttemptInfo(
+        attempt_id,
+        target,
+        call.service,
+        call.idempotent,
+        max(1, int(remaining_s * 1000)),
+        call.expires_ms,
+        call.caller,
+        call.depth,
+        call.suspect,
+    )
+
+
 def with_answer(
     attempt_id: str, outcome: Outcome, load: LoadReport | None
 ) -> Response:
@@ -170,24 +180,25 @@
     attempt_id: str, outcome: Outcome, load: LoadReport | None
 ) -> AnswerInfo:
     if isinstance(outcome, Done):
-        return AnswerInfo(attempt_id, "done", 0, "", None, load)
+        return AnswerInfo(attempt_id, _DONE, 0, "", None, load)
     code = int(outcome.code)
     if isinstance(outcome, NotRun):
         return AnswerInfo(
             attempt_id,
-            "not-run",
+            _NOT_RUN,
             code,
             outcome.detail,
             outcome.retry_after_s,
             load,
         )
-    return AnswerInfo(attempt_id, "unknown", code, outcome.detail, None, load)
+    return AnswerInfo(attempt_id, _UNKNOWN, code, outcome.detail, None, load)
 
 
 def read_result(response: Response, attempt_id: str) -> AttemptResult:
     """Reads the outcome that the target's node tells.
 
-    Anything that is not plainly the answer to this attempt is `Unknown`.
+    Anything that is not plainly the answer to this attempt is `Unknown`, and
+    so is an outcome of another name.
     """
     info = _read_answer(response, attempt_id)
     if info is None:
@@ -198,10 +209,10 @@
                 "The answer was not to this attempt.",
             )
         )
-    if info.outcome == "done":
+    if info.outcome == _DONE:
         clean = Response(
             response.status,
-            without_node_fields(response.headers),
+            split_node_fields(response.headers)[1],
             response.body,
             response.body_bytes,
         )
@@ -211,7 +222,7 @@
         code = ResultCode(info.code)
     except ValueError:
         code = ResultCode.ANSWER_MISMATCH
-    if info.outcome == "not-run":
+    if info.outcome == _NOT_RUN:
         outcome: Outcome = NotRun(code, info.detail, info.retry_after_s)
     else:
         outcome = Unknown(code, info.detail)
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -12,6 +12,8 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
+from radishwind.http.types import Request
+from radishwind.http.types import Response
 from radishwind.membership.directory import Member
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
@@ -21,6 +23,9 @@
 from radishwind.peers.security import PeerSigner
 from radishwind.target.pipeline import TargetPipeline
 
+#: When to come back after a refused connection (s).
+_RETRY_S = 1.0
+
 #: Takes the name of a target whose node takes no connection.
 UnreachableHint: TypeAlias = Callable[[str], None]
 
@@ -56,33 +61,41 @@
                 NotRun(ResultCode.DEADLINE_PASSED, "The deadline had passed.")
             )
         request = forwarded(call, member, attempt_id, remaining_s, self._signer)
+        answer = await self._exchange(request, member, remaining_s)
+        if isinstance(answer, Response):
+            return read_result(answer, attempt_id)
+        return AttemptResult(answer)
+
+    async def _exchange(
+        self, request: Request, member: Member, remaining_s: float
+    ) -> Response | NotRun | Unknown:
+        """Returns the answer of the node of `member`, or what no answer means.
+
+        Args:
+          request: the attempt, ready to send.
+          member: the target's node.
+          remaining_s: time left to the deadline (s).
+        """
         try:
             with TimeLimit(remaining_s):
-                response = await self._sender.send(
+                return await self._sender.send(
                     member.address, request, CONNECT_TIMEOUT_S
                 )
         except ConnectFailedError:
             if self._unreachable is not None:
                 self._unreachable(member.name)
-            return AttemptResult(
-                NotRun(
-                    ResultCode.CONNECT_FAILED,
-                    "The target's node takes no connection.",
-                    1.0,
-                )
+            return NotRun(
+                ResultCode.CONNECT_FAILED,
+                "The target's node takes no connection.",
+                _RETRY_S,
             )
         except ExchangeBrokenError:
-            return AttemptResult(
-                Unknown(
-                    ResultCode.EXCHANGE_BROKEN,
-                    "The answer of the target's node broke off.",
-                )
+            return Unknown(
+                ResultCode.EXCHANGE_BROKEN,
+                "The answer of the target's node broke off.",
             )
         except TimeoutError:
-            return AttemptResult(
-                Unknown(
-                    ResultCode.EXCHANGE_TIMEOUT,
-                    "The target did not answer in time.",
-                )
+            return Unknown(
+                ResultCode.EXCHANGE_TIMEOUT,
+                "The target did not answer in time.",
             )
-        return read_result(response, attempt_id)
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -31,10 +31,13 @@
 from radishwind.peers.security import PeerVerifier
 from radishwind.target.pipeline import TargetPipeline
 
-#: Control messages up to this size (bytes) are read where a slice asks for
-#: no other limit.
+#: Control messages up to this size (bytes) are read where `add_control` is
+#: given no other limit.
 MAX_CONTROL_BYTES = 64 * 1024
 
+#: When an entry node may come back after a refused attempt (s).
+_RETRY_S = 1.0
+
 _ATTEMPT = ATTEMPT_FIELD.lower()
 _AUTH = AUTH_FIELD.lower()
 
@@ -144,7 +147,7 @@
         self, info: AttemptInfo, exc: PeerRefusedError
     ) -> Response:
         self.refused[exc.code] = self.refused.get(exc.code, 0) + 1
-        outcome: Outcome = NotRun(exc.code, exc.args[0], 1.0)
+        outcome: Outcome = NotRun(exc.code, exc.args[0], _RETRY_S)
         if isinstance(exc, PeerReplayedError):
             # The first one may have run.
             outcome = Unknown(exc.code, exc.args[0])
