Look for first peers in a module of its own

node/membership_tasks.py had two jobs in 337 lines: the timers and messages of the state machine, and the search for first peers by seeds and store. The second is now PeerSearch in node/peer_search.py. Attributes that only it or __init__ used are gone. No change of behaviour; tests of node and membership and tests/test_membership_processes.py pass.

--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -1,4 +1,4 @@
-"""Runs membership: the state machine's timers, messages and first peers."""
+"""Runs membership: the timers and messages of the state machine."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -23,7 +23,6 @@
 from radishwind.membership import MemberFact
 from radishwind.membership.actions import Call
 from radishwind.membership.changes import ChangeTeller
-from radishwind.membership.contacts import MAX_CONTACTS
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
 from radishwind.membership.messages import CONTROL_NAME
@@ -31,7 +30,7 @@
 from radishwind.membership.messages import encode
 from radishwind.membership.messages import MAX_MESSAGE_BYTES
 from radishwind.membership.messages import MessageError
-from radishwind.membership.ranking import ranks_among_first
+from radishwind.node.peer_search import PeerSearch
 from radishwind.node.peer_security import advertised
 from radishwind.outcomes import problem
 from radishwind.peers import PeerClient
@@ -43,11 +42,10 @@
 
 #: Messages on their way at once; further ones count as lost.
 _MAX_IN_FLIGHT = 64
+#: How long a stopping node waits for the answers to its last message (s).
 _LAST_WORD_S = 1.0
 #: Names of members that are gone in the status; they are counted anyway.
 _NAMES_TOLD = 20
-#: Looks at the store at short intervals after the start.
-_EARLY_LOOKS = 4
 
 _JSON = (("Content-Type", "application/json"),)
 
@@ -65,20 +63,18 @@
         client: PeerClient,
         store: Store,
     ) -> None:
-        self._settings = settings
         self._clock = clock
-        self._rng = rng
         self._index = index
         self._client = client
-        self._options = GossipOptions(
+        options = GossipOptions(
             probe_period_s=settings.probe_period_s,
             probe_timeout_s=settings.probe_timeout_s,
         )
         self.gossip = Gossip(
-            _own_fact(settings, clock), self._options, rng, clock.monotonic()
+            _own_fact(settings, clock), options, rng, clock.monotonic()
         )
         self.directory = GossipDirectory(
-            self.gossip, index, clock, self._options.refute_grace_s
+            self.gossip, index, clock, options.refute_grace_s
         )
         self.board = GossipRumorBoard(self.gossip, clock, self._wake)
         self._teller = ChangeTeller(
@@ -87,14 +83,23 @@
         self.gossip.table.listen(
             lambda old, new: self._teller.changed(old, new, self._now())
         )
-        self._discovery = DiscoveryOptions(spread_s=settings.start_spread_s)
+        discovery = DiscoveryOptions(spread_s=settings.start_spread_s)
         self._finder = ContactFinder(
             store=store,
             failure_domain=settings.failure_domain,
             own=advertised(settings),
             clock=clock,
             rng=rng,
-            options=self._discovery,
+            options=discovery,
+        )
+        self._search = PeerSearch(
+            settings=settings,
+            clock=clock,
+            rng=rng,
+            gossip=self.gossip,
+            finder=self._finder,
+            options=discovery,
+            start=self._start,
         )
         self._woken = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -110,7 +115,7 @@
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._find_peers)
+            tasks.start_soon(self._search.run)
             await self._tick_forever()
 
     def announce(self, announced: Announced) -> None:
@@ -240,60 +245,6 @@
         self._wake_if_due_sooner()
         return Response(200, _JSON, data, len(data))
 
-    async def _find_peers(self) -> None:
-        self._start(self.gossip.join(self._settings.seeds, self._now()))
-        await anyio.sleep(self._rng.random() * self._discovery.spread_s)
-        looks = 0
-        failures = 0
-        while True:
-            if self._alone() or self._is_contact():
-                if await self._look():
-                    looks += 1
-                    failures = 0
-                else:
-                    failures += 1
-            await anyio.sleep(self._next_look_s(looks, failures))
-
-    async def _look(self) -> bool:
-        """Reads the contacts and joins those not known; `False` if failed."""
-        if self._alone() and self._settings.seeds:
-            self._start(self.gossip.join(self._settings.seeds, self._now()))
-        contacts = await self._finder.read()
-        if contacts is None:
-            return False
-        facts = self.gossip.table.members.values()
-        known = {f.address for f in facts if not f.gone}
-        strangers = tuple(c for c in contacts if str(c) not in known)
-        self._start(self.gossip.join(strangers, self._now()))
-        if self._is_contact():
-            return await self._finder.enter()
-        return True
-
-    def _next_look_s(self, looks: int, failures: int) -> float:
-        options = self._discovery
-        jitter = 0.5 + self._rng.random()
-        if failures:
-            wait_s = options.backoff_s * 2.0**failures
-            return min(options.backoff_most_s, wait_s) * jitter
-        if self._alone() or looks <= _EARLY_LOOKS:
-            wait_s = options.backoff_s * 2.0 ** min(looks, 16)
-            return min(options.backoff_most_s, wait_s) * jitter
-        return options.check_period_s * jitter
-
-    def _alone(self) -> bool:
-        facts = self.gossip.table.members.values()
-        return sum(not fact.gone for fact in facts) <= 1
-
-    def _is_contact(self) -> bool:
-        facts = self.gossip.table.members.values()
-        names = [
-            fact.name
-            for fact in facts
-            if fact.failure_domain == self._settings.failure_domain
-            and not fact.gone
-        ]
-        return ranks_among_first(self._settings.target, names, MAX_CONTACTS)
-
 
 class Traffic(msgspec.Struct):
     """Messages and payload bytes of membership since the start.
