Bound the doublings of the wait for the contacts in the store

A node that is alone or a contact counted failed looks without a bound and raised 2.0 to that power: after 1,024 failures in a row, some 17 hours of a failed store at a minute each (worked out), OverflowError would end its task group and so the node. Looks that succeeded were bounded already; both now use one pure function.

--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -23,6 +23,8 @@
 
 _WRITE_TRIES = 3
 _MAX_UNREACHABLE = 1_024
+#: Beyond it a wait is at its bound anyway, and a float would overflow.
+_MAX_DOUBLINGS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +50,12 @@
     calls_per_hour: float = 60.0
 
 
+def backoff_s(options: DiscoveryOptions, doublings: int) -> float:
+    """Returns the wait after `doublings` calls in a row of a kind (s)."""
+    wait_s = options.backoff_s * 2.0 ** min(doublings, _MAX_DOUBLINGS)
+    return min(options.backoff_most_s, wait_s)
+
+
 class ContactFinder:
     """Reads and writes the contact records; counts its calls."""
 
--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -20,6 +20,7 @@
 from radishwind.membership.contacts import RENEW_MS
 from radishwind.membership.contacts import revised
 from radishwind.membership.contacts import STALE_MS
+from radishwind.membership.discovery import backoff_s
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
 from radishwind.membership.ranking import ranks_among_first
@@ -188,6 +189,14 @@
     assert not budget.take(60.0)
 
 
+def test_wait_stays_bounded_in_a_store_outage_of_days():
+    options = DiscoveryOptions(backoff_s=0.5, backoff_most_s=60.0)
+
+    waits_s = [backoff_s(options, failures) for failures in (1, 2, 7, 5_000)]
+
+    assert waits_s == [1.0, 2.0, 60.0, 60.0]
+
+
 def test_all_nodes_name_the_same_first_few():
     names = [f"target-{number}" for number in range(50)]
 
--- a/src/radishwind/node/peer_search.py
+++ b/src/radishwind/node/peer_search.py
@@ -11,6 +11,7 @@
 from radishwind.membership import Gossip
 from radishwind.membership.actions import Call
 from radishwind.membership.contacts import MAX_CONTACTS
+from radishwind.membership.discovery import backoff_s
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
 from radishwind.membership.ranking import ranks_among_first
@@ -87,15 +88,16 @@
         self._start(self._gossip.join(contacts, self._clock.monotonic()))
 
     def _next_look_s(self, looks: int, failures: int) -> float:
-        options = self._options
+        """Returns the pause until the next look (s).
+
+        Args:
+          looks: looks that succeeded since the start.
+          failures: looks that failed since the last success.
+        """
         jitter = 0.5 + self._rng.random()
-        if failures:
-            wait_s = options.backoff_s * 2.0**failures
-            return min(options.backoff_most_s, wait_s) * jitter
-        if self._alone() or looks <= _EARLY_LOOKS:
-            wait_s = options.backoff_s * 2.0 ** min(looks, 16)
-            return min(options.backoff_most_s, wait_s) * jitter
-        return options.check_period_s * jitter
+        if failures or self._alone() or looks <= _EARLY_LOOKS:
+            return backoff_s(self._options, failures or looks) * jitter
+        return self._options.check_period_s * jitter
 
     def _alone(self) -> bool:
         facts = self._gossip.table.members.values()
