--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -19,9 +19,12 @@
 from radishwind.store import Store
 from radishwind.store import StoreAnswerLostError
 from radishwind.store import StoreError
+from radishwind.store import TokenBucket
 
 _WRITE_TRIES = 3
 _MAX_UNREACHABLE = 1_024
+#: Beyond it a wait is at its bound anyway, and a float would overflow.
+_MAX_DOUBLINGS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,24 +50,10 @@
     calls_per_hour: float = 60.0
 
 
-class CallBudget:
-    """A token bucket of store calls."""
-
-    def __init__(self, options: DiscoveryOptions, now: float) -> None:
-        self._options = options
-        self._tokens = float(options.calls_at_once)
-        self._filled = now
-
-    def take(self, now: float) -> bool:
-        """Returns whether a call may be made now."""
-        gained = (now - self._filled) * self._options.calls_per_hour / 3600
-        most = float(self._options.calls_at_once)
-        self._tokens = min(most, self._tokens + gained)
-        self._filled = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+def backoff_s(options: DiscoveryOptions, doublings: int) -> float:
+    """Returns the wait after `doublings` calls in a row of a kind (s)."""
+    wait_s = options.backoff_s * 2.0 ** min(doublings, _MAX_DOUBLINGS)
+    return min(options.backoff_most_s, wait_s)
 
 
 class ContactFinder:
@@ -86,7 +75,11 @@
         self._clock = clock
         self._rng = rng
         self._options = options
-        self._budget = CallBudget(options, clock.monotonic())
+        self._budget = TokenBucket(
+            options.calls_per_hour / 3600,
+            options.calls_at_once,
+            clock.monotonic(),
+        )
         self._unreachable: set[Address] = set()
         self._read_record: ContactRecord | None = None
         self.calls: dict[str, int] = {"read": 0, "write": 0, "failed": 0}
