--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -14,14 +14,11 @@
 
 import msgspec
 
+from bench.inventories import one_service
 from bench.report import keep
 from bench.report import table
 from radishwind.config.index import ConfigIndex
-from radishwind.config.model import Configuration
-from radishwind.config.model import Inventory
 from radishwind.config.model import Link
-from radishwind.config.model import Target
-from radishwind.http.types import Address
 from radishwind.http.types import Response
 from radishwind.membership.directory import Member
 from radishwind.outcomes import Done
@@ -63,25 +60,13 @@
 
 
 def _inventory(targets: int) -> tuple[ConfigIndex, tuple[Member, ...]]:
-    names = [f"target-{i}" for i in range(targets)]
-    domains = [DOMAINS[i % len(DOMAINS)] for i in range(targets)]
-    links = tuple(
+    links = [
         Link(a, b, 0.5 + 0.5 * abs(i - j))
         for i, a in enumerate(DOMAINS)
         for j, b in enumerate(DOMAINS[:i])
-    )
-    inventory = Inventory(
-        targets=tuple(
-            Target(name, "bollettino", domain, slots=9)
-            for name, domain in zip(names, domains, strict=True)
-        ),
-        links=links,
-    )
-    members = tuple(
-        Member(name, "bollettino", domain, Address("127.0.0.1", 1))
-        for name, domain in zip(names, domains, strict=True)
-    )
-    return ConfigIndex(Configuration(inventory=inventory)), members
+    ]
+    names = [f"target-{i}" for i in range(targets)]
+    return one_service("bollettino", names, 9, DOMAINS, links)
 
 
 def _chooser(
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -11,16 +11,13 @@
 import itertools
 import random
 
+from bench.inventories import one_service
 from radishwind.config.index import ConfigIndex
-from radishwind.config.model import Configuration
-from radishwind.config.model import Inventory
 from radishwind.config.model import Link
 from radishwind.config.model import ServiceRules
-from radishwind.config.model import Target
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
 from radishwind.hedging import HedgePolicy
-from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Member
@@ -51,23 +48,12 @@
 
 def onda() -> tuple[ConfigIndex, tuple[Member, ...]]:
     """Returns the inventory of one service of Onda's, and its members."""
+    links = [
+        Link(a, b, ONE_WAY_S * 1000)
+        for a, b in itertools.combinations(DOMAINS, 2)
+    ]
     names = [f"bollettino-{i}" for i in range(TARGETS)]
-    domains = [DOMAINS[i % len(DOMAINS)] for i in range(TARGETS)]
-    inventory = Inventory(
-        targets=tuple(
-            Target(name, "bollettino", domain, SLOTS)
-            for name, domain in zip(names, domains, strict=True)
-        ),
-        links=tuple(
-            Link(a, b, ONE_WAY_S * 1000)
-            for a, b in itertools.combinations(DOMAINS, 2)
-        ),
-    )
-    members = tuple(
-        Member(name, "bollettino", domain, Address("127.0.0.1", 1))
-        for name, domain in zip(names, domains, strict=True)
-    )
-    return ConfigIndex(Configuration(inventory=inventory)), members
+    return one_service("bollettino", names, SLOTS, DOMAINS, links)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
