Routing baselines: one choose, three picks

Each of the three filtered the excluded members itself. The bucket of retries has a name of its own module now, since store/budget.py has a TokenBucket too. The page and comment of the store's gate said that the first pause is 0.25 s; it is drawn at random up to that.

--- a/src/radishwind/claims/gate.py
+++ b/src/radishwind/claims/gate.py
@@ -4,7 +4,8 @@
 
 from radishwind.store.budget import Backoff
 
-#: How long the store is left alone after the first failure, and at most (s).
+#: How long at most the store is left alone after the first failure, and after
+#: any number of them (s).
 _FIRST_S = 0.25
 _MOST_S = 5.0
 
--- a/src/radishwind/retries/buckets.py
+++ b/src/radishwind/retries/buckets.py
@@ -10,7 +10,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class TokenBucket:
+class _Bucket:
     """Tokens earned by a share of events, at least by a floor over time.
 
     Attributes:
@@ -56,13 +56,11 @@
         """
         self._floor_per_s = floor_per_s
         self._most = most
-        self._buckets: dict[str, TokenBucket] = {}
+        self._buckets: dict[str, _Bucket] = {}
 
     def earn(self, service: str, share: float, now: float) -> None:
         """Adds the tokens of one first attempt of `service`."""
-        bucket = self._buckets.pop(service, None) or TokenBucket(
-            FIRST_SAVED, now
-        )
+        bucket = self._buckets.pop(service, None) or _Bucket(FIRST_SAVED, now)
         self._buckets[service] = bucket
         if len(self._buckets) > MAX_SERVICES:
             del self._buckets[next(iter(self._buckets))]
--- a/src/radishwind/routing/baselines.py
+++ b/src/radishwind/routing/baselines.py
@@ -1,5 +1,6 @@
 """Simple policies: random, round robin, fewest own requests."""
 
+import abc
 import collections
 from collections.abc import Sequence
 import random
@@ -11,12 +12,25 @@
 
 
 class _CountingChooser(TargetChooser):
-    """Counts the own requests in flight at each target."""
+    """Picks from what is not excluded; counts own requests in flight."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._in_flight: collections.Counter[str] = collections.Counter()
 
+    def choose(
+        self,
+        members: Sequence[Member],
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Member | None:
+        fit = [m for m in members if m.name not in exclude]
+        return self._pick(fit) if fit else None
+
+    @abc.abstractmethod
+    def _pick(self, fit: list[Member]) -> Member:
+        """Returns one of `fit`, which is not empty."""
+
     def started(self, name: str, now: float) -> None:
         self._in_flight[name] += 1
 
@@ -36,14 +50,8 @@
 class RandomChooser(_CountingChooser):
     """Any candidate with the same chance."""
 
-    def choose(
-        self,
-        members: Sequence[Member],
-        now: float,
-        exclude: frozenset[str] = frozenset(),
-    ) -> Member | None:
-        fit = [m for m in members if m.name not in exclude]
-        return self._rng.choice(fit) if fit else None
+    def _pick(self, fit: list[Member]) -> Member:
+        return self._rng.choice(fit)
 
 
 class RoundRobin(_CountingChooser):
@@ -53,15 +61,7 @@
         super().__init__(rng)
         self._turn = rng.randrange(1 << 16)
 
-    def choose(
-        self,
-        members: Sequence[Member],
-        now: float,
-        exclude: frozenset[str] = frozenset(),
-    ) -> Member | None:
-        fit = [m for m in members if m.name not in exclude]
-        if not fit:
-            return None
+    def _pick(self, fit: list[Member]) -> Member:
         self._turn += 1
         return fit[self._turn % len(fit)]
 
@@ -69,15 +69,7 @@
 class FewestOwnRequests(_CountingChooser):
     """The candidate with the fewest of this node's requests in flight."""
 
-    def choose(
-        self,
-        members: Sequence[Member],
-        now: float,
-        exclude: frozenset[str] = frozenset(),
-    ) -> Member | None:
-        fit = [m for m in members if m.name not in exclude]
-        if not fit:
-            return None
+    def _pick(self, fit: list[Member]) -> Member:
         least = min(self._in_flight[m.name] for m in fit)
         return self._rng.choice(
             [m for m in fit if self._in_flight[m.name] == least]
