Claims: what a repeat is told has its own module; name steps

record.py held the stored form of a claim and the answers to repeats. The entry side's loop tells attempt and race apart in a step of its own, "lose" was "give up", and the state of a keyed call and of a call's attempts is described.

--- a/src/radishwind/claims/keyed.py
+++ b/src/radishwind/claims/keyed.py
@@ -13,10 +13,10 @@
 from radishwind.claims.memory import ClaimMemory
 from radishwind.claims.record import ClaimRecord
 from radishwind.claims.record import ClaimState
-from radishwind.claims.record import repeat_outcome
 from radishwind.claims.record import Sending
 from radishwind.claims.registry import ClaimRegistry
 from radishwind.claims.registry import HeldClaim
+from radishwind.claims.repeats import repeat_outcome
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
@@ -39,7 +39,16 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Job:
-    """A keyed call that runs to its end whether or not its caller waits."""
+    """A keyed call that runs to its end whether or not its caller waits.
+
+    Attributes:
+      call: the call; with its whole body once that was read.
+      execute: runs its attempts.
+      finished: set once `outcome` or `error` is.
+      outcome: what the caller is told.
+      error: a fault of the node.
+      abandoned: whether the caller has gone away.
+    """
 
     call: Call
     execute: Execute
--- a/src/radishwind/claims/registry.py
+++ b/src/radishwind/claims/registry.py
@@ -12,8 +12,8 @@
 from radishwind.claims.budget import StoreCallBudget
 from radishwind.claims.gate import StoreGate
 from radishwind.claims.record import ClaimRecord
-from radishwind.claims.record import repeat_outcome
 from radishwind.claims.record import Sending
+from radishwind.claims.repeats import repeat_outcome
 from radishwind.claims.settler import ClaimSettler
 from radishwind.claims.settler import Settlement
 from radishwind.claims.writer import ClaimWriter
@@ -205,7 +205,7 @@
             raise  # It is surely not written.
         except BaseException:
             # Cancelled: it may be written and will never be dispatched.
-            self._lose(record, store_key)
+            self._give_up(record, store_key)
             raise
         else:
             mod_revision = result.revision if result.succeeded else None
@@ -233,14 +233,15 @@
         try:
             entry = await self._read(store_key)
         except BaseException:
-            self._lose(record, store_key)
+            self._give_up(record, store_key)
             raise
         if entry is not None and record.nonce.encode() in entry.value:
             return entry.mod_revision
-        self._lose(record, store_key)
+        self._give_up(record, store_key)
         return None
 
-    def _lose(self, record: ClaimRecord, store_key: str) -> None:
+    def _give_up(self, record: ClaimRecord, store_key: str) -> None:
+        """Never dispatches under a claim that may be written; removes it."""
         self._settler.note_undispatched(record.nonce)
         self._settler.add_lost(store_key, record.nonce)
 
--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -68,19 +68,15 @@
         self.counts.calls += 1
         now = self._clock.monotonic()
         self._retries.first(call, now)
-        delay_s = self._hedges.delay_s(call, now)
+        hedge_s = self._hedges.delay_s(call, now)
         last: Outcome | None = None
         while True:
             member = self._choose(history)
             if member is None:
                 return last or _no_target(call)
-            before = last
-            if delay_s is None:
-                last = await self._attempt(history, member)
-            else:
-                last = await self._race(history, member, delay_s)
-                delay_s = None
-            last = _so_far(before, last)
+            outcome = await self._attempt_or_race(history, member, hedge_s)
+            hedge_s = None  # Retries are not hedged.
+            last = _so_far(last, outcome)
             now = self._clock.monotonic()
             if not self._retries.again(call, last, history.attempts, now):
                 return last
@@ -91,6 +87,13 @@
         now = self._clock.monotonic()
         return self._chooser.choose(members, now, history.tried)
 
+    async def _attempt_or_race(
+        self, history: "_History", member: Member, hedge_s: float | None
+    ) -> Outcome:
+        if hedge_s is None:
+            return await self._attempt(history, member)
+        return await self._race(history, member, hedge_s)
+
     async def _race(
         self, history: "_History", member: Member, delay_s: float
     ) -> Outcome:
@@ -141,7 +144,13 @@
 
 
 class _History:
-    """The attempts of one call so far."""
+    """The attempts of one call so far.
+
+    Attributes:
+      attempts: how many began.
+      call: the call.
+      tried: names of the targets that they were at.
+    """
 
     __slots__ = ("attempts", "call", "tried")
 
