Say units and reasons in the stand-ins; one place builds a read

The comment on the share of bookings said one in four, the code and docs/standins.md one in five: the constant is the reads for each booking.

--- a/src/radishwind/standins/announcer.py
+++ b/src/radishwind/standins/announcer.py
@@ -16,7 +16,10 @@
 from radishwind.standins.backend import BackendStandin
 from radishwind.standins.backend import HEALTH_PATH
 
+#: Time between announcements (s).
 INTERVAL_S = 1.0
+
+#: How long one may take (s).
 _TIMEOUT_S = 1.0
 
 
--- a/src/radishwind/standins/backend.py
+++ b/src/radishwind/standins/backend.py
@@ -94,7 +94,18 @@
 
 
 class BackendStandin:
-    """Runs requests in slots; see the module for what else it does."""
+    """Runs requests in slots; see the module for what else it does.
+
+    Args:
+      options: how it behaves.
+      rng: draws the service times.
+      clock: the clock.
+      crash: ends the process.
+
+    Attributes:
+      faults: the faults in force.
+      counters: what it counted.
+    """
 
     def __init__(
         self,
--- a/src/radishwind/standins/load.py
+++ b/src/radishwind/standins/load.py
@@ -21,8 +21,10 @@
 from radishwind.http.types import Request
 from radishwind.http.types import whole_body
 
+#: How long a connection may take (s).
 _CONNECT_TIMEOUT_S = 1.0
-#: One request in so many is a booking; the others are reads.
+
+#: Reads for one booking, on average.
 _READS_PER_BOOKING = 4
 _SPOTS = ("recco", "levanto", "varazze", "andora")
 
@@ -78,15 +80,10 @@
     while at_s < length_s:
         entry = rng.choice(entries)
         if rng.randrange(_READS_PER_BOOKING + 1):
-            path = f"/bollettino/spots/{rng.choice(_SPOTS)}"
-            planned = PlannedRequest(
-                at_s, entry, "bollettino", Request("GET", path)
-            )
+            service, request = "bollettino", _read(rng.choice(_SPOTS))
         else:
-            planned = PlannedRequest(
-                at_s, entry, "prenota", _booking(f"load-{seed}-{len(plan)}")
-            )
-        plan.append(planned)
+            service, request = "prenota", _booking(f"load-{seed}-{len(plan)}")
+        plan.append(PlannedRequest(at_s, entry, service, request))
         at_s += rng.expovariate(per_s)
     return plan
 
@@ -156,6 +153,10 @@
         count.unknown += 1
 
 
+def _read(spot: str) -> Request:
+    return Request("GET", f"/bollettino/spots/{spot}")
+
+
 def _booking(key: str) -> Request:
     body = b"seats=2"
     fields = (("Idempotency-Key", key), ("Content-Type", "text/plain"))
--- a/src/radishwind/standins/store.py
+++ b/src/radishwind/standins/store.py
@@ -33,6 +33,8 @@
     "/v3/lease/revoke": "revoke",
     "/v3/watch": "watch",
 }
+
+#: How often it looks for leases whose time is over (s).
 _LAPSE_STEP_S = 0.1
 
 
@@ -62,6 +64,7 @@
     """Receives calls; its state is in `StoreState`.
 
     Attributes:
+      state: keys, revisions and leases.
       calls: calls received, by kind; a waiting watch counts as one.
       watching: watches that wait now.
     """
@@ -186,6 +189,7 @@
         _cut()
 
     async def _either(self, first: anyio.Event, second: anyio.Event) -> None:
+        """Returns once one of the two is set."""
         async with anyio.create_task_group() as tasks:
 
             async def wait(event: anyio.Event) -> None:
--- a/src/radishwind/standins/store_state.py
+++ b/src/radishwind/standins/store_state.py
@@ -13,13 +13,21 @@
 #: Changes kept for watches that start in the past; older ones are compacted.
 LOG_LENGTH = 4096
 
-#: What etcd allows by default: operations in a transaction, and its size.
+#: Operations that etcd allows in a transaction by default.
 MAX_OPERATIONS = 128
+
+#: The largest value (bytes), as the platform allows.
 MAX_VALUE_BYTES = 1024 * 1024
 
 
 class CallError(Exception):
-    """The call is refused and had no effect."""
+    """The call is refused and had no effect.
+
+    Args:
+      status: the HTTP status.
+      code: gRPC's status code, as the gateway tells it.
+      text: why, in etcd's words.
+    """
 
     def __init__(self, status: int, code: int, text: str) -> None:
         super().__init__(text)
@@ -29,6 +37,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Value:
+    """A key's value, in base64, with what etcd tells of it."""
+
     value: str
     create_revision: int
     mod_revision: int
@@ -58,6 +68,7 @@
         self._clock = clock
         self._revision = 1
         self._values: dict[bytes, _Value] = {}
+        # By ID: the time to live (s), and when it ends (monotonic, s).
         self._leases: dict[int, tuple[int, float]] = {}
         self._next_lease = 1
         self._log: collections.deque[LoggedChange] = collections.deque()
