Cut the bench of spreading a change into three functions

spread_row took 46 lines for running nodes, measuring one change and making a row; each is now a function, and a change's cost a data class with units. The docstring counted three tables where four are printed.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -2,14 +2,16 @@
 
     python -m bench.configuration --seed 1
 
-The first two tables take each step alone, in this process. The third runs the
-configuration tasks of many nodes in this process, over a sender without
-sockets, with the default periods and no board of rumors; times are those of
-one busy event loop that all of them share.
+The first two tables take each step alone, in this process; the third counts
+the store calls of one change. The fourth runs the configuration tasks of many
+nodes in this process, over a sender without sockets, with the default periods
+and no board of rumors; times are those of one busy event loop that all of them
+share.
 """
 
 import argparse
 from collections.abc import Callable
+import dataclasses
 import random
 import statistics
 import time
@@ -220,41 +222,78 @@
     desk.on_swap = accept_and_fail
 
 
-async def spread_row(
-    nodes: int, changes: int, store_fails: bool
-) -> dict[str, Any]:
-    """Returns what changes of one target cost among many nodes."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeCost:
+    """What one change of one target cost.
+
+    Attributes:
+      took_s: from the operator's call until it was in force everywhere (s).
+      calls: store calls, those of the operator's program among them.
+      asked: questions sent to peers, by all nodes together.
+      received_bytes: configuration received by all nodes together (bytes).
+    """
+
+    took_s: float
+    calls: int
+    asked: int
+    received_bytes: int
+
+
+async def change_cost(
+    desk: Desk, fleet: ConfigFleet, changed: Inventory, revision: int
+) -> ChangeCost:
+    """Applies `changed` as `revision` and waits until all have it."""
+    asked, received_bytes = fleet.totals()
+    calls = sum(desk.standin.calls.values())
+    desk.sender.sent.clear()
+    start = time.perf_counter()
+    await desk.apply(changed)
+    await fleet.in_force(revision)
+    took_s = time.perf_counter() - start
+    asked_after, received_after = fleet.totals()
+    return ChangeCost(
+        took_s,
+        sum(desk.standin.calls.values()) - calls,
+        asked_after - asked,
+        received_after - received_bytes,
+    )
+
+
+async def spread_costs(
+    nodes: int, changes: int, store_fails: bool, watches: int
+) -> list[ChangeCost]:
+    """Runs `nodes` nodes and returns what each of `changes` cost."""
     desk = Desk()
     fleet = ConfigFleet(desk, ConfigPeriods())
     services = max(3, nodes // 8)
+    costs = []
     async with anyio.create_task_group() as tasks:
         for number in range(nodes):
             fleet.start(tasks, f"n-{number:04d}", f"domain-{number % DOMAINS}")
         await desk.apply(made_inventory(services, nodes))
         await fleet.in_force(1)
-        watches = sum(
-            min(WATCHERS_PER_DOMAIN, len(range(d, nodes, DOMAINS)))
-            for d in range(DOMAINS)
-        )
         await fleet.until(lambda: desk.standin.watching == watches)
-        took_s, calls, asked, received = [], [], [], []
         for revision in range(2, 2 + changes):
             if store_fails:
                 desk.standin.set_faults(StoreFaults())
                 await fleet.until(lambda: desk.standin.watching == watches)
                 fail_once_told(desk, fleet, revision)
-            before = fleet.totals()
-            counted = sum(desk.standin.calls.values())
-            desk.sender.sent.clear()
-            start = time.perf_counter()
-            await desk.apply(made_inventory(services, nodes, revision))
-            await fleet.in_force(revision)
-            took_s.append(time.perf_counter() - start)
-            after = fleet.totals()
-            calls.append(sum(desk.standin.calls.values()) - counted)
-            asked.append((after[0] - before[0]) / nodes)
-            received.append((after[1] - before[1]) / nodes)
+            changed = made_inventory(services, nodes, revision)
+            costs.append(await change_cost(desk, fleet, changed, revision))
         tasks.cancel_scope.cancel()
+    return costs
+
+
+async def spread_row(
+    nodes: int, changes: int, store_fails: bool
+) -> dict[str, Any]:
+    """Returns what changes of one target cost among many nodes."""
+    watches = sum(
+        min(WATCHERS_PER_DOMAIN, len(range(d, nodes, DOMAINS)))
+        for d in range(DOMAINS)
+    )
+    costs = await spread_costs(nodes, changes, store_fails, watches)
+    took_s = [cost.took_s for cost in costs]
     return {
         "nodes": nodes,
         "changes": changes,
@@ -262,9 +301,13 @@
         "watches": watches,
         "time to be in force (s)": f"{statistics.median(took_s):.3g} "
         f"({min(took_s):.3g} to {max(took_s):.3g})",
-        "store calls a change": statistics.mean(calls),
-        "questions a node and change": statistics.mean(asked),
-        "bytes received a node and change": statistics.mean(received),
+        "store calls a change": statistics.mean(c.calls for c in costs),
+        "questions a node and change": statistics.mean(
+            c.asked / nodes for c in costs
+        ),
+        "bytes received a node and change": statistics.mean(
+            c.received_bytes / nodes for c in costs
+        ),
     }
 
 
