Name what a change replaces in the acceptor

_replaced returned the new inventory and rules, while replaced parts were found in the middle of _prepare. The first is now _merged, the second _replaced_parts. No change of behaviour; the tests of config pass.

--- a/src/radishwind/config/accept.py
+++ b/src/radishwind/config/accept.py
@@ -156,7 +156,8 @@
     def _prepare(
         self, change: Change, base: Snapshot
     ) -> tuple[ChangeRecord | None, Snapshot]:
-        inventory, rules, what = _replaced(base.cfg, change.content)
+        """Returns the record and the new configuration; `None` if the same."""
+        inventory, rules, what = _merged(base.cfg, change.content)
         check_together(inventory, rules, what)
         lines = differences(
             (base.cfg.inventory, base.cfg.rules), (inventory, rules)
@@ -181,11 +182,7 @@
             lines=lines[:KEPT_LINES],
             more_lines=max(0, len(lines) - KEPT_LINES),
             changed=tuple(PartRef(name, change_id) for name in changed),
-            replaced=tuple(
-                PartRef(name, version)
-                for name, version in base.refs.items()
-                if refs.get(name) != version
-            ),
+            replaced=_replaced_parts(base, refs),
             digest=records.digest(refs),
         )
         cfg = Configuration(revision, change_id, inventory, rules)
@@ -287,9 +284,21 @@
     return "\n".join(lines)
 
 
-def _replaced(
+def _replaced_parts(
+    base: Snapshot, refs: Mapping[str, str]
+) -> tuple[PartRef, ...]:
+    """Returns the parts of `base` that `refs` lacks or has anew."""
+    return tuple(
+        PartRef(name, version)
+        for name, version in base.refs.items()
+        if refs.get(name) != version
+    )
+
+
+def _merged(
     cfg: Configuration, content: Inventory | Rules | Configuration
 ) -> tuple[Inventory, Rules, str]:
+    """Returns the new inventory and rules, and which of them are new."""
     if isinstance(content, Configuration):
         return content.inventory, content.rules, "inventory and rules"
     if isinstance(content, Inventory):
