--- a/src/radishwind/membership/facts.py
+++ b/src/radishwind/membership/facts.py
@@ -35,7 +35,7 @@
 _Value: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_VALUE_CHARS)]
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT)]
 
-#: JSON around the values of a member's fact and of a rumour (bytes, about).
+#: JSON around the values of a member's fact and of a rumor (bytes, about).
 _MEMBER_OVERHEAD_BYTES = 36
 _RUMOR_OVERHEAD_BYTES = 44
 
--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -40,9 +40,11 @@
 
 #: A second process under our name is contradicted at most this often (s).
 _CONFLICT_PERIOD_S = 10.0
+#: Between looks for suspicions, deaths and rumors that are due (s).
 _SWEEP_PERIOD_S = 0.25
 #: A hint brings a probe forward at most this often (s).
 _HINT_PERIOD_S = 0.25
+#: Contacts told of this node in one join; the first is also asked for facts.
 _JOIN_CONTACTS = 3
 
 
@@ -86,7 +88,7 @@
         return self.table.members[self._name]
 
     def on_rumor(self, listener: RumorListener) -> None:
-        """Calls `listener` with each rumour new to this node."""
+        """Calls `listener` with each rumor new to this node."""
         self._rumor_listeners.append(listener)
 
     def announce(self, announced: Announced, now: float) -> list[Call]:
@@ -102,7 +104,7 @@
         return self.tick(now)
 
     def publish(self, fact: RumorFact, now: float) -> bool:
-        """Spreads a rumour; returns whether it is news here."""
+        """Spreads a rumor; returns whether it is news here."""
         return self._take_rumor(fact, now)
 
     def suspect_hint(self, name: str, now: float) -> None:
--- a/src/radishwind/membership/options.py
+++ b/src/radishwind/membership/options.py
@@ -29,7 +29,7 @@
       message_bytes: facts carried by one message (bytes).
       page_bytes: facts carried by one page of anti-entropy (bytes).
       max_members: members remembered at most.
-      max_rumors: rumours remembered at most.
+      max_rumors: rumors remembered at most.
     """
 
     probe_period_s: float = 1.0
--- a/src/radishwind/membership/rumors.py
+++ b/src/radishwind/membership/rumors.py
@@ -55,7 +55,7 @@
 
 
 class GossipRumorBoard(RumorBoard):
-    """Spreads rumours on the messages of membership.
+    """Spreads rumors on the messages of membership.
 
     `publish` only adds to the state machine; its daemon is woken by `wake`.
     """
--- a/src/radishwind/membership/spread.py
+++ b/src/radishwind/membership/spread.py
@@ -8,9 +8,10 @@
 from radishwind.membership.table import FactTable
 from radishwind.membership.table import RumorKey
 
-#: A member's name, or a rumour's topic and key.
+#: A member's name, or a rumor's topic and key.
 FactKey: TypeAlias = str | RumorKey
 
+#: Messages that a new fact rides on, for each doubling of the members.
 _RIDES_PER_DOUBLING = 1.5
 
 
--- a/src/radishwind/membership/table.py
+++ b/src/radishwind/membership/table.py
@@ -1,4 +1,4 @@
-"""The facts a node holds: members, rumours and their digests."""
+"""The facts a node holds: members, rumors and their digests."""
 
 from collections.abc import Callable
 from collections.abc import Container
@@ -32,14 +32,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _HeldRumor:
-    """A rumour and when it is forgotten (monotonic s)."""
+    """A rumor and when it is forgotten (monotonic s)."""
 
     fact: RumorFact
     expires: float
 
 
 class FactTable:
-    """The newest fact of each member and of each rumour."""
+    """The newest fact of each member and of each rumor."""
 
     def __init__(self, max_members: int, max_rumors: int) -> None:
         self._max_members = max_members
@@ -98,13 +98,13 @@
         return True
 
     def expire_rumors(self, now: float) -> None:
-        """Forgets the rumours whose time is over."""
+        """Forgets the rumors whose time is over."""
         late = [k for k, held in self._rumors.items() if held.expires <= now]
         for key in late:
             self._toggle_rumor(self._rumors.pop(key).fact)
 
     def rumor(self, key: RumorKey, now: float) -> RumorFact | None:
-        """Returns the rumour of `key` with the time it has left."""
+        """Returns the rumor of `key` with the time it has left."""
         held = self._rumors.get(key)
         if held is None or held.expires <= now:
             return None
@@ -112,7 +112,7 @@
         return msgspec.structs.replace(held.fact, ttl_ms=left_ms)
 
     def rumors(self) -> tuple[RumorFact, ...]:
-        """Returns every rumour held."""
+        """Returns every rumor held."""
         return tuple(held.fact for held in self._rumors.values())
 
     def facts_in(
