Heed every Connection field

Cause: only the first one was read, so fields listed in a second one were passed on to the server. Before: the new test failed. After: it passes.

--- a/src/radishwind/http/hygiene.py
+++ b/src/radishwind/http/hygiene.py
@@ -59,8 +59,12 @@
     """Returns the hop-by-hop fields, by their `names` in lower case."""
     if "connection" not in names:
         return _HOP_BY_HOP
-    listed = headers[names.index("connection")][1].split(",")
-    tokens = {token.strip().lower() for token in listed}
+    lines = [
+        value
+        for (_, value), name in zip(headers, names, strict=True)
+        if name == "connection"
+    ]
+    tokens = {token.strip().lower() for token in ",".join(lines).split(",")}
     return (_HOP_BY_HOP | tokens) - {"host", "content-length"}
 
 
--- a/src/radishwind/http/tests/test_hygiene.py
+++ b/src/radishwind/http/tests/test_hygiene.py
@@ -22,6 +22,12 @@
     assert end_to_end(headers) == (("Host", "a"), ("X-Yours", "2"))
 
 
+def test_every_connection_field_counts():
+    headers = (("Connection", "A"), ("connection", "B"), ("A", ""), ("B", ""))
+
+    assert end_to_end(headers) == ()
+
+
 @pytest.mark.parametrize(
     "path",
     ["/a/../b", "/a/%2e%2E/b", "/..", "/a/.", "*", "a", "/a b", "/\xe9", ""],
