--- /dev/null
+++ b/src/radishwind/admission/tests/test_urgent.py
@@ -0,0 +1,117 @@
+"""Slots go to what can still be in time, and to short work in a congestion."""
+
+import math
+
+import pytest
+
+from radishwind.admission.gate import AdmissionLimits
+from radishwind.admission.gate import Ticket
+from radishwind.admission.urgent import StartGate
+from radishwind.admission.urgent import UrgentAdmission
+from radishwind.core.codes import ResultCode
+
+ONE_SLOT = AdmissionLimits(
+    slots=1, connections=9, queue_length=99, queue_wait_s=math.inf
+)
+
+
+def ticket(name, aim=1.0, deadline=2.0, work_s=0.01, priority=0, at=0.0):
+    return Ticket(
+        name,
+        deadline,
+        at,
+        lambda: None,
+        aim=aim,
+        priority=priority,
+        work_s=work_s,
+    )
+
+
+class SlowSpell(StartGate):
+    def __init__(self):
+        self.slow = True
+
+    def holds(self, ticket, now):
+        return self.slow
+
+    def stretch(self):
+        return 1.0
+
+
+@pytest.fixture
+def admission():
+    return UrgentAdmission(ONE_SLOT)
+
+
+def order(admission, *tickets):
+    """Offers all behind a running one; returns the names as they start."""
+    running = ticket("running")
+    admission.offer(running, 0.0)
+    for one in tickets:
+        admission.offer(one, 0.0)
+    names = []
+    waiting = list(tickets)
+    while running is not None:
+        admission.release(running, 0.0, 0.01)
+        running = next((t for t in waiting if t.admitted), None)
+        if running is not None:
+            waiting.remove(running)
+            names.append(running.caller)
+    return names
+
+
+def test_the_nearest_aim_goes_first(admission):
+    far, near = ticket("far", aim=0.9), ticket("near", aim=0.3)
+
+    assert order(admission, far, near) == ["near", "far"]
+
+
+def test_rank_overtakes_by_a_bounded_lead(admission):
+    low = ticket("low", aim=0.30, priority=2)
+    high = ticket("high", aim=0.45, priority=0)
+    soon = ticket("soon", aim=0.20, priority=2)
+
+    assert order(admission, low, high, soon) == ["soon", "high", "low"]
+
+
+def test_what_has_missed_its_aim_goes_last(admission):
+    late = ticket("late", aim=0.005)
+    fresh = ticket("fresh", aim=1.5)
+
+    assert order(admission, late, fresh) == ["fresh", "late"]
+
+
+def test_in_a_congestion_the_newest_goes_first(admission):
+    old = [ticket(f"old{i}", work_s=0.2, aim=0.9) for i in range(2)]
+    new = ticket("new", work_s=0.2, aim=1.5, at=0.1)
+
+    assert order(admission, *old, new)[0] == "new"
+
+
+def test_who_would_start_too_late_is_refused_at_once(admission):
+    admission.offer(ticket("running"), 0.0)
+    tickets = [
+        ticket(f"w{i}", work_s=0.2, aim=0.9, deadline=1.0) for i in range(9)
+    ]
+
+    for one in tickets:
+        admission.offer(one, 0.0)
+    admission.expire(0.0)
+
+    refused = [t for t in tickets if t.refused]
+    assert refused
+    assert {t.refused.code for t in refused} == {ResultCode.OVERLOADED}
+    assert len(tickets) - len(refused) == admission.queued
+
+
+def test_a_ticket_held_back_starts_once_the_gate_opens():
+    gate = SlowSpell()
+    admission = UrgentAdmission(ONE_SLOT, gate)
+    held = ticket("held")
+
+    admission.offer(held, 0.0)
+    assert not held.admitted
+    gate.slow = False
+    admission.expire(0.1)
+
+    assert held.admitted
--- a/src/radishwind/admission/urgent.py
+++ b/src/radishwind/admission/urgent.py
@@ -1,8 +1,11 @@
 """Orders waiting requests by what an answer is still worth.
 
-First come those that can still meet their aim, the one whose aim is nearest
-first; those of higher rank overtake by a bounded lead. Then come those whose
-aim has passed, by rank and deadline.
+First come those that can still meet their aim, then the others. While little
+waits, the one whose aim is nearest goes first, and one of higher rank
+overtakes by a bounded lead. Once more waits than can soon be run, the newest
+goes first: of every kind the same part is served, and in time, where the
+oldest first would serve all of them late. Whoever cannot be served in that
+order any more is refused at once, so that its caller can go elsewhere.
 """
 
 import abc
@@ -19,6 +22,10 @@
 #: Run times that a request must have left to its aim to count as in time.
 _AIM_MARGIN = 1.0
 
+#: More than this time of work waits for each slot: the newest go first (s).
+#: It is about one run time of the longest kind.
+CONGESTED_S = 0.1
+
 
 class StartGate(abc.ABC):
     """Says whether a request had better begin later, though a slot is free."""
@@ -27,6 +34,10 @@
     def holds(self, ticket: Ticket, now: float) -> bool:
         """Returns whether `ticket` is to wait on."""
 
+    @abc.abstractmethod
+    def stretch(self) -> float:
+        """Returns how much longer a queue takes than its work, at least 1."""
+
 
 class OpenGate(StartGate):
     """Holds nothing."""
@@ -34,6 +45,9 @@
     def holds(self, ticket: Ticket, now: float) -> bool:
         return False
 
+    def stretch(self) -> float:
+        return 1.0
+
 
 class UrgentAdmission(QueueingAdmission):
     """Slots go first to what can still be in time."""
@@ -45,6 +59,7 @@
     ) -> None:
         super().__init__(limits or AdmissionLimits())
         self._queue: list[Ticket] = []
+        self._queued_work_s = 0.0
         self._gate = gate or OpenGate()
 
     def _waiting(self) -> int:
@@ -55,13 +70,14 @@
 
     def _push(self, ticket: Ticket) -> None:
         self._queue.append(ticket)
+        self._count_work()
 
     def _pop(self, now: float) -> Ticket | None:
         ready = [t for t in self._queue if not self._gate.holds(t, now)]
         if not ready:
             return None
         first = min(ready, key=lambda t: self._order(t, now))
-        self._queue.remove(first)
+        self._remove(first)
         return first
 
     def _may_start(self, ticket: Ticket, now: float) -> bool:
@@ -72,10 +88,38 @@
 
     def _remove(self, ticket: Ticket) -> None:
         self._queue.remove(ticket)
+        self._count_work()
+
+    def _count_work(self) -> None:
+        self._queued_work_s = sum(map(self._cost_s, self._queue))
+
+    def expire(self, now: float) -> None:
+        self._refuse_hopeless(now)
+        super().expire(now)
 
     def _wait_s(self, ticket: Ticket) -> float:
-        ahead = len(self._queue) + 1
-        return ahead * self._service_s / max(1, self._slots)
+        now = ticket.offered
+        own = self._order(ticket, now)
+        ahead = [t for t in self._queue if self._order(t, now) < own]
+        return self._until_s(sum(map(self._cost_s, ahead)))
+
+    def _until_s(self, work_s: float) -> float:
+        """Returns how long it takes until so much work has begun (s)."""
+        if self._in_flight >= self._slots:
+            work_s += self._service_s
+        return work_s * self._gate.stretch() / max(1, self._slots)
+
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuses those whose turn will come too late, in today's order."""
+        if not self._is_congested():
+            return
+        work_s = 0.0
+        for ticket in sorted(self._queue, key=lambda t: self._order(t, now)):
+            if now + self._until_s(work_s) >= self._latest(ticket):
+                self._remove(ticket)
+                self._turn_away(ticket, "Others go first until it is too late.")
+                continue
+            work_s += self._cost_s(ticket)
 
     def _victim(self, ticket: Ticket) -> Ticket:
         now = ticket.offered
@@ -84,10 +128,13 @@
             return last
         return ticket
 
+    def _is_congested(self) -> bool:
+        return self._queued_work_s > CONGESTED_S * max(1, self._slots)
+
     def _order(self, ticket: Ticket, now: float) -> tuple[bool, float]:
-        """Returns what sorts `ticket`: whether it is late, then its time."""
-        lead_s = ticket.priority * RANK_LEAD_S
+        """Returns what sorts `ticket`: whether it is late, then its rank."""
         late = now + _AIM_MARGIN * self._cost_s(ticket) > ticket.aim
-        if late:
-            return True, ticket.deadline + lead_s
-        return False, ticket.aim + lead_s
+        lead_s = ticket.priority * RANK_LEAD_S
+        if self._is_congested():
+            return late, lead_s - ticket.offered
+        return late, (ticket.deadline if late else ticket.aim) + lead_s
--- a/src/radishwind/entry/request_log.py
+++ b/src/radishwind/entry/request_log.py
@@ -47,6 +47,7 @@
             request=call.call_id,
             route=call.route,
             service=call.service,
+            priority=call.priority,
             code=_code(outcome),
             why=_why(outcome),
             elapsed_ms=round(elapsed_s * 1000, 1),
