--- /dev/null
+++ b/src/radishwind/target/confirmed.py
@@ -0,0 +1,187 @@
+"""Exchanges with a server whose answers have to be confirmed as its own.
+
+The server may break its answers off, add others, or hand out bytes that are
+none. So an answer is held until it is whole and names the request it is to;
+what is not plainly that is `Unknown`, and its connection is closed.
+"""
+
+from collections.abc import Callable
+
+from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.core.timelimit import TimeLimit
+from radishwind.entry.call import Call
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.hygiene import end_to_end
+from radishwind.http.sender import Sender
+from radishwind.http.types import abort_body
+from radishwind.http.types import Body
+from radishwind.http.types import Response
+from radishwind.outcomes.model import Done
+from radishwind.outcomes.model import NotRun
+from radishwind.outcomes.model import Outcome
+from radishwind.outcomes.model import Unknown
+from radishwind.target.dialect import ServerAnswer
+from radishwind.target.dialect import ServerDialect
+from radishwind.target.exchange import HeldStream
+from radishwind.target.exchange_base import Exchange
+from radishwind.target.pulse import ServerPulse
+from radishwind.target.server import ServerView
+from radishwind.target.watch import ServerWatch
+
+#: How long a new connection to the server may take (s): it stands on the same
+#: instance, so one that takes longer meets a full accept queue.
+CONNECT_TIMEOUT_S = 0.5
+
+#: Answers up to this size (bytes) are held until they are whole. The largest
+#: the deployments name is 30 KB.
+HELD_BYTES = 1 << 20
+
+#: When to come back after the server shed a request (s): about a run time.
+_SHED_RETRY_S = 0.1
+
+#: When to come back after another incarnation answered (s).
+_REPLACED_RETRY_S = 0.05
+
+
+class ConfirmedExchange(Exchange):
+    """Holds each answer until it is known to be whole and the right one."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        sender: Sender,
+        dialect: ServerDialect,
+        watch: ServerWatch,
+        pulse: ServerPulse,
+        replaced: Callable[[str, str], None],
+    ) -> None:
+        """Wires an exchange.
+
+        Args:
+          clock: the clock.
+          sender: sends to the server.
+          dialect: makes requests and reads answers.
+          watch: learns from each exchange.
+          pulse: learns the load that answers tell.
+          replaced: takes the incarnation meant and the one that answered.
+        """
+        self._clock = clock
+        self._sender = sender
+        self._dialect = dialect
+        self._watch = watch
+        self._pulse = pulse
+        self._replaced = replaced
+
+    async def send(self, call: Call, view: ServerView, alone: bool) -> Outcome:
+        self._pulse.used()
+        left_s = call.deadline - self._clock.monotonic()
+        request = self._dialect.request(call, view.instance, left_s)
+        try:
+            with TimeLimit(left_s):
+                response = await self._sender.send(
+                    view.address, request, CONNECT_TIMEOUT_S
+                )
+                body = await _held(response)
+        except ConnectFailedError:
+            self._watch.refused()
+            return NotRun(
+                ResultCode.CONNECT_FAILED, "The server takes no connection."
+            )
+        except ExchangeBrokenError as exc:
+            self._watch.broke(call)
+            return Unknown(ResultCode.EXCHANGE_BROKEN, str(exc.args[0])[:160])
+        except TimeoutError:
+            self._watch.late()
+            return Unknown(
+                ResultCode.EXCHANGE_TIMEOUT,
+                "The server did not answer in time.",
+            )
+        return self._confirmed(call, view, response, body, alone)
+
+    def hold(
+        self,
+        call: Call,
+        response: Response,
+        alone: bool,
+        ended: Callable[[], None],
+    ) -> Response:
+        def whole() -> None:
+            self._watch.answered(call, response.status, alone)
+
+        def broke() -> None:
+            self._watch.broke(call)
+
+        assert not isinstance(response.body, bytes)
+        body = HeldStream(response.body, whole, broke, ended)
+        return Response(
+            response.status, response.headers, body, response.body_bytes
+        )
+
+    def _confirmed(
+        self,
+        call: Call,
+        view: ServerView,
+        response: Response,
+        body: Body,
+        alone: bool,
+    ) -> Outcome:
+        answer = self._dialect.read(call, response)
+        if not answer.ours or not answer.genuine:
+            abort_body(body)
+            self._watch.broke(call)
+            return Unknown(
+                ResultCode.ANSWER_MISMATCH,
+                "The answer was not the server's own to this request.",
+            )
+        if answer.load is not None:
+            self._pulse.told(answer.load)
+        if answer.not_run:
+            abort_body(body)
+            return self._refused(answer, view)
+        if isinstance(body, bytes):
+            self._watch.answered(call, response.status, alone)
+        return Done(
+            Response(response.status,
+                end_to_end(answer.headers),
+                body,
+                response.body_bytes,)
+        )
+
+    def _refused(self, answer: ServerAnswer, view: ServerView) -> NotRun:
+        if answer.another:
+            self._replaced(view.instance, answer.incarnation)
+            return NotRun(
+                ResultCode.SERVER_REPLACED,
+                "Another incarnation of the server answers.",
+                _REPLACED_RETRY_S,
+            )
+        self._watch.shed()
+        return NotRun(
+            ResultCode.SERVER_SHED,
+            "The server shed the request.",
+            _SHED_RETRY_S,
+        )
+
+
+async def _held(response: Response) -> Body:
+    """Returns the whole body, or the stream of one that is too large."""
+    body = response.body
+    if isinstance(body, bytes):
+        return body
+    if response.body_bytes is not None and response.body_bytes > HELD_BYTES:
+        return body
+    pieces = []
+    size = 0
+    async for piece in body:
+        pieces.append(piece)
+        size += len(piece)
+        if size > HELD_BYTES:
+            body.abort()
+            raise ExchangeBrokenError(
+                f"expected an answer of at most {HELD_BYTES} bytes without "
+                "a length, got more"
+            )
+    return b"".join(pieces)
--- /dev/null
+++ b/src/radishwind/target/dialect.py
@@ -0,0 +1,76 @@
+"""The interface by which a node speaks to the backend server beside it."""
+
+import abc
+import dataclasses
+
+from radishwind.entry.call import Call
+from radishwind.http.types import Headers
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """The load as the server itself tells it.
+
+    Attributes:
+      in_flight: requests running.
+      queued: requests waiting at the server.
+      slots: requests it runs at once.
+      pace: how long work takes at this moment; 1 is as usual, 5 five times
+        as long.
+    """
+
+    in_flight: int
+    queued: int
+    slots: int
+    pace: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerAnswer:
+    """What the fields of an answer of the server tell.
+
+    Attributes:
+      ours: whether it names the request that it is to answer.
+      incarnation: the incarnation that answers; empty if not told.
+      not_run: whether the server says that it did not run the request.
+      another: whether it says that it is another incarnation than meant.
+      genuine: whether the answer can be the server's own, as it made it.
+      load: the server's load, where told.
+      headers: the fields that go on to the caller.
+    """
+
+    ours: bool = True
+    incarnation: str = ""
+    not_run: bool = False
+    another: bool = False
+    genuine: bool = True
+    load: ServerLoad | None = None
+    headers: Headers = ()
+
+
+class ServerDialect(abc.ABC):
+    """Makes requests for the server and reads its answers."""
+
+    @abc.abstractmethod
+    def request(self, call: Call, incarnation: str, left_s: float) -> Request:
+        """Returns `call` as the server gets it.
+
+        Args:
+          call: what to run.
+          incarnation: the incarnation meant; empty for any.
+          left_s: time left to the deadline (s).
+        """
+
+    @abc.abstractmethod
+    def health_request(self, path: str) -> Request:
+        """Returns a health check at `path`."""
+
+    @abc.abstractmethod
+    def read(self, call: Call, response: Response) -> ServerAnswer:
+        """Returns what the fields of the answer to `call` tell."""
+
+    @abc.abstractmethod
+    def read_health(self, response: Response) -> ServerAnswer:
+        """Returns what the answer to a health check tells."""
--- /dev/null
+++ b/src/radishwind/target/exchange_base.py
@@ -0,0 +1,40 @@
+"""The interface by which the pipeline runs a call on the server beside."""
+
+import abc
+from collections.abc import Callable
+
+from radishwind.entry.call import Call
+from radishwind.http.types import Response
+from radishwind.outcomes.model import Outcome
+from radishwind.target.server import ServerView
+
+
+class Exchange(abc.ABC):
+    """Sends calls to the server and says what became of them."""
+
+    @abc.abstractmethod
+    async def send(self, call: Call, view: ServerView, alone: bool) -> Outcome:
+        """Runs `call` on the server; its deadline has not passed yet.
+
+        Args:
+          call: what to run.
+          view: the server as last announced.
+          alone: whether nothing else runs there meanwhile.
+        """
+
+    @abc.abstractmethod
+    def hold(
+        self,
+        call: Call,
+        response: Response,
+        alone: bool,
+        ended: Callable[[], None],
+    ) -> Response:
+        """Returns a streamed `response` that calls `ended` once at its end.
+
+        Args:
+          call: what it answers.
+          response: as returned by `send`, with a stream as its body.
+          alone: whether nothing else ran on the server.
+          ended: called when the slot is free again.
+        """
--- /dev/null
+++ b/src/radishwind/target/pace.py
@@ -0,0 +1,18 @@
+"""How long work takes on an instance, and for how long that holds."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """The pace of an instance at one moment.
+
+    Attributes:
+      factor: how long work takes; 1 is as usual, 5 five times as long.
+      spell_s: it changes at moments so far apart (s); 0 if none are known.
+      left_s: time until the next such moment (s).
+    """
+
+    factor: float = 1.0
+    spell_s: float = 0.0
+    left_s: float = 0.0
--- /dev/null
+++ b/src/radishwind/target/pulse.py
@@ -0,0 +1,209 @@
+"""The load of the server beside as it told it last, and when to ask anew.
+
+Answers tell it for nothing. A health check is sent only into silence, so that
+it costs nothing while requests flow.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from radishwind.core.clock import Clock
+from radishwind.core.timelimit import TimeLimit
+from radishwind.http.errors import SendError
+from radishwind.http.sender import Sender
+from radishwind.http.types import whole_body
+from radishwind.routing.pace import PaceHabit
+from radishwind.target.dialect import ServerAnswer
+from radishwind.target.dialect import ServerDialect
+from radishwind.target.dialect import ServerLoad
+from radishwind.target.pace import Pace
+from radishwind.target.server import ServerView
+from radishwind.target.spells import SpellClock
+
+#: Silence after which a server that is in use is asked (s). Its pace holds for
+#: about 150 ms, so an older figure says little.
+BUSY_SILENCE_S = 0.05
+
+#: The same for one that nobody uses (s).
+IDLE_SILENCE_S = 0.5
+
+#: A server counts as in use for this long after a request (s).
+USE_S = 1.0
+
+#: A server is looked at this closely until it is known when its pace changes,
+#: but no longer than this after its first figure (s).
+LEARN_SILENCE_S = 0.01
+LEARN_S = 4.0
+
+#: A moment of change is over for certain after this time (s).
+SETTLE_S = 0.003
+
+#: How long a health check may take (s).
+CHECK_TIMEOUT_S = 0.4
+
+#: How a pace fades towards the usual mean without news (s).
+FADE_S = 0.25
+
+
+class ServerPulse:
+    """The newest load figure; listeners hear of each one.
+
+    Attributes:
+      load: as told last; `None` before the first.
+      heard: when that was (monotonic s).
+      checks: health checks sent.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.load: ServerLoad | None = None
+        self.heard = -IDLE_SILENCE_S
+        self.checks = 0
+        self._used = -USE_S
+        self._began = clock.monotonic()
+        self.spells = SpellClock()
+        self.habit = PaceHabit()
+        self._listeners: list[Callable[[], None]] = []
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each figure."""
+        self._listeners.append(listener)
+
+    def used(self) -> None:
+        """Notes that a request came for the server."""
+        self._used = self._clock.monotonic()
+
+    def told(self, load: ServerLoad) -> None:
+        """Takes a figure that the server told now."""
+        now = self._clock.monotonic()
+        if self.load is None:
+            self._began = now
+        else:
+            self.habit.note(self.load.pace, now - self.heard)
+            if load.pace != self.load.pace:
+                self.spells.changed(self.heard, now)
+        self.load = load
+        self.heard = now
+        for listener in self._listeners:
+            listener()
+
+    def now(self) -> Pace:
+        """Returns the pace as of now."""
+        factor = self._factor()
+        period_s = self.spells.period_s
+        if not period_s:
+            return Pace(factor)
+        left_s = self.spells.left_s(self._clock.monotonic())
+        return Pace(factor, period_s, left_s)
+
+    def unsure_for_s(self) -> float:
+        """Returns how long ago a change may have gone unseen (s); 0 if none."""
+        now = self._clock.monotonic()
+        last = self.spells.last(now)
+        return now - last if self.heard < last else 0.0
+
+    def _factor(self) -> float:
+        """Returns how long work takes now; older figures fade to the mean."""
+        if self.load is None:
+            return self.habit.mean
+        age_s = self._clock.monotonic() - self.heard
+        if self.spells.period_s or age_s <= BUSY_SILENCE_S:
+            return self.load.pace
+        kept: float = 0.5 ** (age_s / FADE_S)
+        mean = self.habit.mean
+        return mean + (self.load.pace - mean) * kept
+
+    def check_in_s(self) -> float:
+        """Returns in how long a health check is due (s); 0 for now."""
+        now = self._clock.monotonic()
+        in_use = now - self._used < USE_S
+        if in_use and self.spells.period_s:
+            return self._next_spell_in_s(now)
+        silence_s = BUSY_SILENCE_S if in_use else IDLE_SILENCE_S
+        if not self.spells.period_s and now - self._began < LEARN_S:
+            silence_s = LEARN_SILENCE_S
+        return max(0.0, self.heard + silence_s - now)
+
+    def _next_spell_in_s(self, now: float) -> float:
+        """Returns when to look for a new pace (s): past each moment of change.
+
+        An answer that came since that moment told it already.
+        """
+        looked = self.spells.last(now - SETTLE_S)
+        if self.heard < looked:
+            return 0.0
+        return self.spells.left_s(now - SETTLE_S)
+
+
+class PulseKeeper:
+    """The task that asks the server into silence, one check at a time."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        sender: Sender,
+        dialect: ServerDialect,
+        pulse: ServerPulse,
+        view: Callable[[], ServerView | None],
+        answered: Callable[[ServerAnswer, bool], None],
+        unreachable: Callable[[], None],
+    ) -> None:
+        """Wires the task.
+
+        Args:
+          clock: the clock.
+          sender: sends the health checks.
+          dialect: makes and reads them.
+          pulse: takes the figures.
+          view: returns the server, `None` where none is to be asked.
+          answered: takes what a check told, and whether it was a good one.
+          unreachable: called where the server takes no connection.
+        """
+        self._clock = clock
+        self._sender = sender
+        self._dialect = dialect
+        self._pulse = pulse
+        self._view = view
+        self._answered = answered
+        self._unreachable = unreachable
+
+    async def run(self) -> None:
+        """Asks until cancelled."""
+        while True:
+            view = self._view()
+            wait_s = self._pulse.check_in_s()
+            if view is None or not view.health_path:
+                await anyio.sleep(IDLE_SILENCE_S)
+                continue
+            if wait_s > 0:
+                await anyio.sleep(max(wait_s, 0.001))
+                continue
+            await self.check(view)
+
+    async def check(self, view: ServerView) -> None:
+        """Sends one health check; a failed one counts as heard of."""
+        self._pulse.checks += 1
+        began = self._clock.monotonic()
+        try:
+            with TimeLimit(CHECK_TIMEOUT_S):
+                response = await self._sender.send(
+                    view.address,
+                    self._dialect.health_request(view.health_path),
+                    CHECK_TIMEOUT_S,
+                )
+                await whole_body(response.body)
+        except SendError:
+            self._pulse.heard = began
+            self._unreachable()
+            return
+        except TimeoutError:
+            self._pulse.heard = began
+            return
+        answer = self._dialect.read_health(response)
+        if answer.load is not None:
+            self._pulse.told(answer.load)
+        else:
+            self._pulse.heard = began
+        self._answered(answer, response.status < 300)
--- /dev/null
+++ b/src/radishwind/target/spells.py
@@ -0,0 +1,191 @@
+"""Learns whether the pace of an instance changes at regular moments.
+
+Instances that share their processors by quota change pace on a grid: the
+scheduler's period, as a rule with its own phase on each machine. Where that is
+so, a pace once seen holds until the next moment of the grid, and one check
+after each moment replaces many.
+"""
+
+import collections
+import dataclasses
+
+#: Changes seen before a grid is believed.
+LEAST_CHANGES = 5
+
+#: Changes kept: at one in three moments they reach back some 15 s, over which
+#: looks of 10 ms fix the period to 0.1 ms.
+_MOST_CHANGES = 32
+
+#: A change is located no better than the time between two looks (s); coarser
+#: ones tell nothing of a grid.
+COARSEST_S = 0.04
+
+#: Periods looked for (s).
+SHORTEST_S = 0.05
+LONGEST_S = 1.0
+
+#: How far a change may lie off the grid, beyond the time between looks (s).
+_SLACK_S = 0.006
+
+#: A grid is told from chance only where the slack is at most this part of it.
+_MOST_SLACK = 0.2
+
+#: Changes off the grid, of the last ones, after which it is given up.
+_MOST_MISSES = 3
+_MISSES_OF = 12
+
+#: Parts of the smallest gap that are tried as the period.
+_DIVISORS = (1, 2, 3)
+
+#: Changes off the grid that a part of the period would explain, after which
+#: that part is taken.
+_ENOUGH_FOR_PART = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """A change of pace between two looks.
+
+    Attributes:
+      middle: of the time between the looks (monotonic s).
+      half_s: half of that time (s).
+    """
+
+    middle: float
+    half_s: float
+
+
+class SpellClock:
+    """Tells when the pace may change next, once it knows.
+
+    Attributes:
+      period_s: time between moments of change (s); 0 while not known.
+    """
+
+    def __init__(self) -> None:
+        self.period_s = 0.0
+        self._origin = 0.0
+        self._changes: collections.deque[_Change] = collections.deque(
+            maxlen=_MOST_CHANGES
+        )
+        self._misses: collections.deque[bool] = collections.deque(
+            maxlen=_MISSES_OF
+        )
+        self._parts: collections.Counter[int] = collections.Counter()
+
+    def changed(self, before: float, after: float) -> None:
+        """Takes that the pace changed between two looks (monotonic s)."""
+        if after - before > (self.period_s / 2 or COARSEST_S):
+            return
+        change = _Change((before + after) / 2, (after - before) / 2)
+        if self.period_s:
+            self._follow(change)
+            return
+        self._changes.append(change)
+        if len(self._changes) >= LEAST_CHANGES:
+            self._learn()
+
+    def left_s(self, now: float) -> float:
+        """Returns the time until the next moment of change (s)."""
+        return self.period_s - (now - self._origin) % self.period_s
+
+    def last(self, now: float) -> float:
+        """Returns the last moment of change (monotonic s)."""
+        return now - (now - self._origin) % self.period_s
+
+    def _learn(self) -> None:
+        middles = [change.middle for change in self._changes]
+        gaps = [b - a for a, b in zip(middles, middles[1:], strict=False)]
+        smallest = min(gaps)
+        for divisor in _DIVISORS:
+            period_s = _refined(gaps, smallest / divisor)
+            if not SHORTEST_S <= period_s <= LONGEST_S:
+                continue
+            if self._fits(gaps, period_s):
+                self.period_s = period_s
+                self._origin = middles[-1]
+                self._fit()
+                self._misses.clear()
+                self._parts.clear()
+                return
+
+    def _fits(self, gaps: list[float], period_s: float) -> bool:
+        """Returns whether all gaps are multiples of about `period_s`."""
+        slack_s = _SLACK_S + 2 * max(c.half_s for c in self._changes)
+        if slack_s > _MOST_SLACK * period_s:
+            return False
+        for gap in gaps:
+            count = max(1, round(gap / period_s))
+            if abs(gap - count * period_s) > slack_s:
+                return False
+        return True
+
+    def _fit(self) -> None:
+        """Sets the grid by all changes kept, those seen closely above all."""
+        newest = self._changes[-1].middle
+        count = round((newest - self._origin) / self.period_s)
+        base = self._origin + count * self.period_s
+        sums = [0.0] * 5
+        for change in self._changes:
+            step = round((change.middle - base) / self.period_s)
+            off_s = change.middle - base - step * self.period_s
+            weight = 1 / (change.half_s + 0.001) ** 2
+            terms = (1.0, step, step * step, off_s, step * off_s)
+            sums = [s + weight * t for s, t in zip(sums, terms, strict=True)]
+        all_, steps, squares, offs, products = sums
+        spread = all_ * squares - steps * steps
+        if spread <= 0:
+            self._origin = base + offs / all_
+            return
+        slope = (all_ * products - steps * offs) / spread
+        self._origin = base + (offs - slope * steps) / all_
+        self.period_s += slope
+
+    def _follow(self, change: _Change) -> None:
+        """Sets the grid right by a change, or gives it up."""
+        count = round((change.middle - self._origin) / self.period_s)
+        off_s = abs(change.middle - self._origin - count * self.period_s)
+        miss = off_s > change.half_s + 2 * _SLACK_S
+        self._misses.append(miss)
+        if not miss:
+            self._changes.append(change)
+            self._fit()
+            return
+        if self._divide(off_s, change.half_s):
+            return
+        if sum(self._misses) >= _MOST_MISSES:
+            self.period_s = 0.0
+            self._changes.clear()
+
+    def _divide(self, off_s: float, half_s: float) -> bool:
+        """Takes a part of the period where changes lie between its moments.
+
+        The first changes seen may all have been several moments apart.
+        """
+        for parts in _DIVISORS[1:]:
+            period_s = self.period_s / parts
+            rest_s = off_s % period_s
+            rest_s = min(rest_s, period_s - rest_s)
+            if period_s < SHORTEST_S or half_s > period_s / 4:
+                return False
+            if rest_s > half_s + _SLACK_S:
+                continue
+            self._parts[parts] += 1
+            if self._parts[parts] < _ENOUGH_FOR_PART:
+                return False
+            self.period_s = period_s
+            self._misses.clear()
+            self._parts.clear()
+            return True
+        return False
+
+
+def _refined(gaps: list[float], period_s: float) -> float:
+    """Returns the period near `period_s` of which all gaps are multiples."""
+    for gap in sorted(gaps):
+        # The short gaps first: they say how many periods a longer one has.
+        near = [g for g in gaps if g <= gap]
+        counts = [max(1, round(g / period_s)) for g in near]
+        pairs = zip(near, counts, strict=True)
+        period_s = sum(g * n for g, n in pairs) / sum(n * n for n in counts)
+    return period_s
