--- /dev/null
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -0,0 +1,231 @@
+"""The platform's messages become typed values, or a numbered error."""
+
+import pytest
+
+from radishwind.config.model import ServiceRules
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.entry.call import CallRejectedError
+from radishwind.http.types import Address
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.platform import PlatformDialect
+from radishwind.platform import read_call
+from radishwind.platform import read_caller
+from radishwind.platform import read_routes
+from radishwind.platform import read_settings
+from radishwind.platform.answers import respond
+from radishwind.platform.errors import PlatformMalformedError
+
+SETTINGS = """
+node = "sidecar-a-1"
+ip = "10.1.0.41"
+zone = "a"
+port-range = [7600,7615]
+heartbeat-ms = 1500
+bounds = ["drain-ms=2500","retry-ratio=0.1","flag=true"]
+app-addr = "10.1.0.41:8628"
+service = "huvo11a"
+something-new = 3
+[zones]
+a = "n"
+b = "n"
+[listen]
+inbound = "10.1.0.41:8624"
+outbound = "10.1.0.41:8629"
+ready = "10.1.0.41:8625"
+control = "10.1.0.41:8620"
+[provider]
+address = "10.200.1.7:8627"
+"""
+
+ROUTES = b"""{"version":7,"routes":[
+{"name":"r1","host":"H1.example","prefix":"/a/b/","kind":"unsafe",
+ "timeout-ms":800,"aim-ms":400,"priority":1,"service":"s1","attempts":2},
+{"name":"r2","host":"h2.example","prefix":"/c/","kind":"safe",
+ "timeout-ms":1200,"aim-ms":300,"priority":2,"attempts":3,
+ "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+"services":[{"name":"s1","health-path":"/health","max-conns":220,"tls":false}],
+"limits":{"idle-timeout-ms":15000},"base-version":5}"""
+
+
+def test_settings_are_read_in_our_words():
+    settings = read_settings(SETTINGS)
+
+    assert settings.failure_domain == "a"
+    assert settings.callers == Address("10.1.0.41", 8629)
+    assert settings.peers == Address("10.1.0.41", 7600)
+    assert settings.drain_s == 2.5
+    assert settings.retry_share == 0.1
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (("zone = ", "zonal = "), "zone"),
+        (('"10.1.0.41:8625"', '"10.1.0.41"'), "HOST:PORT"),
+        (("drain-ms=2500", "drain-ms"), "NAME=VALUE"),
+        (("[listen]", "[listen"), "settings file"),
+    ],
+)
+def test_a_fault_of_the_settings_is_named(change, named):
+    with pytest.raises(PlatformMalformedError, match=named) as caught:
+        read_settings(SETTINGS.replace(*change))
+
+    assert caught.value.code is ResultCode.PLATFORM_MALFORMED
+
+
+def test_routes_are_read_in_our_words():
+    cfg = read_routes(ROUTES)
+
+    first, second = cfg.routes
+    assert (cfg.version, first.host, first.idempotent) == (
+        7,
+        "h1.example",
+        False,
+    )
+    assert (first.timeout_s, first.aim_s, first.attempts) == (0.8, 0.4, 2)
+    assert [(p.service, p.weight) for p in second.parts] == [
+        ("s1", 90),
+        ("s2", 10),
+    ]
+    assert cfg.services["s1"].connections == 220
+    assert cfg.limits.idle_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{",
+        b'{"routes":[]}',
+        ROUTES.replace(b'"service":"s1","attempts":2', b'"attempts":2'),
+        ROUTES.replace(b'"timeout-ms":800', b'"timeout-ms":-1'),
+        ROUTES.replace(b'"attempts":2', b'"attempts":0'),
+    ],
+)
+def test_malformed_routes_are_refused_whole(data):
+    with pytest.raises(PlatformMalformedError):
+        read_routes(data)
+
+
+def test_a_heartbeat_is_read():
+    body = (
+        b'{"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1",'
+        b'"slots":6,"state":"draining","warmup-left-ms":1500,"seq":4}'
+    )
+    request = Request("POST", "/-/Instances.Heartbeat/i-7")
+
+    beat = read_call(request, body)
+
+    assert (beat.incarnation, beat.slots, beat.order) == ("i-7", 6, 4)
+    assert beat.draining
+    assert beat.cold_s == 1.5
+    assert read_call(Request("POST", "/-/Instances.Deregister/i-7"), b"").gone
+    assert read_call(Request("GET", "/other"), b"") is None
+    with pytest.raises(PlatformMalformedError):
+        read_call(request, b'{"service":"s"}')
+
+
+def test_a_caller_is_read_and_cannot_speak_for_the_system():
+    told = read_caller(
+        (
+            ("Host", "H.example:80"),
+            ("Attempt-Id", "9c"),
+            ("Timeout-Ms", "1200"),
+            ("Caller-Service", "forged"),
+            ("Expect-Instance", "i-1"),
+            ("Accept", "x"),
+        ),
+        "own",
+    )
+
+    assert (told.request_id, told.timeout_ms, told.host) == (
+        "9c",
+        1200,
+        "h.example",
+    )
+    assert dict(told.headers) == {
+        "Host": "H.example:80",
+        "Attempt-Id": "9c",
+        "Accept": "x",
+        "Caller-Service": "own",
+    }
+    with pytest.raises(CallRejectedError):
+        read_caller((("Host", "h"),), "own")
+    with pytest.raises(CallRejectedError):
+        read_caller((("Attempt-Id", "9"), ("Timeout-Ms", "soon")), "own")
+
+
+def call():
+    request = Request("GET", "/x", (("Attempt-Id", "9c"),))
+    return Call("9c", "s", request, ServiceRules(), True, 1.0, 1, "c")
+
+
+def test_a_request_tells_the_server_its_time_and_incarnation():
+    request = PlatformDialect().request(call(), "i-7", 0.25)
+
+    told = dict(request.headers)
+    assert (told["Timeout-Ms"], told["Expect-Instance"]) == ("250", "i-7")
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "ours", "genuine", "not_run", "another"),
+    [
+        (200, {"Response-Signature": "s"}, True, True, False, False),
+        (200, {}, True, False, False, False),
+        (200, {"Response-Signature": "s", "Attempt-Id": "x"},
+         False, True, False, False),
+        (200, {"Response-Signature": "s", "Attempt-Id": None},
+         False, True, False, False),
+        (200, {"Response-Signature": "s", "Content-Encoding": "gzip"},
+         True, False, False, False),
+        (500, {}, True, True, False, False),
+        (503, {}, True, True, False, False),
+        (503, {"Not-Executed": "1", "Attempt-Id": None},
+         True, True, True, False),
+        (503, {"Not-Executed": "1", "Attempt-Id": "x"},
+         False, True, True, False),
+        (421, {"Instance-Id": "i-8", "Attempt-Id": None},
+         True, True, True, True),
+    ],
+)  # fmt: skip
+def test_only_the_servers_own_word_counts(
+    status, fields, ours, genuine, not_run, another
+):
+    told = {"Attempt-Id": "9c", **fields}
+    headers = tuple((k, v) for k, v in told.items() if v is not None)
+
+    answer = PlatformDialect().read(call(), Response(status, headers))
+
+    assert (answer.ours, answer.genuine) == (ours, genuine)
+    assert (answer.not_run, answer.another) == (not_run, another)
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,1,8,500", (3, 1, 8, 5.0)),
+        ("3,0,8", (3, 0, 8, 1.0)),
+        ("3,0", None),
+        ("a,b,c", None),
+    ],
+)
+def test_the_load_is_read(text, load):
+    headers = (("Server-Load", text), ("Instance-Id", "i-7"))
+
+    answer = PlatformDialect().read_health(Response(200, headers))
+
+    got = answer.load
+    assert answer.incarnation == "i-7"
+    told = got and (got.in_flight, got.queued, got.slots, got.pace)
+    assert told == load
+
+
+def test_a_refusal_tells_when_to_come_back_in_fractions():
+    response = respond(NotRun(ResultCode.OVERLOADED, "full", 0.15))
+
+    assert response.status == 503
+    assert dict(response.headers)["Retry-After"] == "0.150"
+    assert respond(Unknown(ResultCode.EXCHANGE_BROKEN, "x")).status == 502
--- /dev/null
+++ b/src/radishwind/platform/tests/test_store.py
@@ -0,0 +1,126 @@
+"""The store's client tells "certainly not done" from "unknown"."""
+
+import base64
+
+import msgspec
+import pytest
+
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.sender import Sender
+from radishwind.http.types import Address
+from radishwind.http.types import Response
+from radishwind.platform import PlatformStore
+from radishwind.store.base import Compare
+from radishwind.store.base import Put
+from radishwind.store.base import StoreAnswerLostError
+from radishwind.store.base import StoreAnswerMalformedError
+from radishwind.store.base import StoreCompactedError
+from radishwind.store.base import StoreUnavailableError
+
+pytestmark = pytest.mark.anyio
+
+
+class Script(Sender):
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def send(self, address, request, connect_timeout_s):
+        self.asked.append(request)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        status, body = answer
+        return Response(status, (), msgspec.json.encode(body))
+
+    async def close(self):
+        pass
+
+
+def store(*answers):
+    script = Script(*answers)
+    return PlatformStore(script, Address("10.0.0.1", 1)), script
+
+
+def item(key, value=b"v", rev=4):
+    text = base64.b64encode(value).decode()
+    return {"key": key, "value": text, "rev": rev, "created-rev": 2, "lease": 9}
+
+
+async def test_one_key_is_read():
+    client, _ = store((200, {**item("k"), "current-rev": 7}))
+
+    entry = await client.get("k")
+
+    assert (entry.value, entry.mod_revision, entry.lease_id) == (b"v", 4, 9)
+
+
+async def test_a_key_that_is_not_there_is_none():
+    client, _ = store((404, {}))
+
+    assert await client.get("k") is None
+
+
+async def test_a_range_is_read_page_by_page():
+    client, script = store(
+        (200, {"items": [item("a"), item("b")], "truncated": True}),
+        (200, {"items": [item("c")], "truncated": False}),
+    )
+
+    assert [e.key for e in await client.list("p/")] == ["a", "b", "c"]
+    assert "after=b" in script.asked[1].path
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((503, {}), StoreUnavailableError),
+        ((429, {}), StoreUnavailableError),
+        (ConnectFailedError("x"), StoreUnavailableError),
+        (ExchangeBrokenError("x"), StoreAnswerLostError),
+        (TimeoutError(), StoreAnswerLostError),
+        ((410, {}), StoreCompactedError),
+        ((200, {"rev": "x"}), StoreAnswerMalformedError),
+    ],
+)
+async def test_what_no_good_answer_means(answer, error):
+    client, _ = store(answer)
+
+    with pytest.raises(error):
+        await client.transact((Compare("k", 0),), (Put("k", b"v"),))
+
+
+async def test_a_lost_race_is_told():
+    client, _ = store((412, {"items": [item("k")]}))
+
+    result = await client.transact((Compare("k", 0),), (Put("k", b"v"),))
+
+    assert not result.succeeded
+
+
+async def test_a_lease_that_has_ended_has_no_time_left():
+    client, _ = store((404, {}))
+
+    assert await client.keep_alive(7) == 0
+
+
+async def test_a_watch_goes_on_from_the_last_revision():
+    client, script = store(
+        (200, {"events": [item("k", rev=5)], "current-rev": 6}),
+        (200, {"events": [{"key": "k", "rev": 8, "removed": True}],
+               "current-rev": 8}),
+        (410, {}),
+    )  # fmt: skip
+    seen = []
+
+    async def follow():
+        async for event in client.watch("k", 5):
+            seen.append((event.key, event.entry is not None, event.revision))
+
+    with pytest.raises(StoreCompactedError):
+        await follow()
+
+    assert seen == [("k", True, 5), ("k", False, 8)]
+    assert "after=4" in script.asked[0].path
+    assert "after=6" in script.asked[1].path
--- a/src/radishwind/target/confirmed.py
+++ b/src/radishwind/target/confirmed.py
@@ -144,10 +144,12 @@
         if isinstance(body, bytes):
             self._watch.answered(call, response.status, alone)
         return Done(
-            Response(response.status,
+            Response(
+                response.status,
                 end_to_end(answer.headers),
                 body,
-                response.body_bytes,)
+                response.body_bytes,
+            )
         )
 
     def _refused(self, answer: ServerAnswer, view: ServerView) -> NotRun:
--- a/src/radishwind/target/spells.py
+++ b/src/radishwind/target/spells.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 #: Changes seen before a grid is believed.
 LEAST_CHANGES = 5
@@ -95,7 +96,7 @@
 
     def _learn(self) -> None:
         middles = [change.middle for change in self._changes]
-        gaps = [b - a for a, b in zip(middles, middles[1:], strict=False)]
+        gaps = [b - a for a, b in itertools.pairwise(middles)]
         smallest = min(gaps)
         for divisor in _DIVISORS:
             period_s = _refined(gaps, smallest / divisor)
--- /dev/null
+++ b/src/radishwind/telemetry/tests/test_output.py
@@ -0,0 +1,72 @@
+"""Log lines never hold a request up, and lost ones are counted."""
+
+import json
+import os
+
+import pytest
+
+from radishwind.telemetry.output import BoundedOutput
+from radishwind.telemetry.output import MOST_WAITING_BYTES
+
+
+@pytest.fixture
+def pipe():
+    read_fd, write_fd = os.pipe()
+    yield read_fd, write_fd
+    for fd in (read_fd, write_fd):
+        try:
+            os.close(fd)
+        except OSError:
+            continue
+
+
+def read_all(fd, output):
+    os.set_blocking(fd, False)
+    data = b""
+    while True:
+        output.flush()
+        try:
+            piece = os.read(fd, 65536)
+        except BlockingIOError:
+            return data
+        if not piece:
+            return data
+        data += piece
+
+
+def test_lines_arrive_whole_and_in_order(pipe):
+    output = BoundedOutput(pipe[1])
+    for number in range(100):
+        output.write({"n": number})
+
+    lines = read_all(pipe[0], output).splitlines()
+
+    assert [json.loads(line)["n"] for line in lines] == list(range(100))
+
+
+def test_a_reader_that_stops_costs_lines_and_not_time(pipe):
+    output = BoundedOutput(pipe[1])
+    written = 0
+    while not output.dropped:
+        output.write({"n": written, "text": "x" * 1000})
+        written += 1
+        assert written < 2 * MOST_WAITING_BYTES
+
+    read_all(pipe[0], output)
+    output.write({"n": "last"})
+    lines = [
+        json.loads(line) for line in read_all(pipe[0], output).splitlines()
+    ]
+
+    assert lines[-1]["n"] == "last"
+    assert lines[-2]["lines"] == 1
+
+
+def test_a_reader_that_is_gone_costs_lines_only(pipe):
+    output = BoundedOutput(pipe[1])
+    os.close(pipe[0])
+
+    output.write({"n": 1})
+    output.write({"n": 2})
+
+    assert output.dropped == 2
