Hold slow spells against the best pace there; learn the grid by what was asked

Where a grid was lost it was never looked for again. Change: a spell is slow against the best pace of the last 1.5 s there, the wait in a queue is counted at it; a change of pace is bounded from below by health checks only, as answers may wait to be read; a grid given up is learned anew; nothing begins within 2 ms of a moment of change; one look at the contacts after the start instead of four.

--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -38,6 +38,7 @@
       backoff_most_s: the longest wait (s).
       check_period_s: time between looks at the own domain's record by the
         nodes that rank first in it (s).
+      early_looks: looks at short intervals after the start.
       calls_at_once: calls a node may make in a row.
       calls_per_hour: the rate at which it may make further ones (1/h).
     """
@@ -46,6 +47,7 @@
     backoff_s: float = 0.5
     backoff_most_s: float = 60.0
     check_period_s: float = 1_800.0
+    early_looks: int = 4
     calls_at_once: int = 12
     calls_per_hour: float = 60.0
 
--- a/src/radishwind/node/peer_search.py
+++ b/src/radishwind/node/peer_search.py
@@ -17,9 +17,6 @@
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.settings import NodeSettings
 
-#: Looks at the store at short intervals after the start.
-_EARLY_LOOKS = 4
-
 
 class PeerSearch:
     """Joins the first peers, and again where a node finds itself alone."""
@@ -95,7 +92,7 @@
           failures: looks that failed since the last success.
         """
         jitter = 0.5 + self._rng.random()
-        if failures or self._alone() or looks <= _EARLY_LOOKS:
+        if failures or self._alone() or looks <= self._options.early_looks:
             return backoff_s(self._options, failures or looks) * jitter
         return self._options.check_period_s * jitter
 
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -23,6 +23,8 @@
       warm: 0 for a server just started to 1 for a warm one.
       pace: how long work takes on that instance at this moment; 1 is as
         usual.
+      base: the best pace there in the last spells; more than 1 for one that is
+        slow beyond its spells.
       spell_ms: the pace changes at moments so far apart (ms); 0 where no such
         moments are known.
       spell_left_ms: time until the next such moment (ms).
@@ -37,6 +39,7 @@
     leaving: bool = False
     warm: float = 1.0
     pace: float = 1.0
+    base: float = 1.0
     spell_ms: float = 0.0
     spell_left_ms: float = 0.0
     work_ms: float = 0.0
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -219,7 +219,8 @@
         own_s /= max(0.1, report.warm)
         ahead = max(0, busy + 1 - report.slots) / report.slots
         cost_s = begin_s(own_s, report, age_s, self._habit)
-        cost_s += ahead * max(report.service_ms / 1000, work_s)
+        queued_s = work_s * report.base * self._habit.mean
+        cost_s += ahead * max(report.service_ms / 1000, queued_s)
         if age_s > SILENT_S:
             cost_s += SILENT_FACTOR * work_s * self._habit.mean
         if seen is not None and seen.failures:
@@ -317,7 +318,8 @@
     def _report(self, seen: _Seen, report: LoadReport, now: float) -> None:
         if seen.report is not None:
             for_s = min(SILENT_S, now - seen.heard)
-            self._habit.note(seen.report.pace, for_s)
+            before = seen.report
+            self._habit.note(before.pace / max(0.01, before.base), for_s)
         seen.report = report
         seen.heard = now
         seen.since = 0
--- a/src/radishwind/routing/pace.py
+++ b/src/radishwind/routing/pace.py
@@ -11,7 +11,7 @@
 
 from radishwind.routing.chooser import LoadReport
 
-#: A pace above this is slow.
+#: A pace so many times the best one there is slow.
 SLOW_PACE = 1.5
 
 #: How fast a pace fades towards the mean where no moments of change are known
@@ -74,16 +74,17 @@
       age_s: its age (s).
       habit: of the instances.
     """
+    base = max(0.01, report.base)
+    usual_s = work_s * base
+    pace = report.pace / base
     if not report.spell_ms:
         faded = math.exp(-age_s / FADE_S)
-        return work_s * (habit.mean + (report.pace - habit.mean) * faded)
-    now_s = work_s * report.pace
-    if report.pace <= SLOW_PACE:
+        return usual_s * (habit.mean + (pace - habit.mean) * faded)
+    now_s = usual_s * pace
+    if pace <= SLOW_PACE:
         return now_s
-    period_s = report.spell_ms / 1000
-    return min(
-        now_s, spell_left_s(report, age_s) + habit.later_s(work_s, period_s)
-    )
+    later_s = habit.later_s(usual_s, report.spell_ms / 1000)
+    return min(now_s, spell_left_s(report, age_s) + later_s)
 
 
 def spell_left_s(report: LoadReport, age_s: float) -> float:
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -119,6 +119,7 @@
     spread_s=_START_SPREAD_S,
     backoff_s=0.3,
     backoff_most_s=1.0,
+    early_looks=1,
     calls_at_once=30,
     calls_per_hour=1200.0,
 )
--- a/src/radishwind/target/pace_gate.py
+++ b/src/radishwind/target/pace_gate.py
@@ -10,6 +10,10 @@
 #: health check that tells it takes 2 to 5 ms.
 UNKNOWN_S = 0.015
 
+#: Work sent so shortly before a moment of change begins after it (s): a new
+#: connection to the server takes 1 ms.
+TOO_NEAR_S = 0.002
+
 #: Run times that must be left to the deadline after the wait.
 _MARGIN = 1.5
 
@@ -27,23 +31,27 @@
             return False
         if pulse.unsure_for_s() and pulse.unsure_for_s() < UNKNOWN_S:
             return True
+        left_s = pulse.spells.left_s(self._clock.monotonic())
+        if left_s < TOO_NEAR_S:
+            return True
+        base = pulse.base()
         pace = pulse.load.pace
-        if pace <= SLOW_PACE:
+        if pace <= SLOW_PACE * base:
             return False
-        left_s = pulse.spells.left_s(self._clock.monotonic())
         run_s = ticket.work_s * pace
         if now + run_s <= ticket.aim and not self._is_busy():
             return False
-        later_s = pulse.habit.later_s(ticket.work_s, pulse.spells.period_s)
-        if now + left_s + _MARGIN * ticket.work_s > ticket.deadline:
+        usual_s = ticket.work_s * base
+        later_s = pulse.habit.later_s(usual_s, pulse.spells.period_s)
+        if now + left_s + _MARGIN * usual_s > ticket.deadline:
             return False
         return left_s + later_s < run_s
 
     def stretch(self) -> float:
         habit = self._pulse.habit
         if not self._pulse.spells.period_s:
-            return habit.mean
-        return 1 / (1 - min(0.8, habit.share))
+            return habit.mean * self._pulse.base()
+        return self._pulse.base() / (1 - min(0.8, habit.share))
 
     def _is_busy(self) -> bool:
         load = self._pulse.load
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -112,6 +112,7 @@
             leaving=self.leaving,
             warm=round(warm * self._watch.fitness(), 3),
             pace=round(pace.factor, 2),
+            base=round(pace.base, 2),
             spell_ms=round(pace.spell_s * 1000, 1),
             spell_left_ms=round(pace.left_s * 1000, 1),
         )
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -4,6 +4,7 @@
 it costs nothing while requests flow.
 """
 
+import collections
 from collections.abc import Callable
 
 import anyio
@@ -36,6 +37,10 @@
 LEARN_SILENCE_S = 0.01
 LEARN_S = 4.0
 
+#: The best pace of so long is what a good spell gives there (s): with a third
+#: of the spells slow, ten of 0.15 s are all slow once in 30,000 times.
+BASE_S = 1.5
+
 #: A moment of change is over for certain after this time (s).
 SETTLE_S = 0.003
 
@@ -61,7 +66,13 @@
         self.heard = -IDLE_SILENCE_S
         self.checks = 0
         self._used = -USE_S
-        self._began = clock.monotonic()
+        self._recent: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self._learning_since = clock.monotonic()
+        # The last figure can't have been measured before this. An answer may
+        # have waited to be read, so only what was asked for tells it.
+        self._measured = self.heard
         self.spells = SpellClock()
         self.habit = PaceHabit()
         self._listeners: list[Callable[[], None]] = []
@@ -74,28 +85,50 @@
         """Notes that a request came for the server."""
         self._used = self._clock.monotonic()
 
-    def told(self, load: ServerLoad) -> None:
-        """Takes a figure that the server told now."""
+    def told(self, load: ServerLoad, asked: float | None = None) -> None:
+        """Takes a figure that the server told.
+
+        Args:
+          load: the figure.
+          asked: when it was asked for (monotonic s), if it was.
+        """
         now = self._clock.monotonic()
         if self.load is None:
-            self._began = now
+            self._learning_since = now
         else:
-            self.habit.note(self.load.pace, now - self.heard)
+            base = self.base()
+            self.habit.note(self.load.pace / base, now - self.heard)
             if load.pace != self.load.pace:
-                self.spells.changed(self.heard, now)
+                self._note_change(now)
         self.load = load
         self.heard = now
+        if asked is not None:
+            self._measured = asked
+        self._recent.append((now, load.pace))
+        while self._recent[0][0] < now - BASE_S:
+            self._recent.popleft()
         for listener in self._listeners:
             listener()
 
+    def _note_change(self, now: float) -> None:
+        """Learns from a change; a grid given up is looked for anew."""
+        known = bool(self.spells.period_s)
+        self.spells.changed(self._measured, now)
+        if known and not self.spells.period_s:
+            self._learning_since = now
+
     def now(self) -> Pace:
         """Returns the pace as of now."""
         factor = self._factor()
         period_s = self.spells.period_s
         if not period_s:
-            return Pace(factor)
+            return Pace(factor, self.base())
         left_s = self.spells.left_s(self._clock.monotonic())
-        return Pace(factor, period_s, left_s)
+        return Pace(factor, self.base(), period_s, left_s)
+
+    def base(self) -> float:
+        """Returns the best pace in the last spells."""
+        return min((pace for _, pace in self._recent), default=1.0)
 
     def unsure_for_s(self) -> float:
         """Returns how long ago a change may have gone unseen (s); 0 if none."""
@@ -111,7 +144,7 @@
         if self.spells.period_s or age_s <= BUSY_SILENCE_S:
             return self.load.pace
         kept: float = 0.5 ** (age_s / FADE_S)
-        mean = self.habit.mean
+        mean = self.habit.mean * self.base()
         return mean + (self.load.pace - mean) * kept
 
     def check_in_s(self) -> float:
@@ -121,7 +154,8 @@
         if in_use and self.spells.period_s:
             return self._next_spell_in_s(now)
         silence_s = BUSY_SILENCE_S if in_use else IDLE_SILENCE_S
-        if not self.spells.period_s and now - self._began < LEARN_S:
+        learning = now - self._learning_since < LEARN_S
+        if learning and not self.spells.period_s:
             silence_s = LEARN_SILENCE_S
         return max(0.0, self.heard + silence_s - now)
 
@@ -203,7 +237,7 @@
             return
         answer = self._dialect.read_health(response)
         if answer.load is not None:
-            self._pulse.told(answer.load)
+            self._pulse.told(answer.load, began)
         else:
             self._pulse.heard = began
         self._answered(answer, response.status < 300)
