Stand in the platform: store, servers, callers; nodes as processes on them

The tests found a refusal that told callers of 0.25 to 2.5 s to come back after a whole second (NO_TARGET and LEAVING say 1 s); entry bounds and spreads it now (seen failing: Retry-After 1.000 after a drain).

--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -12,6 +12,7 @@
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.classifier import Classifier
 from radishwind.entry.observer import CallObserver
+from radishwind.entry.retry_after import RetryAfter
 from radishwind.entry.runner import AttemptResult
 from radishwind.entry.runner import AttemptRunner
 from radishwind.hedging.policy import HedgePolicy
@@ -29,9 +30,6 @@
 
 __all__ = ["AttemptResult", "AttemptRunner", "EntryPipeline"]
 
-#: When to come back after a refusal that does not say (s).
-DEFAULT_RETRY_S = 1.0
-
 
 class EntryPipeline:
     """Answers callers: classify, choose, attempt, perhaps again, answer."""
@@ -49,7 +47,7 @@
         hedges: HedgePolicy | None = None,
         observers: Sequence[CallObserver] = (),
         quarantine: QuarantineGate | None = None,
-        default_retry_s: float = DEFAULT_RETRY_S,
+        retry_after: RetryAfter | None = None,
         respond: Callable[[Outcome], Response] = answer,
     ) -> None:
         self._clock = clock
@@ -57,7 +55,7 @@
         self._claims = claims
         self._observers = tuple(observers)
         self._quarantine = quarantine or OpenGate()
-        self._default_retry_s = default_retry_s
+        self._retry_after = retry_after or RetryAfter()
         self._respond = respond
         self._attempts = Attempts(
             clock=clock,
@@ -103,6 +101,7 @@
 
     def _with_retry_after(self, outcome: Outcome) -> Outcome:
         """Returns `outcome` saying when to come back, if it is a refusal."""
-        if not isinstance(outcome, NotRun) or outcome.retry_after_s is not None:
+        if not isinstance(outcome, NotRun):
             return outcome
-        return dataclasses.replace(outcome, retry_after_s=self._default_retry_s)
+        retry_s = self._retry_after.for_refusal(outcome)
+        return dataclasses.replace(outcome, retry_after_s=retry_s)
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -14,6 +14,7 @@
 from radishwind.core.errors import RadishwindError
 from radishwind.entry.pipeline import EntryPipeline
 from radishwind.entry.request_log import RequestLog
+from radishwind.entry.retry_after import RetryAfter
 from radishwind.entry.routed import CallerFields
 from radishwind.entry.routed import RoutedClassifier
 from radishwind.hedging.fresh import HedgeBeforeAim
@@ -84,6 +85,11 @@
 #: most a third of the time they have left.
 _RETRY_S = 0.15
 
+#: Nobody is told to come back later than this (s): the time limits of the
+#: deployments are 0.25 to 2.5 s. Returns are spread by this part.
+_MOST_RETRY_S = 0.25
+_RETRY_SPREAD = 0.3
+
 #: The first calls of the store wait up to this long, at random (s).
 _START_SPREAD_S = 0.15
 
@@ -228,7 +234,9 @@
             claims=NoClaims(),
             quarantine=self._target.quarantine,
             observers=(RequestLog(self._clock),),
-            default_retry_s=_RETRY_S,
+            retry_after=RetryAfter(
+                _RETRY_S, _MOST_RETRY_S, _RETRY_SPREAD, self._rng
+            ),
             respond=respond,
         )
         self._callers = RequestsInProgress(
--- /dev/null
+++ b/src/radishwind/standins/platform_fleet.py
@@ -0,0 +1,316 @@
+"""A small deployment on one machine: nodes as processes, the rest stood in.
+
+Each instance has an address of its own in the loopback range, so that all use
+the same ports as on the platform.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+from typing import Any
+import uuid
+
+import aiohttp
+from aiohttp import web
+
+from radishwind.core.clock import SystemClock
+from radishwind.http.types import Address
+from radishwind.standins.platform_server import HEALTH_PATH
+from radishwind.standins.platform_server import PlatformServerStandin
+from radishwind.standins.platform_server import ServerOptions
+from radishwind.standins.platform_store import PlatformStoreStandin
+
+HOST = "calm.example"
+STORE_HOST = "127.0.9.1"
+
+#: How long a node may take to be ready (s).
+READY_WITHIN_S = 20.0
+
+_LOOK_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """An instance of the deployment.
+
+    Attributes:
+      name: of the instance.
+      host: its IP address.
+      failure_domain: where it stands.
+      service: of the server beside.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+      status: the HTTP status; 0 for no answer.
+      headers: the fields.
+      body: the body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Instance:
+    """One instance: its node as a process, its server stood in."""
+
+    def __init__(self, place: Place, port: int, folder: pathlib.Path) -> None:
+        self.place = place
+        self.callers = Address(place.host, port)
+        self.control = Address(place.host, port + 1)
+        self.ready = Address(place.host, port + 2)
+        self.peers = Address(place.host, port + 3)
+        self.address = Address(place.host, port + 4)
+        self.log_path = folder / f"{place.name}.log"
+        self._settings = folder / f"{place.name}.toml"
+        self._process: asyncio.subprocess.Process | None = None
+        self._runner: web.AppRunner | None = None
+        self._beats: asyncio.Task[None] | None = None
+        self.server: PlatformServerStandin | None = None
+
+    def write_settings(self, store: Address, domains: list[str]) -> None:
+        """Writes the settings file as the platform does."""
+        place = self.place
+        lines = [
+            f'node = "{place.name}"',
+            f'ip = "{place.host}"',
+            f'zone = "{place.failure_domain}"',
+            f'service = "{place.service}"',
+            f'app-addr = "{self.address}"',
+            f"port-range = [{self.peers.port}, {self.peers.port}]",
+            "heartbeat-ms = 500",
+            'bounds = ["drain-ms=2000", "grace-s=6", "retry-slack=58"]',
+            "[zones]",
+            *(f'{domain} = "here"' for domain in domains),
+            "[listen]",
+            f'outbound = "{self.callers}"',
+            f'inbound = "{place.host}:{self.callers.port + 5}"',
+            f'ready = "{self.ready}"',
+            f'control = "{self.control}"',
+            "[provider]",
+            f'address = "{store}"',
+        ]
+        self._settings.write_text("\n".join(lines) + "\n")
+
+    async def start_node(self) -> None:
+        """Starts the node as a process."""
+        environ = {**os.environ, "RADISHWIND_BOOT": str(self._settings)}
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "radishwind.sidecar",
+                env=environ,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def start_server(self, options: ServerOptions, seed: int) -> None:
+        """Starts a new incarnation of the server."""
+        self.server = PlatformServerStandin(
+            options, random.Random(seed), SystemClock()
+        )
+        self._runner = await _serve(self.server.application(), self.address)
+        self._beats = asyncio.create_task(self.server.heartbeats())
+
+    async def crash_server(self) -> None:
+        """Ends the server without a word."""
+        if self._beats is not None:
+            self._beats.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._runner = None
+
+    def signal_node(self, number: signal.Signals) -> None:
+        """Sends a signal to the node, to the process started here only."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def node_ended(self) -> int:
+        """Returns the exit code of the node once it ended."""
+        assert self._process is not None
+        return await self._process.wait()
+
+    async def close(self) -> None:
+        """Ends the node and the server."""
+        await self.crash_server()
+        self.signal_node(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+
+
+class Fleet:
+    """The deployment: instances, the store, and the operator.
+
+    Attributes:
+      instances: by name.
+      store: the store stood in.
+    """
+
+    def __init__(self, places: list[Place], folder: pathlib.Path) -> None:
+        port = free_ports(places, 6)
+        self.instances = {p.name: Instance(p, port, folder) for p in places}
+        self.store = PlatformStoreStandin(SystemClock())
+        self.store_address = Address(STORE_HOST, port)
+        self._stack = contextlib.AsyncExitStack()
+        self._version = 0
+        self._session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> "Fleet":
+        runner = await _serve(self.store.application(), self.store_address)
+        self._stack.push_async_callback(runner.cleanup)
+        lapse = asyncio.create_task(self.store.run())
+        self._stack.callback(lapse.cancel)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._session = aiohttp.ClientSession(connector=connector)
+        self._stack.push_async_callback(self._session.close)
+        domains = sorted(
+            {i.place.failure_domain for i in self.instances.values()}
+        )
+        for instance in self.instances.values():
+            instance.write_settings(self.store_address, domains)
+            self._stack.push_async_callback(instance.close)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self._stack.aclose()
+
+    async def start(self, seed: int, **options: Any) -> None:
+        """Starts every server and node, and waits until all are ready."""
+        for number, instance in enumerate(self.instances.values()):
+            place = instance.place
+            told = ServerOptions(
+                place.service,
+                place.failure_domain,
+                instance.address,
+                instance.control,
+                **options,
+            )
+            await instance.start_server(told, seed + number)
+            await instance.start_node()
+        for instance in self.instances.values():
+            await self.until_ready(instance)
+
+    def configure(self, routes: list[dict[str, Any]]) -> int:
+        """Writes a configuration as the operator does; returns its version."""
+        self._version += 2
+        names = {i.place.service for i in self.instances.values()}
+        cfg = {
+            "version": self._version,
+            "routes": routes,
+            "services": [
+                {"name": name, "health-path": HEALTH_PATH, "max-conns": 64}
+                for name in sorted(names)
+            ],
+            "limits": {"idle-timeout-ms": 15000},
+        }
+        self.store.put("op/config", json.dumps(cfg).encode())
+        return self._version
+
+    async def until_ready(self, instance: Instance) -> None:
+        """Returns once the node says that it takes callers.
+
+        Raises:
+          TimeoutError: it does not within `READY_WITHIN_S`.
+        """
+        url = f"http://{instance.ready}/-/ready"
+        async with asyncio.timeout(READY_WITHIN_S):
+            while not await self._answers(url):  # noqa: ASYNC110
+                await asyncio.sleep(_LOOK_S)
+
+    async def ask(
+        self,
+        instance: Instance,
+        path: str,
+        method: str = "GET",
+        timeout_ms: int = 2000,
+        request_id: str = "",
+    ) -> Answer:
+        """Sends a request as a caller on `instance` does."""
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": request_id or uuid.uuid4().hex[:16],
+            "Timeout-Ms": str(timeout_ms),
+        }
+        url = f"http://{instance.callers}{path}"
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        try:
+            async with self._session.request(
+                method, url, headers=headers, timeout=timeout
+            ) as answer:
+                body = await answer.read()
+                return Answer(answer.status, dict(answer.headers), body)
+        except (aiohttp.ClientError, TimeoutError):
+            return Answer(0, {}, b"")
+
+    async def _answers(self, url: str) -> bool:
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self._session.get(url, timeout=timeout) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+
+def route(service: str, kind: str, **more: Any) -> dict[str, Any]:
+    """Returns a route below `/SERVICE/` as the operator writes it."""
+    return {
+        "name": f"r-{service}",
+        "host": HOST,
+        "prefix": f"/{service}/",
+        "kind": kind,
+        "timeout-ms": 1500,
+        "aim-ms": 300,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **more,
+    }
+
+
+def free_ports(places: list[Place], count: int) -> int:
+    """Returns the first of `count` ports that are free on every instance."""
+    hosts = [p.host for p in places] + [STORE_HOST]
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            first = int(probe.getsockname()[1])
+        if first + count < 65536 and all(
+            _is_free(host, first + i) for host in hosts for i in range(count)
+        ):
+            return first
+
+
+def _is_free(host: str, port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
+async def _serve(app: web.Application, address: Address) -> web.AppRunner:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, address.host, address.port, reuse_address=True)
+    await site.start()
+    return runner
--- /dev/null
+++ b/src/radishwind/standins/platform_store.py
@@ -0,0 +1,296 @@
+"""A stand-in for the platform's store, in memory, with its faults.
+
+It speaks the published calls: items with revisions, ranges in pages, watches,
+transactions, leases. Each call is counted. Faults are set from outside while
+it runs, as JSON posted to `FAULTS_PATH`.
+"""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+from typing import Any
+
+from aiohttp import web
+import msgspec
+
+from radishwind.core.clock import Clock
+
+FAULTS_PATH = "/standin/faults"
+COUNTERS_PATH = "/standin/counters"
+
+#: Items in one page of a range, and entries of one transaction, at most.
+PAGE_ITEMS = 500
+MOST_ENTRIES = 32
+
+#: Keys that only the operator may write.
+OPERATORS_PREFIX = "op/"
+
+#: How often leases are looked at (s).
+_LAPSE_STEP_S = 0.1
+
+
+class StoreFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What goes wrong, until told otherwise.
+
+    Attributes:
+      down: empty, `busy` (503), `many` (429), `reset` or `silent`.
+      only: IP addresses that `down` and `lose_answers` concern; empty for all.
+      delay_ms: how long each call waits before it is carried out (ms).
+      lose_answers: transactions whose answer is lost from now on.
+      late_s: a transaction whose answer is lost is carried out so much later,
+        if its condition still holds (s).
+    """
+
+    down: str = ""
+    only: tuple[str, ...] = ()
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+    late_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    """A lease: its time to live (ms) and its end (monotonic s)."""
+
+    ttl_ms: int
+    until: float
+
+
+class PlatformStoreStandin:
+    """Answers the store's calls.
+
+    Attributes:
+      calls: calls received, by name; a waiting watch counts as one.
+      revision: the store's revision.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._compacted = 0
+        self._leases: dict[int, _Lease] = {}
+        self._next_lease = 1
+        self._changed = asyncio.Event()
+        self._faults = StoreFaults()
+        self._lose = 0
+        self._waiting: set[asyncio.Task[None]] = set()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.revision = 1
+
+    def application(self) -> web.Application:
+        """Returns the store as an application of aiohttp."""
+        app = web.Application()
+        app.router.add_post(FAULTS_PATH, self._set_faults)
+        app.router.add_get(COUNTERS_PATH, self._counters)
+        for method, path, handler in (
+            ("GET", "/-/kv-key", self._key),
+            ("GET", "/-/kv-range", self._range),
+            ("GET", "/-/kv-watch", self._watch),
+            ("POST", "/-/kv-txn", self._txn),
+            ("POST", "/-/kv-lease", self._grant),
+            ("POST", "/-/kv-keep/{id}", self._keep),
+            ("DELETE", "/-/kv-lease-end/{id}", self._end),
+        ):
+            app.router.add_route(method, path, self._faulty(handler))
+        return app
+
+    async def run(self) -> None:
+        """Lets leases end in time; runs until cancelled."""
+        while True:
+            now = self._clock.monotonic()
+            for lease in [k for k, v in self._leases.items() if v.until <= now]:
+                self.end_lease(lease)
+            await asyncio.sleep(_LAPSE_STEP_S)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes an item as the operator does; returns its revision."""
+        self.revision += 1
+        self._write(key, base64.b64encode(value).decode(), lease)
+        self._tell()
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Drops the history, so that watches have to read anew."""
+        self._history.clear()
+        self._compacted = self.revision
+        self._tell()
+
+    def end_lease(self, lease: int) -> None:
+        """Ends a lease; its keys are removed."""
+        if self._leases.pop(lease, None) is None:
+            return
+        keys = [k for k, v in self._items.items() if v["lease"] == lease]
+        if keys:
+            self.revision += 1
+        for key in keys:
+            self._remove(key)
+        self._tell()
+
+    def _faulty(self, handler: Any) -> Any:
+        """Returns `handler` behind the faults in force."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            self.calls[request.path.split("/")[2]] += 1
+            faults = self._faults
+            meant = not faults.only or request.remote in faults.only
+            if faults.delay_ms:
+                await asyncio.sleep(faults.delay_ms / 1000)
+            if faults.down and meant:
+                return await _refuse(request, faults.down)
+            response: web.StreamResponse = await handler(request)
+            return response
+
+        return handle
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        self._faults = msgspec.json.decode(body, type=StoreFaults)
+        self._lose = self._faults.lose_answers
+        return web.Response(status=204)
+
+    async def _counters(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {"calls": dict(self.calls), "revision": self.revision}
+        )
+
+    async def _key(self, request: web.Request) -> web.Response:
+        item = self._items.get(request.query["key"])
+        if item is None:
+            return web.json_response({"current-rev": self.revision}, status=404)
+        return web.json_response({**item, "current-rev": self.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = request.query.get("after", "")
+        keys = sorted(
+            k for k in self._items if k.startswith(prefix) and k > after
+        )
+        page = [self._items[k] for k in keys[:PAGE_ITEMS]]
+        return web.json_response(
+            {
+                "items": page,
+                "truncated": len(keys) > PAGE_ITEMS,
+                "current-rev": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["prefix"], int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(request.query["wait-ms"]) / 1000
+        while True:
+            if after < self._compacted:
+                return web.json_response({}, status=410)
+            events = [
+                e
+                for e in self._history
+                if e["rev"] > after and e["key"].startswith(prefix)
+            ]
+            left_s = until - loop.time()
+            if events or left_s <= 0:
+                answer = {"events": events, "current-rev": self.revision}
+                return web.json_response(answer)
+            await _wait(self._changed, left_s)
+
+    async def _txn(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        if self._lose > 0:
+            self._lose -= 1
+            late_s = self._faults.late_s
+            task = asyncio.create_task(self._carry_out_later(body, late_s))
+            self._waiting.add(task)
+            task.add_done_callback(self._waiting.discard)
+            return await _refuse(request, "reset")
+        status, answer = self._carry_out(body)
+        return web.json_response(answer, status=status)
+
+    async def _carry_out_later(self, body: dict[str, Any], s: float) -> None:
+        await asyncio.sleep(s)
+        self._carry_out(body)
+
+    def _carry_out(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        conditions, puts = body["expected-rev"], body["puts"]
+        entries = len(conditions) + len(puts) + len(body["deletes"])
+        keys = [put["key"] for put in puts] + body["deletes"]
+        if entries > MOST_ENTRIES:
+            return 400, {"error": f"expected {MOST_ENTRIES} entries at most"}
+        if any(key.startswith(OPERATORS_PREFIX) for key in keys):
+            return 403, {"error": "only the operator writes there"}
+        for put in puts:
+            if put.get("lease") and put["lease"] not in self._leases:
+                return 404, {"error": "no such lease"}
+        for row in conditions:
+            item = self._items.get(row["key"])
+            if (item["rev"] if item else 0) != row["rev"]:
+                named = [self._items.get(r["key"]) for r in conditions]
+                return 412, {"items": [i for i in named if i]}
+        self.revision += 1
+        for put in puts:
+            self._write(put["key"], put["value"], put.get("lease", 0))
+        for key in body["deletes"]:
+            self._remove(key)
+        self._tell()
+        return 200, {"rev": self.revision}
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        ttl_ms = int((await request.json())["ttl-ms"])
+        lease = self._next_lease
+        self._next_lease += 1
+        until = self._clock.monotonic() + ttl_ms / 1000
+        self._leases[lease] = _Lease(ttl_ms, until)
+        return web.json_response({"lease": lease, "ttl-ms": ttl_ms})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = self._leases.get(int(request.match_info["id"]))
+        if lease is None:
+            return web.json_response({}, status=404)
+        lease.until = self._clock.monotonic() + lease.ttl_ms / 1000
+        return web.json_response({"ttl-ms": lease.ttl_ms})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self.end_lease(int(request.match_info["id"]))
+        return web.json_response({})
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        old = self._items.get(key)
+        created = old["created-rev"] if old else self.revision
+        item = {
+            "key": key,
+            "value": value,
+            "rev": self.revision,
+            "created-rev": created,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._history.append(item)
+
+    def _remove(self, key: str) -> None:
+        if self._items.pop(key, None) is not None:
+            gone = {"key": key, "rev": self.revision, "removed": True}
+            self._history.append(gone)
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+async def _refuse(request: web.Request, how: str) -> web.StreamResponse:
+    if how == "busy":
+        return web.json_response({}, status=503)
+    if how == "many":
+        return web.json_response({}, status=429)
+    if how == "silent":
+        await asyncio.sleep(3600)
+    transport = request.transport
+    if transport is not None:
+        transport.abort()
+    return web.Response(status=503)
+
+
+async def _wait(event: asyncio.Event, for_s: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), for_s)
+    except TimeoutError:
+        return
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,193 @@
+"""Nodes as processes on stand-ins of the platform."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+
+from radishwind.standins.platform_fleet import Fleet
+from radishwind.standins.platform_fleet import Place
+from radishwind.standins.platform_fleet import route
+from radishwind.standins.platform_server import ServerFaults
+from radishwind.standins.platform_store import StoreFaults
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+PLACES = [
+    Place("a-1", "127.0.9.11", "a", "library"),
+    Place("a-2", "127.0.9.12", "a", "sessions"),
+    Place("b-1", "127.0.9.13", "b", "library"),
+]
+ROUTES = [route("library", "safe"), route("sessions", "unsafe")]
+WITHIN_S = 20.0
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with Fleet(PLACES, tmp_path) as running:
+        running.configure(ROUTES)
+        await running.start(7, spell_s=0.0)
+        for path in ("/library/x", "/sessions/x"):
+            for instance in running.instances.values():
+                await until(lambda i=instance, p=path: served(running, i, p))
+        yield running
+
+
+async def served(fleet, instance, path, method="GET"):
+    return (await fleet.ask(instance, path, method)).status == 200
+
+
+async def until(check):
+    async with asyncio.timeout(WITHIN_S):
+        while not await check():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def runs(fleet, name):
+    return sum(i.server.runs[name] for i in fleet.instances.values())
+
+
+def lines(instance):
+    return [json.loads(x) for x in instance.log_path.read_text().splitlines()]
+
+
+async def test_any_node_serves_any_service_and_tells_the_servers_word(fleet):
+    for instance in fleet.instances.values():
+        for path in ("/library/1", "/sessions/1"):
+            answer = await fleet.ask(instance, path, request_id="9c41")
+            assert answer.status == 200
+            assert answer.body == b"done 9c41"
+            assert answer.headers["Attempt-Id"] == "9c41"
+            assert answer.headers["Response-Signature"].endswith(".9c41")
+            assert "Server-Load" not in answer.headers
+
+
+async def test_what_no_route_takes_is_not_found(fleet):
+    instance = fleet.instances["a-1"]
+
+    assert (await fleet.ask(instance, "/nothing/x")).status == 404
+
+
+async def test_a_new_version_is_in_force_everywhere_and_drops_routes(fleet):
+    fleet.configure([route("library", "safe", name="n", prefix="/new/")])
+
+    async def everywhere():
+        for instance in fleet.instances.values():
+            if not await served(fleet, instance, "/new/x"):
+                return False
+            if (await fleet.ask(instance, "/library/x")).status != 404:
+                return False
+        return True
+
+    await until(everywhere)
+
+
+@pytest.mark.parametrize(
+    "how", ["other", "unsigned", "encoded", "cut", "unframed-reset", "lost"]
+)
+async def test_a_spoiled_answer_is_never_told_and_an_unsafe_runs_once(
+    fleet, how
+):
+    fleet.instances["a-2"].server._faults = ServerFaults(answer=how)
+
+    answer = await fleet.ask(
+        fleet.instances["b-1"], "/sessions/x", "POST", request_id="once"
+    )
+
+    assert answer.status in (502, 504)
+    assert runs(fleet, "once") == 1
+
+
+async def test_an_idempotent_request_goes_on_to_another_server(fleet):
+    fleet.instances["a-1"].server._faults = ServerFaults(answer="cut")
+
+    for _ in range(6):
+        assert await served(fleet, fleet.instances["a-1"], "/library/x")
+
+
+async def test_a_draining_server_gets_nothing_new_also_after_a_restart(fleet):
+    leaving = fleet.instances["a-2"]
+    server = leaving.server
+    server.draining = True
+    async with aiohttp.ClientSession() as session:
+        await until(lambda: server.heartbeat(session))
+        before = server.runs.total()
+        assert (await fleet.ask(leaving, "/sessions/x")).status == 503
+        leaving.signal_node(signal.SIGKILL)
+        await leaving.node_ended()
+        await leaving.start_node()
+        await fleet.until_ready(leaving)
+        for _ in range(10):
+            answer = await fleet.ask(leaving, "/sessions/x")
+            assert answer.status == 503
+            assert float(answer.headers["Retry-After"]) < 1
+    assert server.runs.total() == before
+
+
+async def test_a_planned_stop_finishes_what_runs(fleet):
+    stopped = fleet.instances["a-2"]
+    stopped.server._faults = ServerFaults(slow=30.0)
+    asked = asyncio.create_task(
+        fleet.ask(fleet.instances["b-1"], "/sessions/x", request_id="last")
+    )
+
+    async def begun():
+        return bool(stopped.server.runs["last"])
+
+    await until(begun)
+    stopped.signal_node(signal.SIGTERM)
+
+    assert (await asked).status == 200
+    assert await stopped.node_ended() == 0
+    assert lines(stopped)[-1]["text"] == "node: Stopped."
+
+
+async def test_the_store_may_be_away_for_long(fleet):
+    fleet.store._faults = StoreFaults(down="silent")
+
+    for instance in fleet.instances.values():
+        assert await served(fleet, instance, "/library/x")
+    fleet.instances["b-1"].signal_node(signal.SIGKILL)
+    await fleet.instances["b-1"].node_ended()
+    await fleet.instances["b-1"].start_node()
+
+    # Peers are found by the store, so one that begins now waits for it.
+    for _ in range(5):
+        assert await served(fleet, fleet.instances["a-1"], "/library/x")
+    fleet.store._faults = StoreFaults()
+    await fleet.until_ready(fleet.instances["b-1"])
+
+
+async def test_a_watch_that_lost_its_history_reads_anew(fleet):
+    fleet.store.forget_history()
+    fleet.configure([route("library", "safe", name="n", prefix="/later/")])
+
+    for instance in fleet.instances.values():
+        await until(lambda i=instance: served(fleet, i, "/later/x"))
+
+
+async def test_a_node_that_knows_no_routes_says_come_back(tmp_path):
+    async with Fleet(PLACES[:1], tmp_path) as fleet:
+        instance = fleet.instances["a-1"]
+        await instance.start_node()
+
+        async def refused():
+            return (await fleet.ask(instance, "/library/x")).status == 503
+
+        await until(refused)
+
+
+async def test_a_faulty_reload_keeps_the_old_settings(fleet):
+    instance = fleet.instances["a-1"]
+    good = instance._settings.read_text()
+    instance._settings.write_text(good.replace("app-addr", "app"))
+    instance.signal_node(signal.SIGHUP)
+
+    async def told():
+        return any("old settings stay" in x["text"] for x in lines(instance))
+
+    await until(told)
+    assert await served(fleet, instance, "/library/x")
+    instance._settings.write_text(good)
