Follow the grid of the pace from its learning on; give it up where changes fall between

Change: looks on both sides of a moment until six changes are seen on the grid, looks also before callers come, and two changes in a row that fall between moments make it learn anew. Load is told by pace, not by each slot.

--- a/src/radishwind/loads/teller.py
+++ b/src/radishwind/loads/teller.py
@@ -67,12 +67,10 @@
     ratio = report.pace / max(0.01, before.pace)
     if ratio >= PACE_FACTOR or ratio <= 1 / PACE_FACTOR:
         return True
-    if bool(report.queued) != bool(before.queued):
-        return True
     if report.warm <= before.warm / 2 or before.warm <= report.warm / 2:
         return True
     moved = abs(report.in_flight + report.queued - _busy(before))
-    return moved >= max(2, report.slots / 2)
+    return moved >= max(2, report.slots)
 
 
 def _busy(report: LoadReport) -> int:
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -29,6 +29,10 @@
 #: The same for one that nobody uses (s).
 IDLE_SILENCE_S = 0.5
 
+#: A server that nobody used for so long is looked at no more for its moments
+#: of change (s); they are learned anew once it is used.
+FORGET_S = 15.0
+
 #: A server counts as in use for this long after a request (s).
 USE_S = 1.0
 
@@ -41,8 +45,9 @@
 #: of the spells slow, ten of 0.15 s are all slow once in 30,000 times.
 BASE_S = 1.5
 
-#: A moment of change is over for certain after this time (s).
-SETTLE_S = 0.003
+#: The same while nothing is known of the server yet (s): after a loss of power
+#: each 0.1 s of waiting is lost on every instance at once.
+SEARCH_SILENCE_S = 0.05
 
 #: How long a health check may take (s).
 CHECK_TIMEOUT_S = 0.4
@@ -65,7 +70,8 @@
         self.load: ServerLoad | None = None
         self.heard = -IDLE_SILENCE_S
         self.checks = 0
-        self._used = -USE_S
+        # A start counts as use: callers come soon after it.
+        self._used = clock.monotonic()
         self._recent: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
@@ -73,6 +79,8 @@
         # The last figure can't have been measured before this. An answer may
         # have waited to be read, so only what was asked for tells it.
         self._measured = self.heard
+        # When the last health check was sent.
+        self._looked = self.heard
         self.spells = SpellClock()
         self.habit = PaceHabit()
         self._listeners: list[Callable[[], None]] = []
@@ -81,9 +89,16 @@
         """Calls `listener` after each figure."""
         self._listeners.append(listener)
 
+    def looked(self) -> None:
+        """Notes that a health check is sent."""
+        self._looked = self._clock.monotonic()
+
     def used(self) -> None:
         """Notes that a request came for the server."""
-        self._used = self._clock.monotonic()
+        now = self._clock.monotonic()
+        if now - self._used > FORGET_S:
+            self._learning_since = now
+        self._used = now
 
     def told(self, load: ServerLoad, asked: float | None = None) -> None:
         """Takes a figure that the server told.
@@ -150,24 +165,34 @@
     def check_in_s(self) -> float:
         """Returns in how long a health check is due (s); 0 for now."""
         now = self._clock.monotonic()
+        if self.spells.period_s:
+            if now - self._used < FORGET_S:
+                return self._next_spell_in_s(now)
+            self.spells.forget()
         in_use = now - self._used < USE_S
-        if in_use and self.spells.period_s:
-            return self._next_spell_in_s(now)
         silence_s = BUSY_SILENCE_S if in_use else IDLE_SILENCE_S
-        learning = now - self._learning_since < LEARN_S
-        if learning and not self.spells.period_s:
+        if self.load is None:
+            silence_s = SEARCH_SILENCE_S
+        elif now - self._learning_since < LEARN_S:
             silence_s = LEARN_SILENCE_S
         return max(0.0, self.heard + silence_s - now)
 
     def _next_spell_in_s(self, now: float) -> float:
-        """Returns when to look for a new pace (s): past each moment of change.
+        """Returns when to look for a new pace (s): beside moments of change.
 
-        An answer that came since that moment told it already.
+        An answer that came since then told it already.
         """
-        looked = self.spells.last(now - SETTLE_S)
-        if self.heard < looked:
+        last = self.spells.last(now)
+        period_s = self.spells.period_s
+        looks = sorted(
+            moment + look_s
+            for moment in (last, last + period_s)
+            for look_s in self.spells.looks_s
+        )
+        past = max((at for at in looks if at <= now), default=last)
+        if self._looked < past and self.heard < past:
             return 0.0
-        return self.spells.left_s(now - SETTLE_S)
+        return min(at for at in looks if at > now) - now
 
 
 class PulseKeeper:
@@ -209,11 +234,12 @@
             view = self._view()
             wait_s = self._pulse.check_in_s()
             if view is None or not view.health_path:
-                await anyio.sleep(IDLE_SILENCE_S)
+                await anyio.sleep(SEARCH_SILENCE_S)
                 continue
             if wait_s > 0:
                 await anyio.sleep(max(wait_s, 0.001))
                 continue
+            self._pulse.looked()
             await self.check(view)
 
     async def check(self, view: ServerView) -> None:
--- a/src/radishwind/target/spells.py
+++ b/src/radishwind/target/spells.py
@@ -31,6 +31,26 @@
 #: A grid is told from chance only where the slack is at most this part of it.
 _MOST_SLACK = 0.2
 
+#: After a moment of change one look is enough (s) once the grid is verified:
+#: the server has settled on its new pace, and the answer takes 2 ms.
+LOOKS_S = (0.003,)
+
+#: Until then looks on both sides of it show where it is (s).
+VERIFYING_LOOKS_S = (-0.005, 0.003, 0.010)
+
+#: So many changes have to be seen closely and on the grid.
+VERIFIED_CHANGES = 6
+
+#: Changes in a row between two moments, of which no look shows where, after
+#: which the grid is given up.
+MOST_WIDE = 2
+
+#: Seen closely: half of the time between the looks (s).
+_CLOSE_S = 0.006
+
+#: On the grid: off it by less than this beyond that (s).
+_EXACT_S = 0.002
+
 #: Changes off the grid, of the last ones, after which it is given up.
 _MOST_MISSES = 3
 _MISSES_OF = 12
@@ -73,11 +93,22 @@
             maxlen=_MISSES_OF
         )
         self._parts: collections.Counter[int] = collections.Counter()
+        # Changes that are still to be seen closely and on the grid.
+        self._unverified = 0
+        # Changes in a row seen widely, and between two moments.
+        self._wide = 0
+
+    @property
+    def looks_s(self) -> tuple[float, ...]:
+        """When to look, from each moment of change on (s)."""
+        return VERIFYING_LOOKS_S if self._unverified else LOOKS_S
 
     def changed(self, before: float, after: float) -> None:
         """Takes that the pace changed between two looks (monotonic s)."""
         if after - before > (self.period_s / 2 or COARSEST_S):
+            self._take_wide(before, after)
             return
+        self._wide = 0
         change = _Change((before + after) / 2, (after - before) / 2)
         if self.period_s:
             self._follow(change)
@@ -108,6 +139,7 @@
                 self._fit()
                 self._misses.clear()
                 self._parts.clear()
+                self._unverified = VERIFIED_CHANGES
                 return
 
     def _fits(self, gaps: list[float], period_s: float) -> bool:
@@ -148,6 +180,7 @@
         off_s = abs(change.middle - self._origin - count * self.period_s)
         miss = off_s > change.half_s + 2 * _SLACK_S
         self._misses.append(miss)
+        self._verify(off_s, change.half_s)
         if not miss:
             self._changes.append(change)
             self._fit()
@@ -155,8 +188,31 @@
         if self._divide(off_s, change.half_s):
             return
         if sum(self._misses) >= _MOST_MISSES:
-            self.period_s = 0.0
-            self._changes.clear()
+            self.forget()
+
+    def _take_wide(self, before: float, after: float) -> None:
+        """Gives the grid up where changes keep falling between its moments."""
+        if not self.period_s:
+            return
+        since_s = (before - self._origin) % self.period_s
+        if since_s + (after - before) >= self.period_s:
+            return
+        self._wide += 1
+        if self._wide >= MOST_WIDE:
+            self.forget()
+
+    def forget(self) -> None:
+        """Forgets the grid; it is to be learned anew."""
+        self.period_s = 0.0
+        self._changes.clear()
+        self._wide = 0
+
+    def _verify(self, off_s: float, half_s: float) -> None:
+        """Counts changes seen on the grid; one off it starts anew."""
+        if off_s > half_s + _EXACT_S:
+            self._unverified = VERIFIED_CHANGES
+        elif half_s <= _CLOSE_S and off_s <= _EXACT_S + half_s:
+            self._unverified = max(0, self._unverified - 1)
 
     def _divide(self, off_s: float, half_s: float) -> bool:
         """Takes a part of the period where changes lie between its moments.
