--- a/src/radishwind/target/spells.py
+++ b/src/radishwind/target/spells.py
@@ -41,6 +41,14 @@
 #: So many changes have to be seen closely and on the grid.
 VERIFIED_CHANGES = 6
 
+#: Schedulers have periods of whole multiples of this (s), as a rule; one that
+#: is fitted so near to a multiple is taken for it (s).
+WHOLE_S = 0.005
+WHOLE_SLACK_S = 0.0015
+
+#: No change is located better than this (s).
+_LEAST_HALF_S = 0.001
+
 #: Changes in a row between two moments, of which no look shows where, after
 #: which the grid is given up.
 MOST_WIDE = 2
@@ -49,7 +57,7 @@
 _CLOSE_S = 0.006
 
 #: On the grid: off it by less than this beyond that (s).
-_EXACT_S = 0.002
+_EXACT_S = 0.004
 
 #: Changes off the grid, of the last ones, after which it is given up.
 _MOST_MISSES = 3
@@ -154,7 +162,40 @@
         return True
 
     def _fit(self) -> None:
-        """Sets the grid by all changes kept, those seen closely above all."""
+        """Sets the grid by all changes kept, those seen closely above all.
+
+        A whole period that explains them goes before the free fit: over a few
+        changes the latter errs by up to a millisecond a period.
+        """
+        whole_s = round(self.period_s / WHOLE_S) * WHOLE_S
+        if abs(whole_s - self.period_s) <= WHOLE_SLACK_S:
+            origin = self._origin_at(whole_s)
+            if self._explains(whole_s, origin):
+                self.period_s, self._origin = whole_s, origin
+                return
+        self._fit_freely()
+
+    def _origin_at(self, period_s: float) -> float:
+        """Returns the moment near the newest change that fits `period_s`."""
+        newest = self._changes[-1].middle
+        total, weights = 0.0, 0.0
+        for change in self._changes:
+            steps = round((change.middle - newest) / period_s)
+            weight = 1 / (change.half_s + _LEAST_HALF_S) ** 2
+            total += weight * (change.middle - newest - steps * period_s)
+            weights += weight
+        return newest + total / weights
+
+    def _explains(self, period_s: float, origin: float) -> bool:
+        """Returns whether every change kept lies on that grid."""
+        for change in self._changes:
+            steps = round((change.middle - origin) / period_s)
+            off_s = abs(change.middle - origin - steps * period_s)
+            if off_s > change.half_s + _EXACT_S:
+                return False
+        return True
+
+    def _fit_freely(self) -> None:
         newest = self._changes[-1].middle
         count = round((newest - self._origin) / self.period_s)
         base = self._origin + count * self.period_s
@@ -162,7 +203,7 @@
         for change in self._changes:
             step = round((change.middle - base) / self.period_s)
             off_s = change.middle - base - step * self.period_s
-            weight = 1 / (change.half_s + 0.001) ** 2
+            weight = 1 / (change.half_s + _LEAST_HALF_S) ** 2
             terms = (1.0, step, step * step, off_s, step * off_s)
             sums = [s + weight * t for s, t in zip(sums, terms, strict=True)]
         all_, steps, squares, offs, products = sums
--- a/src/radishwind/target/tests/test_spells.py
+++ b/src/radishwind/target/tests/test_spells.py
@@ -49,6 +49,15 @@
     assert min(off_s, PERIOD_S - off_s) < 0.012
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_period_that_is_no_whole_one_is_learned_too(seed):
+    clock = SpellClock()
+
+    play(clock, seed, 0.01, 20.0, period_s=0.1427)
+
+    assert clock.period_s == pytest.approx(0.1427, abs=0.0008)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_changes_at_random_are_no_grid(seed):
     rng = random.Random(seed)
