--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -21,6 +21,8 @@
 from radishwind.http.aiohttp_sender import AiohttpSender
 from radishwind.http.aiohttp_server import AiohttpServer
 from radishwind.http.limits import ServerLimits
+from radishwind.http.server import Handler
+from radishwind.http.types import Address
 from radishwind.http.types import Headers
 from radishwind.membership.discovery import DiscoveryOptions
 from radishwind.membership.facts import Announced
@@ -54,6 +56,9 @@
 from radishwind.sidecar.control import HeartbeatListener
 from radishwind.sidecar.control import Readiness
 from radishwind.sidecar.loads import LoadSharing
+from radishwind.sidecar.metrics import add_metrics
+from radishwind.sidecar.metrics import Counted
+from radishwind.sidecar.metrics import MetricsListener
 from radishwind.sidecar.reload import LOOK_PERIOD_S
 from radishwind.sidecar.reload import SettingsFile
 from radishwind.sidecar.target_side import SidecarTarget
@@ -61,6 +66,7 @@
 from radishwind.store.budget import StoreBudget
 from radishwind.target.leaving import CONTROL_NAME as LEAVING_CONTROL
 from radishwind.target.leaving import LeavingRecords
+from radishwind.telemetry.exposition import NodeExposition
 from radishwind.telemetry.logs import PartLogger
 from radishwind.telemetry.output import BoundedOutput
 
@@ -180,6 +186,7 @@
             discovery=_DISCOVERY,
         )
         self._routes = RoutesInForce(self._clock)
+        self._metrics = NodeExposition()
         self._build_target()
         self._build_entry()
         self._build_control()
@@ -233,7 +240,7 @@
             runner=CarefulRunner(forward),
             claims=NoClaims(),
             quarantine=self._target.quarantine,
-            observers=(RequestLog(self._clock),),
+            observers=(RequestLog(self._clock), self._metrics),
             retry_after=RetryAfter(
                 _RETRY_S, _MOST_RETRY_S, _RETRY_SPREAD, self._rng
             ),
@@ -293,6 +300,18 @@
             ROUTES_CONTROL, self._feed.handle, ROUTES_MAX_BYTES
         )
         self._peers.add_control(LEAVING_CONTROL, self._records.handle)
+        add_metrics(
+            self._metrics,
+            Counted(
+                self._entry.counts,
+                self._target,
+                self._membership,
+                self._routes,
+                self._store,
+                self._loads.socket,
+                self._output,
+            ),
+        )
         self._heartbeats = HeartbeatListener(
             clock=self._clock,
             register=self._target.register,
@@ -330,12 +349,16 @@
         settings = self._settings
         caller_limits = ServerLimits(idle_s=_CALLER_IDLE_S)
         peer_limits = ServerLimits(idle_s=_PEER_IDLE_S)
-        wanted = (
+        wanted: tuple[tuple[Handler, Address, ServerLimits], ...] = (
             (self._attempts.handle, settings.peers, peer_limits),
             (self._heartbeats.handle, settings.control, caller_limits),
             (self._callers.handle, settings.callers, caller_limits),
             (Readiness(self._ready).handle, settings.ready, caller_limits),
         )
+        if settings.metrics_port:
+            address = Address(settings.host, settings.metrics_port)
+            listener = MetricsListener(self._metrics)
+            wanted += ((listener.handle, address, caller_limits),)
         self._servers: list[AiohttpServer] = []
         await self._loads.socket.start(settings.peers)
         for handler, address, limits in wanted:
--- /dev/null
+++ b/src/radishwind/sidecar/metrics.py
@@ -0,0 +1,140 @@
+"""The metrics of a node and where they are served."""
+
+import dataclasses
+import typing
+
+from radishwind.entry.attempts import AttemptCounts
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.loads import LoadSocket
+from radishwind.node.membership_tasks import MembershipTasks
+from radishwind.routes.in_force import RoutesInForce
+from radishwind.sidecar.target_side import SidecarTarget
+from radishwind.store.budget import BudgetedStore
+from radishwind.telemetry.exposition import NodeExposition
+from radishwind.telemetry.output import BoundedOutput
+
+PATH = "/metrics"
+
+_TEXT = (("Content-Type", "text/plain; version=0.0.4"),)
+
+
+class Counted(typing.NamedTuple):
+    """What is counted in a node."""
+
+    attempts: AttemptCounts
+    target: SidecarTarget
+    membership: MembershipTasks
+    routes: RoutesInForce
+    store: BudgetedStore
+    loads: LoadSocket
+    output: BoundedOutput
+
+
+def add_metrics(metrics: NodeExposition, counted: Counted) -> None:
+    """Adds what the parts of a node count anyway."""
+    _add_data_path(metrics, counted)
+    _add_control(metrics, counted)
+
+
+def _add_data_path(metrics: NodeExposition, counted: Counted) -> None:
+    counts, target = counted.attempts, counted.target
+    metrics.counter(
+        "radishwind_attempts_total",
+        "Attempts, hedges among them.",
+        lambda: {'kind="all"': counts.attempts, 'kind="hedge"': counts.hedges},
+    )
+    metrics.counter(
+        "radishwind_target_outcomes_total",
+        "Attempts at the server beside, by outcome.",
+        lambda: {
+            f'outcome="{kind}"': count
+            for kind, count in target.pipeline.outcomes().items()
+        },
+    )
+    metrics.counter(
+        "radishwind_queue_wait_seconds_total",
+        "Time that attempts waited for a slot.",
+        lambda: {"": target.pipeline.queue_wait_s},
+    )
+    metrics.counter(
+        "radishwind_health_checks_total",
+        "Health checks sent to the server beside.",
+        lambda: {"": target.pulse.checks},
+    )
+    metrics.gauge(
+        "radishwind_target_requests",
+        "Requests at the server beside and waiting for it.",
+        lambda: {
+            'state="in_flight"': target.admission.in_flight,
+            'state="queued"': target.admission.queued,
+        },
+    )
+    metrics.gauge(
+        "radishwind_target_pace",
+        "How long work takes there now; 1 is as usual.",
+        lambda: {"": target.pulse.now().factor},
+    )
+    metrics.gauge(
+        "radishwind_load_age_seconds",
+        "Age of the last load figure of the server beside.",
+        lambda: {"": target.pulse.age_s()},
+    )
+
+
+def _add_control(metrics: NodeExposition, counted: Counted) -> None:
+    store, membership = counted.store, counted.membership
+    metrics.counter(
+        "radishwind_store_calls_total",
+        "Calls of the store, by kind.",
+        lambda: {
+            **{f'kind="{k}"': n for k, n in store.calls.items()},
+            'kind="failed"': store.failed,
+            'kind="unsent"': store.refused,
+        },
+    )
+    metrics.gauge(
+        "radishwind_members",
+        "Nodes known, by state.",
+        lambda: {
+            f'state="{state}"': count
+            for state, count in membership.members_by_state().items()
+        },
+    )
+    metrics.gauge(
+        "radishwind_routes_version",
+        "The version of the routes in force.",
+        lambda: {"": counted.routes.version},
+    )
+    metrics.counter(
+        "radishwind_load_messages_total",
+        "Datagrams of load.",
+        lambda: {
+            'way="sent"': counted.loads.sent,
+            'way="received"': counted.loads.received,
+            'way="malformed"': counted.loads.malformed,
+        },
+    )
+    metrics.counter(
+        "radishwind_log_lines_dropped_total",
+        "Log lines that the reader did not take in time.",
+        lambda: {"": counted.output.dropped},
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MetricsListener:
+    """Answers on the metrics address.
+
+    Attributes:
+      metrics: what is told.
+    """
+
+    metrics: NodeExposition
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one question."""
+        if request.path.partition("?")[0] != PATH:
+            return Response(404, (), b"", 0)
+        body = self.metrics.text().encode()
+        return Response(200, _TEXT, body, len(body))
--- a/src/radishwind/sidecar/program.py
+++ b/src/radishwind/sidecar/program.py
@@ -12,11 +12,17 @@
 from radishwind.core.errors import RadishwindError
 from radishwind.platform.boot import PATH_VARIABLE
 from radishwind.platform.boot import read_settings
+from radishwind.settings.loader import SettingError
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.app import SidecarNode
 from radishwind.sidecar.reload import SettingsFile
 from radishwind.telemetry.output import start_bounded_logging
 
+#: The variable that holds the port of the metrics; 0 for none.
+METRICS_VARIABLE = "RADISHWIND_METRICS_PORT"
+
+_LAST_PORT = 65535
+
 #: Exit code for settings that cannot be used (sysexits.h: EX_CONFIG).
 _EXIT_SETTINGS = 78
 
@@ -46,4 +52,19 @@
 
 
 def _read(text: str) -> PlacedSettings:
-    return read_settings(text)
+    return read_settings(text, _metrics_port())
+
+
+def _metrics_port() -> int:
+    """Returns the port that the environment names; 0 for no metrics.
+
+    Raises:
+      SettingError: it is not a port.
+    """
+    text = os.environ.get(METRICS_VARIABLE, "0")
+    if not text.isdigit() or int(text) > _LAST_PORT:
+        raise SettingError(
+            f"{METRICS_VARIABLE}: expected a port from 0 to {_LAST_PORT}, "
+            f"got {text[:40]!r}"
+        )
+    return int(text)
--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -78,6 +78,7 @@
         self.ready = Address(place.host, port + 2)
         self.peers = Address(place.host, port + 3)
         self.address = Address(place.host, port + 4)
+        self.metrics = Address(place.host, port + 6)
         self.log_path = folder / f"{place.name}.log"
         self._settings = folder / f"{place.name}.toml"
         self._process: asyncio.subprocess.Process | None = None
@@ -111,7 +112,11 @@
 
     async def start_node(self) -> None:
         """Starts the node as a process."""
-        environ = {**os.environ, "RADISHWIND_BOOT": str(self._settings)}
+        environ = {
+            **os.environ,
+            "RADISHWIND_BOOT": str(self._settings),
+            "RADISHWIND_METRICS_PORT": str(self.metrics.port),
+        }
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -165,7 +170,7 @@
     """
 
     def __init__(self, places: list[Place], folder: pathlib.Path) -> None:
-        port = free_ports(places, 6)
+        port = free_ports(places, 7)
         self.instances = {p.name: Instance(p, port, folder) for p in places}
         self.store = PlatformStoreStandin(SystemClock())
         self.store_address = Address(STORE_HOST, port)
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -145,6 +145,10 @@
         """Returns the best pace in the last spells."""
         return min((pace for _, pace in self._recent), default=1.0)
 
+    def age_s(self) -> float:
+        """Returns how old the last figure is (s)."""
+        return self._clock.monotonic() - self.heard
+
     def unsure_for_s(self) -> float:
         """Returns how long ago a change may have gone unseen (s); 0 if none."""
         now = self._clock.monotonic()
--- /dev/null
+++ b/src/radishwind/telemetry/tests/test_exposition.py
@@ -0,0 +1,53 @@
+"""Metrics as text: each has its help, type and labels, and is documented."""
+
+import pathlib
+
+from radishwind.config.model import ServiceRules
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import Call
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.telemetry.exposition import MOST_SERIES
+from radishwind.telemetry.exposition import NodeExposition
+
+PAGE = pathlib.Path(__file__).parents[4] / "docs" / "telemetry.md"
+
+
+def call(service="library"):
+    rules = ServiceRules()
+    return Call("9c", service, Request("GET", "/"), rules, True, 1.0, 1, "c")
+
+
+def test_answers_are_counted_and_timed():
+    metrics = NodeExposition()
+    metrics.finished(call(), Done(Response(200)), 0.04)
+    metrics.finished(call(), Done(Response(200)), 0.2)
+    metrics.finished(call(), NotRun(ResultCode.OVERLOADED, "full"), 9.0)
+    metrics.gauge("radishwind_members", "Nodes.", lambda: {'state="x"': 3})
+
+    lines = metrics.text().splitlines()
+
+    labels = 'service="library",outcome="Done",code="200"'
+    assert f"radishwind_requests_total{{{labels}}} 2" in lines
+    kind = 'service="library",idempotent="true"'
+    name = "radishwind_request_duration_seconds"
+    assert f'{name}_bucket{{{kind},le="0.05"}} 1' in lines
+    assert f'{name}_bucket{{{kind},le="0.2"}} 2' in lines
+    assert f'{name}_bucket{{{kind},le="+Inf"}} 3' in lines
+    assert f"{name}_count{{{kind}}} 3" in lines
+    assert 'radishwind_members{state="x"} 3' in lines
+
+
+def test_the_number_of_series_is_bounded():
+    metrics = NodeExposition()
+    for number in range(2 * MOST_SERIES):
+        metrics.finished(call(f"s{number}"), Done(Response(200)), 0.1)
+
+    series = [
+        line
+        for line in metrics.text().splitlines()
+        if line.startswith("radishwind_requests_total{")
+    ]
+    assert len(series) == MOST_SERIES + 1
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import pathlib
 import signal
 
 import aiohttp
@@ -22,6 +23,7 @@
 ]
 ROUTES = [route("library", "safe"), route("sessions", "unsafe")]
 WITHIN_S = 20.0
+ROOT = pathlib.Path(__file__).parents[1]
 
 
 @pytest.fixture
@@ -64,6 +66,23 @@
             assert "Server-Load" not in answer.headers
 
 
+async def test_every_metric_is_told_and_documented(fleet):
+    instance = fleet.instances["a-1"]
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{instance.metrics}/metrics") as got:
+            text = await got.text()
+
+    names = {
+        line.split()[2]
+        for line in text.splitlines()
+        if line.startswith("# TYPE")
+    }
+    page = (ROOT / "docs" / "telemetry.md").read_text()
+    assert len(names) >= 14
+    assert [name for name in sorted(names) if f"`{name}`" not in page] == []
+    assert 'service="library",outcome="Done",code="200"' in text
+
+
 async def test_what_no_route_takes_is_not_found(fleet):
     instance = fleet.instances["a-1"]
 
