Let one failure of a target outweigh the way to another failure domain

Cause: a process test failed once: a server whose every answer is cut got a second and third request of the same node, since a failure of 20 ms of work counted less than crossing (50 ms since the last change), and the budget of a node that just started (3 repeats) was spent.

--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -61,6 +61,10 @@
 FAILURE_FACTOR = 2.0
 MAX_DOUBLINGS = 5
 
+#: Work counts for at least this in a failure (s), so that one failure outweighs
+#: the way to another failure domain.
+LEAST_FAILED_S = 0.03
+
 #: How fast failures fade without news (s).
 FAILURE_FADE_S = 2.0
 
@@ -329,7 +333,8 @@
     def _failure_s(self, seen: _Seen, work_s: float, now: float) -> float:
         fade = math.exp((seen.failed - now) / FAILURE_FADE_S)
         doubled: float = 2.0 ** min(seen.failures - 1, MAX_DOUBLINGS)
-        return FAILURE_FACTOR * doubled * work_s * fade
+        least_s = max(work_s, LEAST_FAILED_S)
+        return FAILURE_FACTOR * doubled * least_s * fade
 
     def _hop_s(self, member: Member) -> float:
         if member.name == self._node_name:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -68,9 +68,9 @@
 
 async def test_every_metric_is_told_and_documented(fleet):
     instance = fleet.instances["a-1"]
-    async with aiohttp.ClientSession() as session:
-        async with session.get(f"http://{instance.metrics}/metrics") as got:
-            text = await got.text()
+    url = f"http://{instance.metrics}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as got:
+        text = await got.text()
 
     names = {
         line.split()[2]
