Close the senders after the tasks that send by them have ended

Cause: the process test of a planned stop failed in 4 of 12 runs with exit code 1: a health check began on a session that the stop had closed already. Ruled out: the load of the machine (it failed idle too).

--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -341,8 +341,9 @@
             await self._stopping.wait()
             self._log.change("Stops as planned; finishes what is in progress.")
             await self._stop()
-            self._log.change("Stopped.")
             tasks.cancel_scope.cancel()
+        await self._close_senders()
+        self._log.change("Stopped.")
         self._output.flush()
 
     async def _listen(self) -> None:
@@ -403,8 +404,11 @@
             for server in self._servers:
                 tasks.start_soon(server.close, max(0.1, left_s))
         self._loads.socket.close()
-        for sender in (self._peer_sender, self._server_sender):
-            await sender.close()
+
+    async def _close_senders(self) -> None:
+        """Closes what tasks send by, once none of them runs any more."""
+        await self._peer_sender.close()
+        await self._server_sender.close()
         await self._store.close()
 
     async def _wait_for_signal(self) -> None:
