--- a/src/radishwind/cli/app.py
+++ b/src/radishwind/cli/app.py
@@ -6,6 +6,7 @@
 import typer
 
 from radishwind.cli import changes
+from radishwind.cli import explain
 from radishwind.cli import inventory
 from radishwind.cli import node
 from radishwind.cli import report
@@ -44,6 +45,7 @@
 report.add_to(app)
 settings.add_to(app)
 standins.add_to(app)
+explain.add_to(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,133 @@
+"""Three kinds of failed request, each from its id to its cause by the logs."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from radishwind.standins.platform_fleet import Fleet
+from radishwind.standins.platform_server import ServerFaults
+from radishwind.telemetry.explain import explain
+from tests.support.processes import command
+from tests.test_platform_processes import PLACES
+from tests.test_platform_processes import ROUTES
+from tests.test_platform_processes import served
+from tests.test_platform_processes import until
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with Fleet(PLACES, tmp_path) as running:
+        running.configure(ROUTES)
+        await running.start(7, spell_s=0.0)
+        for instance in running.instances.values():
+            for path in ("/library/x", "/sessions/x"):
+                await until(lambda i=instance, p=path: served(running, i, p))
+        yield running
+
+
+def logs(fleet):
+    return [i.log_path for i in fleet.instances.values()]
+
+
+async def told_of(fleet, request_id):
+    """Waits for the line of the request; returns all lines around it."""
+    found = []
+
+    async def is_told():
+        found[:] = explain(request_id, logs(fleet))
+        return bool(found)
+
+    await until(is_told)
+    return found
+
+
+def own_line(lines, request_id):
+    return next(x for x in lines if x.fields.get("request") == request_id)
+
+
+async def test_refused_since_no_server_takes_work(fleet):
+    stopped = fleet.instances["a-2"]
+    await stopped.crash_server()
+
+    async def refused():
+        answer = await fleet.ask(
+            fleet.instances["b-1"], "/sessions/x", "POST", request_id="ref-1"
+        )
+        return answer.status == 503
+
+    await until(refused)
+    lines = await told_of(fleet, "ref-1")
+
+    assert own_line(lines, "ref-1").fields["code"] in range(3000, 4000)
+    assert any("takes no connections" in x.text for x in lines) or any(
+        "a-2 drains" in x.text for x in lines
+    )
+
+
+async def test_unknown_after_an_answer_was_cut(fleet):
+    fleet.instances["a-2"].server._faults = ServerFaults(answer="cut")
+
+    answer = await fleet.ask(
+        fleet.instances["b-1"], "/sessions/x", "POST", request_id="cut-1"
+    )
+
+    assert answer.status == 502
+    own = own_line(await told_of(fleet, "cut-1"), "cut-1")
+    assert own.fields["code"] == 4001
+    assert own.fields["steps"].startswith("a-2 (")
+    assert own.fields["steps"].endswith("RW-4001")
+
+
+async def test_late_through_a_slowed_server(fleet):
+    fleet.instances["a-2"].server._faults = ServerFaults(slow=30.0)
+
+    async def late():
+        """Returns the lines of late requests that met the told pace."""
+        await fleet.ask(
+            fleet.instances["b-1"], "/sessions/x", request_id="late-1"
+        )
+        return [
+            line
+            for line in explain("late-1", logs(fleet))
+            if line.fields.get("aim_left_ms", 1) < 0
+            and "pace=30" in line.fields["steps"]
+        ]
+
+    await until(late)
+    assert (await late())[-1].fields["code"] == 200
+
+
+async def test_the_command_tells_rows_and_json(fleet):
+    fleet.instances["a-2"].server._faults = ServerFaults(answer="unsigned")
+    await fleet.ask(
+        fleet.instances["a-1"], "/sessions/x", "POST", request_id="cmd-1"
+    )
+    await told_of(fleet, "cmd-1")
+    paths = [str(path) for path in logs(fleet)]
+
+    code, rows, _ = await asyncio.to_thread(command, "explain", "cmd-1", *paths)
+    assert code == 0
+    assert "request=cmd-1" in rows
+    _, told, _ = await asyncio.to_thread(
+        command, "explain", "cmd-1", *paths, "--json"
+    )
+    assert any(x["fields"].get("request") == "cmd-1" for x in json.loads(told))
+    code, _, err = await asyncio.to_thread(command, "explain", "none", *paths)
+    assert code == 65
+    assert "got none" in err
+
+
+async def test_a_line_tells_start_and_stop(fleet):
+    stopped = fleet.instances["b-1"]
+    stopped.signal_node(signal.SIGTERM)
+    await stopped.node_ended()
+
+    texts = [
+        json.loads(x)["text"] for x in stopped.log_path.read_text().splitlines()
+    ]
+    assert "node: Started." in texts
+    assert texts[-1] == "node: Stopped."
