--- a/src/radishwind/telemetry/tests/test_exposition.py
+++ b/src/radishwind/telemetry/tests/test_exposition.py
@@ -1,7 +1,5 @@
 """Metrics as text: each has its help, type and labels, and is documented."""
 
-import pathlib
-
 from radishwind.config.model import ServiceRules
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
@@ -12,8 +10,6 @@
 from radishwind.telemetry.exposition import MOST_SERIES
 from radishwind.telemetry.exposition import NodeExposition
 
-PAGE = pathlib.Path(__file__).parents[4] / "docs" / "telemetry.md"
-
 
 def call(service="library"):
     rules = ServiceRules()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -77,7 +77,7 @@
         for line in text.splitlines()
         if line.startswith("# TYPE")
     }
-    page = (ROOT / "docs" / "telemetry.md").read_text()
+    page = (ROOT / "docs" / "sidecar.md").read_text()
     assert len(names) >= 14
     assert [name for name in sorted(names) if f"`{name}`" not in page] == []
     assert 'service="library",outcome="Done",code="200"' in text
