--- a/src/radishwind/core/timelimit.py
+++ b/src/radishwind/core/timelimit.py
@@ -1,4 +1,4 @@
-"""A time limit for what every request does."""
+"""A timeout for what every request does."""
 
 import types
 
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -23,8 +23,8 @@
 from radishwind.target.server import ServerView
 from radishwind.target.watch import ServerWatch
 
-#: Requests that may wait at one target: more than come in one time limit, so
-#: that only time refuses.
+#: Requests that may wait at one target: more than come before the deadline of
+#: the first, so that only time refuses.
 QUEUE_LENGTH = 256
 
 #: The longest wait in the queue (s); the deadline of a request ends it before.
--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -80,7 +80,7 @@
         self.address = Address(place.host, port + 4)
         self.metrics = Address(place.host, port + 6)
         self.log_path = folder / f"{place.name}.log"
-        self._settings = folder / f"{place.name}.toml"
+        self.settings_path = folder / f"{place.name}.toml"
         self._process: asyncio.subprocess.Process | None = None
         self._runner: web.AppRunner | None = None
         self._beats: asyncio.Task[None] | None = None
@@ -108,13 +108,13 @@
             "[provider]",
             f'address = "{store}"',
         ]
-        self._settings.write_text("\n".join(lines) + "\n")
+        self.settings_path.write_text("\n".join(lines) + "\n")
 
     async def start_node(self) -> None:
         """Starts the node as a process."""
         environ = {
             **os.environ,
-            "RADISHWIND_BOOT": str(self._settings),
+            "RADISHWIND_BOOT": str(self.settings_path),
             "RADISHWIND_METRICS_PORT": str(self.metrics.port),
         }
         with self.log_path.open("ab") as log:
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -95,6 +95,7 @@
 
     Attributes:
       incarnation: names it.
+      faults: what goes wrong, until told otherwise.
       runs: runs begun, by the name of the request.
       draining: whether it says that it takes no new work.
     """
@@ -105,7 +106,7 @@
         self._options = options
         self._rng = rng
         self._clock = clock
-        self._faults = ServerFaults()
+        self.faults = ServerFaults()
         self._slots = asyncio.Semaphore(options.slots)
         self._in_flight = 0
         self._queued = 0
@@ -170,13 +171,13 @@
         """Returns how long work takes now; 1 is as usual."""
         options = self._options
         if not options.spell_s:
-            return self._faults.slow
+            return self.faults.slow
         now = self._clock.monotonic() + self._phase_s
         spell = int(now / options.spell_s)
         if spell not in self._paces:
             slow = self._rng.random() < options.slow_share
             self._paces = {spell: options.slow_pace if slow else 1.0}
-        return self._paces[spell] * self._faults.slow
+        return self._paces[spell] * self.faults.slow
 
     def _load(self) -> dict[str, str]:
         figures = (
@@ -188,15 +189,15 @@
         return {"Server-Load": ",".join(map(str, figures))}
 
     async def _health(self, request: web.Request) -> web.Response:
-        ill = self.draining or self._faults.health == "bad"
-        if self._faults.health == "good":
+        ill = self.draining or self.faults.health == "bad"
+        if self.faults.health == "good":
             ill = False
         headers = {"Instance-Id": self.incarnation, **self._load()}
         return web.Response(status=503 if ill else 200, headers=headers)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
-        self._faults = msgspec.json.decode(body, type=ServerFaults)
+        self.faults = msgspec.json.decode(body, type=ServerFaults)
         return web.Response(status=204)
 
     async def _counters(self, request: web.Request) -> web.Response:
@@ -210,7 +211,7 @@
             headers = {"Instance-Id": self.incarnation}
             return web.Response(status=421, headers=headers)
         full = self._queued >= self._options.queue
-        if full or self._rng.random() < self._faults.shed:
+        if full or self._rng.random() < self.faults.shed:
             headers = {"Not-Executed": "1", **self._load()}
             return web.Response(status=503, headers=headers)
         await request.read()
@@ -235,9 +236,9 @@
         await asyncio.sleep(min(run_s, left_s))
         if run_s > left_s:
             return self._answer(name, 504)
-        if self._rng.random() < self._faults.fail:
+        if self._rng.random() < self.faults.fail:
             return self._answer(name, 500)
-        faults = self._faults
+        faults = self.faults
         if faults.answer and self._rng.random() < faults.share:
             return await self._spoiled(request, name, faults.answer)
         return self._answer(name, 200)
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -62,6 +62,7 @@
 
     Attributes:
       calls: calls received, by name; a waiting watch counts as one.
+      faults: what goes wrong, until told otherwise.
       revision: the store's revision.
     """
 
@@ -73,7 +74,7 @@
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
         self._changed = asyncio.Event()
-        self._faults = StoreFaults()
+        self.faults = StoreFaults()
         self._lose = 0
         self._waiting: set[asyncio.Task[None]] = set()
         self.calls: collections.Counter[str] = collections.Counter()
@@ -133,7 +134,7 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             self.calls[request.path.split("/")[2]] += 1
-            faults = self._faults
+            faults = self.faults
             meant = not faults.only or request.remote in faults.only
             if faults.delay_ms:
                 await asyncio.sleep(faults.delay_ms / 1000)
@@ -146,8 +147,8 @@
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
-        self._faults = msgspec.json.decode(body, type=StoreFaults)
-        self._lose = self._faults.lose_answers
+        self.faults = msgspec.json.decode(body, type=StoreFaults)
+        self._lose = self.faults.lose_answers
         return web.Response(status=204)
 
     async def _counters(self, request: web.Request) -> web.Response:
@@ -198,7 +199,7 @@
         body = await request.json()
         if self._lose > 0:
             self._lose -= 1
-            late_s = self._faults.late_s
+            late_s = self.faults.late_s
             task = asyncio.create_task(self._carry_out_later(body, late_s))
             self._waiting.add(task)
             task.add_done_callback(self._waiting.discard)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -69,7 +69,7 @@
 
 
 async def test_unknown_after_an_answer_was_cut(fleet):
-    fleet.instances["a-2"].server._faults = ServerFaults(answer="cut")
+    fleet.instances["a-2"].server.faults = ServerFaults(answer="cut")
 
     answer = await fleet.ask(
         fleet.instances["b-1"], "/sessions/x", "POST", request_id="cut-1"
@@ -83,7 +83,7 @@
 
 
 async def test_late_through_a_slowed_server(fleet):
-    fleet.instances["a-2"].server._faults = ServerFaults(slow=30.0)
+    fleet.instances["a-2"].server.faults = ServerFaults(slow=30.0)
 
     async def late():
         """Returns the lines of late requests that met the told pace."""
@@ -102,7 +102,7 @@
 
 
 async def test_the_command_tells_rows_and_json(fleet):
-    fleet.instances["a-2"].server._faults = ServerFaults(answer="unsigned")
+    fleet.instances["a-2"].server.faults = ServerFaults(answer="unsigned")
     await fleet.ask(
         fleet.instances["a-1"], "/sessions/x", "POST", request_id="cmd-1"
     )
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -109,7 +109,7 @@
 async def test_a_spoiled_answer_is_never_told_and_an_unsafe_runs_once(
     fleet, how
 ):
-    fleet.instances["a-2"].server._faults = ServerFaults(answer=how)
+    fleet.instances["a-2"].server.faults = ServerFaults(answer=how)
 
     answer = await fleet.ask(
         fleet.instances["b-1"], "/sessions/x", "POST", request_id="once"
@@ -120,7 +120,7 @@
 
 
 async def test_an_idempotent_request_goes_on_to_another_server(fleet):
-    fleet.instances["a-1"].server._faults = ServerFaults(answer="cut")
+    fleet.instances["a-1"].server.faults = ServerFaults(answer="cut")
 
     for _ in range(6):
         assert await served(fleet, fleet.instances["a-1"], "/library/x")
@@ -147,7 +147,7 @@
 
 async def test_a_planned_stop_finishes_what_runs(fleet):
     stopped = fleet.instances["a-2"]
-    stopped.server._faults = ServerFaults(slow=30.0)
+    stopped.server.faults = ServerFaults(slow=30.0)
     asked = asyncio.create_task(
         fleet.ask(fleet.instances["b-1"], "/sessions/x", request_id="last")
     )
@@ -164,7 +164,7 @@
 
 
 async def test_the_store_may_be_away_for_long(fleet):
-    fleet.store._faults = StoreFaults(down="silent")
+    fleet.store.faults = StoreFaults(down="silent")
 
     for instance in fleet.instances.values():
         assert await served(fleet, instance, "/library/x")
@@ -175,7 +175,7 @@
     # Peers are found by the store, so one that begins now waits for it.
     for _ in range(5):
         assert await served(fleet, fleet.instances["a-1"], "/library/x")
-    fleet.store._faults = StoreFaults()
+    fleet.store.faults = StoreFaults()
     await fleet.until_ready(fleet.instances["b-1"])
 
 
@@ -200,8 +200,8 @@
 
 async def test_a_faulty_reload_keeps_the_old_settings(fleet):
     instance = fleet.instances["a-1"]
-    good = instance._settings.read_text()
-    instance._settings.write_text(good.replace("app-addr", "app"))
+    good = instance.settings_path.read_text()
+    instance.settings_path.write_text(good.replace("app-addr", "app"))
     instance.signal_node(signal.SIGHUP)
 
     async def told():
@@ -209,4 +209,4 @@
 
     await until(told)
     assert await served(fleet, instance, "/library/x")
-    instance._settings.write_text(good)
+    instance.settings_path.write_text(good)
