--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -209,8 +209,11 @@
             await self._stopping.wait()
             self._log.info("Stops as planned; finishes what is in progress.")
             await self._stop()
-            self._log.info("Stopped.")
             tasks.cancel_scope.cancel()
+        # Only now, since the tasks send by these until they end.
+        await self._sender.close()
+        await self._stores.close()
+        self._log.info("Stopped.")
 
     async def _stop(self) -> None:
         """Tells first, then refuses, then finishes what is in progress."""
@@ -229,8 +232,6 @@
         await self._membership.say_left()
         for server in self._servers:
             await server.close(1.0)
-        await self._sender.close()
-        await self._stores.close()
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
