--- a/src/radishwind/entry/request_log.py
+++ b/src/radishwind/entry/request_log.py
@@ -13,8 +13,8 @@
 from radishwind.outcomes import Outcome
 from radishwind.telemetry.logs import PartLogger
 
-#: Lines a second for requests that were not usual (1/s). A line costs about
-#: 0.1 ms, so that they take 0.5% of a core at the most.
+#: Lines a second for requests that were not usual (1/s): a bound
+#: chosen, not measured; the cost of a line is still to be measured.
 MOST_PER_S = 50.0
 
 #: One of so many usual requests is told.
--- a/src/radishwind/loads/message.py
+++ b/src/radishwind/loads/message.py
@@ -6,7 +6,7 @@
 
 
 class LoadMessage(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """One report, as a msgpack array of about 50 bytes.
+    """One report, as a msgpack array.
 
     Attributes:
       target: the name of the target.
--- a/src/radishwind/telemetry/exposition.py
+++ b/src/radishwind/telemetry/exposition.py
@@ -1,8 +1,9 @@
 """Counters and answer times as Prometheus text, for a node that starts often.
 
-OpenTelemetry's SDK takes 0.25 s and 12 MB more at the start of a node, and
-prometheus-client 0.23 s and 5 MB (`docs/sidecar.md`), where the whole node
-takes 0.45 s and 34 MB; so the text format is written here.
+prometheus-client took 0.23 s and 5 MB at its first import
+(`docs/sidecar.md`), where the whole node listens 0.48 s after its start and
+peaks at 34 MB; so the text format is written here. What OpenTelemetry's SDK
+would take there was not measured.
 """
 
 import bisect
