Make fewer calls of the store at a start, and replace lost contacts

A contact that stays gone for two looks is replaced at once instead of after half an hour, so that a node that starts is not left alone.

--- a/src/radishwind/membership/contacts.py
+++ b/src/radishwind/membership/contacts.py
@@ -63,6 +63,7 @@
     own: Address,
     unreachable: frozenset[Address],
     now_ms: int,
+    most: int = MAX_CONTACTS,
 ) -> ContactRecord | None:
     """Returns the record with `own` in it, or `None` where it may stay.
 
@@ -71,6 +72,7 @@
       own: the peer listener of this node.
       unreachable: contacts that this node found dead.
       now_ms: wall-clock time (ms since the epoch, UTC).
+      most: addresses that the record holds at most.
     """
     kept = [
         contact
@@ -82,7 +84,7 @@
     mine = [c for c in record.contacts if c.address == str(own)]
     if mine and now_ms - mine[0].stamped_ms < RENEW_MS:
         return None
-    if len(kept) >= MAX_CONTACTS:
+    if len(kept) >= most:
         return None
     return ContactRecord((*kept, Contact(str(own), now_ms)))
 
--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -1,6 +1,7 @@
 """Finds first peers by settings and store, within a budget of store calls."""
 
 import dataclasses
+import enum
 import random
 
 import anyio
@@ -11,6 +12,7 @@
 from radishwind.membership.contacts import addresses
 from radishwind.membership.contacts import ContactRecord
 from radishwind.membership.contacts import key_of
+from radishwind.membership.contacts import MAX_CONTACTS
 from radishwind.membership.contacts import PREFIX
 from radishwind.membership.contacts import read_record
 from radishwind.membership.contacts import revised
@@ -18,6 +20,8 @@
 from radishwind.store import Put
 from radishwind.store import Store
 from radishwind.store import StoreAnswerLostError
+from radishwind.store import StoreBudgetError
+from radishwind.store import StoreEntry
 from radishwind.store import StoreError
 from radishwind.store import TokenBucket
 
@@ -41,6 +45,7 @@
       early_looks: looks at short intervals after the start.
       calls_at_once: calls a node may make in a row.
       calls_per_hour: the rate at which it may make further ones (1/h).
+      contacts: addresses kept for each failure domain.
     """
 
     spread_s: float = 0.5
@@ -50,6 +55,21 @@
     early_looks: int = 4
     calls_at_once: int = 12
     calls_per_hour: float = 60.0
+    contacts: int = MAX_CONTACTS
+
+
+class Entered(enum.Enum):
+    """What became of entering the own address.
+
+    Attributes:
+      FAILED: the store failed; try again.
+      STANDS: the record may stay as it is.
+      WRITTEN: the address was written just now.
+    """
+
+    FAILED = enum.auto()
+    STANDS = enum.auto()
+    WRITTEN = enum.auto()
 
 
 def backoff_s(options: DiscoveryOptions, doublings: int) -> float:
@@ -83,9 +103,17 @@
             clock.monotonic(),
         )
         self._unreachable: set[Address] = set()
-        self._read_record: ContactRecord | None = None
+        # The own domain's record as last known, and its entry where that was
+        # just listed, so that no second call is needed to write it.
+        self._record = ContactRecord()
+        self._listed: tuple[StoreEntry | None] | None = None
         self.calls: dict[str, int] = {"read": 0, "write": 0, "failed": 0}
 
+    @property
+    def contacts(self) -> tuple[Address, ...]:
+        """The addresses of the own domain's record as last known."""
+        return addresses(self._record)
+
     def note_failed(self, address: Address) -> None:
         """Notes that nothing answers at `address`; it may be replaced."""
         if len(self._unreachable) >= _MAX_UNREACHABLE:
@@ -107,41 +135,43 @@
             self.calls["failed"] += 1
             return None
         records = {e.key: read_record(e.value) for e in entries}
-        self._read_record = records.get(self._key, ContactRecord())
+        self._record = records.get(self._key, ContactRecord())
+        self._listed = (next((e for e in entries if e.key == self._key), None),)
         found: list[Address] = []
         for record in records.values():
             found += addresses(record)
         return tuple(a for a in dict.fromkeys(found) if a != self._own)
 
-    async def enter(self) -> bool:
-        """Puts this node into the record if that is short; `False` if failed.
+    async def enter(self) -> Entered:
+        """Puts this node into the record if that is short.
 
-        It waits a random time first and then looks, so that of many nodes
-        that find the record empty only the first few write. Where the record
-        just read may stay it makes no call.
+        A record just listed is written at once. Who comes too late waits a
+        random time and looks, so that of many nodes that find the record empty
+        only the first few write. Where the record may stay it makes no call.
         """
-        if self._read_record and self._revised(self._read_record) is None:
-            return True
-        for _ in range(_WRITE_TRIES):
-            await anyio.sleep(self._rng.random() * self._options.spread_s)
+        written = self.calls["write"]
+        for attempt in range(_WRITE_TRIES):
+            if attempt or self._listed is None:
+                await anyio.sleep(self._rng.random() * self._options.spread_s)
             done = await self._enter_once()
+            if done is Entered.STANDS and self.calls["write"] > written:
+                # A write whose answer was lost, or another's: look once more.
+                return Entered.WRITTEN
             if done is not None:
                 return done
-        return False
+        return Entered.FAILED
 
-    async def _enter_once(self) -> bool | None:
-        """Returns whether it is settled; `None` after a lost race."""
-        if not self._budget.take(self._clock.monotonic()):
-            return False
+    async def _enter_once(self) -> Entered | None:
+        """Returns what became of it; `None` after a lost race."""
         try:
-            self.calls["read"] += 1
-            entry = await self._store.get(self._key)
-            record = read_record(entry.value) if entry else ContactRecord()
-            new = self._revised(record)
+            entry = await self._own_entry()
+            self._record = (
+                read_record(entry.value) if entry else ContactRecord()
+            )
+            new = self._revised(self._record)
             if new is None:
-                return True
-            if not self._budget.take(self._clock.monotonic()):
-                return False
+                return Entered.STANDS
+            self._take_token()
             self.calls["write"] += 1
             result = await self._store.transact(
                 (Compare(self._key, entry.mod_revision if entry else 0),),
@@ -151,12 +181,32 @@
             # A second look settles it: the record has this node or not.
             self.calls["failed"] += 1
             return None
+        except StoreBudgetError:
+            return Entered.FAILED
         except StoreError:
             self.calls["failed"] += 1
-            return False
-        return True if result.succeeded else None
+            return Entered.FAILED
+        if not result.succeeded:
+            return None
+        self._record = new
+        return Entered.WRITTEN
+
+    async def _own_entry(self) -> StoreEntry | None:
+        """Returns the own domain's record, as listed just before or anew."""
+        listed, self._listed = self._listed, None
+        if listed is not None:
+            return listed[0]
+        self._take_token()
+        self.calls["read"] += 1
+        return await self._store.get(self._key)
+
+    def _take_token(self) -> None:
+        """Raises `StoreBudgetError` where no call is left."""
+        if not self._budget.take(self._clock.monotonic()):
+            raise StoreBudgetError("contacts: not sent, budget spent")
 
     def _revised(self, record: ContactRecord) -> ContactRecord | None:
         now_ms = self._clock.wall_ms()
         dead = frozenset(self._unreachable)
-        return revised(record, self._own, dead, now_ms)
+        most = self._options.contacts
+        return revised(record, self._own, dead, now_ms, most)
--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -23,6 +23,7 @@
 from radishwind.membership.discovery import backoff_s
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
+from radishwind.membership.discovery import Entered
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.standins.store import StoreStandin
 from radishwind.store import EtcdStore
@@ -126,7 +127,7 @@
     await finder.read()
     entered = await finder.enter()
 
-    assert entered
+    assert entered is Entered.STANDS
     assert finder.calls == {"read": 1, "write": 0, "failed": 0}
 
 
@@ -152,10 +153,50 @@
 
     entered = await finder.enter()
 
-    assert entered
+    assert entered is Entered.WRITTEN
     assert platform.standin.calls["txn"] == 1
 
 
+async def test_record_just_listed_is_written_without_a_second_look():
+    platform = Platform()
+    finder = platform.finder(1)
+
+    await finder.read()
+    entered = await finder.enter()
+
+    assert entered is Entered.WRITTEN
+    assert finder.calls == {"read": 1, "write": 1, "failed": 0}
+    assert finder.contacts == (Address("10.0.0.1", 1),)
+
+
+async def test_record_listed_before_another_wrote_is_read_again():
+    platform = Platform()
+    finder = platform.finder(1)
+    await finder.read()
+    await platform.finder(2).enter()
+
+    entered = await finder.enter()
+
+    assert entered is Entered.WRITTEN
+    assert finder.contacts == (Address("10.0.0.1", 2), Address("10.0.0.1", 1))
+
+
+async def test_store_that_fails_is_told_apart_from_a_record_that_stands():
+    platform = Platform()
+    platform.sender.faults[STORE] = Fault.REFUSED
+
+    assert await platform.finder(1).enter() is Entered.FAILED
+
+
+async def test_a_record_holds_no_more_than_is_wanted():
+    platform = Platform()
+    options = DiscoveryOptions(spread_s=0.0, contacts=3)
+    for number in range(1, 6):
+        await platform.finder(number, options).enter()
+
+    assert len(await platform.finder(9).read()) == 3
+
+
 async def test_store_that_is_down_costs_no_more_than_the_budget():
     platform = Platform()
     platform.sender.faults[STORE] = Fault.REFUSED
--- a/src/radishwind/node/peer_search.py
+++ b/src/radishwind/node/peer_search.py
@@ -10,13 +10,18 @@
 from radishwind.http.types import Address
 from radishwind.membership import Gossip
 from radishwind.membership.actions import Call
-from radishwind.membership.contacts import MAX_CONTACTS
 from radishwind.membership.discovery import backoff_s
 from radishwind.membership.discovery import ContactFinder
 from radishwind.membership.discovery import DiscoveryOptions
+from radishwind.membership.discovery import Entered
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.settings import NodeSettings
 
+#: How often a node looks whether a contact of its failure domain is gone (s).
+#: One that is gone at two looks in a row has had time to start again, which
+#: takes 2 s with a loss of power.
+GONE_LOOK_S = 5.0
+
 
 class PeerSearch:
     """Joins the first peers, and again where a node finds itself alone."""
@@ -50,6 +55,7 @@
         self._finder = finder
         self._options = options
         self._start = start
+        self._gone_before: frozenset[Address] = frozenset()
 
     async def run(self) -> None:
         """Looks for peers until cancelled."""
@@ -64,37 +70,83 @@
                     failures = 0
                 else:
                     failures += 1
-            await anyio.sleep(self._next_look_s(looks, failures))
+            await self._until_next_look(looks, failures)
 
     async def _look(self) -> bool:
-        """Reads the contacts and joins those not known; `False` if failed."""
+        """Reads the contacts and joins those not known; `False` if failed.
+
+        Who has entered reads once more: of two that entered at the same time
+        the later one sees the other, so that no group stays apart.
+        """
         if self._alone() and self._settings.seeds:
             self._join(self._settings.seeds)
+        if not await self._read_and_join():
+            return False
+        if not self._is_contact():
+            return True
+        entered = await self._finder.enter()
+        if entered is Entered.WRITTEN:
+            return await self._read_and_join()
+        return entered is Entered.STANDS
+
+    async def _read_and_join(self) -> bool:
         contacts = await self._finder.read()
         if contacts is None:
             return False
         facts = self._gossip.table.members.values()
         known = {f.address for f in facts if not f.gone}
-        strangers = tuple(c for c in contacts if str(c) not in known)
-        self._join(strangers)
-        if self._is_contact():
-            return await self._finder.enter()
+        self._join(tuple(c for c in contacts if str(c) not in known))
         return True
 
     def _join(self, contacts: tuple[Address, ...]) -> None:
         self._start(self._gossip.join(contacts, self._clock.monotonic()))
 
-    def _next_look_s(self, looks: int, failures: int) -> float:
-        """Returns the pause until the next look (s).
+    async def _until_next_look(self, looks: int, failures: int) -> None:
+        """Waits for the time, or until a contact is to be replaced."""
+        jitter = 0.5 + self._rng.random()
+        began = self._clock.monotonic()
+        while True:
+            due = began + self._pause_s(looks, failures) * jitter
+            left_s = due - self._clock.monotonic()
+            if left_s <= 0:
+                return
+            await anyio.sleep(min(left_s, GONE_LOOK_S))
+            if self._is_to_replace_one():
+                return
+
+    def _is_to_replace_one(self) -> bool:
+        """Returns whether a contact stays gone and this node is to follow it.
+
+        A node that starts finds the others by the contacts; were all of them
+        gone for good it would stay alone with others that start.
+        """
+        gone = self._gone_contacts()
+        stay_gone = gone & self._gone_before
+        self._gone_before = gone
+        for address in stay_gone:
+            self._finder.note_failed(address)
+        return bool(stay_gone) and self._is_contact()
+
+    def _gone_contacts(self) -> frozenset[Address]:
+        """Returns the contacts that are gone; none if this node is one."""
+        contacts = self._finder.contacts
+        own = self._gossip.own.address
+        if any(str(contact) == own for contact in contacts):
+            return frozenset()
+        facts = self._gossip.table.members.values()
+        living = {fact.address for fact in facts if not fact.gone}
+        return frozenset(c for c in contacts if str(c) not in living)
+
+    def _pause_s(self, looks: int, failures: int) -> float:
+        """Returns the usual pause until the next look (s).
 
         Args:
           looks: looks that succeeded since the start.
           failures: looks that failed since the last success.
         """
-        jitter = 0.5 + self._rng.random()
         if failures or self._alone() or looks <= self._options.early_looks:
-            return backoff_s(self._options, failures or looks) * jitter
-        return self._options.check_period_s * jitter
+            return backoff_s(self._options, failures or looks)
+        return self._options.check_period_s
 
     def _alone(self) -> bool:
         facts = self._gossip.table.members.values()
@@ -108,4 +160,6 @@
             if fact.failure_domain == self._settings.failure_domain
             and not fact.gone
         ]
-        return ranks_among_first(self._settings.target, names, MAX_CONTACTS)
+        return ranks_among_first(
+            self._settings.target, names, self._options.contacts
+        )
--- /dev/null
+++ b/src/radishwind/node/tests/test_peer_search.py
@@ -0,0 +1,130 @@
+"""A node finds others by few looks, and replaces contacts that are gone."""
+
+import random
+
+import anyio
+import pytest
+from tests.support.direct import DirectSender
+
+from radishwind.core import ManualClock
+from radishwind.http import Address
+from radishwind.membership import Announced
+from radishwind.membership import Gossip
+from radishwind.membership import GossipOptions
+from radishwind.membership import MemberFact
+from radishwind.membership.discovery import ContactFinder
+from radishwind.membership.discovery import DiscoveryOptions
+from radishwind.node.peer_search import PeerSearch
+from radishwind.settings import NodeSettings
+from radishwind.standins.store import StoreStandin
+from radishwind.store import EtcdStore
+
+STORE = Address("127.0.0.1", 2379)
+OPTIONS = DiscoveryOptions(spread_s=0.0, early_looks=0, contacts=2)
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def fact(number, **said):
+    return MemberFact(f"t-{number}", "s", "a", f"10.0.0.1:{number}", 1, **said)
+
+
+class Node:
+    """One node's search, with a store that all of them share."""
+
+    def __init__(self, number, sender, clock):
+        self.clock = clock
+        self.joined = []
+        self.gossip = Gossip(fact(number), GossipOptions(), random.Random(1), 0)
+        address = Address("10.0.0.1", number)
+        settings = NodeSettings(
+            target=f"t-{number}",
+            service="s",
+            failure_domain="a",
+            store=STORE,
+            caller_listen=address,
+            peer_listen=address,
+            admin_listen=address,
+        )
+        self.finder = ContactFinder(
+            store=EtcdStore(sender, STORE),
+            failure_domain="a",
+            own=address,
+            clock=clock,
+            rng=random.Random(number),
+            options=OPTIONS,
+        )
+        self.search = PeerSearch(
+            settings=settings,
+            clock=clock,
+            rng=random.Random(number),
+            gossip=self.gossip,
+            finder=self.finder,
+            options=OPTIONS,
+            start=self._start,
+        )
+
+    def _start(self, calls):
+        self.joined += [str(call.address) for call in calls]
+
+    def know(self, *facts):
+        for told in facts:
+            self.gossip.table.merge_member(told)
+
+
+@pytest.fixture
+def fleet():
+    clock = ManualClock()
+    sender = DirectSender()
+    sender.handlers[STORE] = StoreStandin(clock).handle
+    return [Node(number, sender, clock) for number in range(1, 5)]
+
+
+async def test_of_two_that_enter_at_once_the_later_sees_the_other(fleet):
+    first, second = fleet[:2]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(first.search._look)
+        tasks.start_soon(second.search._look)
+
+    assert "10.0.0.1:2" in first.joined or "10.0.0.1:1" in second.joined
+
+
+async def test_one_that_finds_the_record_full_makes_one_call(fleet):
+    for node in fleet[:2]:
+        await node.search._look()
+
+    await fleet[2].search._look()
+
+    assert fleet[2].finder.calls == {"read": 1, "write": 0, "failed": 0}
+    assert set(fleet[2].joined) >= {"10.0.0.1:1", "10.0.0.1:2"}
+
+
+async def test_a_contact_that_stays_gone_is_replaced(fleet):
+    for node in fleet[:3]:
+        await node.search._look()
+    third = fleet[2]
+    third.know(fact(1), fact(2))
+
+    assert not third.search._is_to_replace_one()
+    third.know(MemberFact("t-1", "s", "a", "10.0.0.1:1", 2, Announced.LEFT))
+
+    assert not third.search._is_to_replace_one(), "it may be starting again"
+    assert third.search._is_to_replace_one()
+    await third.search._look()
+    assert set(third.finder.contacts) == {
+        Address("10.0.0.1", 2),
+        Address("10.0.0.1", 3),
+    }
+
+
+async def test_a_contact_leaves_the_others_to_who_is_none(fleet):
+    for node in fleet[:2]:
+        await node.search._look()
+    first = fleet[0]
+
+    assert not first.search._is_to_replace_one()
+    assert not first.search._is_to_replace_one(), "t-2 is not known, or gone"
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -43,6 +43,8 @@
     port_range: tuple[int, int]
     zones: dict[str, str] = {}
     heartbeat_ms: int = 1500
+    # Not what a process does to begin, but whether all of them begin now.
+    bootstrap: bool = False
     bounds: tuple[str, ...] = ()
     limits: _Limits = _Limits()
 
@@ -88,6 +90,7 @@
         retry_share=bounds.get("retry-ratio", 0.2),
         retry_slack=bounds.get("retry-slack", 20.0),
         retry_window_s=bounds.get("retry-window-s", 10.0),
+        first_start=file.bootstrap,
     )
 
 
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -81,6 +81,7 @@
         peers: PeerClient,
         clock: Clock,
         rng: random.Random,
+        first_wait_s: float = 0.0,
     ) -> None:
         """Wires the feed.
 
@@ -96,6 +97,8 @@
           peers: calls other nodes.
           clock: the clock.
           rng: the random source of pauses.
+          first_wait_s: the store is first asked after up to this time (s), at
+            random; not where a peer brought the configuration before.
         """
         self._node_name = node_name
         self._failure_domain = failure_domain
@@ -108,6 +111,7 @@
         self._peers = peers
         self._clock = clock
         self._rng = rng
+        self._first_wait_s = first_wait_s
         self._log = PartLogger("routes", clock)
         self._backoff = Backoff(rng, _FIRST_PAUSE_S, _LONGEST_PAUSE_S)
         self._heard_version = 0
@@ -134,7 +138,9 @@
         return Response(200, _JSON, raw, len(raw))
 
     async def _follow_store(self) -> None:
-        while self._in_force.cfg is None or not self._revision:
+        await anyio.sleep(self._rng.random() * self._first_wait_s)
+        peers_may_bring_it = self._first_wait_s > 0
+        while self._in_force.cfg is None or not peers_may_bring_it:
             if await self._read_store():
                 break
             await anyio.sleep(self._backoff.failed())
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -32,6 +32,10 @@
       retry_slack: repeats that all nodes may make beyond that share, in one
         window.
       retry_window_s: the window in which repeats are counted (s).
+      first_start: whether the whole system starts for the first time, so that
+        nothing was kept before.
+      peer_address: where other nodes reach this one, if it is not where they
+        are received; `None` if it is.
     """
 
     node: str
@@ -53,6 +57,8 @@
     retry_share: float
     retry_slack: float
     retry_window_s: float
+    first_start: bool = False
+    peer_address: Address | None = None
 
     @property
     def peers(self) -> Address:
