--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import json
@@ -79,6 +81,11 @@
         self.peers = Address(place.host, port + 3)
         self.address = Address(place.host, port + 4)
         self.metrics = Address(place.host, port + 6)
+        # What its node is told of the store, its server and itself; others
+        # than the real addresses where something stands in between.
+        self.store_seen: Address | None = None
+        self.server_seen = self.address
+        self.peers_seen: Address | None = None
         self.log_path = folder / f"{place.name}.log"
         self.settings_path = folder / f"{place.name}.toml"
         self._process: asyncio.subprocess.Process | None = None
@@ -94,7 +101,7 @@
             f'ip = "{place.host}"',
             f'zone = "{place.failure_domain}"',
             f'service = "{place.service}"',
-            f'app-addr = "{self.address}"',
+            f'app-addr = "{self.server_seen}"',
             f"port-range = [{self.peers.port}, {self.peers.port}]",
             "heartbeat-ms = 500",
             'bounds = ["drain-ms=2000", "grace-s=6", "retry-slack=58"]',
@@ -106,7 +113,7 @@
             f'ready = "{self.ready}"',
             f'control = "{self.control}"',
             "[provider]",
-            f'address = "{store}"',
+            f'address = "{self.store_seen or store}"',
         ]
         self.settings_path.write_text("\n".join(lines) + "\n")
 
@@ -117,6 +124,8 @@
             "RADISHWIND_BOOT": str(self.settings_path),
             "RADISHWIND_METRICS_PORT": str(self.metrics.port),
         }
+        if self.peers_seen is not None:
+            environ["RADISHWIND_PEER_ADDRESS"] = str(self.peers_seen)
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -135,10 +144,14 @@
         self._runner = await _serve(self.server.application(), self.address)
         self._beats = asyncio.create_task(self.server.heartbeats())
 
-    async def crash_server(self) -> None:
-        """Ends the server without a word."""
+    def stop_heartbeats(self) -> None:
+        """Lets the server say nothing any more."""
         if self._beats is not None:
             self._beats.cancel()
+
+    async def crash_server(self) -> None:
+        """Ends the server without a word."""
+        self.stop_heartbeats()
         if self._runner is not None:
             await self._runner.cleanup()
         self._runner = None
@@ -169,8 +182,21 @@
       store: the store stood in.
     """
 
-    def __init__(self, places: list[Place], folder: pathlib.Path) -> None:
-        port = free_ports(places, 7)
+    def __init__(
+        self,
+        places: list[Place],
+        folder: pathlib.Path,
+        prepare: Callable[[Instance], Awaitable[None]] | None = None,
+    ) -> None:
+        """Makes a deployment that is not started yet.
+
+        Args:
+          places: the instances.
+          folder: where settings and logs go.
+          prepare: called with each instance before its settings are written.
+        """
+        self._prepare = prepare
+        port = free_ports(places, 10)
         self.instances = {p.name: Instance(p, port, folder) for p in places}
         self.store = PlatformStoreStandin(SystemClock())
         self.store_address = Address(STORE_HOST, port)
@@ -190,6 +216,8 @@
             {i.place.failure_domain for i in self.instances.values()}
         )
         for instance in self.instances.values():
+            if self._prepare is not None:
+                await self._prepare(instance)
             instance.write_settings(self.store_address, domains)
             self._stack.push_async_callback(instance.close)
         return self
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -98,6 +98,9 @@
       faults: what goes wrong, until told otherwise.
       runs: runs begun, by the name of the request.
       draining: whether it says that it takes no new work.
+      left_at: when its leaving was acknowledged (monotonic s), set by who
+        lets it leave; `None` before.
+      last_began: when its last run began (monotonic s); 0 before the first.
     """
 
     def __init__(
@@ -117,6 +120,13 @@
         self.incarnation = f"i-{rng.getrandbits(32):08x}"
         self.runs: collections.Counter[str] = collections.Counter()
         self.draining = False
+        self.left_at: float | None = None
+        self.last_began = 0.0
+
+    @property
+    def service(self) -> str:
+        """The service it gives."""
+        return self._options.service
 
     def application(self) -> web.Application:
         """Returns the server as an application of aiohttp."""
@@ -230,6 +240,7 @@
     async def _run(self, request: web.Request) -> web.StreamResponse:
         name = request.headers["Attempt-Id"]
         self.runs[name] += 1
+        self.last_began = self._clock.monotonic()
         left_s = float(request.headers.get("Timeout-Ms", "10000")) / 1000
         work_s = self._rng.gammavariate(8, self._options.work_s / 8)
         run_s = work_s * self.pace()
