Let a signal to reload end no node that starts

Ruled out: a later start of the reload's sender; the platform sends it any time. Ignored until the handler is there: the settings are read after this, and looked at again each second.

--- a/src/radishwind/sidecar/imports.py
+++ b/src/radishwind/sidecar/imports.py
@@ -24,14 +24,16 @@
     gc.disable()
 
 
-def end_as_planned_until_started() -> None:
-    """Lets a signal to stop end the process with 0 before it has begun.
+def heed_signals_until_started() -> None:
+    """Says what signals do before the node has handlers of its own.
 
-    Nothing is in progress until the node listens; its own handler takes over
-    there.
+    A signal to stop ends the process with 0, as nothing is in progress yet. A
+    signal to reload would end it too; it is ignored, since the settings are
+    read after this or looked at again within a second.
     """
     signal.signal(signal.SIGTERM, _end)
     signal.signal(signal.SIGINT, _end)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _end(number: int, frame: FrameType | None) -> None:
--- a/tests/test_start_processes.py
+++ b/tests/test_start_processes.py
@@ -16,15 +16,16 @@
 
 #: Says when it is past the first statement of the program.
 SCRIPT = """
-from radishwind.sidecar.imports import end_as_planned_until_started
-end_as_planned_until_started()
+from radishwind.sidecar.imports import heed_signals_until_started
+heed_signals_until_started()
 print("began", flush=True)
 import time
 time.sleep(30)
 """
 
 
-async def test_a_stop_during_the_imports_is_a_planned_one():
+async def began():
+    """Returns a process that is past its first statement."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-c",
@@ -33,7 +34,22 @@
         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
     )
     assert (await process.stdout.readline()).strip() == b"began"
+    return process
+
+
+async def test_a_stop_during_the_imports_is_a_planned_one():
+    process = await began()
+
+    process.send_signal(signal.SIGTERM)
+
+    assert await process.wait() == 0
+
+
+async def test_a_reload_during_the_imports_ends_nothing():
+    process = await began()
 
+    process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0)
     process.send_signal(signal.SIGTERM)
 
     assert await process.wait() == 0
