Bring configurations to peers packed, each watcher to its part

Ruled out: decoding (12 ms) and the table (1 ms), measured apart. Now a peer says which version it has, a version is packed once (27.6 KB, 2 ms), and each watcher has its part of the nodes; who is left out by one that is cut off hears the rumor and asks.

--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -1,9 +1,9 @@
 """Brings the newest configuration to this node and on to its peers.
 
-A few nodes of each failure domain watch the store and push a new version,
-whole, to the nodes beside them; the number of the version travels as a rumor
-everywhere. Who hears of a version that it lacks asks a peer near it, and the
-store if that fails.
+A few nodes of each failure domain watch the store and push a new version to
+the nodes beside them, each to its part of them; the number of the version
+travels as a rumor everywhere. Who hears of a version that it lacks asks a peer
+near it, and the store if that fails.
 """
 
 from collections.abc import Callable
@@ -22,11 +22,21 @@
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
+from radishwind.membership.ranking import rank
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.membership.rumors import RumorBoard
+from radishwind.outcomes import problem
 from radishwind.peers.client import PeerClient
 from radishwind.peers.client import PeerError
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routes.messages import Ask
+from radishwind.routes.messages import decode as decode_message
+from radishwind.routes.messages import encode
+from radishwind.routes.messages import FeedMalformedError
+from radishwind.routes.messages import Nothing
+from radishwind.routes.messages import Offer
+from radishwind.routes.messages import pack
+from radishwind.routes.messages import unpack
 from radishwind.routes.model import RouteConfig
 from radishwind.store.base import Store
 from radishwind.store.base import StoreError
@@ -61,7 +71,7 @@
 #: How often a node looks whether it is to watch (s).
 _DUTY_PERIOD_S = 0.5
 
-_JSON = (("Content-Type", "application/json"),)
+_MSGPACK = (("Content-Type", "application/msgpack"),)
 
 
 class RouteFeed:
@@ -118,6 +128,8 @@
         self._heard = anyio.Event()
         self._revision = 0
         self._store_lost = False
+        # The version that is packed, and packed; made for the first peer.
+        self._packed = (0, b"")
         self._tasks: anyio.abc.TaskGroup | None = None
         board.subscribe(TOPIC, self._on_rumor)
         in_force.listen(self._adopted)
@@ -132,10 +144,26 @@
     async def handle(self, request: Request) -> Response:
         """Answers a peer that brings a version, or asks for one."""
         body = await whole_body(request.body)
-        if body:
-            self._take(body, f"peer {request.remote}")
-        raw = b"" if body else self._in_force.raw
-        return Response(200, _JSON, raw, len(raw))
+        try:
+            message = decode_message(body)
+            if isinstance(message, Offer):
+                raw = unpack(message.packed, MAX_BYTES)
+                self._take(raw, f"peer {request.remote}")
+        except FeedMalformedError as exc:
+            self._log.warning("A message is malformed.", reason=str(exc)[:120])
+            return problem(exc.code, str(exc), "not-run")
+        answer: Offer | Nothing = Nothing()
+        if isinstance(message, Ask) and message.have < self._in_force.version:
+            answer = Offer(self._pack())
+        data = encode(answer)
+        return Response(200, _MSGPACK, data, len(data))
+
+    def _pack(self) -> bytes:
+        """Returns the configuration in force, packed."""
+        version = self._in_force.version
+        if self._packed[0] != version:
+            self._packed = (version, pack(self._in_force.raw))
+        return self._packed[1]
 
     async def _follow_store(self) -> None:
         await anyio.sleep(self._rng.random() * self._first_wait_s)
@@ -209,18 +237,27 @@
         value = msgspec.json.encode([cfg.version, self._node_name])
         self._board.publish(TOPIC, "version", cfg.version, value, _RUMOR_S)
         if self._tasks is not None and self._is_watcher():
-            self._tasks.start_soon(self._push, self._in_force.raw)
+            data = encode(Offer(self._pack()))
+            self._tasks.start_soon(self._push, data)
+
+    async def _push(self, data: bytes) -> None:
+        """Brings the version to a part of the nodes beside this one.
 
-    async def _push(self, raw: bytes) -> None:
-        """Brings the version to the nodes of the same failure domain."""
+        Each watcher of the failure domain has its part; where one of them is
+        cut off, those of its part hear the rumor and ask.
+        """
+        near = self._near()
+        own = rank(self._node_name)
+        before = sum(rank(m.name) < own for m in near)
         async with anyio.create_task_group() as tasks:
-            for member in self._near():
-                tasks.start_soon(self._push_to, member, raw)
+            for member in near:
+                if rank(member.name) % WATCHERS == before % WATCHERS:
+                    tasks.start_soon(self._push_to, member, data)
 
-    async def _push_to(self, member: Member, raw: bytes) -> None:
+    async def _push_to(self, member: Member, data: bytes) -> None:
         try:
             await self._peers.call(
-                member.address, CONTROL_NAME, raw, _PEER_TIMEOUT_S
+                member.address, CONTROL_NAME, data, _PEER_TIMEOUT_S
             )
         except PeerError as exc:
             # The rumor reaches it, and then it asks.
@@ -264,15 +301,18 @@
         return not self._is_behind()
 
     async def _pull_from(self, member: Member) -> bool:
+        ask = encode(Ask(self._in_force.version))
         try:
-            raw = await self._peers.call(
-                member.address, CONTROL_NAME, b"", _PEER_TIMEOUT_S
+            data = await self._peers.call(
+                member.address, CONTROL_NAME, ask, _PEER_TIMEOUT_S
             )
-        except PeerError as exc:
+            message = decode_message(data)
+            if not isinstance(message, Offer):
+                return False
+            raw = unpack(message.packed, MAX_BYTES)
+        except (PeerError, FeedMalformedError) as exc:
             self._log.info("A peer gave no routes.", reason=str(exc)[:120])
             return False
-        if not raw:
-            return False
         self._take(raw, f"peer {member.name}")
         return self._in_force.cfg is not None and not self._is_behind()
 
--- /dev/null
+++ b/src/radishwind/routes/messages.py
@@ -0,0 +1,93 @@
+"""What nodes say to each other of a configuration.
+
+A configuration travels compressed: 1,450 routes are 230 KB of JSON, which one
+node brings to ten others over a link of 10 Mbit/s in 2 s as they are, and in
+0.2 s compressed.
+"""
+
+from typing import TypeAlias
+import zlib
+
+import msgspec
+
+from radishwind.core.codes import ResultCode
+from radishwind.core.errors import RadishwindError
+
+#: Fast, and within a tenth of the best ratio on configurations.
+_LEVEL = 3
+
+
+class FeedMalformedError(RadishwindError):
+    """What a peer sent of a configuration cannot be read."""
+
+    code = ResultCode.PEER_MALFORMED
+
+
+class Offer(msgspec.Struct, frozen=True, tag="offer"):
+    """Brings a configuration.
+
+    Attributes:
+      packed: as the operator wrote it, compressed.
+    """
+
+    packed: bytes
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask"):
+    """Asks for a newer configuration.
+
+    Attributes:
+      have: the version in force at the sender; 0 for none.
+    """
+
+    have: int
+
+
+class Nothing(msgspec.Struct, frozen=True, tag="nothing"):
+    """Answers that there is nothing newer, or takes an offer."""
+
+
+FeedMessage: TypeAlias = Offer | Ask | Nothing
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(FeedMessage)
+
+
+def encode(message: FeedMessage) -> bytes:
+    """Returns `message` as bytes."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> FeedMessage:
+    """Returns the message in `data`.
+
+    Raises:
+      FeedMalformedError: there is none.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as exc:
+        raise FeedMalformedError(f"expected a message: {exc}") from exc
+
+
+def pack(raw: bytes) -> bytes:
+    """Returns `raw` compressed."""
+    return zlib.compress(raw, _LEVEL)
+
+
+def unpack(packed: bytes, most_bytes: int) -> bytes:
+    """Returns what `pack` was given.
+
+    Raises:
+      FeedMalformedError: it was not packed so, or is longer than `most_bytes`.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        raw = unpacker.decompress(packed, most_bytes)
+    except zlib.error as exc:
+        raise FeedMalformedError(f"expected packed bytes: {exc}") from exc
+    if not unpacker.eof:
+        raise FeedMalformedError(
+            f"expected at most {most_bytes} bytes, all there, got others"
+        )
+    return raw
--- a/src/radishwind/routes/tests/test_feed.py
+++ b/src/radishwind/routes/tests/test_feed.py
@@ -7,13 +7,16 @@
 
 from radishwind.core import ManualClock
 from radishwind.http.types import Address
+from radishwind.http.types import Request
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
+from radishwind.routes import messages
 from radishwind.routes import Part
 from radishwind.routes import Route
 from radishwind.routes import RouteConfig
 from radishwind.routes import RoutesInForce
 from radishwind.routes.feed import RouteFeed
+from radishwind.routes.feed import WATCHERS
 from radishwind.store.base import StoreEntry
 
 pytestmark = pytest.mark.anyio
@@ -56,8 +59,15 @@
 class Peers:
     """Every peer has version 7."""
 
+    def __init__(self):
+        self.asked = []
+
     async def call(self, address, name, data, timeout_s):
-        return b"7"
+        message = messages.decode(data)
+        self.asked.append(message)
+        if isinstance(message, messages.Ask) and message.have >= 7:
+            return messages.encode(messages.Nothing())
+        return messages.encode(messages.Offer(messages.pack(b"7")))
 
 
 class Directory:
@@ -71,10 +81,10 @@
         return self._members
 
 
-def feed(store, directory, first_wait_s):
+def feed(store, directory, first_wait_s, name="own"):
     in_force = RoutesInForce(ManualClock())
     made = RouteFeed(
-        node_name="own",
+        node_name=name,
         failure_domain="a",
         key="k",
         decode=decode,
@@ -114,3 +124,75 @@
     await run_until_known(*feed(store, members, 60.0))
 
     assert store.reads == 0
+
+
+async def answered(made, message):
+    body = messages.encode(message)
+    response = await made.handle(Request("POST", "/", (), body, len(body)))
+    return response.status, response.body
+
+
+async def test_a_peer_gets_a_newer_version_packed_and_no_other():
+    made, in_force = feed(Store(), Directory("own"), 0.0)
+    in_force.adopt(decode(b"7"), b"7", "test")
+
+    status, body = await answered(made, messages.Ask(6))
+    assert status == 200
+    assert messages.unpack(messages.decode(body).packed, 100) == b"7"
+    assert await answered(made, messages.Ask(7)) == (
+        200,
+        messages.encode(messages.Nothing()),
+    )
+
+
+async def test_a_version_that_a_peer_brings_is_taken():
+    made, in_force = feed(Store(), Directory("own"), 0.0)
+
+    await answered(made, messages.Offer(messages.pack(b"9")))
+
+    assert in_force.version == 9
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"7", b"\xc1", messages.encode(messages.Offer(b"raw"))]
+)
+async def test_what_cannot_be_read_changes_nothing(body):
+    made, in_force = feed(Store(), Directory("own"), 0.0)
+
+    response = await made.handle(Request("POST", "/", (), body, len(body)))
+
+    assert response.status >= 400
+    assert in_force.version == 0
+
+
+def test_a_pack_longer_than_allowed_is_refused():
+    with pytest.raises(messages.FeedMalformedError):
+        messages.unpack(messages.pack(b"x" * 101), 100)
+
+
+async def test_watchers_push_to_a_part_of_the_others_each():
+    names = [f"t-{number}" for number in range(12)]
+    pushed = {}
+    for name in names:
+        made, in_force = feed(Store(), Directory(*names), 60.0, name)
+        pushed[name] = await pushed_to(made, in_force)
+
+    watchers = [name for name, told in pushed.items() if told]
+    assert len(watchers) == WATCHERS
+    told = [name for watcher in watchers for name in pushed[watcher]]
+    assert set(told) | set(watchers) == set(names)
+    assert len(told) == len(set(told))
+
+
+async def pushed_to(made, in_force):
+    in_force.adopt(decode(b"7"), b"7", "test")
+    if not made._is_watcher():
+        return []
+    told = []
+
+    async def note(member, data):
+        told.append(member.name)
+
+    made._push_to = note
+    await made._push(b"")
+    return told
