--- a/src/radishwind/sidecar/tests/test_reload.py
+++ b/src/radishwind/sidecar/tests/test_reload.py
@@ -3,14 +3,14 @@
 import pytest
 
 from radishwind.core import ManualClock
-from radishwind.core.errors import RadishwindError
+from radishwind.platform.errors import PlatformMalformedError
 from radishwind.sidecar.reload import SettingsFile
 from radishwind.sidecar.reload import SettingsFollower
 
 
 def decode(text):
     if "bad" in text:
-        raise RadishwindError(f"expected settings, got {text}")
+        raise PlatformMalformedError(f"expected settings, got {text}")
     return text
 
 
