Heed signals from the first moment to the last of a start

Cause, by reading: the exit raised in a signal handler can be swallowed in a callback, and between the first listener and the handler of the loop a stop would have ended the process with callers on it. Now the early handler ends the process at once, and the loop's handler stands before the first listener. tests/test_start_processes.py covers the early one; the window in between is too short for a test that waits on a condition.

--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -280,8 +280,9 @@
         """Runs until SIGTERM or SIGINT; then finishes what is in progress."""
         self._build()
         async with anyio.create_task_group() as tasks:
+            # Before it listens, so that no signal meets callers unheeded.
+            await tasks.start(self._wait_for_signal)
             await self._listen()
-            tasks.start_soon(self._wait_for_signal)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._feed.run)
             tasks.start_soon(self._records_at_start.run)
@@ -352,10 +353,13 @@
         await self._server_sender.close()
         await self._store.close()
 
-    async def _wait_for_signal(self) -> None:
+    async def _wait_for_signal(
+        self, *, task_status: anyio.abc.TaskStatus[None]
+    ) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
+            task_status.started()
             async for number in signals:
                 if number is signal.SIGHUP:
                     self._follower.look_now()
--- a/src/radishwind/sidecar/imports.py
+++ b/src/radishwind/sidecar/imports.py
@@ -6,7 +6,6 @@
 import gc
 import os
 import signal
-import sys
 from types import FrameType
 
 
@@ -37,4 +36,5 @@
 
 
 def _end(number: int, frame: FrameType | None) -> None:
-    sys.exit(0)
+    # An exception could be swallowed where the signal meets a callback.
+    os._exit(0)
