--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -78,9 +78,10 @@
     ResultCode.SERVER_DOWN: 0.3,
 }
 
-#: Candidates weighed at most, of the own failure domain and of others; of more,
-#: so many are drawn. Weighing one took 19 us in a profile of a node among 84, so
-#: that a choice stays below 0.5 ms; what fewer choices lose was not measured.
+#: Candidates weighed at most, of the own failure domain and of others; of
+#: more, so many are drawn. Weighing one took 19 us in a profile of a node among
+#: 84, so that a choice stays below 0.5 ms; what fewer choices lose was not
+#: measured.
 MOST_NEAR = 16
 MOST_FAR = 8
 
