Read from the store what may be old at its lower price

Contacts that are old still name somebody who tells of all others; routes that are old are set right by the watch from their revision on and by the rumor of the version; habits are only a beginning. What DRAIN rests on, the records of who leaves, stays linearizable, and so does a read after one's own write. A watch that fails goes on from its last revision instead of reading the key anew.

Ruled out: peers in place of the store for contacts, since after a loss of all power there are none to ask.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -67,12 +67,14 @@
         self._next = 0.0
         self.calls: collections.Counter[str] = collections.Counter()
 
-    async def get(self, key: str) -> Any:
+    async def get(self, key: str, *, allow_stale: bool = False) -> Any:
         self.calls["read"] += 1
-        return await self._store.get(key)
+        return await self._store.get(key, allow_stale=allow_stale)
 
-    async def list(self, prefix: str, limit: int = 0) -> Any:
-        return await self._store.list(prefix, limit)
+    async def list(
+        self, prefix: str, limit: int = 0, *, allow_stale: bool = False
+    ) -> Any:
+        return await self._store.list(prefix, limit, allow_stale=allow_stale)
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Any]
--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+from typing import TypeAlias
 
 import anyio
 import msgspec
@@ -46,6 +47,9 @@
       calls_at_once: calls a node may make in a row.
       calls_per_hour: the rate at which it may make further ones (1/h).
       contacts: addresses kept for each failure domain.
+      stale_first: whether contacts are read as the store remembers them,
+        and anew only where that names nobody; for stores that ask less for
+        such reads.
     """
 
     spread_s: float = 0.5
@@ -56,6 +60,11 @@
     calls_at_once: int = 12
     calls_per_hour: float = 60.0
     contacts: int = MAX_CONTACTS
+    stale_first: bool = False
+
+
+#: Addresses of contacts.
+Contacts: TypeAlias = tuple[Address, ...]
 
 
 class Entered(enum.Enum):
@@ -107,6 +116,8 @@
         # just listed, so that no second call is needed to write it.
         self._record = ContactRecord()
         self._listed: tuple[StoreEntry | None] | None = None
+        # Whether the record is from a list that may have been old.
+        self._listed_stale = False
         self.calls: dict[str, int] = {"read": 0, "write": 0, "failed": 0}
 
     @property
@@ -124,19 +135,37 @@
         """Notes that a node answers at `address`."""
         self._unreachable.discard(address)
 
-    async def read(self) -> tuple[Address, ...] | None:
-        """Returns all contacts by one call; `None` if it failed."""
+    async def read(self, *, newest: bool = False) -> Contacts | None:
+        """Returns all contacts; `None` if the store failed.
+
+        A list that is seconds old will do where it names anybody: a contact
+        that is gone takes no connection, and one of those still there tells
+        of all others. Where it names nobody the newest is read.
+
+        Args:
+          newest: whether an old list won't do, after a write of one's own.
+        """
+        found: Contacts | None = ()
+        if self._options.stale_first and not newest:
+            found = await self._list(allow_stale=True)
+        if found is None or found:
+            return found
+        return await self._list(allow_stale=False)
+
+    async def _list(self, *, allow_stale: bool) -> Contacts | None:
         if not self._budget.take(self._clock.monotonic()):
             return None
         self.calls["read"] += 1
         try:
-            entries = await self._store.list(PREFIX)
+            entries = await self._store.list(PREFIX, allow_stale=allow_stale)
         except StoreError:
             self.calls["failed"] += 1
             return None
         records = {e.key: read_record(e.value) for e in entries}
         self._record = records.get(self._key, ContactRecord())
-        self._listed = (next((e for e in entries if e.key == self._key), None),)
+        own = next((e for e in entries if e.key == self._key), None)
+        self._listed = None if allow_stale else (own,)
+        self._listed_stale = allow_stale
         found: list[Address] = []
         for record in records.values():
             found += addresses(record)
@@ -149,6 +178,8 @@
         random time and looks, so that of many nodes that find the record empty
         only the first few write. Where the record may stay it makes no call.
         """
+        if self._listed_stale and self._revised(self._record) is None:
+            return Entered.STANDS
         written = self.calls["write"]
         for attempt in range(_WRITE_TRIES):
             if attempt or self._listed is None:
--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -1,5 +1,6 @@
 """First peers by the store: few calls, no storm, no lost entry."""
 
+import dataclasses
 import random
 
 import anyio
@@ -16,6 +17,7 @@
 from radishwind.membership.contacts import ContactRecord
 from radishwind.membership.contacts import key_of
 from radishwind.membership.contacts import MAX_CONTACTS
+from radishwind.membership.contacts import PREFIX
 from radishwind.membership.contacts import read_record
 from radishwind.membership.contacts import RENEW_MS
 from radishwind.membership.contacts import revised
@@ -27,6 +29,7 @@
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.standins.store import StoreStandin
 from radishwind.store import EtcdStore
+from radishwind.store import StoreEntry
 from radishwind.store import TokenBucket
 
 STORE = Address("127.0.0.1", 2379)
@@ -244,3 +247,82 @@
     first = [n for n in names if ranks_among_first(n, names, 8)]
 
     assert len(first) == 8
+
+
+class Remembering(EtcdStore):
+    """A store that answers stale reads with what it was given as old."""
+
+    def __init__(self, sender):
+        super().__init__(sender, STORE)
+        self.old = ()
+        self.asked = []
+
+    async def list(self, prefix, limit=0, *, allow_stale=False):
+        self.asked.append("stale" if allow_stale else "newest")
+        if allow_stale:
+            return self.old
+        return await super().list(prefix, limit)
+
+
+@pytest.fixture
+def remembering():
+    platform = Platform()
+    store = Remembering(platform.sender)
+
+    def finder(number):
+        return ContactFinder(
+            store=store,
+            failure_domain="genova-a",
+            own=Address("10.0.0.1", number),
+            clock=platform.clock,
+            rng=random.Random(number),
+            options=dataclasses.replace(OPTIONS, stale_first=True),
+        )
+
+    return store, finder
+
+
+async def test_old_contacts_will_do_where_they_name_somebody(remembering):
+    store, finder = remembering
+    first = finder(1)
+    await first.read()
+    await first.enter()
+    store.old = await EtcdStore.list(store, PREFIX)
+    store.asked.clear()
+
+    assert await finder(2).read() == (Address("10.0.0.1", 1),)
+    assert store.asked == ["stale"]
+
+
+async def test_the_newest_are_read_where_the_old_ones_name_nobody(remembering):
+    store, finder = remembering
+    first = finder(1)
+    await first.read()
+    await first.enter()
+    store.asked.clear()
+
+    assert await finder(2).read() == (Address("10.0.0.1", 1),)
+    assert store.asked == ["stale", "newest"]
+
+
+async def test_who_wrote_just_now_reads_the_newest(remembering):
+    store, finder = remembering
+    store.old = (StoreEntry(key_of("genova-b"), b"{}", 1, 1),)
+
+    await finder(1).read(newest=True)
+
+    assert store.asked == ["newest"]
+
+
+async def test_an_own_entry_in_old_contacts_stands_without_a_call(remembering):
+    store, finder = remembering
+    first = finder(1)
+    await first.read()
+    await first.enter()
+    store.old = await EtcdStore.list(store, PREFIX)
+    again = finder(1)
+    await again.read()
+    calls = dict(again.calls)
+
+    assert await again.enter() is Entered.STANDS
+    assert again.calls == calls
--- a/src/radishwind/node/peer_search.py
+++ b/src/radishwind/node/peer_search.py
@@ -86,11 +86,11 @@
             return True
         entered = await self._finder.enter()
         if entered is Entered.WRITTEN:
-            return await self._read_and_join()
+            return await self._read_and_join(newest=True)
         return entered is Entered.STANDS
 
-    async def _read_and_join(self) -> bool:
-        contacts = await self._finder.read()
+    async def _read_and_join(self, *, newest: bool = False) -> bool:
+        contacts = await self._finder.read(newest=newest)
         if contacts is None:
             return False
         facts = self._gossip.table.members.values()
--- a/src/radishwind/platform/store.py
+++ b/src/radishwind/platform/store.py
@@ -105,17 +105,22 @@
         self._address = address
         self._left_out = left_out or _ignored
 
-    async def get(self, key: str) -> StoreEntry | None:
-        response = await self._call("GET", _path("kv-key", key=key))
+    async def get(
+        self, key: str, *, allow_stale: bool = False
+    ) -> StoreEntry | None:
+        asked = {"key": key} | _staleness(allow_stale)
+        response = await self._call("GET", _path("kv-key", **asked))
         if response.status == 404:
             return None
         return _entry(await _decoded(response, _Item))
 
-    async def list(self, prefix: str, limit: int = 0) -> tuple[StoreEntry, ...]:
+    async def list(
+        self, prefix: str, limit: int = 0, *, allow_stale: bool = False
+    ) -> tuple[StoreEntry, ...]:
         found: list[StoreEntry] = []
         after = ""
         while True:
-            asked = {"prefix": prefix}
+            asked = {"prefix": prefix} | _staleness(allow_stale)
             if after:
                 asked["after"] = after
             response = await self._call("GET", _path("kv-range", **asked))
@@ -239,6 +244,11 @@
         )
 
 
+def _staleness(allow_stale: bool) -> dict[str, str]:
+    """Returns the words of a read that may be answered with old state."""
+    return {"allow-stale": "1"} if allow_stale else {}
+
+
 def _path(name: str, **query: str) -> str:
     return f"/-/{name}?{urllib.parse.urlencode(query)}"
 
--- a/src/radishwind/platform/tests/test_store.py
+++ b/src/radishwind/platform/tests/test_store.py
@@ -178,3 +178,14 @@
     entry = await client.get("k")
 
     assert (entry.mod_revision, entry.store_revision) == (4, 70)
+
+
+async def test_only_a_read_that_may_be_old_says_so():
+    client, script = store((404, {}), (404, {}), (200, {"items": []}))
+
+    await client.get("k")
+    await client.get("k", allow_stale=True)
+    await client.list("p/", allow_stale=True)
+
+    stale = ["allow-stale=1" in request.path for request in script.asked]
+    assert stale == [False, True, True]
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -39,6 +39,7 @@
 from radishwind.routes.messages import unpack
 from radishwind.routes.model import RouteConfig
 from radishwind.store.base import Store
+from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreError
 from radishwind.store.budget import Backoff
 from radishwind.telemetry.logs import PartLogger
@@ -169,7 +170,9 @@
         await anyio.sleep(self._rng.random() * self._first_wait_s)
         peers_may_bring_it = self._first_wait_s > 0
         while self._in_force.cfg is None or not peers_may_bring_it:
-            if await self._read_store():
+            # What is newer than an old answer comes by the watch from its
+            # revision on, and to those who don't watch as a rumor.
+            if await self._read_store(allow_stale=True):
                 break
             await anyio.sleep(self._backoff.failed())
             if self._in_force.cfg is not None:
@@ -184,22 +187,27 @@
             await self._watch()
 
     async def _watch(self) -> None:
-        """Watches until the watch fails; then the key is read anew."""
+        """Watches until the watch fails.
+
+        The next one goes on from the last revision seen; the key is read anew
+        only where the store forgot what came since.
+        """
         try:
             async for event in self._store.watch(self._key, self._revision + 1):
                 self._note_store(lost=False)
                 self._revision = max(self._revision, event.revision)
                 if event.key == self._key and event.entry is not None:
                     self._take(event.entry.value, "store")
+        except StoreCompactedError:
+            self._revision = 0
         except StoreError as exc:
             self._note_store(lost=True, reason=str(exc)[:120])
-        self._revision = 0
         await anyio.sleep(self._backoff.failed())
 
-    async def _read_store(self) -> bool:
+    async def _read_store(self, *, allow_stale: bool = False) -> bool:
         """Returns whether the configuration could be read, if there is one."""
         try:
-            entry = await self._store.get(self._key)
+            entry = await self._store.get(self._key, allow_stale=allow_stale)
         except StoreError as exc:
             self._note_store(lost=True, reason=str(exc)[:120])
             return False
--- a/src/radishwind/routes/tests/test_feed.py
+++ b/src/radishwind/routes/tests/test_feed.py
@@ -40,7 +40,7 @@
     def __init__(self):
         self.reads = 0
 
-    async def get(self, key):
+    async def get(self, key, *, allow_stale=False):
         self.reads += 1
         return StoreEntry(key, b"7", 1, 1)
 
@@ -206,7 +206,7 @@
         super().__init__()
         self.watched = []
 
-    async def get(self, key):
+    async def get(self, key, *, allow_stale=False):
         self.reads += 1
         return StoreEntry(key, b"7", 1, 6, store_revision=50)
 
--- a/src/radishwind/sidecar/habits.py
+++ b/src/radishwind/sidecar/habits.py
@@ -165,7 +165,11 @@
     async def _read(self) -> None:
         for _ in range(READS):
             try:
-                entry = await self._store.get(PREFIX + self._service())
+                # What is seconds old is as good: what this node sees itself
+                # soon outweighs it.
+                entry = await self._store.get(
+                    PREFIX + self._service(), allow_stale=True
+                )
             except StoreError as exc:
                 self._log.info("Habits unread.", reason=str(exc)[:120])
                 await anyio.sleep(READ_AGAIN_S)
--- a/src/radishwind/sidecar/tests/test_habits.py
+++ b/src/radishwind/sidecar/tests/test_habits.py
@@ -28,7 +28,7 @@
         self.fails = fails
         self.reads = 0
 
-    async def get(self, key):
+    async def get(self, key, *, allow_stale=False):
         self.reads += 1
         if self.fails:
             self.fails -= 1
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -134,11 +134,21 @@
     """
 
     @abc.abstractmethod
-    async def get(self, key: str) -> StoreEntry | None:
-        """Returns the entry of `key`, if it exists."""
+    async def get(
+        self, key: str, *, allow_stale: bool = False
+    ) -> StoreEntry | None:
+        """Returns the entry of `key`, if it exists.
+
+        Args:
+          key: the key.
+          allow_stale: whether an answer that is seconds old will do; a store
+            gives it more cheaply, from any of its replicas.
+        """
 
     @abc.abstractmethod
-    async def list(self, prefix: str, limit: int = 0) -> tuple[StoreEntry, ...]:
+    async def list(
+        self, prefix: str, limit: int = 0, *, allow_stale: bool = False
+    ) -> tuple[StoreEntry, ...]:
         """Returns the entries whose key starts with `prefix`, by key.
 
         It is read in pages, each a call of the store, so a key changed
@@ -147,6 +157,7 @@
         Args:
           prefix: what the keys start with, not empty.
           limit: how many entries at most, the first by key; 0 for all.
+          allow_stale: as with `get`.
         """
 
     @abc.abstractmethod
--- a/src/radishwind/store/budget.py
+++ b/src/radishwind/store/budget.py
@@ -121,15 +121,21 @@
         self.refused = 0
         self.failed = 0
 
-    async def get(self, key: str) -> StoreEntry | None:
-        self._spend("get")
+    async def get(
+        self, key: str, *, allow_stale: bool = False
+    ) -> StoreEntry | None:
+        self._spend("get stale" if allow_stale else "get")
         with _Watched(self):
-            return await self._inner.get(key)
+            return await self._inner.get(key, allow_stale=allow_stale)
 
-    async def list(self, prefix: str, limit: int = 0) -> tuple[StoreEntry, ...]:
-        self._spend("list")
+    async def list(
+        self, prefix: str, limit: int = 0, *, allow_stale: bool = False
+    ) -> tuple[StoreEntry, ...]:
+        self._spend("list stale" if allow_stale else "list")
         with _Watched(self):
-            return await self._inner.list(prefix, limit)
+            return await self._inner.list(
+                prefix, limit, allow_stale=allow_stale
+            )
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
--- a/src/radishwind/store/etcd.py
+++ b/src/radishwind/store/etcd.py
@@ -50,12 +50,19 @@
         self._address = address
         self._timeout_s = timeout_s
 
-    async def get(self, key: str) -> StoreEntry | None:
-        body = {"key": gateway.encode_bytes(key.encode())}
+    async def get(
+        self, key: str, *, allow_stale: bool = False
+    ) -> StoreEntry | None:
+        body: dict[str, Any] = {
+            "key": gateway.encode_bytes(key.encode()),
+            "serializable": allow_stale,
+        }
         entries = gateway.read_entries(await self._call("kv/range", body))
         return entries[0] if entries else None
 
-    async def list(self, prefix: str, limit: int = 0) -> tuple[StoreEntry, ...]:
+    async def list(
+        self, prefix: str, limit: int = 0, *, allow_stale: bool = False
+    ) -> tuple[StoreEntry, ...]:
         entries: list[StoreEntry] = []
         start = prefix.encode()
         while True:
@@ -66,6 +73,7 @@
                 "key": gateway.encode_bytes(start),
                 "range_end": gateway.encode_bytes(gateway.prefix_end(prefix)),
                 "limit": page,
+                "serializable": allow_stale,
             }
             got = gateway.read_entries(await self._call("kv/range", body))
             entries.extend(got)
