--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -47,6 +47,12 @@
 #: Nodes of a failure domain that watch the store: one may be cut off from it.
 WATCHERS = 2
 
+#: Beyond so many watchers in all each failure domain has one. Each change of the
+#: routes costs a call of each watcher; where the store turns a third of the
+#: nodes away, six are all turned away once in 700 times, and a failure domain
+#: whose own can't watch hears of a version from the others.
+ENOUGH_WATCHERS = 6
+
 #: The control path on the peer listener.
 CONTROL_NAME = "routes"
 
@@ -267,11 +273,12 @@
         cut off, those of its part hear the rumor and ask.
         """
         near = self._near()
+        parts = self._watchers()
         own = rank(self._node_name)
         before = sum(rank(m.name) < own for m in near)
         async with anyio.create_task_group() as tasks:
             for member in near:
-                if rank(member.name) % WATCHERS == before % WATCHERS:
+                if rank(member.name) % parts == before % parts:
                     tasks.start_soon(self._push_to, member, data)
 
     async def _push_to(self, member: Member, data: bytes) -> None:
@@ -358,4 +365,9 @@
         names = [m.name for m in self._near()]
         if not names and self._clock.monotonic() - self._began < ALONE_S:
             return False
-        return ranks_among_first(self._node_name, names, WATCHERS)
+        return ranks_among_first(self._node_name, names, self._watchers())
+
+    def _watchers(self) -> int:
+        """Returns how many nodes of a failure domain watch the store."""
+        domains = {m.failure_domain for m in self._directory.members()}
+        return WATCHERS if WATCHERS * len(domains) <= ENOUGH_WATCHERS else 1
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -41,9 +41,11 @@
 LEARN_SILENCE_S = 0.01
 LEARN_S = 4.0
 
-#: The same where others told the period: two changes then show the grid, and
-#: each is located well enough, for half of the looks.
-EXPECTED_SILENCE_S = 0.02
+#: The same where others told the period, as a part of it: two changes then show
+#: the grid, and with what a look itself takes each is located well enough. At
+#: 20 ms for a period of 150 ms the changes lay 11 to 14 ms to either side, too
+#: far for the grid to be told from chance (log of a play).
+EXPECTED_SILENCE_PART = 0.07
 
 #: The best pace of so long is what a good spell gives there (s): with a third
 #: of the spells slow, ten of 0.15 s are all slow once in 30,000 times.
@@ -232,8 +234,9 @@
             silence_s = SEARCH_SILENCE_S
         elif now - self._learning_since < LEARN_S:
             silence_s = LEARN_SILENCE_S
-            if self.spells.is_expected:
-                silence_s = EXPECTED_SILENCE_S
+            if self.spells.expected_s:
+                expected_s = EXPECTED_SILENCE_PART * self.spells.expected_s
+                silence_s = max(LEARN_SILENCE_S, expected_s)
         return max(0.0, self.heard + silence_s - now)
 
     def _is_spared(self) -> bool:
--- a/src/radishwind/target/spells.py
+++ b/src/radishwind/target/spells.py
@@ -113,9 +113,9 @@
         self._wide = 0
 
     @property
-    def is_expected(self) -> bool:
-        """Whether others found a period that still is to be seen here."""
-        return self._expected_s > 0
+    def expected_s(self) -> float:
+        """The period that others found (s); 0 where they told none."""
+        return self._expected_s
 
     @property
     def looks_s(self) -> tuple[float, ...]:
