--- a/src/radishwind/node/peer_search.py
+++ b/src/radishwind/node/peer_search.py
@@ -125,7 +125,8 @@
             due = began + self._pause_s(looks, failures) * jitter
             if now >= due:
                 return
-            await anyio.sleep(min(due, gone_look, *missing_looks[:1]) - now)
+            wake = min(due, gone_look, *missing_looks[:1])
+            await anyio.sleep(max(0.0, wake - now))
             now = self._clock.monotonic()
             if missing_looks and now >= missing_looks[0]:
                 del missing_looks[0]
--- a/src/radishwind/node/tests/test_peer_search.py
+++ b/src/radishwind/node/tests/test_peer_search.py
@@ -157,6 +157,29 @@
     assert sum(slept) <= 2 * MISSING_LOOKS_S[1]
 
 
+async def test_a_search_that_wakes_late_goes_on(fleet, monkeypatch):
+    """A busy machine wakes a task after its time; no wait is negative."""
+    for node in fleet[:2]:
+        await node.search._look()
+    third = fleet[2]
+    await third.search._look()
+    third.know(fact(1))
+    slept = []
+
+    async def sleep(for_s):
+        slept.append(for_s)
+        third.clock.advance(for_s + 1.7)
+        if third.clock.monotonic() > 30.0:
+            scope.cancel()
+        await anyio.lowlevel.checkpoint()
+
+    monkeypatch.setattr(peer_search.anyio, "sleep", sleep)
+    with anyio.CancelScope() as scope:
+        await third.search._until_next_look(1, 0)
+
+    assert min(slept) >= 0
+
+
 async def test_who_knows_all_contacts_asks_none_again(fleet, monkeypatch):
     for node in fleet[:2]:
         await node.search._look()
--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -71,7 +71,11 @@
 
 
 class Instance:
-    """One instance: its node as a process, its server stood in."""
+    """One instance: its node as a process, its server stood in.
+
+    Attributes:
+      python: the command that runs a module; of its node.
+    """
 
     def __init__(self, place: Place, port: int, folder: pathlib.Path) -> None:
         self.place = place
@@ -86,6 +90,7 @@
         self.store_seen: Address | None = None
         self.server_seen = self.address
         self.peers_seen: Address | None = None
+        self.python: tuple[str, ...] = (sys.executable,)
         self.log_path = folder / f"{place.name}.log"
         self.settings_path = folder / f"{place.name}.toml"
         self._process: asyncio.subprocess.Process | None = None
@@ -128,7 +133,7 @@
             environ["RADISHWIND_PEER_ADDRESS"] = str(self.peers_seen)
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
+                *self.python,
                 "-m",
                 "radishwind.sidecar",
                 env=environ,
@@ -171,6 +176,12 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    @property
+    def node_pid(self) -> int:
+        """The process of the node."""
+        assert self._process is not None, "no node was started"
+        return self._process.pid
+
     async def node_ended(self) -> int:
         """Returns the exit code of the node once it ended."""
         assert self._process is not None
