--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -157,7 +157,9 @@
 
     def next_due(self) -> float:
         """Returns when `tick` has something to do (monotonic s)."""
-        due = min(self._next_probe, self._next_sync, self._next_sweep)
+        due = min(self._next_probe, self._next_sync)
+        if self.prober.is_waiting:
+            due = min(due, self._next_sweep)
         if self._spreader.waiting:
             due = min(due, self._next_push)
         self._due = due
--- a/src/radishwind/membership/probe.py
+++ b/src/radishwind/membership/probe.py
@@ -55,6 +55,11 @@
         if name != self._own_name and name in self._table.members:
             self._hinted[name] = None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether an answer or a refutation is waited for."""
+        return bool(self._unanswered or self._suspected)
+
     def failed(self, name: str, now: float) -> bool:
         """Notes that a direct probe failed; returns whether it is new."""
         if name in self._unanswered:
--- a/src/radishwind/membership/tests/test_start_of_all.py
+++ b/src/radishwind/membership/tests/test_start_of_all.py
@@ -13,6 +13,7 @@
 
 from radishwind.membership import Announced
 from radishwind.membership.actions import Purpose
+from radishwind.membership.facts import Belief
 from radishwind.node.peer_search import MISSING_LOOKS_S
 from radishwind.peers.datagrams import MAX_DATAGRAM_BYTES
 from radishwind.sidecar.options import GOSSIP
@@ -145,3 +146,41 @@
     took_s = fleet.run_until(all_know, 12.0)
 
     assert took_s is not None
+
+
+def test_a_node_at_rest_wakes_little():
+    """A fleet of hundreds pays each wake of each process."""
+    fleet = GossipNet(GOSSIP)
+    fleet.fill(20)
+    fleet.run(1.0)
+    wakes = 0
+
+    def counted(number, node, due):
+        nonlocal wakes
+        wakes += 1
+        return GossipNet._tick(fleet, number, node, due)
+
+    fleet._tick = counted
+
+    fleet.run(10.0)
+
+    # A probe a second and a comparison of digests every eight.
+    assert wakes / 20 / 10.0 <= 1.5
+
+
+def test_a_suspicion_is_looked_after_at_its_time():
+    fleet = GossipNet(GOSSIP)
+    fleet.fill(20)
+    fleet.run(1.0)
+    fleet.kill(7)
+    name = fact_of(7).name
+
+    def suspected():
+        return any(
+            node.table.members[name].belief is Belief.SUSPECT
+            for node in fleet.nodes.values()
+        )
+
+    took_s = fleet.run_until(suspected, 4.0)
+
+    assert took_s is not None
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -304,15 +304,22 @@
     async def _follow_peers(self) -> None:
         while True:
             if not self._is_behind():
-                self._heard = anyio.Event()
-                with anyio.move_on_after(_DUTY_PERIOD_S):
-                    await self._heard.wait()
+                await self._hear()
                 if not self._is_behind():
                     continue
                 await anyio.sleep(_PUSH_WAIT_S * (0.5 + self._rng.random()))
             if self._is_behind() and not await self._pull():
                 await anyio.sleep(_PUSH_WAIT_S)
 
+    async def _hear(self) -> None:
+        """Waits for news; without any routes also for the first peers."""
+        self._heard = anyio.Event()
+        if self._in_force.cfg is not None:
+            await self._heard.wait()
+            return
+        with anyio.move_on_after(_DUTY_PERIOD_S):
+            await self._heard.wait()
+
     def _is_behind(self) -> bool:
         if self._in_force.cfg is None:
             return bool(self._near() or self._others())
--- a/src/radishwind/sidecar/loads.py
+++ b/src/radishwind/sidecar/loads.py
@@ -18,10 +18,16 @@
 from radishwind.routing.fresh import FreshLoadChooser
 from radishwind.target.pipeline import TargetPipeline
 
-#: How often a change that no answer brought is looked for (s): one in the
-#: queue, as each figure of the pace is told when it comes.
+#: How often a change that no answer brought is looked for (s) while requests
+#: are at the server: one in the queue, as each figure of the pace is told when
+#: it comes.
 LOOK_PERIOD_S = 0.1
 
+#: The same while none is (s): the load is told once a second in any case. A
+#: fleet of hundreds wakes each idle process this often, which costs it more
+#: than what is then done.
+IDLE_LOOK_PERIOD_S = 0.5
+
 
 class LoadSharing:
     """Owns the datagrams of load."""
@@ -69,7 +75,9 @@
         """Tells until cancelled."""
         while True:
             self.tell()
-            await anyio.sleep(LOOK_PERIOD_S)
+            report = self._target.load()
+            is_idle = not report.in_flight and not report.queued
+            await anyio.sleep(IDLE_LOOK_PERIOD_S if is_idle else LOOK_PERIOD_S)
 
     def tell(self) -> None:
         """Tells the load if it changed enough."""
