--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -7,8 +7,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
-from collections.abc import Sequence
 import random
 
 import anyio
@@ -22,9 +20,6 @@
 from radishwind.http.types import whole_body
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
-from radishwind.membership.directory import MemberState
-from radishwind.membership.ranking import rank
-from radishwind.membership.ranking import ranks_among_first
 from radishwind.membership.rumors import RumorBoard
 from radishwind.outcomes import problem
 from radishwind.peers.client import PeerClient
@@ -39,21 +34,13 @@
 from radishwind.routes.messages import pack
 from radishwind.routes.messages import unpack
 from radishwind.routes.model import RouteConfig
+from radishwind.routes.neighbours import Neighbours
 from radishwind.store.base import Store
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreError
 from radishwind.store.budget import Backoff
 from radishwind.telemetry.logs import PartLogger
 
-#: Nodes of a failure domain that watch the store: one may be cut off from it.
-WATCHERS = 2
-
-#: Beyond so many watchers in all each failure domain has one. Each change of
-#: the routes costs a call of each watcher; where the store turns a third of the
-#: nodes away, six are all turned away once in 700 times, and a failure domain
-#: whose own can't watch hears of a version from the others.
-ENOUGH_WATCHERS = 6
-
 #: The control path on the peer listener.
 CONTROL_NAME = "routes"
 
@@ -79,11 +66,11 @@
 #: How often a node looks whether it is to watch (s).
 _DUTY_PERIOD_S = 0.5
 
-#: A node that knows no other of its failure domain watches only this long after
-#: its start (s): it finds them within a second. Where each of a start of all
-#: took itself for the only one, each watched, and each change of the routes was
-#: asked for by all of them (31 watches of 27 nodes in the logs of a play).
-ALONE_S = 2.0
+#: Versions pushed at once. A packed configuration is 28 to 100 KB, the link of
+#: a node 10 to 20 Mbit/s: six share it within the time that a push may take,
+#: where all 38 of a failure domain at once would all be cut off (worked out).
+#: Who waits asks those who have it already.
+PUSHES_AT_ONCE = 6
 
 _MSGPACK = (("Content-Type", "application/msgpack"),)
 
@@ -125,15 +112,19 @@
             random; not where a peer brought the configuration before.
         """
         self._node_name = node_name
-        self._failure_domain = failure_domain
+        self._neighbours = Neighbours(
+            node_name=node_name,
+            failure_domain=failure_domain,
+            directory=directory,
+            clock=clock,
+            rng=rng,
+        )
         self._key = key
         self._decode = decode
         self._store = store
         self._in_force = in_force
-        self._directory = directory
         self._board = board
         self._peers = peers
-        self._clock = clock
         self._rng = rng
         self._first_wait_s = first_wait_s
         self._log = PartLogger("routes", clock)
@@ -145,7 +136,6 @@
         # The version that is packed, and packed; made for the first peer.
         self._packed = (0, b"")
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._began = clock.monotonic()
         board.subscribe(TOPIC, self._on_rumor)
         in_force.listen(self._adopted)
 
@@ -192,7 +182,7 @@
             if self._in_force.cfg is not None:
                 break
         while True:
-            if not self._is_watcher():
+            if not self._neighbours.is_watcher():
                 await anyio.sleep(_DUTY_PERIOD_S)
                 continue
             if not self._revision and not await self._read_store():
@@ -212,7 +202,7 @@
                 self._revision = max(self._revision, event.revision)
                 if event.key == self._key and event.entry is not None:
                     self._take(event.entry.value, "store")
-                if not self._is_watcher():
+                if not self._neighbours.is_watcher():
                     return
         except StoreCompactedError:
             self._revision = 0
@@ -263,7 +253,7 @@
         self._heard_version = max(self._heard_version, cfg.version)
         value = msgspec.json.encode([cfg.version, self._node_name])
         self._board.publish(TOPIC, "version", cfg.version, value, _RUMOR_S)
-        if self._tasks is not None and self._is_watcher():
+        if self._tasks is not None and self._neighbours.is_watcher():
             data = encode(Offer(self._pack()))
             self._tasks.start_soon(self._push, data)
 
@@ -273,16 +263,15 @@
         Each watcher of the failure domain has its part; where one of them is
         cut off, those of its part hear the rumor and ask.
         """
-        near = self._near()
-        parts = self._watchers()
-        own = rank(self._node_name)
-        before = sum(rank(m.name) < own for m in near)
+        limit = anyio.Semaphore(PUSHES_AT_ONCE)
         async with anyio.create_task_group() as tasks:
-            for member in near:
-                if rank(member.name) % parts == before % parts:
-                    tasks.start_soon(self._push_to, member, data)
+            for member in self._neighbours.part():
+                await limit.acquire()
+                tasks.start_soon(self._push_to, member, data, limit)
 
-    async def _push_to(self, member: Member, data: bytes) -> None:
+    async def _push_to(
+        self, member: Member, data: bytes, limit: anyio.Semaphore
+    ) -> None:
         try:
             await self._peers.call(
                 member.address, CONTROL_NAME, data, _PEER_TIMEOUT_S
@@ -290,6 +279,8 @@
         except PeerError as exc:
             # The rumor reaches it, and then it asks.
             self._log.info("A push failed.", reason=str(exc)[:120])
+        finally:
+            limit.release()
 
     def _on_rumor(self, key: str, value: bytes) -> None:
         try:
@@ -322,12 +313,15 @@
 
     def _is_behind(self) -> bool:
         if self._in_force.cfg is None:
-            return bool(self._near() or self._others())
+            return bool(self._neighbours.near() or self._neighbours.far())
         return self._in_force.version < self._heard_version
 
     async def _pull(self) -> bool:
         """Asks peers, near ones first, then the store; `False` if in vain."""
-        for member in (*self._near()[:3], *self._others()[:2]):
+        for member in (
+            *self._neighbours.near()[:3],
+            *self._neighbours.far()[:2],
+        ):
             if await self._pull_from(member):
                 return True
         if self._in_force.cfg is None:
@@ -350,36 +344,3 @@
             return False
         self._take(raw, f"peer {member.name}")
         return self._in_force.cfg is not None and not self._is_behind()
-
-    def _near(self) -> Sequence[Member]:
-        """Returns the other nodes of the own failure domain, shuffled."""
-        return self._peers_where(near=True)
-
-    def _others(self) -> Sequence[Member]:
-        return self._peers_where(near=False)
-
-    def _peers_where(self, *, near: bool) -> Sequence[Member]:
-        found = [m for m in self._others_alive() if self._is_near(m) is near]
-        self._rng.shuffle(found)
-        return found
-
-    def _others_alive(self) -> Iterator[Member]:
-        for member in self._directory.members():
-            if member.state is MemberState.DEAD:
-                continue
-            if member.name != self._node_name:
-                yield member
-
-    def _is_near(self, member: Member) -> bool:
-        return member.failure_domain == self._failure_domain
-
-    def _is_watcher(self) -> bool:
-        names = [m.name for m in self._others_alive() if self._is_near(m)]
-        if not names and self._clock.monotonic() - self._began < ALONE_S:
-            return False
-        return ranks_among_first(self._node_name, names, self._watchers())
-
-    def _watchers(self) -> int:
-        """Returns how many nodes of a failure domain watch the store."""
-        domains = {m.failure_domain for m in self._directory.members()}
-        return WATCHERS if WATCHERS * len(domains) <= ENOUGH_WATCHERS else 1
--- a/src/radishwind/routes/tests/test_feed.py
+++ b/src/radishwind/routes/tests/test_feed.py
@@ -10,14 +10,16 @@
 from radishwind.http.types import Request
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
+from radishwind.membership.ranking import rank
 from radishwind.routes import messages
 from radishwind.routes import Part
 from radishwind.routes import Route
 from radishwind.routes import RouteConfig
 from radishwind.routes import RoutesInForce
-from radishwind.routes.feed import ALONE_S
+from radishwind.routes.feed import PUSHES_AT_ONCE
 from radishwind.routes.feed import RouteFeed
-from radishwind.routes.feed import WATCHERS
+from radishwind.routes.neighbours import ALONE_S
+from radishwind.routes.neighbours import WATCHERS
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import WatchEvent
@@ -192,12 +194,13 @@
 
 async def pushed_to(made, in_force):
     in_force.adopt(decode(b"7"), b"7", "test")
-    if not made._is_watcher():
+    if not made._neighbours.is_watcher():
         return []
     told = []
 
-    async def note(member, data):
+    async def note(member, data, limit):
         told.append(member.name)
+        limit.release()
 
     made._push_to = note
     await made._push(b"")
@@ -267,11 +270,11 @@
 
 def test_a_node_that_stays_alone_watches():
     made, _ = feed(Store(), Directory("own"), 0.0)
-    assert not made._is_watcher()
+    assert not made._neighbours.is_watcher()
 
-    made._clock.advance(ALONE_S)
+    made._neighbours._clock.advance(ALONE_S)
 
-    assert made._is_watcher()
+    assert made._neighbours.is_watcher()
 
 
 async def test_a_watch_ends_where_others_are_to_watch():
@@ -279,7 +282,7 @@
     names = [f"t-{number}" for number in range(12)]
     made, in_force = feed(store, Directory(*names), 0.0, "t-0")
     duty = iter((True, False))
-    made._is_watcher = lambda: next(duty, False)
+    made._neighbours.is_watcher = lambda: next(duty, False)
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(made._follow_store)
@@ -290,3 +293,32 @@
         tasks.cancel_scope.cancel()
 
     assert store.watches == 1
+
+
+class SlowPeers(Peers):
+    """Takes a while for each push, and notes how many are on their way."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = self.most = self.pushed = 0
+
+    async def call(self, address, name, data, timeout_s):
+        self.now += 1
+        self.most = max(self.most, self.now)
+        await anyio.sleep(0.001)
+        self.now -= 1
+        self.pushed += 1
+        return messages.encode(messages.Nothing())
+
+
+async def test_a_watcher_of_a_large_failure_domain_pushes_to_few_at_once():
+    names = [f"t-{number}" for number in range(40)]
+    first = min(names, key=rank)
+    made, in_force = feed(Store(), Directory(*names), 60.0, first)
+    made._peers = SlowPeers()
+    in_force.adopt(decode(b"7"), b"7", "test")
+
+    await made._push(b"")
+
+    assert made._peers.most == PUSHES_AT_ONCE
+    assert made._peers.pushed >= 10
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -23,8 +23,8 @@
 from radishwind.target.dialect import ServerDialect
 from radishwind.target.pace_gate import PaceGate
 from radishwind.target.pipeline import TargetPipeline
-from radishwind.target.pulse import PulseKeeper
 from radishwind.target.pulse import ServerPulse
+from radishwind.target.pulse_keeper import PulseKeeper
 from radishwind.target.registered import RegisteredServer
 from radishwind.target.registered import Registration
 from radishwind.target.server import ServerView
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -7,19 +7,10 @@
 import collections
 from collections.abc import Callable
 
-import anyio
-
 from radishwind.core.clock import Clock
-from radishwind.core.timelimit import TimeLimit
-from radishwind.http.errors import SendError
-from radishwind.http.sender import Sender
-from radishwind.http.types import whole_body
 from radishwind.routing.pace import PaceHabit
-from radishwind.target.dialect import ServerAnswer
-from radishwind.target.dialect import ServerDialect
 from radishwind.target.dialect import ServerLoad
 from radishwind.target.pace import Pace
-from radishwind.target.server import ServerView
 from radishwind.target.spells import SpellClock
 
 #: Silence after which a server that is in use is asked (s). Its pace holds for
@@ -55,9 +46,6 @@
 #: each 0.1 s of waiting is lost on every instance at once.
 SEARCH_SILENCE_S = 0.05
 
-#: How long a health check may take (s).
-CHECK_TIMEOUT_S = 0.4
-
 #: How a pace fades towards the usual mean without news (s).
 FADE_S = 0.25
 
@@ -262,94 +250,5 @@
         return min(at for at in looks if at > now) - now
 
 
-class PulseKeeper:
-    """The task that asks the server into silence, one check at a time."""
-
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        sender: Sender,
-        dialect: ServerDialect,
-        pulse: ServerPulse,
-        view: Callable[[], ServerView | None],
-        answered: Callable[[ServerAnswer, bool], None],
-        unreachable: Callable[[], None],
-    ) -> None:
-        """Wires the task.
-
-        Args:
-          clock: the clock.
-          sender: sends the health checks.
-          dialect: makes and reads them.
-          pulse: takes the figures.
-          view: returns the server, `None` where none is to be asked.
-          answered: takes what a check told, and whether it was a good one.
-          unreachable: called where the server takes no connection.
-        """
-        self._clock = clock
-        self._sender = sender
-        self._dialect = dialect
-        self._pulse = pulse
-        self._view = view
-        self._answered = answered
-        self._unreachable = unreachable
-
-    async def run(self) -> None:
-        """Asks until cancelled."""
-        self._used = anyio.Event()
-        self._pulse.listen_for_use(lambda: self._used.set())
-        while True:
-            view = self._view()
-            wait_s = self._pulse.check_in_s()
-            if view is None or not view.health_path:
-                await anyio.sleep(SEARCH_SILENCE_S)
-                continue
-            if wait_s > 0:
-                await self._wait(wait_s)
-                continue
-            self._pulse.looked()
-            await self.check(view)
-
-    async def _wait(self, for_s: float) -> None:
-        """Waits until a look is due, or an idle server is used.
-
-        Short waits are slept through: a wait that is cancelled by its time
-        costs 0.1 ms of processor time more, and there are seven a second.
-        """
-        if for_s < IDLE_SILENCE_S / 2:
-            await anyio.sleep(max(for_s, 0.001))
-            return
-        with anyio.move_on_after(for_s):
-            await self._used.wait()
-        self._used = anyio.Event()
-
-    async def check(self, view: ServerView) -> None:
-        """Sends one health check; a failed one counts as heard of."""
-        self._pulse.checks += 1
-        began = self._clock.monotonic()
-        try:
-            with TimeLimit(CHECK_TIMEOUT_S):
-                response = await self._sender.send(
-                    view.address,
-                    self._dialect.health_request(view.health_path),
-                    CHECK_TIMEOUT_S,
-                )
-                await whole_body(response.body)
-        except SendError:
-            self._pulse.heard = began
-            self._unreachable()
-            return
-        except TimeoutError:
-            self._pulse.heard = began
-            return
-        answer = self._dialect.read_health(response)
-        if answer.load is not None:
-            self._pulse.told(answer.load, began)
-        else:
-            self._pulse.heard = began
-        self._answered(answer, response.status < 300)
-
-
 def _always() -> bool:
     return True
