--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -291,7 +291,9 @@
 
 
 class Traffic(msgspec.Struct):
-    """Messages and payload bytes of membership since the start.
+    """Messages and payload bytes of membership by HTTP since the start.
+
+    Datagrams are counted by their socket.
 
     Attributes:
       messages_sent: messages and answers sent.
