--- a/src/radishwind/membership/tests/test_discovery.py
+++ b/src/radishwind/membership/tests/test_discovery.py
@@ -282,11 +282,14 @@
     return store, finder
 
 
+async def enter(finder):
+    await finder.read()
+    await finder.enter()
+
+
 async def test_old_contacts_will_do_where_they_name_somebody(remembering):
     store, finder = remembering
-    first = finder(1)
-    await first.read()
-    await first.enter()
+    await enter(finder(1))
     store.old = await EtcdStore.list(store, PREFIX)
     store.asked.clear()
 
@@ -296,9 +299,7 @@
 
 async def test_the_newest_are_read_where_the_old_ones_name_nobody(remembering):
     store, finder = remembering
-    first = finder(1)
-    await first.read()
-    await first.enter()
+    await enter(finder(1))
     store.asked.clear()
 
     assert await finder(2).read() == (Address("10.0.0.1", 1),)
@@ -316,9 +317,7 @@
 
 async def test_an_own_entry_in_old_contacts_stands_without_a_call(remembering):
     store, finder = remembering
-    first = finder(1)
-    await first.read()
-    await first.enter()
+    await enter(finder(1))
     store.old = await EtcdStore.list(store, PREFIX)
     again = finder(1)
     await again.read()
--- a/src/radishwind/node/tests/test_peer_search.py
+++ b/src/radishwind/node/tests/test_peer_search.py
@@ -132,70 +132,60 @@
     assert not first.search._is_to_replace_one(), "t-2 is not known, or gone"
 
 
-async def test_a_contact_that_was_not_up_is_tried_again(fleet, monkeypatch):
-    """Of two groups that start at once neither stays apart."""
-    for node in fleet[:2]:
+@pytest.fixture
+async def third(fleet):
+    """A node that read two contacts, and knows neither yet."""
+    for node in fleet[:3]:
         await node.search._look()
-    third = fleet[2]
-    await third.search._look()
-    third.know(fact(2))
-    third.joined.clear()
+    fleet[2].joined.clear()
+    return fleet[2]
+
+
+async def wait_for_looks(node, monkeypatch, is_over, late_s=0.0):
+    """Lets the node wait for its next look; returns the waits (s)."""
     slept = []
 
     async def sleep(for_s):
         slept.append(for_s)
-        third.clock.advance(for_s)
-        if len(third.joined) >= 3:
+        node.clock.advance(for_s + late_s)
+        if is_over():
             scope.cancel()
         await anyio.lowlevel.checkpoint()
 
     monkeypatch.setattr(peer_search.anyio, "sleep", sleep)
     with anyio.CancelScope() as scope:
-        await third.search._until_next_look(1, 0)
+        await node.search._until_next_look(1, 0)
+    return slept
+
+
+async def test_a_contact_that_was_not_up_is_tried_again(third, monkeypatch):
+    """Of two groups that start at once neither stays apart."""
+    third.know(fact(2))
+
+    slept = await wait_for_looks(
+        third, monkeypatch, lambda: len(third.joined) >= 3
+    )
 
     assert set(third.joined) == {"10.0.0.1:1"}
     assert sum(slept) <= 2 * MISSING_LOOKS_S[1]
 
 
-async def test_a_search_that_wakes_late_goes_on(fleet, monkeypatch):
+async def test_a_search_that_wakes_late_goes_on(third, monkeypatch):
     """A busy machine wakes a task after its time; no wait is negative."""
-    for node in fleet[:2]:
-        await node.search._look()
-    third = fleet[2]
-    await third.search._look()
     third.know(fact(1))
-    slept = []
 
-    async def sleep(for_s):
-        slept.append(for_s)
-        third.clock.advance(for_s + 1.7)
-        if third.clock.monotonic() > 30.0:
-            scope.cancel()
-        await anyio.lowlevel.checkpoint()
-
-    monkeypatch.setattr(peer_search.anyio, "sleep", sleep)
-    with anyio.CancelScope() as scope:
-        await third.search._until_next_look(1, 0)
+    slept = await wait_for_looks(
+        third, monkeypatch, lambda: third.clock.monotonic() > 30.0, late_s=1.7
+    )
 
     assert min(slept) >= 0
 
 
-async def test_who_knows_all_contacts_asks_none_again(fleet, monkeypatch):
-    for node in fleet[:2]:
-        await node.search._look()
-    third = fleet[2]
-    await third.search._look()
+async def test_who_knows_all_contacts_asks_none_again(third, monkeypatch):
     third.know(fact(1), fact(2))
-    third.joined.clear()
 
-    async def sleep(for_s):
-        third.clock.advance(for_s)
-        if third.clock.monotonic() > 30.0:
-            scope.cancel()
-        await anyio.lowlevel.checkpoint()
-
-    monkeypatch.setattr(peer_search.anyio, "sleep", sleep)
-    with anyio.CancelScope() as scope:
-        await third.search._until_next_look(1, 0)
+    await wait_for_looks(
+        third, monkeypatch, lambda: third.clock.monotonic() > 30.0
+    )
 
     assert third.joined == []
