Look at a server that joins a system in use at once

Looks are spared at the first start of a whole system only, and until the first caller of the node.

A test plays each: who joins is looked at, and callers of others begin the looks.

--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -13,6 +13,7 @@
 from radishwind.core.codes import ResultCode
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.aiohttp_sender import AiohttpSender
+from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.facts import Announced
 from radishwind.membership.listing import OpenListing
@@ -156,8 +157,9 @@
             tells_unasked=lambda member: self._loads.tells_unasked(member),
             observers=(RequestLog(self._clock), self._metrics),
         )
+        self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
-            CallerListener(self._entry.pipeline).handle,
+            self._handle_caller,
             self._clock,
             refusal=_refused_late,
         )
@@ -185,6 +187,10 @@
         )
         self._target.pulse.listen(self._loads.tell)
 
+    async def _handle_caller(self, request: Request) -> Response:
+        self._target.pulse.callers_came()
+        return await self._caller_listener.handle(request)
+
     def _build_control(self) -> None:
         self._control = ControlSide(
             settings=self._settings,
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -86,7 +86,11 @@
             clock=clock,
             board=board,
         )
-        self.pulse = ServerPulse(clock, learns_for_others)
+        self.pulse = ServerPulse(
+            clock,
+            learns_for_others,
+            callers_come_at_once=not settings.first_start,
+        )
         self.room = RoomLearner()
         self._limits = AdmissionLimits()
         self.admission = UrgentAdmission(
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -63,20 +63,24 @@
         self,
         clock: Clock,
         learns_for_others: Callable[[], bool] | None = None,
+        callers_come_at_once: bool = True,
     ) -> None:
         """Knows nothing of the server yet.
 
         Args:
           clock: the clock.
           learns_for_others: returns whether this node is one of those that
-            learn when the pace changes though nobody uses the server yet, and
-            tell the others; by default it is. The others spend no look on it
-            before its first request: of 195 nodes that started 12 s before
-            their callers each made some 300, and of 60 that start again each
-            some 230 in 4 s, a quarter of the processor time of its start.
+            learn when the pace changes before there are callers, and tell the
+            others; by default it is.
+          callers_come_at_once: whether callers come as soon as the node runs.
+            Where not, as in the first start of a whole system, the nodes that
+            don't learn for others spend no look before the first caller: of
+            195 that started 12 s before their callers each made some 300. A
+            server that joins a system in use has to be looked at though, else
+            those whose pace is known are always better.
         """
         self._clock = clock
-        self._is_used = False
+        self._is_used = callers_come_at_once
         self._learns_for_others = learns_for_others or _always
         self.load: ServerLoad | None = None
         self.heard = -IDLE_SILENCE_S
@@ -129,15 +133,22 @@
 
     def used(self) -> None:
         """Notes that a request came for the server."""
+        self.callers_came()
         now = self._clock.monotonic()
         idle_s = now - self._used
-        if idle_s > FORGET_S or self._is_spared():
+        if idle_s > FORGET_S:
             self._learning_since = now
         self._used = now
-        if idle_s > USE_S or not self._is_used:
-            self._is_used = True
-            for listener in self._use_listeners:
-                listener()
+        if idle_s > USE_S:
+            self._tell_use()
+
+    def callers_came(self) -> None:
+        """Takes that callers use the system, though not yet this server."""
+        if self._is_used:
+            return
+        self._is_used = True
+        self._used = self._learning_since = self._clock.monotonic()
+        self._tell_use()
 
     def told(self, load: ServerLoad, asked: float | None = None) -> None:
         """Takes a figure that the server told.
@@ -226,6 +237,10 @@
                 silence_s = max(LEARN_SILENCE_S, expected_s)
         return max(0.0, self.heard + silence_s - now)
 
+    def _tell_use(self) -> None:
+        for listener in self._use_listeners:
+            listener()
+
     def _is_spared(self) -> bool:
         """Returns whether nobody needs to know more of the server yet."""
         if self._is_used or self.load is None:
--- a/src/radishwind/target/tests/test_pulse.py
+++ b/src/radishwind/target/tests/test_pulse.py
@@ -19,9 +19,11 @@
 class Looking:
     """A server that changes its pace on a grid, looked at when that is due."""
 
-    def __init__(self, learns=False):
+    def __init__(self, learns=False, callers_come_at_once=False):
         self.clock = ManualClock()
-        self.pulse = ServerPulse(self.clock, lambda: learns)
+        self.pulse = ServerPulse(
+            self.clock, lambda: learns, callers_come_at_once
+        )
         self.checks = 0
 
     def pace(self):
@@ -101,3 +103,24 @@
 
     assert started.pulse.spells.period_s == 0.0
     assert started.checks - before <= 10.0 / IDLE_SILENCE_S + 1
+
+
+def test_a_server_that_joins_a_system_in_use_is_looked_at():
+    """Unseen, it would look worse than all whose good spells are known."""
+    joined = Looking(callers_come_at_once=True)
+
+    joined.run(3.0)
+
+    found_s = joined.pulse.spells.period_s
+    assert found_s == pytest.approx(PERIOD_S, abs=0.002)
+
+
+def test_callers_of_others_begin_the_looks_too(spared):
+    spared.run(12.0)
+    assert spared.checks == 1
+
+    spared.pulse.callers_came()
+    spared.run(3.0)
+
+    found_s = spared.pulse.spells.period_s
+    assert found_s == pytest.approx(PERIOD_S, abs=0.002)
