--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -80,7 +80,7 @@
             those whose pace is known are always better.
         """
         self._clock = clock
-        self._is_used = callers_come_at_once
+        self._has_callers = callers_come_at_once
         self._learns_for_others = learns_for_others or _always
         self.load: ServerLoad | None = None
         self.heard = -IDLE_SILENCE_S
@@ -144,9 +144,9 @@
 
     def callers_came(self) -> None:
         """Takes that callers use the system, though not yet this server."""
-        if self._is_used:
+        if self._has_callers:
             return
-        self._is_used = True
+        self._has_callers = True
         self._used = self._learning_since = self._clock.monotonic()
         self._tell_use()
 
@@ -243,7 +243,7 @@
 
     def _is_spared(self) -> bool:
         """Returns whether nobody needs to know more of the server yet."""
-        if self._is_used or self.load is None:
+        if self._has_callers or self.load is None:
             return False
         return not self._learns_for_others()
 
