Look closely on the word of others only where it tells a period

Cause: found by reading the change: any word of another on habits, also one of how many requests at once are best, began the close looks anew for 4 s at every node of a service whose pace has no grid (a look each 10 ms). The test fails on the code before.

--- a/src/radishwind/sidecar/loads.py
+++ b/src/radishwind/sidecar/loads.py
@@ -24,7 +24,8 @@
 LOOK_PERIOD_S = 0.1
 
 #: The same while none is (s): the load is told once a second in any case, so
-#: that nobody waits for what a look would find. Its gain was not measured apart.
+#: that nobody waits for what a look would find. What it gains was not measured
+#: apart.
 IDLE_LOOK_PERIOD_S = 0.5
 
 
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -110,7 +110,8 @@
     def expect(self, period_s: float) -> None:
         """Takes the time between moments of change that others found (s)."""
         self.spells.expect(period_s)
-        self._learning_since = self._clock.monotonic()
+        if period_s and not self.spells.period_s:
+            self._learning_since = self._clock.monotonic()
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Calls `listener` after each figure."""
--- a/src/radishwind/target/tests/test_pulse.py
+++ b/src/radishwind/target/tests/test_pulse.py
@@ -6,6 +6,7 @@
 from radishwind.target.dialect import ServerLoad
 from radishwind.target.pulse import FORGET_S
 from radishwind.target.pulse import IDLE_SILENCE_S
+from radishwind.target.pulse import LEARN_S
 from radishwind.target.pulse import LEARN_SILENCE_S
 from radishwind.target.pulse import SEARCH_SILENCE_S
 from radishwind.target.pulse import ServerPulse
@@ -124,3 +125,16 @@
 
     found_s = spared.pulse.spells.period_s
     assert found_s == pytest.approx(PERIOD_S, abs=0.002)
+
+
+def test_word_that_tells_no_period_begins_no_close_looks():
+    """A service without a grid may still tell how many at once are best."""
+    steady = Looking(callers_come_at_once=True)
+    steady.pace = lambda: 1.0
+    steady.run(LEARN_S + 1.0)
+    before = steady.checks
+
+    steady.pulse.expect(0.0)
+    steady.run(2.0)
+
+    assert steady.checks - before <= 2.0 / IDLE_SILENCE_S + 1
