Bound what a cold server gets in any second, at the node beside it

Cause: nothing knew the rate that a cold server stands.

Coldness is known by heartbeats, health answers, new lives and connections that come back; unknown counts as cold. Load reports tell how many it still takes, so that choosers pass it over, and callers hear at once where all are spent.

Tests fail on the code before: there is no bound there.

--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -90,6 +90,8 @@
         retry_share=bounds.get("retry-ratio", 0.2),
         retry_slack=bounds.get("retry-slack", 20.0),
         retry_window_s=bounds.get("retry-window-s", 10.0),
+        cold_over=bounds.get("cold-over", 1.0),
+        cold_slack=bounds.get("cold-slack", 0.0),
         first_start=file.bootstrap,
     )
 
--- a/src/radishwind/platform/dialect.py
+++ b/src/radishwind/platform/dialect.py
@@ -12,6 +12,8 @@
 from radishwind.platform.fields import SENDING_ID
 from radishwind.platform.fields import SIGNATURE
 from radishwind.platform.fields import TIMEOUT
+from radishwind.platform.fields import WARMUP
+from radishwind.platform.heartbeats import MOST_COLD_MS
 from radishwind.target.dialect import ServerAnswer
 from radishwind.target.dialect import ServerDialect
 from radishwind.target.dialect import ServerLoad
@@ -70,6 +72,7 @@
             incarnation=header(response.headers, ANSWERING_INCARNATION.lower())
             or "",
             load=_load(header(response.headers, LOAD.lower())),
+            cold_s=_cold_s(header(response.headers, WARMUP.lower())),
         )
 
 
@@ -88,6 +91,17 @@
     return response.status == _ANOTHER_INCARNATION
 
 
+def _cold_s(text: str | None) -> float | None:
+    """Returns the time in `text` (s); `None` where it is none or malformed."""
+    if not text:
+        return None
+    try:
+        left_ms = float(text)
+    except ValueError:
+        return None
+    return left_ms / 1000 if 0 <= left_ms <= MOST_COLD_MS else None
+
+
 def _load(text: str | None) -> ServerLoad | None:
     """Returns the load in `text`; `None` where it is none or malformed."""
     if not text:
--- a/src/radishwind/platform/fields.py
+++ b/src/radishwind/platform/fields.py
@@ -23,6 +23,9 @@
 #: Running, waiting, slots, and the time that work takes in percent of usual.
 LOAD = "Server-Load"
 
+#: How much longer the backend server is cold (ms); in health answers.
+WARMUP = "Warmup-Ms"
+
 #: The incarnation of the backend server that answers.
 ANSWERING_INCARNATION = "Instance-Id"
 
@@ -32,7 +35,9 @@
 )
 
 #: Fields by which a backend server speaks to the system only (lower case).
-FOR_THE_SYSTEM = frozenset({LOAD.lower(), ANSWERING_INCARNATION.lower()})
+FOR_THE_SYSTEM = frozenset(
+    {LOAD.lower(), ANSWERING_INCARNATION.lower(), WARMUP.lower()}
+)
 
 READY_PATH = "/-/ready"
 HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
--- a/src/radishwind/platform/routes.py
+++ b/src/radishwind/platform/routes.py
@@ -42,6 +42,8 @@
     name: str
     health_path: str = ""
     max_conns: Annotated[int, msgspec.Meta(ge=1)] = 64
+    warmup_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    warmup_per_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
@@ -75,7 +77,13 @@
         cfg.version,
         tuple(_route(route) for route in cfg.routes),
         {
-            s.name: ServiceInfo(s.name, s.health_path, s.max_conns)
+            s.name: ServiceInfo(
+                s.name,
+                s.health_path,
+                s.max_conns,
+                s.warmup_s,
+                s.warmup_per_s,
+            )
             for s in cfg.services
         },
         CallerLimits(
--- a/src/radishwind/routes/model.py
+++ b/src/radishwind/routes/model.py
@@ -50,11 +50,16 @@
       name: the service.
       health_path: where its servers answer health checks; empty for nowhere.
       connections: connections that one of its servers accepts.
+      warmup_s: how long one is cold after its start (s).
+      warmup_per_s: requests a second that a cold one stands; `None` where
+        nothing bounds them.
     """
 
     name: str
     health_path: str = ""
     connections: int = 64
+    warmup_s: float = 0.0
+    warmup_per_s: float | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -30,6 +30,8 @@
       spell_left_ms: time until the next such moment (ms).
       work_ms: run time at the usual pace of the attempt that this report came
         with (ms); 0 where it came with none that ran.
+      starts_left: requests that a cold server may still be sent just now;
+        `None` where nothing bounds it.
     """
 
     slots: int
@@ -43,6 +45,12 @@
     spell_ms: float = 0.0
     spell_left_ms: float = 0.0
     work_ms: float = 0.0
+    starts_left: int | None = None
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether a cold server takes no more just now."""
+        return self.starts_left is not None and self.starts_left <= 0
 
 
 class TargetChooser(abc.ABC):
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -25,6 +25,7 @@
 from radishwind.routing.seen import SeenTarget
 from radishwind.routing.weights import AWAY_S
 from radishwind.routing.weights import ChoiceWeights
+from radishwind.routing.weights import COLD_REST_S
 from radishwind.routing.weights import COST_SPREAD
 from radishwind.routing.weights import FAILURE_FADE_S
 from radishwind.routing.weights import FIRST_WORK_S
@@ -120,11 +121,35 @@
             cost_s *= 1 + COST_SPREAD * self._rng.random()
             if cost_s < least_s:
                 best, least_s = member, cost_s
-        if best is None and candidates:
-            # All of them said that they take none; one may be back by now.
-            best = self._rng.choice(candidates)
+        if best is None:
+            return self._any_of(candidates, now)
         return best
 
+    def _any_of(
+        self, candidates: Sequence[Member], now: float
+    ) -> Member | None:
+        """Returns one of those that all said they take none, if one may.
+
+        One that leaves or was down may be back by now; one that is cold has
+        told when it takes more, so that to ask it again only costs time.
+        """
+        own = self._own_load()
+        maybe = [m for m in candidates if not self._is_spent(m.name, now, own)]
+        return self._rng.choice(maybe) if maybe else None
+
+    def _is_spent(self, name: str, now: float, own: LoadReport) -> bool:
+        """Returns whether a cold target takes no more just now.
+
+        Args:
+          name: the target.
+          now: monotonic time (s).
+          own: the load of the own target, looked at where that is meant.
+        """
+        if name == self._node_name:
+            return own.is_spent
+        seen = self._seen.get(name)
+        return seen is not None and seen.cold_until > now
+
     def _drawn(self, candidates: list[Member]) -> list[Member]:
         """Returns some of many candidates, near ones above all."""
         own = self._failure_domain
@@ -155,6 +180,8 @@
             return math.inf
         if report.leaving or not report.slots:
             return math.inf
+        if self._is_spent(member.name, now, report):
+            return math.inf
         slowness = seen.slowness if seen else 1.0
         busy = max(0, report.in_flight + report.queued + since)
         fill = min(1.0, busy / report.slots)
@@ -212,6 +239,13 @@
         if expected_s:
             seen.expected[now] = now + expected_s
         seen.since += 1
+        self._note_start(seen, now)
+
+    def _note_start(self, seen: SeenTarget, now: float) -> None:
+        """Counts a start at a cold target against what it said it takes."""
+        left = seen.report.starts_left if seen.report else None
+        if left is not None and seen.since >= left > 0:
+            seen.cold_until = max(seen.cold_until, seen.heard + COLD_REST_S)
 
     def finished(
         self,
@@ -268,6 +302,7 @@
         seen.report = report
         seen.heard = now
         seen.since = 0
+        seen.cold_until = now + COLD_REST_S if report.is_spent else -math.inf
 
     def _failure_s(self, seen: SeenTarget, work_s: float, now: float) -> float:
         fade = math.exp((seen.failed - now) / FAILURE_FADE_S)
--- a/src/radishwind/routing/seen.py
+++ b/src/radishwind/routing/seen.py
@@ -25,6 +25,7 @@
       failures: failures in a row.
       failed: when the last one was (s).
       away_until: it takes no work before this time (s).
+      cold_until: it is cold and takes no more before this time (s).
     """
 
     report: LoadReport | None = None
@@ -37,6 +38,7 @@
     failures: int = 0
     failed: float = -math.inf
     away_until: float = -math.inf
+    cold_until: float = -math.inf
 
     def forget_attempt(self, began: float) -> None:
         """Forgets the own attempt that began at `began` (monotonic s)."""
--- a/src/radishwind/routing/tests/test_fresh.py
+++ b/src/radishwind/routing/tests/test_fresh.py
@@ -222,3 +222,35 @@
 
     assert cost_s["tells"] == pytest.approx(cost_s["untold"], rel=0.2)
     assert cost_s["tells"] < 2.5 * cost_s["warm"]
+
+
+def test_a_cold_target_that_takes_no_more_is_passed_over(setup):
+    setup.tell("x", report(starts_left=0))
+    setup.tell("y", report(busy=6))
+
+    assert setup.choose(member("x"), member("y")) == "y"
+    assert setup.choose(member("x"), member("y"), now=0.2) == "x"
+
+
+def test_where_all_are_cold_and_take_no_more_there_is_none_to_ask(setup):
+    for name in "xy":
+        setup.tell(name, report(starts_left=0))
+
+    assert setup.choose(member("x"), member("y")) is None
+    assert setup.choose(member("x"), member("y"), now=0.2) is not None
+
+
+def test_own_starts_count_against_what_a_cold_target_takes(setup):
+    setup.tell("x", report(starts_left=2))
+    for _ in range(2):
+        assert setup.choose(member("x")) == "x"
+        setup.chooser.started("x", 0.0)
+
+    assert setup.choose(member("x")) is None
+
+
+def test_one_that_leaves_is_still_asked_where_nobody_else_is_left(setup):
+    setup.tell("x", report(starts_left=0))
+    setup.tell("y", report(leaving=True))
+
+    assert setup.choose(member("x"), member("y")) == "y"
--- a/src/radishwind/routing/weights.py
+++ b/src/radishwind/routing/weights.py
@@ -56,8 +56,14 @@
     ResultCode.CONNECT_FAILED: 0.5,
     ResultCode.SERVER_UNANNOUNCED: 0.5,
     ResultCode.SERVER_DOWN: 0.3,
+    ResultCode.SERVER_COLD: 0.1,
+    ResultCode.DOMAIN_EMPTIED: 2.0,
 }
 
+#: A cold server that said it takes no more gets none for this long (s): what
+#: it was sent in the last second counts, so one is free again soon.
+COLD_REST_S = 0.1
+
 #: Candidates weighed at most, of the own failure domain and of others; of
 #: more, so many are drawn. Weighing one took 19 us in a profile of a node among
 #: 84, so that a choice stays below 0.5 ms; what fewer choices lose was not
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -31,6 +31,8 @@
       retry_slack: repeats that all nodes may make beyond that share, in one
         window.
       retry_window_s: the window in which repeats are counted (s).
+      cold_over: times of its rate that a cold server may get in a second.
+      cold_slack: requests beyond that which it may get in a second.
       first_start: whether the whole system starts for the first time, so that
         nothing was kept before.
       peer_address: where other nodes reach this one, if it is not where they
@@ -56,6 +58,8 @@
     retry_share: float
     retry_slack: float
     retry_window_s: float
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
     first_start: bool = False
     peer_address: Address | None = None
 
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -1,7 +1,9 @@
 """Wires the target side: the server beside, its slots, its load."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import math
+import time
 
 from radishwind.admission.gate import AdmissionLimits
 from radishwind.admission.room import RoomLearner
@@ -15,6 +17,7 @@
 from radishwind.probing.health import HealthModel
 from radishwind.quarantine.gate import Quarantine
 from radishwind.routes.model import RouteConfig
+from radishwind.routes.model import ServiceInfo
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.switches import ALL_ON
 from radishwind.sidecar.switches import Switches
@@ -28,6 +31,8 @@
 from radishwind.target.registered import RegisteredServer
 from radishwind.target.registered import Registration
 from radishwind.target.server import ServerView
+from radishwind.target.warmup import WarmupGate
+from radishwind.target.warmup import WarmupLaw
 from radishwind.target.watch import ServerWatch
 from radishwind.telemetry.logs import PartLogger
 
@@ -92,6 +97,8 @@
             callers_come_at_once=not settings.first_start,
         )
         self.room = RoomLearner()
+        self.warmup = WarmupGate(clock, time.process_time())
+        self._services: Mapping[str, ServiceInfo] = {}
         self._limits = AdmissionLimits()
         self.admission = UrgentAdmission(
             None,
@@ -106,7 +113,7 @@
             dialect=dialect,
             watch=watch,
             pulse=self.pulse,
-            replaced=self.server.answered_by,
+            replaced=self._replaced,
         )
         self.pipeline = TargetPipeline(
             clock=clock,
@@ -117,6 +124,7 @@
             exchange=exchange,
             pace=self.pulse.now,
             ran=self._ran,
+            gate=self.warmup,
         )
         self.keeper = PulseKeeper(
             clock=clock,
@@ -141,17 +149,38 @@
             self.pulse.restarted()
             self.room.forget()
             self.quarantine.serve(self.server.service)
+            self._follow_service()
+            self.warmup.began(told.cold_s)
+        elif told.incarnation == self.server.incarnation:
+            self.warmup.told(told.cold_s)
         self._resize()
         return changed
 
     def adopt(self, cfg: RouteConfig) -> None:
         """Follows a new configuration."""
-        info = cfg.services.get(self.server.service)
-        if info is not None:
-            self._connections = info.connections
-            self.server.check_at(info.health_path)
+        self._services = cfg.services
+        self._follow_service()
         self._resize()
 
+    def _follow_service(self) -> None:
+        """Takes what is configured of the service of the server beside."""
+        info = self._services.get(self.server.service)
+        if info is None:
+            return
+        self._connections = info.connections
+        self.server.check_at(info.health_path)
+        self.warmup.follow(self._warmup_law(info))
+
+    def _warmup_law(self, info: ServiceInfo) -> WarmupLaw | None:
+        if info.warmup_per_s is None:
+            return None
+        return WarmupLaw(
+            info.warmup_per_s,
+            self._settings.cold_over,
+            self._settings.cold_slack,
+            info.warmup_s,
+        )
+
     def _view(self) -> ServerView | None:
         """Returns the server to be asked; one not known by the settings."""
         if self.server.view is not None:
@@ -161,21 +190,41 @@
             return None
         return ServerView(self._settings.server, health_path=path)
 
-    def _checked(self, answer: ServerAnswer, good: bool) -> None:
-        """Takes what a health check told.
+    def _checked(self, answer: ServerAnswer, good: bool, asked: float) -> None:
+        """Takes what a health check that was sent at `asked` told.
 
+        A server that took no connections may have begun anew meanwhile.
         An incarnation that no heartbeat named yet is taken from here, so that
         a node which began anew need not wait for the next heartbeat.
         """
+        if self.server.down:
+            self.warmup.forget(asked)
         self.server.reachable()
+        if answer.cold_s is not None:
+            self.warmup.looked(answer.cold_s, asked)
         if not good or not answer.incarnation:
             return
         if self.server.incarnation or self.server.has_ended(answer.incarnation):
             return
         slots = answer.load.slots if answer.load else 0
         self.register(
-            Registration(answer.incarnation, "", None, slots, False, 0.0, 0)
+            Registration(
+                answer.incarnation,
+                "",
+                None,
+                slots,
+                False,
+                answer.cold_s or 0.0,
+                0,
+            )
         )
+        if answer.cold_s is None:
+            self.warmup.forget(asked)
+
+    def _replaced(self, meant: str, incarnation: str) -> None:
+        """Takes that `incarnation` answered where `meant` was to."""
+        self.server.answered_by(meant, incarnation)
+        self.warmup.forget(self._clock.monotonic())
 
     def _ran(self, run: Run) -> None:
         """Learns from a run how many at once are best."""
--- a/src/radishwind/target/dialect.py
+++ b/src/radishwind/target/dialect.py
@@ -37,6 +37,7 @@
       another: whether it says that it is another incarnation than meant.
       genuine: whether the answer can be the server's own, as it made it.
       load: the server's load, where told.
+      cold_s: how much longer the server is cold (s), where told.
       headers: the fields that go on to the caller.
     """
 
@@ -46,6 +47,7 @@
     another: bool = False
     genuine: bool = True
     load: ServerLoad | None = None
+    cold_s: float | None = None
     headers: Headers = ()
 
 
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -24,6 +24,8 @@
 from radishwind.target.exchange_base import Exchange
 from radishwind.target.pace import Pace
 from radishwind.target.server import ServerBeside
+from radishwind.target.warmup import OpenSendGate
+from radishwind.target.warmup import SendGate
 from radishwind.target.watch import ServerWatch
 
 #: The share that the newest answer has in the mean service time.
@@ -49,6 +51,7 @@
       exchange: sends to the server; by default in our own fields.
       pace: returns how long work takes there now.
       ran: takes each run that went well.
+      gate: bounds what the server is sent; by default nothing does.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         exchange: Exchange | None = None,
         pace: Callable[[], Pace] | None = None,
         ran: Callable[[Run], None] | None = None,
+        gate: SendGate | None = None,
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -70,6 +74,7 @@
         self._exchange = exchange or ServerExchange(clock, sender, watch)
         self._pace = pace or _usual_pace
         self._ran = ran or _ignored
+        self._gate = gate or OpenSendGate()
         self._service_s = 0.0
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._queue_wait_s = 0.0
@@ -118,6 +123,7 @@
             base=round(pace.base, 2),
             spell_ms=round(pace.spell_s * 1000, 1),
             spell_left_ms=round(pace.left_s * 1000, 1),
+            starts_left=self._gate.left(),
         )
 
     def outcomes(self) -> dict[str, float]:
@@ -175,7 +181,11 @@
             return NotRun(
                 ResultCode.DEADLINE_PASSED, "The deadline had passed."
             )
-        return self._server.refusal() or self._watch.refusal(call)
+        return (
+            self._server.refusal()
+            or self._gate.refusal(call, self._admission.queued)
+            or self._watch.refusal(call)
+        )
 
     async def _wait(self, ticket: Ticket) -> None:
         ready = anyio.Event()
@@ -226,6 +236,9 @@
             return NotRun(
                 ResultCode.DEADLINE_PASSED, "The deadline passed in the queue."
             )
+        refused = self._gate.take(call)
+        if refused is not None:
+            return refused
         return await self._exchange.send(call, view, ticket.alone)
 
     def _too_late(self, call: Call) -> bool:
--- a/src/radishwind/target/pulse_keeper.py
+++ b/src/radishwind/target/pulse_keeper.py
@@ -31,7 +31,7 @@
         dialect: ServerDialect,
         pulse: ServerPulse,
         view: Callable[[], ServerView | None],
-        answered: Callable[[ServerAnswer, bool], None],
+        answered: Callable[[ServerAnswer, bool, float], None],
         unreachable: Callable[[], None],
     ) -> None:
         """Wires the task.
@@ -42,7 +42,8 @@
           dialect: makes and reads them.
           pulse: takes the figures.
           view: returns the server, `None` where none is to be asked.
-          answered: takes what a check told, and whether it was a good one.
+          answered: takes what a check told, whether it was a good one, and
+            when it was sent (monotonic s).
           unreachable: called where the server takes no connection.
         """
         self._clock = clock
@@ -106,4 +107,4 @@
             self._pulse.told(answer.load, began)
         else:
             self._pulse.heard = began
-        self._answered(answer, response.status < 300)
+        self._answered(answer, response.status < 300, began)
