Keep out of failure domains that the operator empties, and of foreign regions

One read and one watch of the common prefix bring routes and emptied domains (StoreSide, taken out of RouteFeed), so that a start makes no call more. They are kept with the revision that they hold as of, pushed by watchers and told as a rumor that holds the names. Two gates: Placement at the entry, and the node beside a server, which also turns away what waits. One taken back is cold until its servers tell. A route's allowed regions bind in the same Placement.

Ruled out: to watch with a second call (one more a watcher), and to let a rumor tell the revision only (each node would ask a peer for a few names).

--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -46,6 +46,7 @@
 from radishwind.retries import RetryBudget
 from radishwind.routing import make_chooser
 from radishwind.routing import RoutingPolicy
+from radishwind.routing.placement import Anywhere
 from radishwind.target import ServerBeside
 from radishwind.target import ServerWatch
 from radishwind.target import TargetPipeline
@@ -133,7 +134,7 @@
             rng=rng,
             index=lambda: index,
         ),
-        directory=FixedDirectory(*members),
+        placement=Anywhere(FixedDirectory(*members)),
         chooser=make_chooser(
             RoutingPolicy.BALANCED,
             rng,
--- a/src/radishwind/admission/gate.py
+++ b/src/radishwind/admission/gate.py
@@ -105,6 +105,10 @@
     def expire(self, now: float) -> None:
         """Refuses the waiting tickets that cannot run in time any more."""
 
+    @abc.abstractmethod
+    def turn_away_all(self, refusal: NotRun) -> None:
+        """Refuses all waiting tickets; those admitted keep their slots."""
+
     @abc.abstractmethod
     def shed(self, now: float) -> None:
         """Takes that the server refused a request that was admitted."""
--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -136,6 +136,12 @@
             self._earliest = min(map(self._latest, left), default=math.inf)
         self._dispatch(now)
 
+    def turn_away_all(self, refusal: NotRun) -> None:
+        for ticket in [*self._tickets(), *self._alone]:
+            self._withdraw(ticket)
+            ticket.refused = refusal
+            ticket.notify()
+
     def _has_free_slot(self) -> bool:
         return self._alone_runs is None and self._in_flight < self.slots
 
--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -9,7 +9,6 @@
 from radishwind.entry.race import Race
 from radishwind.entry.runner import AttemptRunner
 from radishwind.hedging.policy import HedgePolicy
-from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.outcomes import Done
 from radishwind.outcomes import graver
@@ -17,9 +16,7 @@
 from radishwind.outcomes import Outcome
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
-
-#: When a caller may come back to a service without targets (s).
-NO_TARGET_RETRY_S = 1.0
+from radishwind.routing.placement import Placement
 
 #: Refusals by the server itself: the request came that far.
 _AT_THE_SERVER = frozenset({ResultCode.SERVER_SHED, ResultCode.SERVER_REPLACED})
@@ -46,14 +43,14 @@
         self,
         *,
         clock: Clock,
-        directory: Directory,
+        placement: Placement,
         chooser: TargetChooser,
         retries: RetryPolicy,
         hedges: HedgePolicy,
         runner: AttemptRunner,
     ) -> None:
         self._clock = clock
-        self._directory = directory
+        self._placement = placement
         self._chooser = chooser
         self._retries = retries
         self._hedges = hedges
@@ -76,7 +73,7 @@
         while True:
             member = self._choose(history)
             if member is None:
-                return last or _no_target(call)
+                return last or self._placement.refusal(call)
             outcome = await self._attempt_or_race(history, member, hedge_s)
             if not isinstance(outcome, NotRun):
                 hedge_s = None  # What was tried in earnest is not hedged.
@@ -89,7 +86,7 @@
 
     def _choose(self, history: "_History") -> Member | None:
         """Returns a target that this call has not been at, if there is one."""
-        members = self._directory.of_service(history.call.service)
+        members = self._placement.candidates(history.call)
         now = self._clock.monotonic()
         return self._chooser.choose(
             members, now, history.tried, history.call.route
@@ -212,11 +209,3 @@
     else:
         end = f"RW-{int(outcome.code)}"
     return f"{target} ({inputs}) {elapsed_s * 1000:.0f}ms {end}"
-
-
-def _no_target(call: Call) -> NotRun:
-    return NotRun(
-        ResultCode.NO_TARGET,
-        f"No target of {call.service} takes requests now.",
-        NO_TARGET_RETRY_S,
-    )
--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -64,6 +64,7 @@
       priority: its rank among others that wait; 0 is the highest.
       most_reached: servers that its attempts may reach at most.
       route: the route that took it; empty where services have none.
+      regions: where it may run; empty for anywhere.
       work_s: its run time at the usual pace (s); 0 where not known.
       steps: what was tried and what came of it, for the log; grows.
     """
@@ -83,6 +84,7 @@
     priority: int = 0
     most_reached: int = NO_LIMIT
     route: str = ""
+    regions: frozenset[str] = frozenset()
     work_s: float = 0.0
     steps: list[str] = dataclasses.field(default_factory=list, compare=False)
 
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -20,7 +20,6 @@
 from radishwind.hedging.policy import NoHedges
 from radishwind.http.types import Request
 from radishwind.http.types import Response
-from radishwind.membership.directory import Directory
 from radishwind.outcomes import answer
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
@@ -28,6 +27,7 @@
 from radishwind.quarantine.gate import QuarantineGate
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
+from radishwind.routing.placement import Placement
 
 __all__ = ["AttemptResult", "AttemptRunner", "EntryPipeline"]
 
@@ -40,7 +40,7 @@
         *,
         clock: Clock,
         classifier: Classifier,
-        directory: Directory,
+        placement: Placement,
         chooser: TargetChooser,
         retries: RetryPolicy,
         runner: AttemptRunner,
@@ -60,7 +60,7 @@
         self._respond = respond
         self._attempts = Attempts(
             clock=clock,
-            directory=directory,
+            placement=placement,
             chooser=chooser,
             retries=retries,
             hedges=hedges or NoHedges(),
--- a/src/radishwind/entry/routed.py
+++ b/src/radishwind/entry/routed.py
@@ -111,5 +111,6 @@
             priority=route.priority,
             most_reached=route.attempts,
             route=route.name,
+            regions=route.regions,
             work_s=self._work_s(route.name),
         )
--- a/src/radishwind/entry/tests/test_attempts.py
+++ b/src/radishwind/entry/tests/test_attempts.py
@@ -27,6 +27,7 @@
 from radishwind.outcomes import Unknown
 from radishwind.retries import RetryNotRun
 from radishwind.routing.baselines import RoundRobin
+from radishwind.routing.placement import Anywhere
 
 pytestmark = pytest.mark.anyio
 
@@ -111,7 +112,7 @@
                 rng=random.Random(1),
                 index=lambda: INDEX,
             ),
-            directory=ListedDirectory(targets),
+            placement=Anywhere(ListedDirectory(targets)),
             chooser=self.chooser,
             retries=RetryNotRun(),
             runner=self.runner,
--- a/src/radishwind/experiment/nodes.py
+++ b/src/radishwind/experiment/nodes.py
@@ -18,6 +18,7 @@
 from radishwind.membership.rumors import SilentBoard
 from radishwind.peers.listener import PeerListener
 from radishwind.platform import PlatformDialect
+from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
 from radishwind.routing.chooser import LoadReport
@@ -117,6 +118,7 @@
             sender=sender,
             directory=roster,
             routes=routes,
+            emptied=EmptiedInForce(clock),
             target=self.target,
             switches=switches,
             node_count=lambda: len(roster.members()),
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -38,6 +38,7 @@
 from radishwind.peers.attempts import is_attempt
 from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries import RetryBudget
+from radishwind.routing.placement import Anywhere
 from radishwind.settings import NodeSettings
 from radishwind.telemetry.logs import PartLogger
 
@@ -130,7 +131,7 @@
                 rng=self._rng,
                 index=lambda: self._index,
             ),
-            directory=self._membership.directory,
+            placement=Anywhere(self._membership.directory),
             chooser=node_chooser(
                 self._settings, self._rng, lambda: self._index, self._target
             ),
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -75,6 +75,7 @@
         service=file.service,
         failure_domain=file.zone,
         failure_domains=tuple(sorted(file.zones)),
+        region_of=file.zones,
         host=file.ip,
         peer_port=file.port_range[0],
         callers=Address.parse(file.listen.outbound),
--- a/src/radishwind/platform/routes.py
+++ b/src/radishwind/platform/routes.py
@@ -14,6 +14,12 @@
 #: The key of the store that holds the newest configuration, whole.
 KEY = "op/config"
 
+#: Below it lies all that the operator writes, and nothing of others.
+PREFIX = "op/"
+
+#: Below it lies a key for each failure domain that is to be emptied.
+_EMPTIED_PREFIX = "op/evacuate/"
+
 _SAFE = "safe"
 
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
@@ -36,6 +42,7 @@
     service: str | None = None
     split: tuple[_Part, ...] = ()
     attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
@@ -95,6 +102,14 @@
     )
 
 
+def emptied_domain(key: str) -> str | None:
+    """Returns the failure domain that `key` says is emptied, if it does."""
+    if not key.startswith(_EMPTIED_PREFIX):
+        return None
+    name = key.removeprefix(_EMPTIED_PREFIX)
+    return name if name and "/" not in name else None
+
+
 def _route(route: _Route) -> Route:
     parts = tuple(Part(part.service, part.weight) for part in route.split)
     if not parts and route.service is not None:
@@ -115,4 +130,5 @@
         aim_s=route.aim_ms / 1000 if route.aim_ms else timeout_s,
         priority=route.priority,
         attempts=route.attempts,
+        regions=frozenset(route.allowed_regions),
     )
--- a/src/radishwind/platform/store.py
+++ b/src/radishwind/platform/store.py
@@ -65,6 +65,7 @@
     # to lose the rest.
     items: tuple[msgspec.Raw, ...] = ()
     truncated: bool = False
+    current_rev: int = 0
 
 
 class _Events(msgspec.Struct, frozen=True, rename="kebab"):
@@ -125,7 +126,10 @@
                 asked["after"] = after
             response = await self._call("GET", _path("kv-range", **asked))
             page = await _decoded(response, _Range)
-            found += [_entry(item) for item in self._readable(page.items)]
+            found += [
+                _entry(item, page.current_rev)
+                for item in self._readable(page.items)
+            ]
             if not page.truncated or not page.items:
                 break
             if limit and len(found) >= limit:
@@ -284,7 +288,7 @@
     """Takes why an item was left out where nobody wants to know."""
 
 
-def _entry(item: _Item) -> StoreEntry:
+def _entry(item: _Item, store_revision: int = 0) -> StoreEntry:
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError as exc:
@@ -295,7 +299,7 @@
         item.created_rev,
         item.rev,
         item.lease,
-        item.current_rev,
+        item.current_rev or store_revision,
     )
 
 
--- a/src/radishwind/routes/messages.py
+++ b/src/radishwind/routes/messages.py
@@ -12,6 +12,7 @@
 
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
+from radishwind.routes.emptied import EmptiedDomains
 
 #: Fast, and within a tenth of the best ratio on configurations.
 _LEVEL = 3
@@ -24,23 +25,27 @@
 
 
 class Offer(msgspec.Struct, frozen=True, tag="offer"):
-    """Brings a configuration.
+    """Brings what the operator wrote.
 
     Attributes:
-      packed: as the operator wrote it, compressed.
+      packed: the configuration as written, compressed; empty for none.
+      emptied: the failure domains that are emptied.
     """
 
-    packed: bytes
+    packed: bytes = b""
+    emptied: EmptiedDomains = EmptiedDomains()
 
 
 class Ask(msgspec.Struct, frozen=True, tag="ask"):
-    """Asks for a newer configuration.
+    """Asks for what is newer.
 
     Attributes:
       have: the version in force at the sender; 0 for none.
+      have_emptied: the revision of the emptied failure domains there.
     """
 
     have: int
+    have_emptied: int = 0
 
 
 class Nothing(msgspec.Struct, frozen=True, tag="nothing"):
--- a/src/radishwind/routes/model.py
+++ b/src/radishwind/routes/model.py
@@ -30,6 +30,7 @@
       aim_s: an answer within this time earns its full worth (s).
       priority: its rank; 0 is the highest.
       attempts: targets that one request may reach at most.
+      regions: where its requests may run; empty for anywhere.
     """
 
     name: str
@@ -41,6 +42,7 @@
     aim_s: float
     priority: int
     attempts: int
+    regions: frozenset[str] = frozenset()
 
 
 class ServiceInfo(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/radishwind/routes/store_side.py
@@ -0,0 +1,189 @@
+"""Reads what the operator writes to the store, and watches it.
+
+The configuration and the emptied failure domains lie below one prefix, so one
+read and one watch bring both.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+
+import anyio
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.routes.emptied import EmptiedDomains
+from radishwind.store.base import Store
+from radishwind.store.base import StoreCompactedError
+from radishwind.store.base import StoreEntry
+from radishwind.store.base import StoreError
+from radishwind.store.base import WatchEvent
+from radishwind.store.budget import Backoff
+from radishwind.telemetry.logs import PartLogger
+
+#: What the store is named as a source.
+SOURCE = "store"
+
+#: Pauses after failed calls of the store (s).
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+
+#: How often a node looks whether it is to watch (s).
+DUTY_PERIOD_S = 0.5
+
+
+class OperatorKeys(msgspec.Struct, frozen=True):
+    """Where the operator's words lie in the store.
+
+    Attributes:
+      prefix: of all of them.
+      config: the key of the configuration, below `prefix`.
+      emptied_domain: returns the failure domain that a key says is emptied;
+        `None` for another key.
+    """
+
+    prefix: str
+    config: str
+    emptied_domain: Callable[[str], str | None]
+
+
+class StoreSide:
+    """Follows the store while this node is to, and tells what it found."""
+
+    def __init__(
+        self,
+        *,
+        keys: OperatorKeys,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        is_watcher: Callable[[], bool],
+        take_config: Callable[[bytes, str], None],
+        take_emptied: Callable[[EmptiedDomains, str], None],
+        emptied: Callable[[], EmptiedDomains],
+    ) -> None:
+        """Wires the store's side of the feed.
+
+        Args:
+          keys: where the operator's words lie.
+          store: the platform's store.
+          clock: the clock.
+          rng: the random source of pauses.
+          is_watcher: returns whether this node is to watch.
+          take_config: takes a configuration as written, and its source.
+          take_emptied: takes the emptied failure domains and their source.
+          emptied: returns those in force.
+        """
+        self._keys = keys
+        self._store = store
+        self._rng = rng
+        self._is_watcher = is_watcher
+        self._take_config = take_config
+        self._take_emptied = take_emptied
+        self._emptied = emptied
+        self._log = PartLogger("routes", clock)
+        self._backoff = Backoff(rng, _FIRST_PAUSE_S, _LONGEST_PAUSE_S)
+        self._revision = 0
+        self._lost = False
+
+    async def run(
+        self, first_wait_s: float, is_known: Callable[[], bool]
+    ) -> None:
+        """Reads once and then watches while it is to, until cancelled.
+
+        Args:
+          first_wait_s: the store is first asked after up to this time (s).
+          is_known: returns whether a peer brought it before.
+        """
+        await anyio.sleep(self._rng.random() * first_wait_s)
+        peers_may_bring_it = first_wait_s > 0
+        while not is_known() or not peers_may_bring_it:
+            # What is newer than an old answer comes by the watch from its
+            # revision on, and to those who don't watch as a rumor.
+            if await self.read(allow_stale=True):
+                break
+            await anyio.sleep(self._backoff.failed())
+            if is_known():
+                break
+        while True:
+            if not self._is_watcher():
+                await anyio.sleep(DUTY_PERIOD_S)
+                continue
+            if not self._revision and not await self.read():
+                await anyio.sleep(self._backoff.failed())
+                continue
+            await self._watch()
+
+    async def read(self, *, allow_stale: bool = False) -> bool:
+        """Returns whether there is a configuration and it could be read."""
+        try:
+            entries = await self._store.list(
+                self._keys.prefix, allow_stale=allow_stale
+            )
+        except StoreError as exc:
+            self._note(lost=True, reason=str(exc)[:120])
+            return False
+        self._note(lost=False)
+        config = [e for e in entries if e.key == self._keys.config]
+        if not config:
+            return False
+        # From the store's revision on: the keys' own may be older than the
+        # history, and a watch from there is refused at once.
+        newest = max(entry.mod_revision for entry in entries)
+        as_of = max(newest, min(e.store_revision for e in entries))
+        self._revision = as_of
+        # An old answer counts as no newer than what it shows, so that it never
+        # stands against what others heard since.
+        names = self._emptied_names(entries)
+        told = EmptiedDomains(newest if allow_stale else as_of, names)
+        self._take_emptied(told, SOURCE)
+        self._take_config(config[0].value, SOURCE)
+        return True
+
+    def _emptied_names(self, entries: Sequence[StoreEntry]) -> frozenset[str]:
+        names = (self._keys.emptied_domain(entry.key) for entry in entries)
+        return frozenset(name for name in names if name is not None)
+
+    async def _watch(self) -> None:
+        """Watches until the watch fails, or others are to watch.
+
+        The next one goes on from the last revision seen; all is read anew only
+        where the store forgot what came since.
+        """
+        try:
+            async for event in self._store.watch(
+                self._keys.prefix, self._revision + 1
+            ):
+                self._note(lost=False)
+                self._revision = max(self._revision, event.revision)
+                self._take(event)
+                if not self._is_watcher():
+                    return
+        except StoreCompactedError:
+            self._revision = 0
+        except StoreError as exc:
+            self._note(lost=True, reason=str(exc)[:120])
+        await anyio.sleep(self._backoff.failed())
+
+    def _take(self, event: WatchEvent) -> None:
+        if event.key == self._keys.config:
+            if event.entry is not None:
+                self._take_config(event.entry.value, SOURCE)
+            return
+        name = self._keys.emptied_domain(event.key)
+        if name is None:
+            return
+        told = self._emptied().changed(
+            name, event.revision, emptied=event.entry is not None
+        )
+        self._take_emptied(told, SOURCE)
+
+    def _note(self, *, lost: bool, reason: str = "") -> None:
+        """Logs when the store is lost and regained."""
+        if not lost:
+            self._backoff.succeeded()
+        if lost == self._lost:
+            return
+        self._lost = lost
+        sentence = "Lost the store." if lost else "Regained the store."
+        self._log.change(sentence, reason=reason)
--- a/src/radishwind/routes/tests/test_feed.py
+++ b/src/radishwind/routes/tests/test_feed.py
@@ -16,10 +16,12 @@
 from radishwind.routes import Route
 from radishwind.routes import RouteConfig
 from radishwind.routes import RoutesInForce
+from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.feed import PUSHES_AT_ONCE
 from radishwind.routes.feed import RouteFeed
 from radishwind.routes.neighbours import ALONE_S
 from radishwind.routes.neighbours import WATCHERS
+from radishwind.routes.store_side import OperatorKeys
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import WatchEvent
@@ -34,6 +36,9 @@
     return "asyncio"
 
 
+KEYS = OperatorKeys("k", "k", lambda key: key.partition("/e/")[2] or None)
+
+
 def decode(raw):
     return RouteConfig(int(raw), (ROUTE,), {})
 
@@ -44,9 +49,9 @@
     def __init__(self):
         self.reads = 0
 
-    async def get(self, key, *, allow_stale=False):
+    async def list(self, prefix, limit=0, *, allow_stale=False):
         self.reads += 1
-        return StoreEntry(key, b"7", 1, 1)
+        return (StoreEntry("k", b"7", 1, 1),)
 
     async def watch(self, prefix, from_revision):
         await anyio.sleep_forever()
@@ -92,10 +97,11 @@
     made = RouteFeed(
         node_name=name,
         failure_domain="a",
-        key="k",
+        keys=KEYS,
         decode=decode,
         store=store,
         in_force=in_force,
+        emptied=EmptiedInForce(ManualClock()),
         directory=directory,
         board=Board(),
         peers=Peers(),
@@ -214,9 +220,9 @@
         super().__init__()
         self.watched = []
 
-    async def get(self, key, *, allow_stale=False):
+    async def list(self, prefix, limit=0, *, allow_stale=False):
         self.reads += 1
-        return StoreEntry(key, b"7", 1, 6, store_revision=50)
+        return (StoreEntry("k", b"7", 1, 6, store_revision=50),)
 
     async def watch(self, prefix, from_revision):
         self.watched.append(from_revision)
@@ -285,7 +291,7 @@
     made._neighbours.is_watcher = lambda: next(duty, False)
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(made._follow_store)
+        tasks.start_soon(made._store_side.run, 0.0, lambda: False)
         with anyio.fail_after(5):
             while in_force.version < 8:  # noqa: ASYNC110
                 await anyio.sleep(0.001)
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -1,5 +1,7 @@
 """The settings of a node that a platform places beside a backend server."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from radishwind.http.types import Address
@@ -13,6 +15,7 @@
       service: the service of the backend server beside.
       failure_domain: where the instance stands.
       failure_domains: all there are.
+      region_of: the region of each.
       host: the IP address of the instance.
       peer_port: where other nodes are received, over TCP and UDP.
       callers: where requests of this instance are received.
@@ -61,6 +64,7 @@
     cold_over: float = 1.0
     cold_slack: float = 0.0
     first_start: bool = False
+    region_of: Mapping[str, str] = {}
     peer_address: Address | None = None
 
     @property
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -28,6 +28,7 @@
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
 from radishwind.platform.answers import respond
+from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
 from radishwind.settings.placed import PlacedSettings
@@ -121,6 +122,7 @@
             socket=self._datagrams,
         )
         self._routes = RoutesInForce(self._clock)
+        self._emptied = EmptiedInForce(self._clock)
         self._metrics = NodeExposition()
         self._build_target()
         self._build_entry()
@@ -139,6 +141,7 @@
         )
         self._ready_changed(False)
         self._routes.listen(self._adopted)
+        self._emptied.listen(self._target.follow_emptied)
 
     def _build_entry(self) -> None:
         settings = self._settings
@@ -149,6 +152,7 @@
             sender=self._peer_sender,
             directory=self._membership.directory,
             routes=self._routes,
+            emptied=self._emptied,
             target=self._target,
             switches=self._switches,
             node_count=self._membership.node_count,
@@ -200,6 +204,7 @@
             client=self._client,
             membership=self._membership,
             routes=self._routes,
+            emptied=self._emptied,
             target=self._target,
         )
         self._control.listen_on(self._peers)
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -10,11 +10,15 @@
 from radishwind.peers.client import PeerClient
 from radishwind.peers.listener import PeerListener
 from radishwind.platform import read_routes
+from radishwind.platform.routes import emptied_domain
 from radishwind.platform.routes import KEY as ROUTES_KEY
+from radishwind.platform.routes import PREFIX
+from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.feed import CONTROL_NAME as ROUTES_CONTROL
 from radishwind.routes.feed import MAX_BYTES as ROUTES_MAX_BYTES
 from radishwind.routes.feed import RouteFeed
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routes.store_side import OperatorKeys
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.control import HeartbeatListener
 from radishwind.sidecar.habits import Findings
@@ -45,6 +49,7 @@
         client: PeerClient,
         membership: MembershipTasks,
         routes: RoutesInForce,
+        emptied: EmptiedInForce,
         target: SidecarTarget,
     ) -> None:
         """Wires the control side.
@@ -57,6 +62,7 @@
           client: calls other nodes.
           membership: which nodes there are.
           routes: the routes in force.
+          emptied: the failure domains that get nothing new.
           target: the own target.
         """
         self._settings = settings
@@ -85,10 +91,11 @@
         self._feed = RouteFeed(
             node_name=settings.node,
             failure_domain=settings.failure_domain,
-            key=ROUTES_KEY,
+            keys=OperatorKeys(PREFIX, ROUTES_KEY, emptied_domain),
             decode=read_routes,
             store=store,
             in_force=routes,
+            emptied=emptied,
             directory=membership.directory,
             board=membership.board,
             peers=client,
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -25,8 +25,10 @@
 from radishwind.quarantine.runner import CarefulRunner
 from radishwind.retries.shared import SharedBudget
 from radishwind.retries.shared import SharedRetries
+from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routing.fresh import FreshLoadChooser
+from radishwind.routing.placement import OpenDomains
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.options import choice_weights
 from radishwind.sidecar.options import MOST_RETRY_S
@@ -54,6 +56,7 @@
         sender: Sender,
         directory: Directory,
         routes: RoutesInForce,
+        emptied: EmptiedInForce,
         target: SidecarTarget,
         switches: Switches,
         node_count: Callable[[], int],
@@ -71,6 +74,7 @@
           sender: sends to other nodes.
           directory: the nodes there are.
           routes: the routes in force.
+          emptied: the failure domains that get nothing new.
           target: the own target.
           switches: what is in use.
           node_count: returns how many nodes share the budget of repeats.
@@ -114,7 +118,9 @@
         self.pipeline = EntryPipeline(
             clock=clock,
             classifier=self.classifier,
-            directory=directory,
+            placement=OpenDomains(
+                directory, lambda: emptied.names, settings.region_of
+            ),
             chooser=self.chooser,
             retries=SharedRetries(budget),
             hedges=hedges if switches.hedges else NoHedges(),
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -16,6 +16,7 @@
 from radishwind.membership.rumors import RumorBoard
 from radishwind.probing.health import HealthModel
 from radishwind.quarantine.gate import Quarantine
+from radishwind.routes.emptied import EmptiedDomains
 from radishwind.routes.model import RouteConfig
 from radishwind.routes.model import ServiceInfo
 from radishwind.settings.placed import PlacedSettings
@@ -162,6 +163,20 @@
         self._follow_service()
         self._resize()
 
+    def follow_emptied(self, domains: EmptiedDomains) -> None:
+        """Follows which failure domains are emptied.
+
+        What waits goes elsewhere at once, while it still has time. A server may
+        have turned cold before it is to get work again.
+        """
+        was_emptied = self.server.emptied
+        self.server.empty(self._settings.failure_domain in domains.names)
+        refused = self.server.refusal()
+        if self.server.emptied and refused is not None:
+            self.admission.turn_away_all(refused)
+        if was_emptied and not self.server.emptied:
+            self.warmup.forget(self._clock.monotonic())
+
     def _follow_service(self) -> None:
         """Takes what is configured of the service of the server beside."""
         info = self._services.get(self.server.service)
@@ -183,6 +198,8 @@
 
     def _view(self) -> ServerView | None:
         """Returns the server to be asked; one not known by the settings."""
+        if self.server.emptied:
+            return None
         if self.server.view is not None:
             return self.server.view
         path = self.server.health_path
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -53,7 +53,7 @@
       mod_revision: the store's revision of the last change of the key.
       lease_id: the lease it hangs on; 0 for none.
       store_revision: of the store when it answered, from which a watch misses
-        nothing; 0 where it was not told.
+        nothing (of several entries the lowest); 0 where it was not told.
     """
 
     key: str
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -117,7 +117,7 @@
             in_flight=self._admission.in_flight,
             queued=self._admission.queued,
             service_ms=round(self._service_s * 1000, 3),
-            leaving=self.leaving,
+            leaving=self.leaving or self._server.emptied,
             warm=round(warm * self._watch.fitness(), 3),
             pace=round(pace.factor, 2),
             base=round(pace.base, 2),
--- a/src/radishwind/target/registered.py
+++ b/src/radishwind/target/registered.py
@@ -31,6 +31,10 @@
 #: When to come back to a server that is down (s): its node tells others first.
 _DOWN_RETRY_S = 0.2
 
+#: When to come back where the failure domain is emptied (s): servers elsewhere
+#: take the request at once.
+_EMPTIED_RETRY_S = 0.05
+
 #: A server that took no connection is asked again after this time (s).
 DOWN_CHECK_S = 0.25
 
@@ -94,6 +98,7 @@
         self._order = 0
         self._cold_until = 0.0
         self._down_since: float | None = None
+        self._emptied = False
         self._life = Life("")
         # When the believed life last told of itself (monotonic s).
         self._told_at = 0.0
@@ -123,6 +128,11 @@
         """Whether the server took no connection when it was last tried."""
         return self._down_since is not None
 
+    @property
+    def emptied(self) -> bool:
+        """Whether the operator empties the failure domain."""
+        return self._emptied
+
     @property
     def life(self) -> Life:
         """The life believed to answer; of no incarnation if none is."""
@@ -245,7 +255,24 @@
         )
         self._tell_ready()
 
+    def empty(self, emptied: bool) -> None:
+        """Takes whether the operator empties the failure domain."""
+        if emptied == self._emptied:
+            return
+        self._emptied = emptied
+        self._log.change(
+            "The failure domain is emptied; the server gets nothing."
+            if emptied
+            else "The failure domain is taken back; the server gets work."
+        )
+
     def refusal(self) -> NotRun | None:
+        if self._emptied:
+            return NotRun(
+                ResultCode.DOMAIN_EMPTIED,
+                "The operator empties the failure domain of the target.",
+                _EMPTIED_RETRY_S,
+            )
         refused = super().refusal()
         if refused is None and self._down_since is not None:
             return NotRun(
--- a/src/radishwind/target/server.py
+++ b/src/radishwind/target/server.py
@@ -113,6 +113,11 @@
         """Whether the server is known and says that it takes new work."""
         return self._view is not None and not self.draining
 
+    @property
+    def emptied(self) -> bool:
+        """Whether its failure domain is to get nothing new."""
+        return False
+
     @property
     def draining(self) -> bool:
         """Whether the server says that it takes no new work."""
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -43,6 +43,7 @@
 from radishwind.retries import RetryNotRun
 from radishwind.retries import RetryPolicy
 from radishwind.routing.baselines import RandomChooser
+from radishwind.routing.placement import Anywhere
 from radishwind.settings import NodeSettings
 from radishwind.standins.store import StoreStandin
 from radishwind.store import EtcdStore
@@ -201,7 +202,7 @@
                 rng=cluster.rng,
                 index=lambda: cluster.index,
             ),
-            directory=cluster.directory,
+            placement=Anywhere(cluster.directory),
             chooser=RandomChooser(cluster.rng),
             retries=cluster.retries,
             runner=CarefulRunner(runner) if cluster.board else runner,
