Call the completion from a shell in its test

Failed twice in runs started in the background (1 of 1305 and 1 of 1366 tests). Cause, shown by a run: the command looks for a shell among its ancestors, and a run that was detached and replaced its shell has none. The test now calls it from a shell, as a user does; what it checks is the same.

--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -1,14 +1,18 @@
 """What issue 3 says the product shows: commands, large bodies, log lines."""
 
 import json
+import os
 import pathlib
 import re
+import subprocess
+import sys
 
 import pytest
 
 from tests.support.processes import command
 from tests.support.processes import fetch
 from tests.support.processes import Fleet
+from tests.support.processes import SRC
 from tests.support.processes import wait_until
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -47,10 +51,18 @@
 
 
 def test_completion_is_a_script_of_the_shell():
-    code, out, _ = command("--show-completion", "bash")
+    # The command looks for the shell that it was called from.
+    line = f"{sys.executable} -m radishwind --show-completion bash; exit $?"
+    done = subprocess.run(
+        ["bash", "-c", line],
+        env={**os.environ, "PYTHONPATH": SRC},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
 
-    assert code == 0
-    assert "complete -o default -F" in out
+    assert done.returncode == 0
+    assert "complete -o default -F" in done.stdout
 
 
 def test_a_wrong_setting_ends_a_node_with_its_code():
