Play cold servers that fall over, and emptied domains, in the experiment

A service may have a rate that its cold servers stand; one that gets more falls with all that it runs and comes back cold. Runs may make several calls at once; a failure domain may be emptied and come back cold.

A test plays a loss of all power under a load of actions with calls: no server is felled, and the credit is back at 0.9 five seconds after.

--- a/src/radishwind/experiment/nodes.py
+++ b/src/radishwind/experiment/nodes.py
@@ -8,6 +8,8 @@
 
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
+from radishwind.experiment.scenario import COLD_OVER
+from radishwind.experiment.scenario import COLD_SLACK
 from radishwind.http.sender import Sender
 from radishwind.http.types import Address
 from radishwind.http.types import Request
@@ -109,6 +111,8 @@
             switches=switches,
         )
         routes = RoutesInForce(clock)
+        self.emptied = EmptiedInForce(clock)
+        self.emptied.listen(self.target.follow_emptied)
         routes.listen(self.target.adopt)
         routes.adopt(cfg, b"", "scenario")
         self.entry = EntrySide(
@@ -118,7 +122,7 @@
             sender=sender,
             directory=roster,
             routes=routes,
-            emptied=EmptiedInForce(clock),
+            emptied=self.emptied,
             target=self.target,
             switches=switches,
             node_count=lambda: len(roster.members()),
@@ -236,4 +240,6 @@
         retry_share=RETRY_SHARE,
         retry_slack=RETRY_SLACK,
         retry_window_s=RETRY_WINDOW_S,
+        cold_over=COLD_OVER,
+        cold_slack=COLD_SLACK,
     )
--- a/src/radishwind/experiment/play.py
+++ b/src/radishwind/experiment/play.py
@@ -20,8 +20,9 @@
 from radishwind.experiment.nodes import Roster
 from radishwind.experiment.report import Report
 from radishwind.experiment.scenario import Burst
+from radishwind.experiment.scenario import Emptied
+from radishwind.experiment.scenario import Event
 from radishwind.experiment.scenario import Kind
-from radishwind.experiment.scenario import PowerLoss
 from radishwind.experiment.scenario import Scenario
 from radishwind.experiment.scenario import ServiceModel
 from radishwind.experiment.scenario import Slow
@@ -32,6 +33,7 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Member
+from radishwind.routes.emptied import EmptiedDomains
 from radishwind.routes.model import Part
 from radishwind.routes.model import Route
 from radishwind.routes.model import RouteConfig
@@ -62,6 +64,11 @@
         self.server: ModelServer | None = None
         self.news: LoadNews | None = None
 
+    def turn_cold(self) -> None:
+        """Lets the server there be cold, if one is."""
+        if self.server is not None:
+            self.server.turn_cold()
+
 
 class _Play:
     """The fleet of one play."""
@@ -78,6 +85,9 @@
         self._instances = list(self._places())
         self._factor = 1.0
         self._runs = 0
+        self._felled = 0
+        self._revisions = itertools.count(1)
+        self._emptied = EmptiedDomains()
         self._names = itertools.count(1)
 
     async def run(self) -> Report:
@@ -96,7 +106,7 @@
             for instance in self._instances:
                 self._end(instance)
             tasks.cancel_scope.cancel()
-        return Report(tuple(callers.answered), self._runs)
+        return Report(tuple(callers.answered), self._runs, self._felled)
 
     async def _come(self, kind: Kind, callers: Callers, since: float) -> None:
         """Lets callers of `kind` come by chance."""
@@ -126,13 +136,21 @@
         except SendError:
             return None
 
-    async def _happen(self, event: Burst | Slow | PowerLoss) -> None:
+    async def _happen(self, event: Event) -> None:
         await anyio.sleep(event.at)
         if isinstance(event, Burst):
             self._factor *= event.x
             await anyio.sleep(event.for_s)
             self._factor /= event.x
             return
+        if isinstance(event, Emptied):
+            self._empty(event.domain, emptied=True)
+            await anyio.sleep(event.for_s)
+            for instance in self._instances:
+                if instance.settings.failure_domain == event.domain:
+                    instance.turn_cold()
+            self._empty(event.domain, emptied=False)
+            return
         count = max(1, round(event.share * len(self._instances)))
         struck = self._rng.sample(self._instances, count)
         if isinstance(event, Slow):
@@ -149,6 +167,15 @@
         for instance in struck:
             self._start(instance)
 
+    def _empty(self, domain: str, *, emptied: bool) -> None:
+        """Tells all nodes that `domain` is emptied, or taken back."""
+        self._emptied = self._emptied.changed(
+            domain, next(self._revisions), emptied=emptied
+        )
+        for instance in self._instances:
+            if instance.node is not None:
+                instance.node.emptied.adopt(self._emptied, "play")
+
     def _start(self, instance: _Instance) -> None:
         settings = instance.settings
         node = ModelNode(
@@ -164,6 +191,17 @@
             cfg=self._cfg,
             switches=self._switches,
         )
+        node.emptied.adopt(self._emptied, "play")
+        instance.node = node
+        self._network.listen(settings.callers, node.handle)
+        self._network.listen(settings.peers, node.peers.handle)
+        self._tasks.start_soon(node.run)
+        self._start_server(instance, node)
+        self._join(instance, node)
+
+    def _start_server(self, instance: _Instance, node: ModelNode) -> None:
+        """Begins a life of the server beside `node`."""
+        settings = instance.settings
         server = ModelServer(
             instance.model,
             self._kinds,
@@ -172,13 +210,27 @@
             lambda kind, left_s: self._nested(settings, kind, left_s),
             f"i-{next(self._names)}",
         )
-        instance.node, instance.server = node, server
-        self._network.listen(settings.callers, node.handle)
-        self._network.listen(settings.peers, node.peers.handle)
+        server.fell = lambda: self._fell(instance, node, server)
+        instance.server = server
         self._network.listen(settings.server, server.handle)
-        self._tasks.start_soon(node.run)
         self._tasks.start_soon(self._heartbeats, instance, node, server)
-        self._join(instance, node)
+
+    def _fell(
+        self, instance: _Instance, node: ModelNode, server: ModelServer
+    ) -> None:
+        """Ends a server that got more than it stands, for a while."""
+        if instance.server is not server:
+            return
+        self._felled += 1
+        self._runs += server.began
+        instance.server = None
+        self._network.cut(instance.settings.server)
+        self._tasks.start_soon(self._stand_up, instance, node)
+
+    async def _stand_up(self, instance: _Instance, node: ModelNode) -> None:
+        await anyio.sleep(instance.model.down_s)
+        if instance.node is node and instance.server is None:
+            self._start_server(instance, node)
 
     def _join(self, instance: _Instance, node: ModelNode) -> None:
         """Lets all hear of a new node, and of its load from now on."""
@@ -205,9 +257,10 @@
             self._tasks.start_soon(each.news.run)
 
     def _end(self, instance: _Instance) -> None:
-        if instance.node is None or instance.server is None:
+        if instance.node is None:
             return
-        self._runs += instance.server.began
+        if instance.server is not None:
+            self._runs += instance.server.began
         instance.node.stop()
         if instance.news is not None:
             instance.news.stop()
@@ -294,7 +347,13 @@
         for kind in scenario.kinds
     )
     services = {
-        model.name: ServiceInfo(model.name, HEALTH_PATH, _CONNECTIONS)
+        model.name: ServiceInfo(
+            model.name,
+            HEALTH_PATH,
+            _CONNECTIONS,
+            model.cold_s,
+            model.cold_per_s or None,
+        )
         for model in scenario.services
     }
     return RouteConfig(1, routes, services)
--- a/src/radishwind/experiment/report.py
+++ b/src/radishwind/experiment/report.py
@@ -74,10 +74,12 @@
     Attributes:
       answered: all of them.
       runs: requests that servers began to run.
+      felled: how often a cold server got more than it stands.
     """
 
     answered: tuple[Answered, ...]
     runs: int
+    felled: int = 0
 
     @property
     def credit(self) -> float:
--- a/src/radishwind/experiment/scenario.py
+++ b/src/radishwind/experiment/scenario.py
@@ -13,6 +13,10 @@
 _Seconds = Annotated[float, msgspec.Meta(ge=0)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _Factor = Annotated[float, msgspec.Meta(ge=0.1, le=100)]
+#: What a cold server stands in any second, beside its rate; see `ServiceModel`.
+COLD_OVER = 1.5
+COLD_SLACK = 8.0
+
 _Count = Annotated[int, msgspec.Meta(ge=1, le=1000)]
 
 
@@ -67,6 +71,10 @@
       slower: so many times longer.
       cold_s: how long a server is slow after its start (s).
       cold_x: how many times as long work takes then.
+      cold_per_s: requests a second that a cold one stands; it falls over with
+        all that it runs where any second brings more than `COLD_OVER` times
+        that and `COLD_SLACK`. 0 for any number.
+      down_s: how long one that fell over is gone (s).
       noise: how the pace changes.
     """
 
@@ -78,6 +86,8 @@
     slower: _Factor = 1.0
     cold_s: _Seconds = 0.0
     cold_x: _Factor = 1.0
+    cold_per_s: _Seconds = 0.0
+    down_s: _Seconds = 3.0
     noise: Noise = Noise()
 
 
@@ -98,6 +108,7 @@
       idempotent: whether it may run more than once.
       calls: a kind that its run calls, if any.
       calls_share: part of the runs that do.
+      calls_times: how many calls such a run makes, all at once.
       returns: how often a caller comes back.
       route_timeout_s: the longest that a node keeps it (s); 0 for `timeout_s`.
     """
@@ -115,6 +126,7 @@
     idempotent: bool = True
     calls: str | None = None
     calls_share: _Share = 1.0
+    calls_times: Annotated[int, msgspec.Meta(ge=1, le=10)] = 1
     returns: Annotated[int, msgspec.Meta(ge=0, le=10)] = 2
     route_timeout_s: _Seconds = 0.0
 
@@ -148,7 +160,17 @@
     share: _Share = 1.0
 
 
-Event = Burst | Slow | PowerLoss
+class Emptied(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="emptied"
+):
+    """A failure domain is emptied for `for_s`; its servers end cold."""
+
+    at: _Seconds
+    for_s: _Seconds
+    domain: str
+
+
+Event = Burst | Slow | PowerLoss | Emptied
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/radishwind/experiment/servers.py
+++ b/src/radishwind/experiment/servers.py
@@ -1,6 +1,7 @@
 """A backend server of a play: slots, a queue, a knee, a cold start, noise."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import math
@@ -9,6 +10,8 @@
 import anyio
 
 from radishwind.core.clock import Clock
+from radishwind.experiment.scenario import COLD_OVER
+from radishwind.experiment.scenario import COLD_SLACK
 from radishwind.experiment.scenario import Kind
 from radishwind.experiment.scenario import Noise
 from radishwind.experiment.scenario import NoiseLaw
@@ -23,6 +26,9 @@
 
 HEALTH_PATH = "/health"
 
+#: What a cold server is sent counts in this window (s).
+_COLD_WINDOW_S = 1.0
+
 #: Makes the call of a server's run; returns whether it was answered well.
 MakeCall = Callable[[str, float], Awaitable[bool]]
 
@@ -66,6 +72,7 @@
     Attributes:
       began: requests that began to run.
       slow: how many times as long work takes, which it doesn't tell.
+      fell: called once more reaches it while cold than it stands.
     """
 
     def __init__(
@@ -80,6 +87,8 @@
         self.name = name
         self.began = 0
         self.slow = 1.0
+        self.fell: Callable[[], None] = _nobody_hears
+        self._came: collections.deque[float] = collections.deque()
         self._model = model
         self._kinds = kinds
         self._rng = rng
@@ -96,10 +105,15 @@
         age_s = self._clock.monotonic() - self._born
         return max(0.0, self._model.cold_s - age_s)
 
+    def turn_cold(self) -> None:
+        """Is cold again, as after a start."""
+        self._born = self._clock.monotonic()
+
     async def handle(self, request: Request) -> Response:
         """Answers one request, or a health check."""
         if request.path == HEALTH_PATH:
-            return health(self.name, self._load())
+            return health(self.name, self._load(), self.cold_left_s())
+        self._bear()
         if self._waiting >= self._model.queue:
             return refusal(self._load())
         self._waiting += 1
@@ -130,7 +144,22 @@
     async def _call(self, kind: Kind, left_s: float) -> bool:
         if kind.calls is None or self._rng.random() >= kind.calls_share:
             return True
-        return await self._make_call(kind.calls, left_s)
+        made = [
+            self._make_call(kind.calls, left_s) for _ in range(kind.calls_times)
+        ]
+        return all(await asyncio.gather(*made))
+
+    def _bear(self) -> None:
+        """Falls over where a cold server gets more than it stands."""
+        now = self._clock.monotonic()
+        per_s = self._model.cold_per_s
+        if not per_s or not self.cold_left_s():
+            return
+        self._came.append(now)
+        while self._came[0] <= now - _COLD_WINDOW_S:
+            self._came.popleft()
+        if len(self._came) > per_s * COLD_OVER + COLD_SLACK:
+            self.fell()
 
     async def _work(self, kind: Kind) -> None:
         shape = 1 / max(0.01, kind.spread) ** 2
@@ -159,3 +188,7 @@
     def _load(self) -> ServerLoad:
         pace = self._pace.at(self._clock.monotonic())
         return ServerLoad(self._running, self._waiting, self._model.slots, pace)
+
+
+def _nobody_hears() -> None:
+    """Takes that a server fell where nobody restarts it."""
--- /dev/null
+++ b/src/radishwind/experiment/tests/test_cold_fleet.py
@@ -0,0 +1,132 @@
+"""A fleet that lost power comes back cold, and has to stand up again.
+
+The load is one of actions that make calls: cold servers of the called service
+stand a third of what all callers ask. What is checked is what callers get.
+"""
+
+import msgspec
+import pytest
+
+from radishwind.experiment import play
+from radishwind.experiment.scenario import Emptied
+from radishwind.experiment.scenario import Kind
+from radishwind.experiment.scenario import Noise
+from radishwind.experiment.scenario import NoiseLaw
+from radishwind.experiment.scenario import PowerLoss
+from radishwind.experiment.scenario import Scenario
+from radishwind.experiment.scenario import ServiceModel
+
+NOISE = Noise(NoiseLaw.GRID, 0.25, 5.0, 0.15)
+
+
+def service(name, targets):
+    return ServiceModel(
+        name,
+        targets=targets,
+        slots=5,
+        knee=0.8,
+        slower=1.7,
+        cold_s=3.0,
+        cold_x=2.0,
+        cold_per_s=7.0,
+        noise=NOISE,
+    )
+
+
+FLEET = Scenario(
+    services=(
+        service("bulletins", 6),
+        service("alerts", 10),
+        service("bookings", 4),
+    ),
+    kinds=(
+        Kind(
+            "read",
+            "bulletins",
+            per_s=32.0,
+            work_s=0.13,
+            aim_s=0.46,
+            timeout_s=1.04,
+            priority=2,
+            calls="tide",
+            calls_share=0.7,
+            returns=1,
+        ),
+        Kind(
+            "subscribe",
+            "alerts",
+            per_s=40.0,
+            work_s=0.18,
+            aim_s=0.58,
+            timeout_s=1.24,
+            priority=1,
+            worth=2.0,
+            late_worth=0.2,
+            idempotent=False,
+            calls="buoy",
+            calls_share=0.7,
+            calls_times=2,
+            returns=1,
+        ),
+        Kind(
+            "book",
+            "bookings",
+            per_s=8.0,
+            work_s=0.09,
+            aim_s=0.3,
+            timeout_s=0.64,
+            priority=0,
+            worth=3.0,
+            late_worth=0.3,
+            idempotent=False,
+            returns=1,
+        ),
+        Kind(
+            "tide",
+            "alerts",
+            per_s=0.0,
+            work_s=0.033,
+            aim_s=0.14,
+            timeout_s=0.42,
+            worth=0.0,
+            returns=0,
+        ),
+        Kind(
+            "buoy",
+            "bookings",
+            per_s=0.0,
+            work_s=0.033,
+            aim_s=0.14,
+            timeout_s=0.42,
+            worth=0.0,
+            returns=0,
+        ),
+    ),
+    events=(PowerLoss(at=3.0, for_s=1.0),),
+    length_s=13.0,
+)
+
+
+def credits(report, *, since):
+    return [credit for began, credit in report.windows() if began >= since]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_fleet_that_lost_power_stands_up_and_stays(seed):
+    report = play(msgspec.structs.replace(FLEET, seed=seed))
+
+    assert report.felled == 0
+    assert min(credits(report, since=9.0)[:-1]) >= 0.85
+    assert sum(credits(report, since=9.0)[:-1]) >= 0.9 * len(
+        credits(report, since=9.0)[:-1]
+    )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_failure_domain_that_was_emptied_comes_back_cold(seed):
+    emptied = Emptied(at=3.0, for_s=4.0, domain="d1")
+
+    report = play(msgspec.structs.replace(FLEET, seed=seed, events=(emptied,)))
+
+    assert report.felled == 0
+    assert report.credit >= 0.85
--- a/src/radishwind/platform/other_ends.py
+++ b/src/radishwind/platform/other_ends.py
@@ -14,6 +14,7 @@
 from radishwind.platform.fields import SENDING_ID
 from radishwind.platform.fields import SIGNATURE
 from radishwind.platform.fields import TIMEOUT
+from radishwind.platform.fields import WARMUP
 from radishwind.target.dialect import ServerLoad
 
 #: Taken where a request tells no time (s).
@@ -66,9 +67,13 @@
     return Response(503, ((NOT_EXECUTED, "1"), _load(load)), b"", 0)
 
 
-def health(incarnation: str, load: ServerLoad) -> Response:
+def health(incarnation: str, load: ServerLoad, cold_s: float = 0.0) -> Response:
     """Returns a backend server's answer to a health check."""
-    fields = ((ANSWERING_INCARNATION, incarnation), _load(load))
+    fields = (
+        (ANSWERING_INCARNATION, incarnation),
+        (WARMUP, str(round(cold_s * 1000))),
+        _load(load),
+    )
     return Response(200, fields, b"", 0)
 
 
