Speak HTTP by httptools' parser under protocols of our own

ServerConnection and ClientConnection keep what the tests of senders, servers and pipelining hold all libraries to; those tests now run on both. What the parser lets pass and HTTP/1.1 does not (two hosts or none, codings other than chunked, foreign versions) is refused. A differential test by grammar and by mutation holds every request that is taken to the one that h11 reads at the same place; several spaces behind the method are the one difference, allowed by RFC 9112, and nothing of them goes on. A connection that rested and breaks at once teaches the sender how long that server remembers.

Faults found on the way, each by a test: a closing request's large body was not read on (test of large bodies), a request without Host was taken.

--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -14,8 +14,8 @@
 from radishwind.http.errors import RequestRejectedError
 from radishwind.http.errors import RequestTooLargeError
 from radishwind.http.errors import SenderTooSlowError
+from radishwind.http.httptools_connection import MayRunAhead
 from radishwind.http.limits import ServerLimits
-from radishwind.http.pipelined import MayRunAhead
 from radishwind.http.pipelined import PipelinedProtocol
 from radishwind.http.problems import problem_body
 from radishwind.http.server import Handler
--- a/src/radishwind/http/factory.py
+++ b/src/radishwind/http/factory.py
@@ -10,6 +10,7 @@
 class HttpLibrary(enum.StrEnum):
     """The libraries that implement `Server` and `Sender`."""
 
+    HTTPTOOLS = "httptools"
     AIOHTTP = "aiohttp"
     HYPERCORN_HTTPX = "hypercorn-httpx"
 
@@ -23,9 +24,13 @@
         from radishwind.http.hypercorn_server import HypercornServer
 
         return HypercornServer(limits)
-    from radishwind.http.aiohttp_server import AiohttpServer
+    if library is HttpLibrary.AIOHTTP:
+        from radishwind.http.aiohttp_server import AiohttpServer
 
-    return AiohttpServer(limits)
+        return AiohttpServer(limits)
+    from radishwind.http.httptools_server import HttptoolsServer
+
+    return HttptoolsServer(limits)
 
 
 def make_sender(library: HttpLibrary, connections: int) -> Sender:
@@ -34,6 +39,10 @@
         from radishwind.http.httpx_sender import HttpxSender
 
         return HttpxSender(connections)
-    from radishwind.http.aiohttp_sender import AiohttpSender
+    if library is HttpLibrary.AIOHTTP:
+        from radishwind.http.aiohttp_sender import AiohttpSender
+
+        return AiohttpSender(connections)
+    from radishwind.http.httptools_sender import HttptoolsSender
 
-    return AiohttpSender(connections)
+    return HttptoolsSender(connections)
--- /dev/null
+++ b/src/radishwind/http/httptools_sender.py
@@ -0,0 +1,230 @@
+"""`Sender` over httptools: connections kept warm, an exchange on each."""
+
+import asyncio
+import collections
+import socket
+
+from radishwind.core.timelimit import TimeLimit
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.heads import request_head
+from radishwind.http.httptools_exchange import ClientConnection
+from radishwind.http.sender import Sender
+from radishwind.http.types import Address
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+
+#: Idle connections are closed by us before a usual server closes them (5 s),
+#: so that a request is rarely written to a connection that is going away.
+KEEPALIVE_S = 4.0
+
+#: An idle connection is asked after this silence, and again after it (s): the
+#: least that the system takes.
+SILENCE_S = 1
+
+#: Unanswered segments after which a connection counts as dead.
+SILENT_PROBES = 2
+
+#: Bytes not acknowledged for so long mean the same (ms); a lost packet is
+#: sent again within 0.2 to 1 s.
+USER_TIMEOUT_MS = 2_500
+
+#: A connection that breaks so soon after a request was sent was forgotten (s);
+#: one that breaks later may have carried it.
+AT_ONCE_S = 0.015
+
+#: The least rest after which a connection may still be used again (s).
+LEAST_REST_S = 0.05
+
+#: How long a server that forgot a connection is taken to forget others (s).
+FORGETFUL_S = 20.0
+
+
+class _Pool:
+    """The connections to one address."""
+
+    def __init__(self) -> None:
+        self.idle: list[ClientConnection] = []
+        self.open = 0
+        self.waiting: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+        # Connections that rested longer are not used, until the second time.
+        self.most_rest_s = float("inf")
+        self.forgets_until = 0.0
+
+    def trusted_rest_s(self, now: float) -> float:
+        """Returns how long a connection may have rested to be used again."""
+        return self.most_rest_s if now < self.forgets_until else float("inf")
+
+    def forgot(self, rested_s: float, now: float) -> None:
+        """Takes that a connection which rested was gone unsaid."""
+        known_s = self.trusted_rest_s(now)
+        self.most_rest_s = max(LEAST_REST_S, min(known_s, rested_s / 2))
+        self.forgets_until = now + FORGETFUL_S
+
+
+class HttptoolsSender(Sender):
+    """Sends by httptools; see `Sender` for what it promises.
+
+    A server that forgets connections which rested resets the next request on
+    one of them, and whether that ran is not known. So where one did, those that
+    rested half as long are not used again for a while.
+    """
+
+    def __init__(
+        self, connections: int, keepalive_s: float = KEEPALIVE_S
+    ) -> None:
+        """Makes a sender.
+
+        Args:
+          connections: connections to one address at most.
+          keepalive_s: idle connections are closed after this time (s).
+        """
+        self._connections = connections
+        self._keepalive_s = keepalive_s
+        self._pools: dict[Address, _Pool] = {}
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    async def send(
+        self, address: Address, request: Request, connect_timeout_s: float
+    ) -> Response:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = _Pool()
+        head = request_head(request, address)
+        conn, rested_s = await self._take(pool, address, connect_timeout_s)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            return await conn.exchange(head, request)
+        except ExchangeBrokenError:
+            now = loop.time()
+            at_once = not conn.answered and now - began < AT_ONCE_S
+            if rested_s and at_once:
+                pool.forgot(rested_s, now)
+            raise
+
+    async def close(self) -> None:
+        self._closed = True
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for pool in self._pools.values():
+            for conn in pool.idle:
+                conn.abort()
+            pool.idle.clear()
+        self._pools.clear()
+        # Lets the loop tell the connections that they are closed.
+        await asyncio.sleep(0)
+
+    async def _take(
+        self, pool: _Pool, address: Address, connect_timeout_s: float
+    ) -> tuple[ClientConnection, float]:
+        """Returns a connection and how long it rested; a new one did not (s).
+
+        Raises:
+          ConnectFailedError: none could be made.
+        """
+        while True:
+            now = asyncio.get_running_loop().time()
+            most_s = min(self._keepalive_s, pool.trusted_rest_s(now))
+            while pool.idle:
+                conn = pool.idle.pop()
+                rested_s = now - conn.rested_since
+                if conn.usable and rested_s < most_s:
+                    return conn, rested_s
+                conn.abort()
+            if pool.open < self._connections:
+                return await self._connect(
+                    pool, address, connect_timeout_s
+                ), 0.0
+            turn = asyncio.get_running_loop().create_future()
+            pool.waiting.append(turn)
+            try:
+                await turn
+            except BaseException:
+                if turn.done() and not turn.cancelled():
+                    self._let_next(pool)
+                raise
+
+    async def _connect(
+        self, pool: _Pool, address: Address, timeout_s: float
+    ) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        pool.open += 1
+        counted = [True]
+
+        def released(conn: ClientConnection) -> None:
+            if conn.usable and not self._closed:
+                pool.idle.append(conn)
+                self._sweep_later()
+            elif counted:
+                counted.clear()
+                pool.open -= 1
+                if conn in pool.idle:
+                    pool.idle.remove(conn)
+            self._let_next(pool)
+
+        try:
+            with TimeLimit(timeout_s):
+                transport, conn = await loop.create_connection(
+                    lambda: ClientConnection(released),
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError) as exc:
+            counted.clear()
+            pool.open -= 1
+            self._let_next(pool)
+            raise ConnectFailedError(f"{address}: {exc!r}") from exc
+        except BaseException:
+            counted.clear()
+            pool.open -= 1
+            self._let_next(pool)
+            raise
+        _watch_silence(transport)
+        return conn
+
+    def _let_next(self, pool: _Pool) -> None:
+        """Lets the next one that waits for a connection look again."""
+        while pool.waiting:
+            turn = pool.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+    def _sweep_later(self) -> None:
+        if self._sweeper is None:
+            loop = asyncio.get_running_loop()
+            self._sweeper = loop.call_later(self._keepalive_s, self._sweep)
+
+    def _sweep(self) -> None:
+        """Closes connections that rested long enough."""
+        self._sweeper = None
+        now = asyncio.get_running_loop().time()
+        kept = False
+        for pool in self._pools.values():
+            for conn in list(pool.idle):
+                if now - conn.rested_since >= self._keepalive_s:
+                    pool.idle.remove(conn)
+                    conn.abort()
+            kept = kept or bool(pool.idle)
+        if kept:
+            self._sweep_later()
+
+
+def _watch_silence(transport: asyncio.BaseTransport) -> None:
+    """Lets a connection notice by itself when its other end is silent.
+
+    It may go silent for good without a reset; nothing but unanswered
+    keep-alive segments would show that before the deadline.
+    """
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, SILENCE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, SILENCE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENT_PROBES)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
--- /dev/null
+++ b/src/radishwind/http/httptools_server.py
@@ -0,0 +1,89 @@
+"""`Server` over httptools."""
+
+import asyncio
+
+from radishwind.http.httptools_connection import MayRunAhead
+from radishwind.http.httptools_connection import ServerConnection
+from radishwind.http.limits import ServerLimits
+from radishwind.http.server import Handler
+from radishwind.http.server import Server
+from radishwind.http.types import Address
+from radishwind.http.types import Request
+
+_BACKLOG = 1024
+
+#: How often a listener that closes looks whether all has ended (s).
+_LOOK_AGAIN_S = 0.02
+
+
+class HttptoolsServer(Server):
+    """Receives by httptools; see `Server` for what it promises."""
+
+    def __init__(
+        self, limits: ServerLimits, may_run_ahead: MayRunAhead | None = None
+    ) -> None:
+        """Makes a listener.
+
+        Args:
+          limits: what it takes.
+          may_run_ahead: decides which pipelined requests run before their
+            turn; by default none do.
+        """
+        self._limits = limits
+        self._may_run_ahead = may_run_ahead or _never
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, handler: Handler, listen: Address) -> Address:
+        def connection() -> ServerConnection:
+            return ServerConnection(
+                handler=handler,
+                limits=self._limits,
+                may_run_ahead=self._may_run_ahead,
+                opened=self._opened,
+                closed=self._connections.discard,
+                is_crowded=self._is_crowded,
+            )
+
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            connection, listen.host, listen.port, backlog=_BACKLOG
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def close(self, grace_s: float) -> None:
+        await self.stop_listening()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + grace_s
+        for conn in [c for c in self._connections if not c.is_busy]:
+            conn.abort()
+        while self._is_busy() and loop.time() < until:  # noqa: ASYNC110
+            await asyncio.sleep(_LOOK_AGAIN_S)
+        for conn in list(self._connections):
+            conn.abort()
+        # Lets the loop tell the connections that they are closed.
+        await asyncio.sleep(0)
+
+    def _is_busy(self) -> bool:
+        return any(conn.is_busy for conn in self._connections)
+
+    def _opened(self, conn: ServerConnection) -> bool:
+        """Takes a connection; returns whether it is not one too many."""
+        if len(self._connections) >= self._limits.connections:
+            return False
+        self._connections.add(conn)
+        return True
+
+    def _is_crowded(self) -> bool:
+        most = self._limits.connections * self._limits.crowded_part
+        return len(self._connections) > most
+
+
+def _never(request: Request) -> bool:
+    return False
--- a/src/radishwind/http/hygiene.py
+++ b/src/radishwind/http/hygiene.py
@@ -5,8 +5,7 @@
 """
 
 import re
-
-import yarl
+import urllib.parse
 
 from radishwind.http.errors import RequestRejectedError
 from radishwind.http.types import Headers
@@ -78,7 +77,9 @@
     """
     if path.startswith(("http://", "https://")):
         try:
-            path = yarl.URL(path, encoded=True).raw_path_qs
+            parts = urllib.parse.urlsplit(path)
+            path = parts._replace(scheme="", netloc="", fragment="").geturl()
+            path = path if path.startswith("/") else f"/{path}"
         except ValueError as exc:
             raise RequestRejectedError(f"expected a valid URL: {exc}") from exc
     if not _PATH.fullmatch(path):
--- a/src/radishwind/http/pipelined.py
+++ b/src/radishwind/http/pipelined.py
@@ -18,22 +18,19 @@
 import collections
 from collections.abc import Callable
 from typing import Any
-from typing import TypeAlias
 
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
+from radishwind.http.httptools_connection import MayRunAhead
 from radishwind.http.limits import ServerLimits
 from radishwind.http.server import Handler
 from radishwind.http.types import abort_body
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 
-#: Returns whether a request may run before the ones ahead of it are answered.
-MayRunAhead: TypeAlias = Callable[[Request], bool]
-
 _BODILESS_METHODS = frozenset({"GET", "HEAD"})
 
 
--- /dev/null
+++ b/src/radishwind/http/tests/test_differential.py
@@ -0,0 +1,276 @@
+"""No bytes are read as other requests than a strict parser reads in them.
+
+What two parsers read differently is how requests get smuggled. So every request
+that the listener takes must be the one that h11 reads at the same place; where
+h11 refuses, the listener may not go on. Refusing more than h11 is fine.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import re
+
+import h11
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from radishwind.http import Response
+from radishwind.http import ServerLimits
+from radishwind.http.httptools_connection import ServerConnection
+from radishwind.http.types import whole_body
+
+LIMITS = ServerLimits(body_bytes=1000, ahead=0)
+
+
+class Transport(asyncio.Transport):
+    """Keeps what is written; closes when told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = b""
+        self.closed = False
+
+    def get_extra_info(self, name, default=None):
+        return ("127.0.0.1", 1) if name == "peername" else default
+
+    def write(self, data):
+        self.written += data
+
+    def abort(self):
+        self.closed = True
+
+    close = abort
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+def taken(raw, splits=()):
+    """Returns the requests that the listener takes, and if it refused."""
+    return asyncio.run(_taken(raw, splits))
+
+
+async def _taken(raw, splits):
+    handled = []
+
+    async def handle(request):
+        body = await whole_body(request.body)
+        handled.append((request.method, request.path, body))
+        return Response(200, (), b"")
+
+    conn = ServerConnection(
+        handler=handle,
+        limits=LIMITS,
+        may_run_ahead=lambda request: False,
+        opened=lambda conn: True,
+        closed=lambda conn: None,
+        is_crowded=lambda: False,
+    )
+    transport = Transport()
+    conn.connection_made(transport)
+    edges = [0, *sorted({s % (len(raw) + 1) for s in splits}), len(raw)]
+    for start, end in itertools.pairwise(edges):
+        if start < end and not transport.closed:
+            conn.data_received(raw[start:end])
+            for _ in range(3):
+                await asyncio.sleep(0)
+    for _ in range(60):
+        await asyncio.sleep(0)
+    conn.connection_lost(None)
+    await asyncio.sleep(0)
+    return handled, b" 400 " in transport.written
+
+
+#: More than one space behind the method: RFC 9112 allows to take it, nothing of
+#: it goes on, and h11 refuses it.
+WIDE = re.compile(rb"(?m)^([A-Z]+) +(?=[/*h])")
+
+
+def read_by_h11(raw):
+    """Returns the requests that h11 reads, to the first that it refuses."""
+    raw = WIDE.sub(rb"\1 ", raw)
+    conn = h11.Connection(h11.SERVER)
+    read = []
+    with contextlib.suppress(h11.RemoteProtocolError):
+        conn.receive_data(raw)
+        while True:
+            event = conn.next_event()
+            if not isinstance(event, h11.Request):
+                break
+            body = b""
+            while isinstance(part := conn.next_event(), h11.Data):
+                body += part.data
+            if not isinstance(part, h11.EndOfMessage):
+                break
+            method, target = event.method.decode(), event.target.decode()
+            read.append((method, target, body))
+            if conn.their_state is not h11.DONE:
+                break
+            conn.send(
+                h11.Response(status_code=200, headers=[("Content-Length", "0")])
+            )
+            conn.send(h11.EndOfMessage())
+            if conn.our_state is not h11.DONE:
+                break
+            conn.start_next_cycle()
+    return read
+
+
+LINES = st.sampled_from(
+    [
+        b"GET /a HTTP/1.1",
+        b"POST /b?c=d HTTP/1.1",
+        b"POST /b HTTP/1.0",
+        b"PUT /e HTTP/1.1",
+        b"GET  /a HTTP/1.1",
+        b"GET /a HTTP/1.1 ",
+        b"GET /a\tHTTP/1.1",
+        b"GET /a HTTP/2.0",
+        b"GET /a",
+        b"get /a HTTP/1.1",
+        b"SOURCE /a ICE/1.0",
+        b"GET http://h/a HTTP/1.1",
+        b"OPTIONS * HTTP/1.1",
+        b"CONNECT h:1 HTTP/1.1",
+    ]
+)
+FIELDS = st.sampled_from(
+    [
+        b"Host: a",
+        b"Host : a",
+        b"Content-Length: 5",
+        b"Content-Length: 5, 5",
+        b"Content-Length: +5",
+        b"Content-Length: 05",
+        b"Content-Length: 0x5",
+        b"Content-Length: 99999999999999999999",
+        b"Content-Length:",
+        b"Transfer-Encoding: chunked",
+        b"Transfer-Encoding: Chunked",
+        b"Transfer-Encoding: chunked, identity",
+        b"Transfer-Encoding: gzip, chunked",
+        b"Transfer-Encoding:\x0bchunked",
+        b"Transfer-Encoding: xchunked",
+        b" X: folded",
+        b"X: a\x00b",
+        b"X: a\rb",
+        b"X\x01: a",
+        b"Connection: close",
+        b"Connection: Upgrade",
+        b"Upgrade: h2c",
+        b"Expect: 100-continue",
+        b": a",
+        b"X",
+    ]
+)
+ENDS = st.sampled_from([b"\r\n", b"\r\n", b"\r\n", b"\r\n", b"\n", b"\r"])
+BODIES = st.sampled_from(
+    [
+        b"",
+        b"hello",
+        b"5\r\nhello\r\n0\r\n\r\n",
+        b"5;x=y\r\nhello\r\n0\r\n\r\n",
+        b"5\nhello\n0\n\n",
+        b"5 \r\nhello\r\n0\r\n\r\n",
+        b"0x5\r\nhello\r\n0\r\n\r\n",
+        b"5\r\nhelloX\r\n0\r\n\r\n",
+        b"5\r\nhello\r\n0\r\nT: a\r\n\r\n",
+        b"0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n",
+    ]
+)
+
+
+@st.composite
+def messages(draw):
+    raw = b""
+    for _ in range(draw(st.integers(1, 3))):
+        raw += draw(LINES) + draw(ENDS)
+        named = draw(st.booleans())
+        raw += b"Host: a\r\n" if named else b""
+        for field in draw(st.lists(FIELDS, max_size=4)):
+            raw += field + draw(ENDS)
+        raw += draw(ENDS) + draw(BODIES)
+    return raw
+
+
+@st.composite
+def mutated(draw):
+    raw = bytearray(draw(messages()))
+    for _ in range(draw(st.integers(1, 3))):
+        place = draw(st.integers(0, len(raw) - 1))
+        raw[place : place + draw(st.integers(0, 2))] = draw(
+            st.binary(max_size=2)
+        )
+    return bytes(raw)
+
+
+def check(raw, splits):
+    requests, _refused = taken(raw, splits)
+    oracle = read_by_h11(raw)
+    assert requests == oracle[: len(requests)], (raw, requests, oracle)
+    assert taken(raw, ())[0] == requests
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(messages(), st.lists(st.integers(0, 2000), max_size=6))
+@example(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello", [3])
+def test_no_grammatical_bytes_are_read_as_other_requests(raw, splits):
+    check(raw, splits)
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(mutated(), st.lists(st.integers(0, 2000), max_size=6))
+def test_no_mutated_bytes_are_read_as_other_requests(raw, splits):
+    check(raw, splits)
+
+
+WHOLE = (
+    b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\nhello\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("place", range(len(WHOLE)))
+def test_where_the_bytes_are_split_changes_nothing(place):
+    requests, refused = taken(WHOLE, (place,))
+
+    assert requests == [("POST", "/a", b"hello"), ("GET", "/b", b"")]
+    assert not refused
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        b"Content-Length: 4\r\n\r\nabcd",
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+        b"\r\n0\r\n\r\n",
+        b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+        b"GET / HTTP/1.1\nHost: a\n\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n folded\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: a\x00b\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"GET / HTTP/2.0\r\nHost: a\r\n\r\n",
+        b"GET /\r\n\r\n",
+        b"get / HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"SOURCE / ICE/1.0\r\nHost: a\r\n\r\n",
+    ],
+)
+def test_what_receivers_could_read_differently_is_refused(raw):
+    requests, refused = taken(raw)
+
+    assert requests == []
+    assert refused
--- a/src/radishwind/http/tests/test_pipelined.py
+++ b/src/radishwind/http/tests/test_pipelined.py
@@ -10,10 +10,18 @@
 from radishwind.http import Response
 from radishwind.http import ServerLimits
 from radishwind.http.aiohttp_server import AiohttpServer
+from radishwind.http.httptools_server import HttptoolsServer
 from radishwind.http.types import whole_body
 
 pytestmark = pytest.mark.anyio
 
+
+@pytest.fixture(params=[HttptoolsServer, AiohttpServer], autouse=True)
+def library(request):
+    """Holds each library to the same."""
+    Service.library = request.param
+
+
 LIMITS = ServerLimits(ahead=3, linger_s=0.2)
 WITHIN_S = 10.0
 
@@ -45,6 +53,8 @@
 class Service:
     """Answers each request once the test lets it."""
 
+    library = HttptoolsServer
+
     def __init__(self):
         self.began = []
         self.cancelled = []
@@ -93,7 +103,7 @@
 @contextlib.asynccontextmanager
 async def connected(limits=LIMITS):
     service = Service()
-    server = AiohttpServer(limits, may_run_ahead)
+    server = Service.library(limits, may_run_ahead)
     address = await server.start(service.handle, Address("127.0.0.1", 0))
     stream = await anyio.connect_tcp(*address)
     try:
@@ -259,7 +269,7 @@
     limits = ServerLimits(connections=8, crowded_part=0.5, linger_s=0.2)
     service = Service()
     service.let("/1")
-    server = AiohttpServer(limits, may_run_ahead)
+    server = Service.library(limits, may_run_ahead)
     address = await server.start(service.handle, Address("127.0.0.1", 0))
     async with contextlib.AsyncExitStack() as stack:
         streams = []
--- a/src/radishwind/http/tests/test_server_edges.py
+++ b/src/radishwind/http/tests/test_server_edges.py
@@ -49,9 +49,21 @@
     return Response(200, (), request.path.encode() + b" " + body)
 
 
+class Chosen:
+    library = HttpLibrary.HTTPTOOLS
+
+
+@pytest.fixture(
+    params=[HttpLibrary.HTTPTOOLS, HttpLibrary.AIOHTTP], autouse=True
+)
+def library(request):
+    """Holds each library to the same."""
+    Chosen.library = request.param
+
+
 @contextlib.asynccontextmanager
 async def listening():
-    server = make_server(HttpLibrary.AIOHTTP, LIMITS)
+    server = make_server(Chosen.library, LIMITS)
     address = await server.start(echo, Address("127.0.0.1", 0))
     try:
         yield address
@@ -100,7 +112,7 @@
 
 async def test_a_cut_answer_does_not_end_neatly():
     async with listening() as address:
-        sender = make_sender(HttpLibrary.AIOHTTP, 4)
+        sender = make_sender(Chosen.library, 4)
         response = await sender.send(address, Request("GET", "/cut"), 1.0)
 
         with pytest.raises(ExchangeBrokenError):
@@ -127,6 +139,30 @@
         assert b"Radishwind-Code: " + code in answer
 
 
+async def test_the_whole_body_of_a_request_that_closes_is_read():
+    async with listening() as address:
+        size = 150_000
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        raw = head + b"Content-Length: %d\r\n\r\n" % size
+
+        answer = await exchange(address, raw + b"." * size)
+
+    assert answer.endswith(b"/x " + b"." * size)
+
+
+async def test_a_body_that_pauses_too_long_is_refused_and_told():
+    limits = ServerLimits(body_pause_s=0.1, linger_s=0.1)
+    server = make_server(Chosen.library, limits)
+    address = await server.start(echo, Address("127.0.0.1", 0))
+    raw = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nshort"
+
+    answer = await exchange(address, raw)
+
+    await server.close(0.0)
+    assert b" 408 " in answer.splitlines()[0]
+    assert b"Radishwind-Code: 2005" in answer
+
+
 async def test_a_request_cut_within_its_body_is_not_handled():
     async with listening() as address:
         raw = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nshort"
@@ -177,12 +213,12 @@
     assert answer == b""
 
 
-@pytest.mark.parametrize("library", list(HttpLibrary))
-async def test_both_libraries_carry_a_streamed_body_whole(library):
+@pytest.mark.parametrize("one", list(HttpLibrary))
+async def test_all_libraries_carry_a_streamed_body_whole(one):
     body = b"abc" * 50_000
-    server = make_server(library, LIMITS)
+    server = make_server(one, LIMITS)
     address = await server.start(echo, Address("127.0.0.1", 0))
-    sender = make_sender(library, 4)
+    sender = make_sender(one, 4)
 
     request = Request("POST", "/x?y=1", (("Host", "a"),), body, len(body))
     response = await sender.send(address, request, 1.0)
--- a/src/radishwind/http/tests/test_strict_protocol.py
+++ b/src/radishwind/http/tests/test_strict_protocol.py
@@ -9,18 +9,28 @@
 
 from radishwind.http.aiohttp_sender import AiohttpSender
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.httptools_sender import HttptoolsSender
 from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import whole_body
 
 pytestmark = pytest.mark.anyio
 
+
+@pytest.fixture(params=[HttptoolsSender, AiohttpSender], autouse=True)
+def library(request):
+    """Holds each library to the same."""
+    RawServer.sender_type = request.param
+
+
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: %d\r\n\r\nok"
 
 
 class RawServer:
     """Answers by a script of bytes; counts the requests it read."""
 
+    sender_type = HttptoolsSender
+
     def __init__(self, script):
         self.script = script
         self.requests = []
@@ -29,7 +39,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = Address(host, port)
-        self.sender = AiohttpSender(4)
+        self.sender = self.sender_type(4)
         return self
 
     async def __aexit__(self, *exc):
--- a/src/radishwind/settings/node.py
+++ b/src/radishwind/settings/node.py
@@ -120,7 +120,7 @@
         unit="s",
     )
     http_library: HttpLibrary = setting(
-        _library, "HTTP library.", default=HttpLibrary.AIOHTTP
+        _library, "HTTP library.", default=HttpLibrary.HTTPTOOLS
     )
     routing: RoutingPolicy = setting(
         RoutingPolicy.parse,
--- a/src/radishwind/settings/tests/test_settings.py
+++ b/src/radishwind/settings/tests/test_settings.py
@@ -39,7 +39,7 @@
         ("seed", "1.5", "expected a whole number"),
         ("peer_listen", "here", "expected HOST:PORT"),
         ("peer_listen", "h:70000", "expected HOST:PORT"),
-        ("http_library", "mine", "expected one of aiohttp"),
+        ("http_library", "mine", "expected one of httptools, aiohttp"),
         ("metrics", "1", "expected yes or no"),
         ("target", "a b", "expected 1 to 63"),
     ],
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -12,7 +12,7 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.request_log import RequestLog
-from radishwind.http.aiohttp_sender import AiohttpSender
+from radishwind.http.httptools_sender import HttptoolsSender
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.facts import Announced
@@ -92,13 +92,13 @@
         self._leaving = False
         self._items_left_out = 0
         self._readiness = Readiness(self._ready)
-        self._peer_sender = AiohttpSender(PEER_CONNECTIONS, PEER_KEEPALIVE_S)
-        self._server_sender = AiohttpSender(
+        self._peer_sender = HttptoolsSender(PEER_CONNECTIONS, PEER_KEEPALIVE_S)
+        self._server_sender = HttptoolsSender(
             SERVER_CONNECTIONS, SERVER_KEEPALIVE_S
         )
         self._store = BudgetedStore(
             PlatformStore(
-                AiohttpSender(STORE_CONNECTIONS),
+                HttptoolsSender(STORE_CONNECTIONS),
                 settings.store,
                 self._left_out,
             ),
@@ -215,6 +215,7 @@
                 self._target,
                 self._membership,
                 self._routes,
+                self._emptied,
                 self._store,
                 self._datagrams,
                 self._output,
--- a/src/radishwind/sidecar/listening.py
+++ b/src/radishwind/sidecar/listening.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from radishwind.http.aiohttp_server import AiohttpServer
+from radishwind.http.httptools_connection import MayRunAhead
+from radishwind.http.httptools_server import HttptoolsServer
 from radishwind.http.limits import ServerLimits
-from radishwind.http.pipelined import MayRunAhead
 from radishwind.http.server import Handler
 from radishwind.http.types import Address
 from radishwind.node.failures import logging_failures
@@ -42,7 +42,7 @@
 
 async def listening(
     settings: PlacedSettings, handlers: Handlers, ahead: int, log: PartLogger
-) -> Sequence[AiohttpServer]:
+) -> Sequence[HttptoolsServer]:
     """Returns the listeners, open.
 
     Args:
@@ -69,7 +69,7 @@
         wanted.append((handlers.metrics, address, others))
     servers = []
     for handler, listen, limits in wanted:
-        server = AiohttpServer(limits, handlers.may_run_ahead)
+        server = HttptoolsServer(limits, handlers.may_run_ahead)
         await server.start(logging_failures(handler, log), listen)
         servers.append(server)
     return servers
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -11,6 +11,7 @@
 from radishwind.http.types import Response
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
+from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
@@ -29,6 +30,7 @@
     target: SidecarTarget
     membership: MembershipTasks
     routes: RoutesInForce
+    emptied: EmptiedInForce
     store: BudgetedStore
     datagrams: PeerSocket
     output: BoundedOutput
@@ -84,6 +86,11 @@
         "Requests at once at which the server beside ends most.",
         lambda: {"": target.admission.slots},
     )
+    metrics.gauge(
+        "radishwind_target_cold",
+        "1 while the server beside is cold and bounded, else 0.",
+        lambda: {"": int(target.warmup.is_cold)},
+    )
     metrics.gauge(
         "radishwind_load_age_seconds",
         "Age of the last load figure of the server beside.",
@@ -115,6 +122,11 @@
         "The version of the routes in force.",
         lambda: {"": counted.routes.version},
     )
+    metrics.gauge(
+        "radishwind_domains_emptied",
+        "Failure domains that get nothing new, by name.",
+        lambda: {f'domain="{n}"': 1 for n in sorted(counted.emptied.names)},
+    )
     metrics.counter(
         "radishwind_datagrams_total",
         "Datagrams between nodes: load, and short messages of membership.",
--- a/src/radishwind/sidecar/tests/test_imports.py
+++ b/src/radishwind/sidecar/tests/test_imports.py
@@ -35,7 +35,8 @@
 
 
 @pytest.mark.parametrize(
-    "name", ["opentelemetry", "hypercorn", "httpx", "typer", "matplotlib"]
+    "name",
+    ["aiohttp", "opentelemetry", "hypercorn", "httpx", "typer", "matplotlib"],
 )
 def test_what_the_platform_does_not_need_is_not_imported(name):
     assert name not in told()[1]
