Refuse at the entry what every target would answer late

Kept beside it: the age of those who come back (Returns), one lot for calls that come together (Siblings), what runs take with their calls (RunTimes). A cold server no longer refuses by rank what it let wait: it did so after 0.5 s in one of ten. Callers that leave have a line in the log; before, their requests had none.

--- a/src/radishwind/admission/gate.py
+++ b/src/radishwind/admission/gate.py
@@ -27,6 +27,10 @@
       aim: monotonic time (s) by which an answer earns its full worth.
       priority: its rank; 0 is the highest.
       work_s: its run time at the usual pace (s); 0 where not known.
+      lot: drawn with those that it belongs to, -0.5 to 0.5; 0 for none.
+      run_s: what such runs take there now in the mean, their calls included
+        (s); 0 where not known.
+      likely_s: what four of five of them end within (s); 0 where not known.
       admitted: whether it holds a slot.
       refused: the refusal, if it was turned away.
       released: whether it was given back.
@@ -40,6 +44,9 @@
     aim: float = math.inf
     priority: int = 0
     work_s: float = 0.0
+    lot: float = 0.0
+    run_s: float = 0.0
+    likely_s: float = 0.0
     admitted: bool = False
     refused: NotRun | None = None
     released: bool = False
--- a/src/radishwind/admission/queueing.py
+++ b/src/radishwind/admission/queueing.py
@@ -214,7 +214,8 @@
 
         What starts too late to end by its deadline only takes a slot away.
         """
-        ends = ticket.deadline - _COST_MARGIN * self._cost_s(ticket)
+        run_s = max(_COST_MARGIN * self._cost_s(ticket), ticket.likely_s)
+        ends = ticket.deadline - run_s
         return min(ends, ticket.offered + self._limits.queue_wait_s)
 
     def _cost_s(self, ticket: Ticket) -> float:
--- a/src/radishwind/admission/tests/test_urgent.py
+++ b/src/radishwind/admission/tests/test_urgent.py
@@ -1,6 +1,7 @@
 """Slots go to what can still be in time, and to short work in a congestion."""
 
 import math
+import random
 
 import pytest
 
@@ -115,3 +116,45 @@
     admission.expire(0.1)
 
     assert held.admitted
+
+
+def test_what_would_not_end_in_time_is_refused_by_what_runs_take_there():
+    """Runs take half a second there, with the calls that they wait for."""
+    admission = UrgentAdmission(ONE_SLOT)
+    admission.offer(ticket("running", work_s=0.1), 0.0)
+    short, long = (
+        ticket(name, work_s=0.1, aim=0.4, deadline=1.0) for name in ("s", "l")
+    )
+    long.likely_s = 0.5
+    admission.offer(short, 0.0)
+    admission.offer(long, 0.0)
+
+    admission.expire(0.55)
+
+    assert not short.refused
+    assert long.refused.code is ResultCode.OVERLOADED
+
+
+def test_what_belongs_together_begins_alike_at_different_servers():
+    """Pairs wait at two congested servers that run half of them."""
+    rng = random.Random(5)
+    began = ([], [])
+    lots = [rng.random() - 0.5 for _ in range(20)]
+    for names in began:
+        admission = UrgentAdmission(ONE_SLOT)
+        running = ticket("running", work_s=0.1)
+        admission.offer(running, 0.0)
+        waiting = []
+        for i in rng.sample(range(20), 20):
+            at = rng.random() * 0.05
+            one = ticket(f"p{i}", work_s=0.05, aim=9.0, deadline=10.0, at=at)
+            one.lot = lots[i]
+            waiting.append(one)
+            admission.offer(one, at)
+        for _ in range(10):
+            admission.release(running, 0.1, 0.05)
+            running = next(t for t in waiting if t.admitted)
+            waiting.remove(running)
+            names.append(running.caller)
+
+    assert len(set(began[0]) & set(began[1])) >= 9
--- a/src/radishwind/admission/urgent.py
+++ b/src/radishwind/admission/urgent.py
@@ -19,6 +19,11 @@
 #: that a request of the highest rank waits for one slot at most.
 RANK_LEAD_S = 0.1
 
+#: What the whole width of lots counts for in a congestion, as a lead (s): more
+#: than the requests that wait differ in age, so that those which belong
+#: together begin or are refused alike, at whichever server they wait.
+LOT_LEAD_S = 0.3
+
 #: Run times that a request must have left to its aim to count as in time.
 _AIM_MARGIN = 1.0
 
@@ -116,25 +121,31 @@
         now = ticket.offered
         own = self._order(ticket, now)
         ahead = [t for t in self._queue if self._order(t, now) < own]
-        return self._until_s(sum(map(self._cost_s, ahead)))
+        return self._begin_s(ahead)
+
+    def _begin_s(self, ahead: Iterable[Ticket]) -> float:
+        """Returns how long it takes until those `ahead` have begun (s).
 
-    def _until_s(self, work_s: float) -> float:
-        """Returns how long it takes until so much work has begun (s)."""
+        By what their runs take there, with what they wait for, where that is
+        known; it is far more than their work in an overload of what they call.
+        """
+        stretched_s = self._gate.stretch()
+        runs_s = sum(t.run_s or self._cost_s(t) * stretched_s for t in ahead)
         if self._in_flight >= self._slots:
-            work_s += self._service_s
-        return work_s * self._gate.stretch() / max(1, self._slots)
+            runs_s += self._service_s
+        return runs_s / max(1, self._slots)
 
     def _refuse_hopeless(self, now: float) -> None:
         """Refuses those whose turn will come too late, in today's order."""
         if not self._refuses_hopeless or not self._is_congested():
             return
-        work_s = 0.0
+        ahead: list[Ticket] = []
         for ticket in sorted(self._queue, key=lambda t: self._order(t, now)):
-            if now + self._until_s(work_s) >= self._latest(ticket):
+            if now + self._begin_s(ahead) >= self._latest(ticket):
                 self._remove(ticket)
                 self._turn_away(ticket, "Others go first until it is too late.")
                 continue
-            work_s += self._cost_s(ticket)
+            ahead.append(ticket)
 
     def _victim(self, ticket: Ticket) -> Ticket:
         now = ticket.offered
@@ -151,5 +162,5 @@
         late = now + _AIM_MARGIN * self._cost_s(ticket) > ticket.aim
         lead_s = ticket.priority * RANK_LEAD_S
         if self._is_congested():
-            return late, lead_s - ticket.offered
+            return late, lead_s - ticket.offered + LOT_LEAD_S * ticket.lot
         return late, (ticket.deadline if late else ticket.aim) + lead_s
--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -5,6 +5,8 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.foresight import Foresight
+from radishwind.entry.foresight import NoForesight
 from radishwind.entry.hedge_timer import HedgeTimer
 from radishwind.entry.race import Race
 from radishwind.entry.runner import AttemptRunner
@@ -48,6 +50,7 @@
         retries: RetryPolicy,
         hedges: HedgePolicy,
         runner: AttemptRunner,
+        foresight: Foresight | None = None,
     ) -> None:
         self._clock = clock
         self._placement = placement
@@ -55,6 +58,7 @@
         self._retries = retries
         self._hedges = hedges
         self._runner = runner
+        self._foresight = foresight or NoForesight()
         self.counts = AttemptCounts()
         self._timer = HedgeTimer(clock)
 
@@ -74,6 +78,11 @@
             member = self._choose(history)
             if member is None:
                 return last or self._placement.refusal(call)
+            late = self._foresight.refusal(
+                call, member, self._clock.monotonic()
+            )
+            if late is not None:
+                return graver(last, late)
             outcome = await self._attempt_or_race(history, member, hedge_s)
             if not isinstance(outcome, NotRun):
                 hedge_s = None  # What was tried in earnest is not hedged.
--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -66,6 +66,8 @@
       route: the route that took it; empty where services have none.
       regions: where it may run; empty for anywhere.
       work_s: its run time at the usual pace (s); 0 where not known.
+      lot: drawn with those that it belongs to, -0.5 to 0.5; the lower go
+        first where not all can be served. 0 where it belongs to no others.
       steps: what was tried and what came of it, for the log; grows.
     """
 
@@ -86,6 +88,7 @@
     route: str = ""
     regions: frozenset[str] = frozenset()
     work_s: float = 0.0
+    lot: float = 0.0
     steps: list[str] = dataclasses.field(default_factory=list, compare=False)
 
 
--- a/src/radishwind/entry/observer.py
+++ b/src/radishwind/entry/observer.py
@@ -18,3 +18,11 @@
           outcome: its final outcome; a body may still be streaming.
           elapsed_s: from the request's arrival to the outcome (s).
         """
+
+    def left(self, call: Call, elapsed_s: float) -> None:  # noqa: B027
+        """Notes that the caller of `call` left before it was answered.
+
+        Args:
+          call: the call.
+          elapsed_s: from the request's arrival on (s).
+        """
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -1,5 +1,6 @@
 """Answers callers: classify, run once by claim, answer."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -12,6 +13,7 @@
 from radishwind.entry.call import Call
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.classifier import Classifier
+from radishwind.entry.foresight import Foresight
 from radishwind.entry.observer import CallObserver
 from radishwind.entry.retry_after import RetryAfter
 from radishwind.entry.runner import AttemptResult
@@ -50,6 +52,7 @@
         quarantine: QuarantineGate | None = None,
         retry_after: RetryAfter | None = None,
         respond: Callable[[Outcome], Response] = answer,
+        foresight: Foresight | None = None,
     ) -> None:
         self._clock = clock
         self._classifier = classifier
@@ -65,6 +68,7 @@
             retries=retries,
             hedges=hedges or NoHedges(),
             runner=runner,
+            foresight=foresight,
         )
 
     @property
@@ -88,7 +92,13 @@
             return self._respond(
                 self._with_retry_after(NotRun(exc.code, exc.args[0]))
             )
-        outcome = await self._claims.run(call, self._run)
+        try:
+            outcome = await self._claims.run(call, self._run)
+        except asyncio.CancelledError:
+            elapsed_s = self._clock.monotonic() - began
+            for observer in self._observers:
+                observer.left(call, elapsed_s)
+            raise
         elapsed_s = self._clock.monotonic() - began
         for observer in self._observers:
             observer.finished(call, outcome, elapsed_s)
--- a/src/radishwind/entry/request_log.py
+++ b/src/radishwind/entry/request_log.py
@@ -56,6 +56,24 @@
             held_back=held_back or None,
         )
 
+    def left(self, call: Call, elapsed_s: float) -> None:
+        now = self._clock.monotonic()
+        if not self._may_tell(now):
+            self._held_back += 1
+            return
+        held_back, self._held_back = self._held_back, 0
+        self._log.change(
+            "A caller left before its answer.",
+            request=call.call_id,
+            route=call.route,
+            service=call.service,
+            priority=call.priority,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+            aim_left_ms=round((call.aim - now) * 1000, 1),
+            steps="; ".join(call.steps),
+            held_back=held_back or None,
+        )
+
     def _may_tell(self, now: float) -> bool:
         gained = (now - self._filled) * MOST_PER_S
         self._tokens = min(MOST_PER_S, self._tokens + gained)
--- a/src/radishwind/entry/routed.py
+++ b/src/radishwind/entry/routed.py
@@ -11,6 +11,8 @@
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.call import ServiceUnknownError
 from radishwind.entry.classifier import Classifier
+from radishwind.entry.returns import Returns
+from radishwind.entry.siblings import Siblings
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.routes.in_force import RoutesInForce
@@ -52,6 +54,8 @@
         rules: ServiceRules,
         read: Callable[[Headers], CallerFields],
         work_s: Callable[[str], float],
+        returns: Returns | None = None,
+        siblings: Siblings | None = None,
     ) -> None:
         """Makes a classifier.
 
@@ -61,12 +65,18 @@
           rules: of every service, where its routes don't say.
           read: decodes what a caller tells in header fields.
           work_s: returns the usual run time of a route (s).
+          returns: tells how long ago a caller first asked; by default each
+            request counts as its caller's first.
+          siblings: draws lots for those that belong together; by default none
+            do.
         """
         self._clock = clock
         self._routes = routes
         self._rules = rules
         self._read = read
         self._work_s = work_s
+        self._returns = returns
+        self._siblings = siblings
 
     def is_idempotent(self, request: Request) -> bool:
         """Returns whether a route takes `request` and lets it run twice.
@@ -96,8 +106,14 @@
             )
         now = self._clock.monotonic()
         timeout_s = route.timeout_s
+        age_s = lot = 0.0
         if told.timeout_ms is not None:
-            timeout_s = min(timeout_s, told.timeout_ms / 1000)
+            told_s = told.timeout_ms / 1000
+            timeout_s = min(timeout_s, told_s)
+            if self._returns is not None:
+                age_s = self._returns.age_s(route.name, told_s, now)
+            if self._siblings is not None:
+                lot = self._siblings.lot(route.name, told.timeout_ms, now)
         return Call(
             call_id=told.request_id,
             service=self._routes.table.service_of(route),
@@ -107,10 +123,11 @@
             deadline=now + timeout_s,
             expires_ms=NO_WALL_DEADLINE_MS,
             caller=request.remote,
-            aim=now + min(route.aim_s, timeout_s),
+            aim=now + max(0.0, min(route.aim_s - age_s, timeout_s)),
             priority=route.priority,
             most_reached=route.attempts,
             route=route.name,
             regions=route.regions,
             work_s=self._work_s(route.name),
+            lot=lot,
         )
--- /dev/null
+++ b/src/radishwind/entry/tests/test_foresight.py
@@ -0,0 +1,69 @@
+"""What every target would answer late is refused at once, by rank."""
+
+import pytest
+from tests.support.calls import make_call
+
+from radishwind.core.codes import ResultCode
+from radishwind.entry.foresight import MOST_LATE_S
+from radishwind.entry.foresight import RANK_STEP_S
+from radishwind.entry.foresight import RefuseLate
+from radishwind.http.types import Address
+from radishwind.membership.directory import Member
+from radishwind.routing.chooser import TargetChooser
+
+MEMBER = Member("t", "s", "a", Address("h", 1))
+
+
+class Chooser(TargetChooser):
+    def __init__(self, expected_s, usual_s):
+        self._expected_s = expected_s
+        self._usual_s = usual_s
+
+    def choose(self, members, now, exclude=frozenset(), work=""):
+        return members[0]
+
+    def started(self, name, now, expected_s=0.0):
+        pass
+
+    def finished(self, name, now, elapsed_s, outcome, load, work=""):
+        pass
+
+    def expected_s(self, member, now, work):
+        return self._expected_s
+
+    def usual_s(self, work):
+        return self._usual_s
+
+
+def refusal(expected_s, aim_s, priority=0, usual_s=0.2):
+    foresight = RefuseLate(Chooser(expected_s, usual_s))
+    call = make_call(aim=10.0 + aim_s, priority=priority)
+    return foresight.refusal(call, MEMBER, 10.0)
+
+
+def test_what_will_be_in_time_is_sent():
+    assert refusal(0.4, aim_s=0.5) is None
+
+
+def test_what_would_be_far_too_late_is_refused_and_told_when_to_come_back():
+    refused = refusal(1.0, aim_s=0.5)
+
+    assert refused.code is ResultCode.OVERLOADED
+    assert refused.retry_after_s == pytest.approx(1.0 - 0.5 - MOST_LATE_S)
+
+
+def test_the_most_urgent_stay_longest():
+    expected_s = 0.5 + MOST_LATE_S - RANK_STEP_S / 2
+
+    assert refusal(expected_s, 0.5, priority=0) is None
+    assert refusal(expected_s, 0.5, priority=1) is not None
+    assert refusal(0.5, 0.5, priority=9) is None
+
+
+def test_one_that_is_late_already_is_sent_where_it_need_not_wait():
+    assert refusal(0.25, aim_s=-0.3, usual_s=0.2) is None
+    assert refusal(0.6, aim_s=-0.3, usual_s=0.2) is not None
+
+
+def test_where_nothing_is_known_all_is_sent():
+    assert refusal(0.0, aim_s=-1.0) is None
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -59,6 +59,8 @@
       aim_ms: time left until it is worth less (ms); `None` for never.
       priority: its rank; 0 is the highest.
       work_ms: its run time at the usual pace (ms); 0 where not known.
+      lot: drawn with those that it belongs to; 0 for none.
+      route: the route that took it; empty where services have none.
     """
 
     attempt_id: str
@@ -73,6 +75,8 @@
     aim_ms: int | None = None
     priority: int = 0
     work_ms: int = 0
+    lot: float = 0.0
+    route: str = ""
 
 
 class AnswerInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -170,6 +174,8 @@
         _aim_ms(call, remaining_s),
         call.priority,
         round(call.work_s * 1000),
+        round(call.lot, 3),
+        call.route,
     )
 
 
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -191,6 +191,8 @@
             aim=self._aim(info),
             priority=info.priority,
             work_s=info.work_ms / 1000,
+            lot=min(0.5, max(-0.5, info.lot)),
+            route=info.route,
         )
 
     def _aim(self, info: AttemptInfo) -> float:
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -101,6 +101,14 @@
         """
         return 0.0
 
+    def usual_s(self, work: str) -> float:
+        """Returns how long `work` takes where nothing waits (s); 0 if unknown.
+
+        Args:
+          work: the kind of work.
+        """
+        return 0.0
+
     @abc.abstractmethod
     def finished(
         self,
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -201,6 +201,9 @@
         cost_s = self.cost_s(member, now, work)
         return 0.0 if math.isinf(cost_s) else cost_s
 
+    def usual_s(self, work: str) -> float:
+        return self.work_s(work) * self._habit.mean
+
     def work_s(self, work: str) -> float:
         """Returns the usual run time of `work` (s); 0 where not known."""
         return self._work_s.get(work, 0.0)
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -7,11 +7,15 @@
 from radishwind.claims.guard import NoClaims
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
+from radishwind.entry.foresight import NoForesight
+from radishwind.entry.foresight import RefuseLate
 from radishwind.entry.observer import CallObserver
 from radishwind.entry.pipeline import EntryPipeline
 from radishwind.entry.retry_after import RetryAfter
+from radishwind.entry.returns import Returns
 from radishwind.entry.routed import CallerFields
 from radishwind.entry.routed import RoutedClassifier
+from radishwind.entry.siblings import Siblings
 from radishwind.hedging.fresh import HedgeBeforeAim
 from radishwind.hedging.policy import HedgePolicy
 from radishwind.hedging.policy import NoHedges
@@ -100,6 +104,8 @@
             rules=ServiceRules(),
             read=self._read,
             work_s=self.chooser.work_s,
+            returns=Returns() if switches.returns else None,
+            siblings=Siblings(rng) if switches.siblings else None,
         )
         budget = SharedBudget(
             settings.retry_share,
@@ -135,6 +141,11 @@
                 rng,
             ),
             respond=respond,
+            foresight=(
+                RefuseLate(self.chooser)
+                if switches.foresight
+                else NoForesight()
+            ),
         )
 
     def _read(self, headers: Headers) -> CallerFields:
--- a/src/radishwind/sidecar/switches.py
+++ b/src/radishwind/sidecar/switches.py
@@ -35,6 +35,12 @@
       crossing: the cost of another failure domain in a choice.
       ahead: pipelined reads run at once.
       spread: times to come back are spread.
+      returns: callers that come back are known, and what an answer is still
+        worth to them.
+      siblings: calls that belong together are served or refused alike.
+      run_times: what a run takes there, its calls included, is learned, and
+        nothing begins that would not end in time.
+      foresight: what every target would answer late is refused at once.
     """
 
     room: bool = True
@@ -48,6 +54,10 @@
     crossing: bool = True
     ahead: bool = True
     spread: bool = True
+    returns: bool = True
+    siblings: bool = True
+    run_times: bool = True
+    foresight: bool = True
 
 
 ALL_ON = Switches()
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -31,6 +31,7 @@
 from radishwind.target.pulse_keeper import PulseKeeper
 from radishwind.target.registered import RegisteredServer
 from radishwind.target.registered import Registration
+from radishwind.target.run_times import RunTimes
 from radishwind.target.server import ServerView
 from radishwind.target.warmup import WarmupGate
 from radishwind.target.warmup import WarmupLaw
@@ -126,6 +127,7 @@
             pace=self.pulse.now,
             ran=self._ran,
             gate=self.warmup,
+            run_times=RunTimes() if switches.run_times else None,
         )
         self.keeper = PulseKeeper(
             clock=clock,
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -19,10 +19,14 @@
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
+from radishwind.outcomes.model import Unknown
 from radishwind.routing.chooser import LoadReport
 from radishwind.target.exchange import ServerExchange
 from radishwind.target.exchange_base import Exchange
 from radishwind.target.pace import Pace
+from radishwind.target.run_times import ExpectedRun
+from radishwind.target.run_times import RunTimes
+from radishwind.target.run_times import UNKNOWN_RUN
 from radishwind.target.server import ServerBeside
 from radishwind.target.warmup import OpenSendGate
 from radishwind.target.warmup import SendGate
@@ -52,6 +56,8 @@
       pace: returns how long work takes there now.
       ran: takes each run that went well.
       gate: bounds what the server is sent; by default nothing does.
+      run_times: learns what runs take, so that none begins that would not end
+        in time; by default twice their work is left.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         pace: Callable[[], Pace] | None = None,
         ran: Callable[[Run], None] | None = None,
         gate: SendGate | None = None,
+        run_times: RunTimes | None = None,
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -75,6 +82,7 @@
         self._pace = pace or _usual_pace
         self._ran = ran or _ignored
         self._gate = gate or OpenSendGate()
+        self._run_times = run_times
         self._service_s = 0.0
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._queue_wait_s = 0.0
@@ -159,6 +167,8 @@
             call.aim,
             call.priority,
             call.work_s,
+            call.lot,
+            *self._expected_run(call),
         )
         self._admission.offer(ticket, now)
         try:
@@ -210,6 +220,7 @@
                 took_s = self._clock.monotonic() - began
                 run.work_s = took_s / factor
                 self._ran(Run(begun_with, call.work_s * factor, took_s))
+            self._learn_run(call, outcome, began)
             self._ended(ticket, outcome, began)
 
         try:
@@ -241,6 +252,23 @@
             return refused
         return await self._exchange.send(call, view, ticket.alone)
 
+    def _expected_run(self, call: Call) -> ExpectedRun:
+        if self._run_times is None:
+            return UNKNOWN_RUN
+        return self._run_times.expected(call.route)
+
+    def _learn_run(
+        self, call: Call, outcome: Outcome | None, began: float
+    ) -> None:
+        """Learns from a run that went well, and from one that was cut."""
+        cut = outcome is None or (
+            isinstance(outcome, Unknown)
+            and outcome.code is ResultCode.EXCHANGE_TIMEOUT
+        )
+        if self._run_times is not None and (cut or _ran_well(outcome)):
+            run_s = self._clock.monotonic() - began
+            self._run_times.took(call.route, run_s)
+
     def _too_late(self, call: Call) -> bool:
         """Returns whether the time here or the wall clock is past the call's.
 
--- a/src/radishwind/target/tests/test_warmup.py
+++ b/src/radishwind/target/tests/test_warmup.py
@@ -226,3 +226,27 @@
     refused = made.take(call())
 
     assert refused.retry_after_s == pytest.approx(WINDOW_S - 0.5)
+
+
+@pytest.mark.parametrize("asked_per_s", [20, 40, 80])
+def test_calls_that_belong_together_are_served_or_refused_alike(asked_per_s):
+    """Pairs go to two cold servers that can't serve all of them."""
+    clock = ManualClock()
+    gates = [gate(clock), gate(clock)]
+    for made in gates:
+        made.began(30.0)
+    rng = random.Random(3)
+    both = one = 0
+    for i in range(1200):
+        clock.advance(rng.expovariate(asked_per_s))
+        lot = rng.random() - 0.5
+        served = []
+        for made in gates:
+            call = make_call(call_id=f"{i}.1", priority=1, lot=lot)
+            refused = made.refusal(call, 0) or made.take(call)
+            served.append(refused is None)
+        both += all(served)
+        one += any(served) and not all(served)
+
+    assert one <= 0.1 * (both + one)
+    assert both >= 0.7 * (LAW.most / 1.5 / WINDOW_S) * (1200 / asked_per_s)
--- a/src/radishwind/target/warmup.py
+++ b/src/radishwind/target/warmup.py
@@ -126,6 +126,8 @@
         # When requests of the highest rank were offered (monotonic s).
         self._urgent: collections.deque[float] = collections.deque()
         self._highest_rank: int | None = None
+        # Calls with a lot that asked lately, the longest ago first, and when.
+        self._asked: dict[str, float] = {}
         self._offers_since = -math.inf
 
     @property
@@ -217,6 +219,8 @@
             return None
         now = self._clock.monotonic()
         self._note_offer(call.priority, now)
+        if self._draws_a_blank(law, call, now):
+            return self._refused(law, now)
         if self._room(law, call.priority, now) > waiting:
             return None
         return self._refused(law, now)
@@ -224,12 +228,9 @@
     def take(self, call: Call) -> NotRun | None:
         law = self._law
         now = self._clock.monotonic()
-        is_full = (
-            law is not None
-            and self.is_cold
-            and self._room(law, call.priority, now) <= 0
-        )
-        if law is not None and is_full:
+        # What was let wait is refused by the bound alone.
+        is_cold = law is not None and self.is_cold
+        if law is not None and is_cold and self._count(law, now) >= law.most:
             return self._refused(law, now)
         self._sent.append((now, call.priority))
         return None
@@ -243,11 +244,30 @@
     def _room(self, law: WarmupLaw, rank: int, now: float) -> int:
         """Returns how many of `rank` may be sent now."""
         left = law.most - self._count(law, now)
-        if self._highest_rank is None or rank <= self._highest_rank:
+        if self._is_highest(rank):
             return left
         others = sum(sent != self._highest_rank for _, sent in self._sent)
         return min(left, law.most - self._kept(law, now) - others)
 
+    def _is_highest(self, rank: int) -> bool:
+        return self._highest_rank is None or rank <= self._highest_rank
+
+    def _draws_a_blank(self, law: WarmupLaw, call: Call, now: float) -> bool:
+        """Returns whether the lot of `call` says that it is not served.
+
+        Of calls that belong together all are served or none, at whichever
+        servers they come: those whose lot is within the part that can be.
+        """
+        if not call.lot:
+            return False
+        name = call.call_id.rpartition(".")[0] or call.call_id
+        self._asked.pop(name, None)
+        self._asked[name] = now
+        while now - next(iter(self._asked.values())) >= WINDOW_S:
+            del self._asked[next(iter(self._asked))]
+        kept = 0 if self._is_highest(call.priority) else self._kept(law, now)
+        return call.lot + 0.5 > (law.most - kept) / len(self._asked)
+
     def _count(self, law: WarmupLaw, now: float) -> int:
         """Returns how many count as sent in the window that ends now."""
         if now - self._began < WINDOW_S:
