Split reading, writing and refusing out of the connection of a listener

A caller of HTTP/1.0 gets an answer of unknown length without chunks, ended by its connection; a new test of both libraries failed on the code before (chunks were sent).

--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -12,12 +12,13 @@
 from radishwind.core.timelimit import TimeLimit
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.errors import RequestRejectedError
-from radishwind.http.errors import RequestTooLargeError
-from radishwind.http.errors import SenderTooSlowError
 from radishwind.http.httptools_connection import MayRunAhead
 from radishwind.http.limits import ServerLimits
 from radishwind.http.pipelined import PipelinedProtocol
 from radishwind.http.problems import problem_body
+from radishwind.http.rejections import rejected
+from radishwind.http.rejections import too_large
+from radishwind.http.rejections import too_slow
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
 from radishwind.http.types import Address
@@ -46,7 +47,7 @@
                 return
             taken += len(piece)
             if taken > self._limits.body_bytes:
-                raise _too_large(self._limits)
+                raise too_large(self._limits)
             yield piece
 
     async def _read(self) -> bytes:
@@ -54,7 +55,7 @@
             with TimeLimit(self._limits.body_pause_s):
                 return await self._request.content.readany()
         except TimeoutError as exc:
-            raise _too_slow(self._limits) from exc
+            raise too_slow(self._limits) from exc
         except (RequestPayloadError, OSError) as exc:
             raise ExchangeBrokenError(f"request cut: {exc!r}") from exc
 
@@ -215,7 +216,7 @@
 async def _received(request: web.BaseRequest, limits: ServerLimits) -> Request:
     length = request.content_length
     if length is not None and length > limits.body_bytes:
-        raise _too_large(limits)
+        raise too_large(limits)
     headers = [
         (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
         for key, value in request.raw_headers
@@ -271,29 +272,13 @@
         with TimeLimit(limits.body_pause_s):
             return await content.read(-1)
     except TimeoutError as exc:
-        raise _too_slow(limits) from exc
+        raise too_slow(limits) from exc
     except (RequestPayloadError, OSError) as exc:
         raise RequestRejectedError("expected a whole body, got a part") from exc
 
 
-def _too_slow(limits: ServerLimits) -> SenderTooSlowError:
-    return SenderTooSlowError(
-        f"expected more of the body within {limits.body_pause_s:g} s"
-    )
-
-
-def _too_large(limits: ServerLimits) -> RequestTooLargeError:
-    return RequestTooLargeError(
-        f"expected a body of at most {limits.body_bytes} bytes, got more"
-    )
-
-
 def _rejected(exc: RequestRejectedError) -> web.Response:
-    status = {
-        ResultCode.REQUEST_TOO_LARGE: 413,
-        ResultCode.SENDER_TOO_SLOW: 408,
-    }.get(exc.code, 400)
-    response = problem_body(exc.code, status, exc.args[0], "not-run")
+    response = rejected(exc)
     out = _whole(response)
     out.force_close()
     return out
--- /dev/null
+++ b/src/radishwind/http/answer_writer.py
@@ -0,0 +1,102 @@
+"""Writes answers to a connection, as fast as its reader takes them."""
+
+import asyncio
+
+from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.heads import chunk
+from radishwind.http.heads import has_body
+from radishwind.http.heads import HeadMalformedError
+from radishwind.http.heads import LAST_CHUNK
+from radishwind.http.heads import response_head
+from radishwind.http.types import abort_body
+from radishwind.http.types import BodyStream
+from radishwind.http.types import Response
+
+
+class AnswerWriter:
+    """Writes one answer after the other.
+
+    What can't be written whole cuts the connection: it must not end neatly.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._writes = True
+        self._lost = False
+        self._writable: asyncio.Future[None] | None = None
+
+    def pause(self) -> None:
+        """Takes that the reader is slow."""
+        self._writes = False
+
+    def resume(self) -> None:
+        """Takes that the reader has read enough."""
+        self._writes = True
+        self._wake()
+
+    def lose(self) -> None:
+        """Takes that the connection is lost."""
+        self._lost = True
+        self._wake()
+
+    async def write(
+        self, response: Response, *, to_head: bool, chunks: bool
+    ) -> bool:
+        """Returns whether the answer was written to its end.
+
+        Args:
+          response: the answer.
+          to_head: whether it answers a HEAD.
+          chunks: whether the reader reads chunks.
+        """
+        try:
+            head, in_chunks = response_head(
+                response, to_head=to_head, chunks=chunks
+            )
+        except HeadMalformedError:
+            abort_body(response.body)
+            self._transport.abort()
+            return False
+        body = response.body
+        if isinstance(body, bytes):
+            bodiless = to_head or not has_body(response.status)
+            self._transport.write(head if bodiless else head + body)
+        elif not await self._stream(head, body, in_chunks):
+            return False
+        if not self._writes:
+            await self._until_writable()
+        return not self._lost
+
+    async def _stream(
+        self, head: bytes, body: BodyStream, in_chunks: bool
+    ) -> bool:
+        """Returns whether the body came and was sent to its end."""
+        try:
+            self._transport.write(head)
+            async for piece in body:
+                if self._lost:
+                    raise ExchangeBrokenError("the caller has left")
+                if piece:
+                    self._transport.write(chunk(piece) if in_chunks else piece)
+                if not self._writes:
+                    await self._until_writable()
+            if in_chunks:
+                self._transport.write(LAST_CHUNK)
+        except BaseException as exc:
+            body.abort()
+            self._transport.abort()
+            if not isinstance(exc, ExchangeBrokenError | OSError):
+                raise
+            return False
+        return True
+
+    def _wake(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    async def _until_writable(self) -> None:
+        """Waits until a slow reader has read enough."""
+        if self._lost:
+            return
+        self._writable = asyncio.get_running_loop().create_future()
+        await self._writable
--- a/src/radishwind/http/httptools_connection.py
+++ b/src/radishwind/http/httptools_connection.py
@@ -13,41 +13,26 @@
 from typing import cast
 from typing import TypeAlias
 
-import httptools
-
-from radishwind.core.codes import ResultCode
+from radishwind.http.answer_writer import AnswerWriter
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.errors import RequestRejectedError
-from radishwind.http.errors import RequestTooLargeError
-from radishwind.http.errors import SenderTooSlowError
-from radishwind.http.heads import chunk
-from radishwind.http.heads import decode_fields
-from radishwind.http.heads import Framing
-from radishwind.http.heads import framing_of
-from radishwind.http.heads import LAST_CHUNK
-from radishwind.http.heads import response_head
 from radishwind.http.incoming import IncomingBody
 from radishwind.http.limits import ServerLimits
-from radishwind.http.problems import problem_body
+from radishwind.http.rejections import failed
+from radishwind.http.rejections import rejected
+from radishwind.http.rejections import too_slow
+from radishwind.http.request_reader import ProtocolAskedError
+from radishwind.http.request_reader import RequestReader
 from radishwind.http.server import Handler
 from radishwind.http.types import abort_body
-from radishwind.http.types import BodyStream
-from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
-from radishwind.http.types import SMALL_BODY_BYTES
 
 #: Returns whether a request may run before the ones ahead of it are answered.
 MayRunAhead: TypeAlias = Callable[[Request], bool]
 
-_VERSIONS = frozenset({"1.0", "1.1"})
 _BODILESS_METHODS = frozenset({"GET", "HEAD"})
 
-#: The parser takes it for a protocol that is none of ours.
-_FOREIGN_METHODS = frozenset({"SOURCE"})
-
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
 #: Requests read of one connection that wait; more are read later.
 _MOST_WAITING = 16
 
@@ -55,13 +40,26 @@
 class _Turn:
     """A request and the answer that it will get, in the order of arrival."""
 
-    __slots__ = ("body", "closes", "is_read", "request", "response", "task")
+    __slots__ = (
+        "body",
+        "chunks",
+        "closes",
+        "is_read",
+        "request",
+        "response",
+        "task",
+    )
 
-    def __init__(self, request: Request, closes: bool) -> None:
+    def __init__(
+        self, request: Request, closes: bool, body: IncomingBody | None
+    ) -> None:
         self.request = request
         # Whether its sender asks for no more on this connection.
         self.closes = closes
-        self.body: IncomingBody | None = None
+        # Its body, where that is still arriving.
+        self.body = body
+        # Whether its sender reads an answer in chunks.
+        self.chunks = True
         # Whether others may run beside it; asked for when that matters.
         self.is_read: bool | None = None
         self.response: Response | None = None
@@ -104,25 +102,14 @@
         self._is_crowded = is_crowded
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader: RequestReader
+        self._writer: AnswerWriter
         self._turns: collections.deque[_Turn] = collections.deque()
-        self._remote = ""
-        self._url = b""
-        self._fields: list[tuple[bytes, bytes]] = []
-        self._in_head = True
-        self._head_bytes = 0
-        # The request whose body is arriving, and its body.
-        self._arriving: _Turn | None = None
-        self._body: IncomingBody | None = None
-        self._body_bytes = 0
-        self._delivered = False
         self._reads = True
         self._reading = True
         self._lost = False
         self._deadline = math.inf
         self._timer: asyncio.TimerHandle | None = None
-        self._writable: asyncio.Future[None] | None = None
-        self._writes = True
         self.told_to_close = False
 
     @property
@@ -141,39 +128,34 @@
         # A stream's; uvloop's own type is not derived from it.
         self._transport = cast("asyncio.Transport", transport)
         peer = transport.get_extra_info("peername")
-        self._remote = peer[0] if peer else ""
+        remote = peer[0] if peer else ""
+        self._reader = RequestReader(
+            self._transport, remote, self._limits, self._deliver
+        )
+        self._writer = AnswerWriter(self._transport)
         if not self._opened(self):
             self._transport.abort()
             return
         self._expire_in(self._limits.idle_s)
 
     def data_received(self, data: bytes) -> None:
+        reader = self._reader
         # The body of the last request is read, and nothing behind it.
-        if not self._reads and self._body is None:
+        if not self._reads and not reader.is_in_body:
             return
-        if self._in_head:
-            self._head_bytes += len(data)
-        elif self._arriving is not None:
-            self._expire_in(self._limits.body_pause_s)
+        was_in_body = reader.is_in_body
         try:
-            self._parser.feed_data(data)
-            if self._in_head and self._head_bytes > self._most_head_bytes:
-                raise _long_head(self._limits)
+            reader.feed(data)
         except RequestRejectedError as exc:
             self._reject(exc)
-        except httptools.HttpParserUpgrade:
+        except ProtocolAskedError:
             # Nothing else is spoken here: the request is answered as it is.
             self._stop_reading()
-        except httptools.HttpParserError as exc:
-            self._unparsed(exc)
-
-    def _unparsed(self, exc: httptools.HttpParserError) -> None:
-        """Refuses what the parser, or a callback within it, did not take."""
-        cause = exc.__context__
-        if isinstance(cause, RequestRejectedError):
-            self._reject(cause)
-        elif self._reads:
-            self._reject(RequestRejectedError(str(exc)))
+        if reader.is_in_body:
+            self._expire_in(self._limits.body_pause_s)
+        elif was_in_body and not self._turns:
+            # It was answered before its end; the next one may come.
+            self._expire_in(self._limits.idle_s)
 
     def eof_received(self) -> None:
         """Takes that the caller has left; the transport closes by itself."""
@@ -183,165 +165,32 @@
         self._reads = False
         if self._timer is not None:
             self._timer.cancel()
-        if self._body is not None:
-            self._body.fail(ExchangeBrokenError(f"request cut: {exc!r}"))
-        self._wake_writer()
+        self._reader.end_body(ExchangeBrokenError(f"request cut: {exc!r}"))
+        self._writer.lose()
         for turn in self._turns:
             _give_up(turn)
         self._turns.clear()
         self._closed(self)
 
     def pause_writing(self) -> None:
-        self._writes = False
+        self._writer.pause()
 
     def resume_writing(self) -> None:
-        self._writes = True
-        self._wake_writer()
-
-    # What the parser calls.
-
-    def on_message_begin(self) -> None:
-        self._url = b""
-        self._fields = []
-        self._in_head = True
-
-    def on_url(self, url: bytes) -> None:
-        self._url += url
-        if len(self._url) > self._limits.field_bytes:
-            raise _long_head(self._limits)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._in_head:
-            return
-        self._fields.append((name, value))
-        if len(name) + len(value) > self._limits.field_bytes:
-            raise _long_head(self._limits)
-        if len(self._fields) > self._limits.fields:
-            raise RequestRejectedError(
-                f"expected {self._limits.fields} fields at most, got more"
-            )
-
-    def on_headers_complete(self) -> None:
-        self._in_head = False
-        self._head_bytes = 0
-        if not self._reads:
-            return
-        headers = decode_fields(self._fields)
-        framing = framing_of(headers)
-        method = self._parser.get_method().decode("ascii")
-        self._check(method, framing)
-        closes = framing.closes or not self._parser.should_keep_alive()
-        if framing.length is None and not framing.chunked:
-            request = self._request(method, headers, b"", 0)
-            self._arriving, self._delivered = None, True
-            self._deliver(_Turn(request, closes))
-            return
-        self._begin_body(method, headers, framing, closes)
-
-    def on_body(self, piece: bytes) -> None:
-        body = self._body
-        if body is None:
-            return
-        self._body_bytes += len(piece)
-        if self._body_bytes > self._limits.body_bytes:
-            raise _too_large(self._limits)
-        body.feed(piece)
-        if not self._delivered and self._body_bytes > SMALL_BODY_BYTES:
-            self._deliver_stream(None)
-
-    def on_message_complete(self) -> None:
-        turn, body = self._arriving, self._body
-        self._arriving = self._body = None
-        if turn is None or body is None:
-            return
-        body.end()
-        if not self._delivered:
-            whole = body.taken()
-            request = turn.request
-            turn.request = self._request(
-                request.method, request.headers, whole, len(whole), request.path
-            )
-            self._deliver(turn)
-        elif not self._turns:
-            # It was answered before its end; the next one may come.
-            self._expire_in(self._limits.idle_s)
+        self._writer.resume()
 
     # Requests.
 
-    @property
-    def _most_head_bytes(self) -> int:
-        return 8 * self._limits.field_bytes
-
-    def _check(self, method: str, framing: Framing) -> None:
-        """Refuses what two receivers could read differently.
-
-        Raises:
-          RequestRejectedError: it may be.
-        """
-        version = self._parser.get_http_version()
-        if version not in _VERSIONS or method in _FOREIGN_METHODS:
-            raise RequestRejectedError(
-                f"expected HTTP/1.0 or HTTP/1.1, got {method} {version}"
-            )
-        if framing.hosts != 1 and (framing.hosts or version == "1.1"):
-            raise RequestRejectedError(
-                f"expected one field host, got {framing.hosts}"
-            )
-        if not framing.clean or (framing.chunked and version == "1.0"):
-            raise RequestRejectedError(
-                "expected a body in chunks or of a told length, got another"
-            )
-        if (framing.length or 0) > self._limits.body_bytes:
-            raise _too_large(self._limits)
-
-    def _request(
-        self,
-        method: str,
-        headers: Headers,
-        body: bytes | BodyStream,
-        length: int | None,
-        path: str | None = None,
-    ) -> Request:
-        if path is None:
-            path = self._url.decode("ascii")
-        return Request(method, path, headers, body, length, self._remote)
-
-    def _begin_body(
-        self, method: str, headers: Headers, framing: Framing, closes: bool
+    def _deliver(
+        self, request: Request, closes: bool, body: IncomingBody | None
     ) -> None:
-        """Waits for a small body; a larger one streams at once."""
-        request = self._request(method, headers, b"", 0)
-        self._arriving = _Turn(request, closes)
-        self._body = IncomingBody(self._transport)
-        self._body_bytes = 0
-        self._delivered = False
-        if framing.continues:
-            self._transport.write(_CONTINUE)
-        self._expire_in(self._limits.body_pause_s)
-        length = framing.length
-        if length is not None and length > SMALL_BODY_BYTES:
-            self._deliver_stream(length)
-
-    def _deliver_stream(self, length: int | None) -> None:
-        """Hands on the request whose body is still arriving."""
-        turn, body = self._arriving, self._body
-        assert turn is not None, "a request arrives"
-        assert body is not None, "its body arrives"
-        request = turn.request
-        turn.request = self._request(
-            request.method, request.headers, body, length, request.path
-        )
-        turn.body = body
-        self._delivered = True
-        self._deliver(turn)
-
-    def _deliver(self, turn: _Turn) -> None:
         """Gives a request its turn; begins it where it need not wait."""
+        turn = _Turn(request, closes, body)
+        turn.chunks = self._reader.takes_chunks
         self._turns.append(turn)
-        if self._body is None:
+        if body is None:
             self._deadline = math.inf
-        if turn.closes:
-            self._reads = False
+        if closes:
+            self._read_no_more()
         if len(self._turns) > _MOST_WAITING and self._reading:
             self._reading = False
             self._transport.pause_reading()
@@ -378,11 +227,9 @@
         try:
             turn.response = await self._handler(turn.request)
         except RequestRejectedError as exc:
-            turn.response, turn.closes = _rejected(exc), True
+            turn.response, turn.closes = rejected(exc), True
         except Exception:  # The handler has logged it.
-            turn.response = problem_body(
-                ResultCode.INTERNAL_ERROR, 500, "The node failed.", "unknown"
-            )
+            turn.response = failed()
             turn.closes = turn.closes or len(self._turns) == 1
         if self._turns and self._turns[0] is turn:
             await self._write_due()
@@ -405,51 +252,11 @@
     async def _write(self, turn: _Turn, response: Response | None) -> bool:
         """Returns whether the answer was written to its end."""
         assert response is not None, "an answer that is due"
-        response = self._in_order(turn, response)
-        to_head = turn.request.method == "HEAD"
-        try:
-            head, in_chunks = response_head(
-                response, to_head=to_head, chunks=True
-            )
-        except ValueError:
-            abort_body(response.body)
-            self.abort()
-            return False
-        body = response.body
-        if isinstance(body, bytes):
-            bodiless = to_head or response.status in (204, 304)
-            self._transport.write(head if bodiless else head + body)
-        elif not await self._stream(head, body, in_chunks):
-            return False
-        if not self._writes:
-            await self._until_writable()
-        return not self._lost
-
-    async def _stream(
-        self, head: bytes, body: BodyStream, in_chunks: bool
-    ) -> bool:
-        """Returns whether the body came and was sent to its end.
-
-        A cut answer cuts the caller's connection: it must not end neatly.
-        """
-        try:
-            self._transport.write(head)
-            async for piece in body:
-                if self._lost:
-                    raise ExchangeBrokenError("the caller has left")
-                if piece:
-                    self._transport.write(chunk(piece) if in_chunks else piece)
-                if not self._writes:
-                    await self._until_writable()
-            if in_chunks:
-                self._transport.write(LAST_CHUNK)
-        except BaseException as exc:
-            body.abort()
-            self.abort()
-            if not isinstance(exc, ExchangeBrokenError | OSError):
-                raise
-            return False
-        return True
+        return await self._writer.write(
+            self._in_order(turn, response),
+            to_head=turn.request.method == "HEAD",
+            chunks=turn.chunks,
+        )
 
     def _in_order(self, turn: _Turn, response: Response) -> Response:
         """Returns the answer whose turn it is; only the last one closes."""
@@ -469,7 +276,7 @@
     def _stop_reading(self) -> None:
         """Reads no further request; what waits and has not begun is dropped."""
         self.told_to_close = True
-        self._reads = False
+        self._read_no_more()
         while len(self._turns) > 1 and self._turns[-1].task is None:
             if self._turns[-1].response is not None:
                 break
@@ -496,29 +303,31 @@
 
         The caller closes; closing first could reset what it still reads.
         """
-        self._reads = False
+        self._read_no_more()
         self.told_to_close = True
-        if self._body is not None:
-            self._body.discard()
+        self._reader.discard_body()
+        if not turn.chunks:
+            # Nothing but the end of the connection ends such an answer.
+            self._transport.close()
+            return
         self._expire_in(self._limits.linger_s)
 
     def _reject(self, exc: RequestRejectedError) -> None:
         """Tells what cannot be taken in its place, and reads no more."""
-        turn = _Turn(Request("GET", "/"), True)
-        turn.response = _rejected(exc)
-        self._reads = False
-        body, self._body = self._body, None
-        self._arriving = None
-        if body is not None:
-            body.fail(exc)
-            body.discard()
-            if self._delivered:
-                # Its handler gets the error and answers.
-                return
+        self._read_no_more()
+        if self._reader.end_body(exc):
+            # Its handler gets the error and answers.
+            return
+        turn = _Turn(Request("GET", "/"), True, None)
+        turn.response = rejected(exc)
         self._turns.append(turn)
         if self._turns[0] is turn:
             turn.task = self._loop.create_task(self._write_due())
 
+    def _read_no_more(self) -> None:
+        self._reads = False
+        self._reader.stop()
+
     # Time.
 
     def _expire_in(self, for_s: float) -> None:
@@ -541,23 +350,12 @@
             later_s = min(left_s, self._limits.idle_s)
             self._timer = self._loop.call_later(later_s, self._expire)
             return
-        is_due = self._body is not None and not self._delivered
-        if is_due or (self._body is not None and self._turns):
-            self._reject(_too_slow(self._limits))
+        reader = self._reader
+        if reader.holds_back or (reader.is_in_body and self._turns):
+            self._reject(too_slow(self._limits))
         elif not self._turns:
             self._transport.abort()
 
-    def _wake_writer(self) -> None:
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-
-    async def _until_writable(self) -> None:
-        """Waits until a slow reader has read enough."""
-        if self._lost:
-            return
-        self._writable = self._loop.create_future()
-        await self._writable
-
 
 #: A timer that fires this much later than wanted is left as it is (s).
 _TIMER_SLACK_S = 0.01
@@ -573,29 +371,3 @@
 
 def _closes(name: str, value: str) -> bool:
     return name.lower() == "connection" and value.lower() == "close"
-
-
-def _rejected(exc: RequestRejectedError) -> Response:
-    status = {
-        ResultCode.REQUEST_TOO_LARGE: 413,
-        ResultCode.SENDER_TOO_SLOW: 408,
-    }.get(exc.code, 400)
-    return problem_body(exc.code, status, str(exc.args[0]), "not-run")
-
-
-def _too_slow(limits: ServerLimits) -> SenderTooSlowError:
-    return SenderTooSlowError(
-        f"expected more of the body within {limits.body_pause_s:g} s"
-    )
-
-
-def _too_large(limits: ServerLimits) -> RequestTooLargeError:
-    return RequestTooLargeError(
-        f"expected a body of at most {limits.body_bytes} bytes, got more"
-    )
-
-
-def _long_head(limits: ServerLimits) -> RequestRejectedError:
-    return RequestRejectedError(
-        f"expected lines of at most {limits.field_bytes} bytes, got more"
-    )
--- a/src/radishwind/http/tests/test_server_edges.py
+++ b/src/radishwind/http/tests/test_server_edges.py
@@ -38,6 +38,17 @@
         pass
 
 
+class Whole(BodyStream):
+    """Comes in two pieces."""
+
+    async def __aiter__(self):
+        yield b"a whole "
+        yield b"body"
+
+    def abort(self):
+        pass
+
+
 async def echo(request):
     if request.path == "/cut":
         return Response(200, LENGTH, CutStream(), 100_000)
@@ -139,6 +150,21 @@
         assert b"Radishwind-Code: " + code in answer
 
 
+async def test_an_old_caller_gets_no_chunks_and_the_end_of_its_connection():
+    async def handle(request):
+        return Response(200, (), Whole())
+
+    server = make_server(Chosen.library, LIMITS)
+    address = await server.start(handle, Address("127.0.0.1", 0))
+
+    answer = await exchange(address, b"GET / HTTP/1.0\r\n\r\n")
+
+    await server.close(0.0)
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"chunked" not in head
+    assert body == b"a whole body"
+
+
 async def test_the_whole_body_of_a_request_that_closes_is_read():
     async with listening() as address:
         size = 150_000
--- a/src/radishwind/sidecar/imports.py
+++ b/src/radishwind/sidecar/imports.py
@@ -4,7 +4,6 @@
 """
 
 import gc
-import mimetypes
 import os
 import signal
 from types import FrameType
@@ -13,17 +12,12 @@
 def spare_imports() -> None:
     """Leaves out of the imports what a node does not need.
 
-    The HTTP library reads all certificates of the machine as it is imported,
-    though no connection of a node uses TLS, and the collector looks through
-    modules that stay anyway. Without both, and without the `site` module
-    (`-S` in `deploy/system.toml`), the imports take 0.43 s of processor time
-    instead of 0.61 s, in the mean of five runs on the machine of the tests.
+    No library may read the machine's certificates as it is imported, since no
+    connection of a node uses TLS; and the collector need not look through
+    modules that stay anyway.
     """
     os.environ["SSL_CERT_FILE"] = os.devnull
     os.environ["SSL_CERT_DIR"] = os.devnull
-    # The HTTP library reads the machine's lists of file types, for files that
-    # no node serves.
-    mimetypes.knownfiles.clear()
     gc.disable()
 
 
