Log a cold time once, and bound what the gate remembers

Found by reading the diff: without a law each look at a cold server wrote a line, and offers of the highest rank were remembered without a bound while only they came. Two tests, both seen failing before.

--- a/src/radishwind/target/tests/test_warmup.py
+++ b/src/radishwind/target/tests/test_warmup.py
@@ -10,9 +10,11 @@
 
 from radishwind.core import ManualClock
 from radishwind.core.codes import ResultCode
+from radishwind.target.warmup import MOST_COUNTED
 from radishwind.target.warmup import WarmupGate
 from radishwind.target.warmup import WarmupLaw
 from radishwind.target.warmup import WINDOW_S
+from radishwind.telemetry import logs
 
 LAW = WarmupLaw(per_s=7.0, over=1.5, slack=8.0, cold_s=3.0)
 
@@ -250,3 +252,32 @@
 
     assert one <= 0.1 * (both + one)
     assert both >= 0.7 * (LAW.most / 1.5 / WINDOW_S) * (1200 / asked_per_s)
+
+
+@pytest.mark.parametrize("law", [LAW, None])
+def test_a_cold_time_has_one_line_however_often_it_is_told(monkeypatch, law):
+    lines = []
+    monkeypatch.setattr(logs, "_takers", [lines.append])
+    clock = ManualClock()
+    made = gate(clock, law)
+    made.began(0.0)
+    for i in range(20):
+        clock.advance(0.1)
+        made.looked(3.0 - 0.1 * i, clock.monotonic())
+        made.told(3.0 - 0.1 * i)
+
+    assert [line["text"] for line in lines] == ["target: The server is cold."]
+
+
+def test_what_is_remembered_is_bounded():
+    clock = ManualClock()
+    made = gate(clock)
+    made.began(60.0)
+    for i in range(3000):
+        clock.advance(0.0001)
+        one = make_call(call_id=f"{i}.1", lot=0.1)
+        made.refusal(one, 0)
+        made.take(one)
+
+    assert len(made._urgent) <= MOST_COUNTED
+    assert len(made._sent) <= MOST_COUNTED
--- a/src/radishwind/target/warmup.py
+++ b/src/radishwind/target/warmup.py
@@ -124,7 +124,9 @@
             maxlen=MOST_COUNTED
         )
         # When requests of the highest rank were offered (monotonic s).
-        self._urgent: collections.deque[float] = collections.deque()
+        self._urgent: collections.deque[float] = collections.deque(
+            maxlen=MOST_COUNTED
+        )
         self._highest_rank: int | None = None
         # Calls with a lot that asked lately, the longest ago first, and when.
         self._asked: dict[str, float] = {}
@@ -199,10 +201,10 @@
         self._cold_until = min(self._cold_until, self._clock.monotonic())
 
     def _lengthen(self, left_s: float) -> None:
-        until = self._clock.monotonic() + left_s
-        if left_s > 0 and not self.is_cold:
+        now = self._clock.monotonic()
+        if now >= self._cold_until:
             self._log_cold(left_s)
-        self._cold_until = max(self._cold_until, until)
+        self._cold_until = max(self._cold_until, now + left_s)
 
     def _log_cold(self, left_s: float) -> None:
         if left_s <= 0:
