Refuse CONNECT where requests are read

Found by a longer run of the differential test (some thousand examples by hand): behind CONNECT the parser reads no body though a length is told, so that the listener took a request that h11 does not read. Callers were refused it later anyway; now no listener takes it. The failing input stays as a test, seen failing before.

--- a/src/radishwind/http/request_reader.py
+++ b/src/radishwind/http/request_reader.py
@@ -28,8 +28,9 @@
 
 _VERSIONS = frozenset({"1.0", "1.1"})
 
-#: The parser takes it for a protocol that is none of ours.
-_FOREIGN_METHODS = frozenset({"SOURCE"})
+#: One is of a protocol that is none of ours; behind the other the parser reads
+#: no body, whatever the head says of one.
+_FOREIGN_METHODS = frozenset({"SOURCE", "CONNECT"})
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -217,7 +218,8 @@
         version = self._parser.get_http_version()
         if version not in _VERSIONS or method in _FOREIGN_METHODS:
             raise RequestRejectedError(
-                f"expected HTTP/1.0 or HTTP/1.1, got {method} {version}"
+                f"expected a method of HTTP/1.0 or HTTP/1.1, got {method} "
+                f"{version}"
             )
         if framing.hosts != 1 and (framing.hosts or version == "1.1"):
             raise RequestRejectedError(
--- a/src/radishwind/http/tests/test_differential.py
+++ b/src/radishwind/http/tests/test_differential.py
@@ -267,6 +267,8 @@
         b"GET /\r\n\r\n",
         b"get / HTTP/1.1\r\nHost: a\r\n\r\n",
         b"SOURCE / ICE/1.0\r\nHost: a\r\n\r\n",
+        b"CONNECT h:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"CONNECT h:1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n",
     ],
 )
 def test_what_receivers_could_read_differently_is_refused(raw):
