--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -31,7 +31,9 @@
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.messages import Ask
 from radishwind.routes.messages import decode as decode_message
+from radishwind.routes.messages import decode_rumor
 from radishwind.routes.messages import encode
+from radishwind.routes.messages import encode_rumor
 from radishwind.routes.messages import FeedMalformedError
 from radishwind.routes.messages import Nothing
 from radishwind.routes.messages import Offer
@@ -71,13 +73,6 @@
 PUSHES_AT_ONCE = 6
 
 
-class _EmptiedRumor(msgspec.Struct, frozen=True, array_like=True):
-    """Tells of emptied failure domains, by name where they fit in a rumor."""
-
-    revision: int
-    names: tuple[str, ...] | None
-
-
 _MSGPACK = (("Content-Type", "application/msgpack"),)
 
 
@@ -239,10 +234,7 @@
 
     def _tell_emptied(self) -> None:
         told = self._emptied.domains
-        rumor = _EmptiedRumor(told.revision, tuple(sorted(told.names)))
-        value = msgspec.json.encode(rumor)
-        if len(value) > MAX_VALUE_CHARS:
-            value = msgspec.json.encode(_EmptiedRumor(told.revision, None))
+        value = encode_rumor(told, MAX_VALUE_CHARS)
         self._board.publish(
             EMPTIED_TOPIC, "domains", told.revision, value, _RUMOR_S
         )
@@ -294,8 +286,8 @@
 
     def _on_emptied_rumor(self, key: str, value: bytes) -> None:
         try:
-            rumor = msgspec.json.decode(value, type=_EmptiedRumor)
-        except msgspec.MsgspecError as exc:
+            rumor = decode_rumor(value)
+        except FeedMalformedError as exc:
             self._log.warning("A rumor is malformed.", reason=str(exc)[:120])
             return
         if rumor.names is not None:
--- a/src/radishwind/routes/messages.py
+++ b/src/radishwind/routes/messages.py
@@ -75,6 +75,40 @@
         raise FeedMalformedError(f"expected a message: {exc}") from exc
 
 
+class EmptiedRumor(msgspec.Struct, frozen=True, array_like=True):
+    """Tells of emptied failure domains.
+
+    Attributes:
+      revision: of the store.
+      names: the domains; `None` where they don't fit in a rumor, so that who
+        hears it has to ask.
+    """
+
+    revision: int
+    names: tuple[str, ...] | None
+
+
+def encode_rumor(domains: EmptiedDomains, most_bytes: int) -> bytes:
+    """Returns a rumor of `domains` of at most `most_bytes`, as JSON."""
+    names = tuple(sorted(domains.names))
+    value = msgspec.json.encode(EmptiedRumor(domains.revision, names))
+    if len(value) <= most_bytes:
+        return value
+    return msgspec.json.encode(EmptiedRumor(domains.revision, None))
+
+
+def decode_rumor(value: bytes) -> EmptiedRumor:
+    """Returns the rumor in `value`.
+
+    Raises:
+      FeedMalformedError: there is none.
+    """
+    try:
+        return msgspec.json.decode(value, type=EmptiedRumor)
+    except msgspec.MsgspecError as exc:
+        raise FeedMalformedError(f"expected a rumor: {exc}") from exc
+
+
 def pack(raw: bytes) -> bytes:
     """Returns `raw` compressed."""
     return zlib.compress(raw, _LEVEL)
