--- a/src/radishwind/http/aiohttp_sender.py
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -12,6 +12,8 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
+from radishwind.http.silence import KEEPALIVE_S
+from radishwind.http.silence import watch_silence
 from radishwind.http.strict_protocol import StrictResponseHandler
 from radishwind.http.types import Address
 from radishwind.http.types import Body
@@ -20,21 +22,6 @@
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
 
-#: Idle connections are closed by us before a usual server closes them (5 s),
-#: so that a request is rarely written to a connection that is going away.
-KEEPALIVE_S = 4.0
-
-#: An idle connection is asked after this silence, and again after it (s): the
-#: least that the system takes.
-SILENCE_S = 1
-
-#: Unanswered segments after which a connection counts as dead.
-SILENT_PROBES = 2
-
-#: Bytes not acknowledged for so long mean the same (ms); a lost packet is
-#: sent again within 0.2 to 1 s.
-USER_TIMEOUT_MS = 2_500
-
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
@@ -138,21 +125,11 @@
 
 
 def _watched_socket(addr_info: aiohttp.AddrInfoType) -> socket.socket:
-    """Returns a socket that notices by itself when its other end is silent.
-
-    A connection may go silent for good without a reset; nothing but unanswered
-    keep-alive segments would show that before the deadline.
-    """
+    """Returns a socket that notices by itself when its other end is silent."""
     family, kind, proto, _, _ = addr_info
     sock = socket.socket(family=family, type=kind, proto=proto)
     sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, SILENCE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, SILENCE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENT_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
+    watch_silence(sock)
     return sock
 
 
--- a/src/radishwind/http/httptools_sender.py
+++ b/src/radishwind/http/httptools_sender.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import socket
 
 from radishwind.core.timelimit import TimeLimit
 from radishwind.http.errors import ConnectFailedError
@@ -10,25 +9,12 @@
 from radishwind.http.heads import request_head
 from radishwind.http.httptools_exchange import ClientConnection
 from radishwind.http.sender import Sender
+from radishwind.http.silence import KEEPALIVE_S
+from radishwind.http.silence import watch_silence
 from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 
-#: Idle connections are closed by us before a usual server closes them (5 s),
-#: so that a request is rarely written to a connection that is going away.
-KEEPALIVE_S = 4.0
-
-#: An idle connection is asked after this silence, and again after it (s): the
-#: least that the system takes.
-SILENCE_S = 1
-
-#: Unanswered segments after which a connection counts as dead.
-SILENT_PROBES = 2
-
-#: Bytes not acknowledged for so long mean the same (ms); a lost packet is
-#: sent again within 0.2 to 1 s.
-USER_TIMEOUT_MS = 2_500
-
 #: A connection that breaks so soon after a request was sent was forgotten (s);
 #: one that breaks later may have carried it.
 AT_ONCE_S = 0.015
@@ -183,7 +169,7 @@
             pool.open -= 1
             self._let_next(pool)
             raise
-        _watch_silence(transport)
+        watch_silence(transport.get_extra_info("socket"))
         return conn
 
     def _let_next(self, pool: _Pool) -> None:
@@ -212,19 +198,3 @@
             kept = kept or bool(pool.idle)
         if kept:
             self._sweep_later()
-
-
-def _watch_silence(transport: asyncio.BaseTransport) -> None:
-    """Lets a connection notice by itself when its other end is silent.
-
-    It may go silent for good without a reset; nothing but unanswered
-    keep-alive segments would show that before the deadline.
-    """
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, SILENCE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, SILENCE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENT_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
