--- a/src/radishwind/http/httptools_sender.py
+++ b/src/radishwind/http/httptools_sender.py
@@ -35,7 +35,8 @@
         self.waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
-        # Connections that rested longer are not used, until the second time.
+        # Connections that rested longer are not used before `forgets_until`
+        # (monotonic s).
         self.most_rest_s = float("inf")
         self.forgets_until = 0.0
 
