--- a/src/radishwind/loads/audience.py
+++ b/src/radishwind/loads/audience.py
@@ -11,14 +11,11 @@
 from radishwind.membership.directory import Member
 
 #: Nodes of the own failure domain are all told while there are no more than
-#: this: of 32 nodes that tell five changes a second each receives 160 datagrams
-#: a second, at 92 us each (in a profile, so rather high) 1.5% of a core.
+#: this: what each of them receives grows with their number.
 ALL_NEAR = 32
 
-#: The same of other failure domains: with five changes a second of 115 bytes
-#: on the wire (worked out) this is 7 KB/s, within the 10 KB/s that control may
-#: cost a node. The calm day of 11 nodes earned 0.972 of its credit where all
-#: were told, 0.957 where only those were that had sent work.
+#: The same of other failure domains: so many stay within the 10 KB/s that
+#: control may cost a node.
 ALL_FAR = 12
 
 #: A node that sent work is told for so long (s): ten changes of pace, so that
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -68,7 +68,7 @@
 
 #: Versions pushed at once. A packed configuration is 28 to 100 KB, the link of
 #: a node 10 to 20 Mbit/s: six share it within the time that a push may take,
-#: where all 38 of a failure domain at once would all be cut off (worked out).
+#: where all of a large failure domain at once would all be cut off.
 #: Who waits asks those who have it already.
 PUSHES_AT_ONCE = 6
 
--- a/src/radishwind/target/pulse.py
+++ b/src/radishwind/target/pulse.py
@@ -33,9 +33,8 @@
 LEARN_S = 4.0
 
 #: The same where others told the period, as a part of it: two changes then show
-#: the grid, and with what a look itself takes each is located well enough. At
-#: 20 ms for a period of 150 ms the changes lay 11 to 14 ms to either side, too
-#: far for the grid to be told from chance (log of a play).
+#: the grid, and with what a look itself takes each is located well enough to be
+#: told from chance.
 EXPECTED_SILENCE_PART = 0.07
 
 #: The best pace of so long is what a good spell gives there (s): with a third
