Take client accounts: a key for each request, and the account for the server

Cause: the configuration may hold client accounts, and nothing of it was decoded: requests without a key ran, servers were told whatever name a caller claimed, and were shown the key.

Change: accounts are decoded with the routes and looked up by a digest of the key; the entry decides before anything waits (401 as not run), names the account to the server and drops the key. An account's rank goes before its route's. Hooks for quotas and for a proof that what is known of keys is recent, both open so far. Downloads are idempotent. Without accounts in the configuration nothing changes.

--- /dev/null
+++ b/src/radishwind/accounts/proof.py
@@ -0,0 +1,22 @@
+"""Whether what a node knows of keys is recent enough to act on."""
+
+import abc
+
+
+class KeyProof(abc.ABC):
+    """Says whether a key may be taken for one that is still in force."""
+
+    @abc.abstractmethod
+    def stands(self, now: float) -> bool:
+        """Returns whether requests with a key may run.
+
+        Args:
+          now: monotonic time (s), which goes on while the machine stands still.
+        """
+
+
+class NoProofNeeded(KeyProof):
+    """Keys count as long as no newer configuration takes them away."""
+
+    def stands(self, now: float) -> bool:
+        return True
--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -68,6 +68,7 @@
       work_s: its run time at the usual pace (s); 0 where not known.
       lot: drawn with those that it belongs to, -0.5 to 0.5; the lower go
         first where not all can be served. 0 where it belongs to no others.
+      account: the client account that asks; empty for none.
       steps: what was tried and what came of it, for the log; grows.
     """
 
@@ -89,6 +90,7 @@
     regions: frozenset[str] = frozenset()
     work_s: float = 0.0
     lot: float = 0.0
+    account: str = ""
     steps: list[str] = dataclasses.field(default_factory=list, compare=False)
 
 
--- /dev/null
+++ b/src/radishwind/entry/keys.py
@@ -0,0 +1,84 @@
+"""Finds the client account of a request by the key that it carries."""
+
+from collections.abc import Callable
+
+from radishwind.accounts import Account
+from radishwind.accounts import AccountBook
+from radishwind.accounts import KeyProof
+from radishwind.accounts import NoProofNeeded
+from radishwind.core.codes import ResultCode
+from radishwind.entry.call import CallRejectedError
+
+
+class KeyRefusedError(CallRejectedError):
+    """The request carries no key of an account in force."""
+
+    code = ResultCode.KEY_REFUSED
+
+
+class KeysUnprovenError(CallRejectedError):
+    """This node can't prove that what it knows of keys is recent."""
+
+    code = ResultCode.KEYS_UNPROVEN
+
+
+class KeyCheck:
+    """Decides whose request it is; refuses at once what is nobody's.
+
+    Attributes:
+      refused: requests refused for their key.
+      unproven: requests refused since no key could be taken for one in force.
+    """
+
+    def __init__(
+        self, book: Callable[[], AccountBook], proof: KeyProof | None = None
+    ) -> None:
+        """Makes a check.
+
+        Args:
+          book: returns the accounts in force.
+          proof: whether what is known of keys is recent.
+        """
+        self._book = book
+        self._proof = proof or NoProofNeeded()
+        self.refused = 0
+        self.unproven = 0
+
+    @property
+    def in_use(self) -> bool:
+        """Whether there are accounts, so that requests need a key."""
+        return self._book().in_use
+
+    def account(
+        self, keys: tuple[str, ...], *, public: bool, now: float
+    ) -> Account | None:
+        """Returns the account of a request; `None` for nobody's.
+
+        A public request of nobody may run, and so may one whose key is not in
+        force: it is nobody's then.
+
+        Args:
+          keys: what the request carries in place of one key, empty where that
+            is malformed.
+          public: whether its route needs no key.
+          now: monotonic time (s).
+
+        Raises:
+          KeyRefusedError: there must be a key in force, and isn't one.
+          KeysUnprovenError: nobody can tell whether the key is in force still.
+        """
+        if public and not keys:
+            return None
+        if not self._proof.stands(now):
+            if public:
+                return None
+            self.unproven += 1
+            raise KeysUnprovenError("expected proof of recent keys, got none")
+        holder = self._book().holder(keys[0]) if len(keys) == 1 else None
+        if holder is None and not public:
+            self.refused += 1
+            raise KeyRefusedError(
+                f"expected one key of an account in force, got {len(keys)} "
+                f"fields and none"
+            )
+        return holder
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -8,6 +8,7 @@
 
 from radishwind.claims.guard import ClaimGuard
 from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
 from radishwind.entry.attempts import AttemptCounts
 from radishwind.entry.attempts import Attempts
 from radishwind.entry.call import Call
@@ -27,6 +28,8 @@
 from radishwind.outcomes import Outcome
 from radishwind.quarantine.gate import OpenGate
 from radishwind.quarantine.gate import QuarantineGate
+from radishwind.quotas import NoQuotas
+from radishwind.quotas import QuotaGate
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
 from radishwind.routing.placement import Placement
@@ -53,10 +56,12 @@
         retry_after: RetryAfter | None = None,
         respond: Callable[[Outcome], Response] = answer,
         foresight: Foresight | None = None,
+        quotas: QuotaGate | None = None,
     ) -> None:
         self._clock = clock
         self._classifier = classifier
         self._claims = claims
+        self._quotas = quotas or NoQuotas()
         self._observers = tuple(observers)
         self._quarantine = quarantine or OpenGate()
         self._retry_after = retry_after or RetryAfter()
@@ -93,7 +98,7 @@
                 self._with_retry_after(NotRun(exc.code, exc.args[0]))
             )
         try:
-            outcome = await self._claims.run(call, self._run)
+            outcome = await self._within_quota(call)
         except asyncio.CancelledError:
             elapsed_s = self._clock.monotonic() - began
             for observer in self._observers:
@@ -104,6 +109,22 @@
             observer.finished(call, outcome, elapsed_s)
         return self._respond(outcome)
 
+    async def _within_quota(self, call: Call) -> Outcome:
+        """Runs `call` if its account's quota has room for it."""
+        if not call.account:
+            return await self._claims.run(call, self._run)
+        wait_s = self._quotas.take(call.account, self._clock.monotonic())
+        if wait_s is not None:
+            return NotRun(
+                ResultCode.QUOTA_EXCEEDED,
+                "The account is over its quota.",
+                round(wait_s, 3),
+            )
+        outcome = await self._claims.run(call, self._run)
+        if isinstance(outcome, NotRun):
+            self._quotas.give_back(call.account, self._clock.monotonic())
+        return outcome
+
     async def _run(self, call: Call) -> Outcome:
         refused = self._quarantine.refusal(call)
         if refused is not None:
--- a/src/radishwind/entry/routed.py
+++ b/src/radishwind/entry/routed.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from radishwind.accounts import Account
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
@@ -11,11 +12,13 @@
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.call import ServiceUnknownError
 from radishwind.entry.classifier import Classifier
+from radishwind.entry.keys import KeyCheck
 from radishwind.entry.returns import Returns
 from radishwind.entry.siblings import Siblings
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routes.model import Route
 
 #: Where no deadline is told as time of day: it may jump, so none hangs on it.
 NO_WALL_DEADLINE_MS = 2**52
@@ -35,12 +38,15 @@
       timeout_ms: how long the caller waits (ms); `None` if it does not tell.
       host: the host it asks for, lower case, without port.
       headers: the fields that go on to the backend server.
+      keys: the keys that it carries, read only where there are accounts; an
+        empty text for one that is malformed.
     """
 
     request_id: str
     timeout_ms: int | None
     host: str
     headers: Headers
+    keys: tuple[str, ...] = ()
 
 
 class RoutedClassifier(Classifier):
@@ -54,6 +60,8 @@
         rules: ServiceRules,
         read: Callable[[Headers], CallerFields],
         work_s: Callable[[str], float],
+        keys: KeyCheck,
+        with_account: Callable[[Headers, str], Headers],
         returns: Returns | None = None,
         siblings: Siblings | None = None,
     ) -> None:
@@ -65,6 +73,9 @@
           rules: of every service, where its routes don't say.
           read: decodes what a caller tells in header fields.
           work_s: returns the usual run time of a route (s).
+          keys: finds the account of a request.
+          with_account: returns header fields that tell a backend server the
+            name of an account beside those given.
           returns: tells how long ago a caller first asked; by default each
             request counts as its caller's first.
           siblings: draws lots for those that belong together; by default none
@@ -75,6 +86,8 @@
         self._rules = rules
         self._read = read
         self._work_s = work_s
+        self._keys = keys
+        self._with_account = with_account
         self._returns = returns
         self._siblings = siblings
 
@@ -105,6 +118,7 @@
                 f"path {request.path[:80]!r}"
             )
         now = self._clock.monotonic()
+        account = self._account(told, route, now)
         timeout_s = route.timeout_s
         age_s = lot = 0.0
         if told.timeout_ms is not None:
@@ -114,20 +128,34 @@
                 age_s = self._returns.age_s(route.name, told_s, now)
             if self._siblings is not None:
                 lot = self._siblings.lot(route.name, told.timeout_ms, now)
+        headers, priority = told.headers, route.priority
+        if account is not None:
+            headers = self._with_account(headers, account.name)
+            if account.priority is not None:
+                priority = account.priority
         return Call(
             call_id=told.request_id,
             service=self._routes.table.service_of(route),
-            request=msgspec.structs.replace(request, headers=told.headers),
+            request=msgspec.structs.replace(request, headers=headers),
             rules=self._rules,
             idempotent=route.idempotent,
             deadline=now + timeout_s,
             expires_ms=NO_WALL_DEADLINE_MS,
             caller=request.remote,
             aim=now + max(0.0, min(route.aim_s - age_s, timeout_s)),
-            priority=route.priority,
+            priority=priority,
             most_reached=route.attempts,
             route=route.name,
             regions=route.regions,
             work_s=self._work_s(route.name),
             lot=lot,
+            account=account.name if account else "",
         )
+
+    def _account(
+        self, told: CallerFields, route: Route, now: float
+    ) -> Account | None:
+        """Returns whose request it is; `None` where there are no accounts."""
+        if not self._keys.in_use:
+            return None
+        return self._keys.account(told.keys, public=route.public, now=now)
--- /dev/null
+++ b/src/radishwind/entry/tests/test_keys.py
@@ -0,0 +1,281 @@
+"""Requests need a key in force, are told whose they are, and count."""
+
+import random
+
+import pytest
+
+from radishwind.accounts import Account
+from radishwind.accounts import digest_key
+from radishwind.accounts import KeyProof
+from radishwind.claims.guard import NoClaims
+from radishwind.config.model import ServiceRules
+from radishwind.core import ManualClock
+from radishwind.core import ResultCode
+from radishwind.entry import AttemptResult
+from radishwind.entry import AttemptRunner
+from radishwind.entry import EntryPipeline
+from radishwind.entry.keys import KeyCheck
+from radishwind.entry.routed import RoutedClassifier
+from radishwind.http import Address
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.membership.directory import Directory
+from radishwind.membership.directory import Member
+from radishwind.outcomes import Done
+from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
+from radishwind.platform import read_caller
+from radishwind.platform import with_account
+from radishwind.platform.answers import respond
+from radishwind.quotas import QuotaGate
+from radishwind.retries import RetryNotRun
+from radishwind.routes import Part
+from radishwind.routes import Route
+from radishwind.routes import RouteConfig
+from radishwind.routes import RoutesInForce
+from radishwind.routing.baselines import RandomChooser
+from radishwind.routing.placement import Anywhere
+
+A = Account("a", (digest_key("key-of-a"),), priority=0)
+B = Account("b", (digest_key("key-of-b"),))
+
+
+def route(prefix, *, public=False):
+    return Route(
+        f"r{prefix}", "h", prefix, True, (Part("s"),), 1.0, 0.5, 2, 1,
+        public=public,
+    )  # fmt: skip
+
+
+class One(Directory):
+    def of_service(self, service):
+        return (Member("n", "s", "d", Address("127.0.0.1", 1)),)
+
+    def members(self):
+        return self.of_service("s")
+
+
+class Server(AttemptRunner):
+    """Answers, or what it is told to; keeps what it was sent."""
+
+    def __init__(self):
+        self.calls = []
+        self.outcome = Done(Response(200))
+
+    async def run(self, call, member, attempt_id):
+        self.calls.append(call)
+        return AttemptResult(self.outcome)
+
+
+class Proof(KeyProof):
+    def __init__(self):
+        self.there = True
+
+    def stands(self, now):
+        return self.there
+
+
+class Quotas(QuotaGate):
+    def __init__(self):
+        self.left = {"a": 1, "b": 1}
+
+    def take(self, account, now):
+        if not self.left[account]:
+            return 0.25
+        self.left[account] -= 1
+        return None
+
+    def give_back(self, account, now):
+        self.left[account] += 1
+
+
+class Node:
+    def __init__(self, accounts=(A, B)):
+        clock = ManualClock()
+        self.routes = RoutesInForce(clock)
+        self.adopt(1, accounts)
+        self.proof, self.server = Proof(), Server()
+        self.keys = KeyCheck(lambda: self.routes.accounts, self.proof)
+        self.quotas = Quotas()
+        self.pipeline = EntryPipeline(
+            clock=clock,
+            classifier=RoutedClassifier(
+                clock=clock,
+                routes=self.routes,
+                rules=ServiceRules(),
+                read=lambda headers: read_caller(
+                    headers, "own", accounts=self.keys.in_use
+                ),
+                work_s=lambda name: 0.0,
+                keys=self.keys,
+                with_account=with_account,
+            ),
+            placement=Anywhere(One()),
+            chooser=RandomChooser(random.Random(1)),
+            retries=RetryNotRun(),
+            runner=self.server,
+            claims=NoClaims(),
+            respond=respond,
+            quotas=self.quotas,
+        )
+
+    def adopt(self, version, accounts):
+        routes = (route("/own/"), route("/open/", public=True))
+        cfg = RouteConfig(version, routes, {}, accounts=tuple(accounts))
+        self.routes.adopt(cfg, b"", "test")
+
+    async def ask(self, *fields, path="/own/x"):
+        headers = (("Host", "h"), ("Attempt-Id", "9c"), *fields)
+        return await self.pipeline.handle(Request("GET", path, headers))
+
+    def told(self):
+        """Returns the fields that the server got last, without case."""
+        headers = self.server.calls[-1].request.headers
+        return [(name.lower(), value) for name, value in headers]
+
+
+def key(text):
+    return ("Authorization", f"Token {text}")
+
+
+@pytest.mark.anyio
+async def test_the_server_hears_the_account_and_never_the_key():
+    node = Node()
+
+    response = await node.ask(
+        key("key-of-a"), ("tenant", "b"), ("TENANT", "b"), ("X", "y")
+    )
+
+    assert response.status == 200
+    assert [v for n, v in node.told() if n == "tenant"] == ["a"]
+    assert "authorization" not in dict(node.told())
+    assert ("x", "y") in node.told()
+    assert "key-of-a" not in repr(node.server.calls[-1])
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "fields",
+    [
+        (),
+        (key("unknown"),),
+        (("Authorization", "key-of-a"),),
+        (("Authorization", "Bearer key-of-a"),),
+        (("Authorization", "Token key-of-a key-of-a"),),
+        (("Authorization", "Token"),),
+        (("Authorization", ""),),
+        (key("key-of-a"), key("key-of-a")),
+        (key("key-of-a"), key("key-of-b")),
+        (("Tenant", "a"),),
+    ],
+)
+async def test_without_one_key_in_force_nothing_runs(fields):
+    node = Node()
+
+    response = await node.ask(*fields)
+
+    assert response.status == 401
+    told = dict(response.headers)
+    assert told["WWW-Authenticate"] == "Token"
+    assert "Retry-After" not in told
+    assert not node.server.calls
+    assert node.keys.refused == 1
+    assert b"key-of-a" not in response.body
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("fields", [(), (key("unknown"),), (("Tenant", "a"),)])
+async def test_a_public_route_takes_what_is_nobodys(fields):
+    node = Node()
+
+    response = await node.ask(*fields, path="/open/x")
+
+    assert response.status == 200
+    assert not {"tenant", "authorization"} & {n for n, _ in node.told()}
+
+
+@pytest.mark.anyio
+async def test_a_key_on_a_public_route_tells_whose_it_is():
+    node = Node()
+
+    await node.ask(key("key-of-b"), path="/open/x")
+
+    assert ("tenant", "b") in node.told()
+
+
+@pytest.mark.anyio
+async def test_without_accounts_the_fields_are_the_callers_own():
+    node = Node(accounts=())
+
+    response = await node.ask(("Authorization", "Basic x"), ("Tenant", "t"))
+
+    assert response.status == 200
+    assert ("authorization", "Basic x") in node.told()
+    assert ("tenant", "t") in node.told()
+
+
+@pytest.mark.anyio
+async def test_a_key_counts_as_the_newest_version_says():
+    node = Node()
+    moved = Account("b", (digest_key("key-of-a"),))
+
+    node.adopt(2, [Account("a", ()), moved])
+    await node.ask(key("key-of-a"))
+    assert ("tenant", "b") in node.told()
+
+    node.adopt(3, [Account("a", ())])
+    assert (await node.ask(key("key-of-a"))).status == 401
+
+
+@pytest.mark.anyio
+async def test_without_proof_a_key_is_refused_as_not_run():
+    node = Node()
+    node.proof.there = False
+
+    response = await node.ask(key("key-of-a"))
+
+    assert response.status == 503
+    assert "Retry-After" in dict(response.headers)
+    assert not node.server.calls
+    assert (await node.ask(path="/open/x")).status == 200
+
+
+@pytest.mark.anyio
+async def test_the_rank_of_an_account_goes_before_its_routes():
+    node = Node()
+
+    await node.ask(key("key-of-a"))
+    await node.ask(key("key-of-b"))
+
+    assert [call.priority for call in node.server.calls] == [0, 2]
+
+
+@pytest.mark.anyio
+async def test_over_its_quota_nothing_runs_and_the_time_is_told():
+    node = Node()
+
+    first = await node.ask(key("key-of-a"))
+    second = await node.ask(key("key-of-a"))
+    other = await node.ask(key("key-of-b"))
+
+    assert (first.status, second.status, other.status) == (200, 429, 200)
+    assert dict(second.headers)["Retry-After"] == "0.250"
+    assert len(node.server.calls) == 2
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("outcome", "left"),
+    [
+        (NotRun(ResultCode.OVERLOADED, "full"), 1),
+        (Unknown(ResultCode.EXCHANGE_BROKEN, "broke"), 0),
+        (Done(Response(500)), 0),
+    ],
+)
+async def test_only_what_did_not_run_is_given_back(outcome, left):
+    node = Node()
+    node.server.outcome = outcome
+
+    await node.ask(key("key-of-a"))
+
+    assert node.quotas.left["a"] == left
--- a/src/radishwind/outcomes/answers.py
+++ b/src/radishwind/outcomes/answers.py
@@ -14,6 +14,8 @@
     ResultCode.KEY_REUSED: 422,
     ResultCode.SENDER_TOO_SLOW: 408,
     ResultCode.ANNOUNCEMENT_REFUSED: 400,
+    ResultCode.KEY_REFUSED: 401,
+    ResultCode.QUOTA_EXCEEDED: 429,
     ResultCode.EXCHANGE_TIMEOUT: 504,
     ResultCode.CLAIM_RUNNING: 409,
     ResultCode.CLAIM_UNKNOWN: 409,
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -61,6 +61,7 @@
       work_ms: its run time at the usual pace (ms); 0 where not known.
       lot: drawn with those that it belongs to; 0 for none.
       route: the route that took it; empty where services have none.
+      account: the client account that asks; empty for none.
     """
 
     attempt_id: str
@@ -77,6 +78,7 @@
     work_ms: int = 0
     lot: float = 0.0
     route: str = ""
+    account: str = ""
 
 
 class AnswerInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -176,6 +178,7 @@
         round(call.work_s * 1000),
         round(call.lot, 3),
         call.route,
+        call.account,
     )
 
 
--- a/src/radishwind/peers/datagrams.py
+++ b/src/radishwind/peers/datagrams.py
@@ -26,6 +26,8 @@
 
     LOADS = 1
     GOSSIP = 2
+    RECENCY = 3
+    QUOTAS = 4
 
 
 class PeerSocket(asyncio.DatagramProtocol):
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -193,6 +193,7 @@
             work_s=info.work_ms / 1000,
             lot=min(0.5, max(-0.5, info.lot)),
             route=info.route,
+            account=info.account,
         )
 
     def _aim(self, info: AttemptInfo) -> float:
--- a/src/radishwind/platform/__init__.py
+++ b/src/radishwind/platform/__init__.py
@@ -6,6 +6,7 @@
 
 from radishwind.platform.boot import read_settings
 from radishwind.platform.caller import read_caller
+from radishwind.platform.caller import with_account
 from radishwind.platform.dialect import PlatformDialect
 from radishwind.platform.heartbeats import Heartbeat
 from radishwind.platform.heartbeats import read_call
@@ -20,4 +21,5 @@
     "read_caller",
     "read_routes",
     "read_settings",
+    "with_account",
 ]
--- a/src/radishwind/platform/answers.py
+++ b/src/radishwind/platform/answers.py
@@ -1,11 +1,16 @@
 """Answers of our own as the platform's callers read them."""
 
+import msgspec
+
+from radishwind.core.codes import ResultCode
 from radishwind.http.types import Response
 from radishwind.outcomes import answer
 from radishwind.outcomes import Done
 from radishwind.outcomes import Outcome
+from radishwind.platform.fields import KEY_SCHEME
 
 _RETRY_AFTER = "Retry-After"
+_CHALLENGE = ("WWW-Authenticate", KEY_SCHEME)
 
 
 def respond(outcome: Outcome) -> Response:
@@ -18,6 +23,9 @@
     if isinstance(outcome, Done) or outcome.retry_after_s is None:
         return response
     headers = [item for item in response.headers if item[0] != _RETRY_AFTER]
+    if outcome.code is ResultCode.KEY_REFUSED:
+        # To come back with the same key is of no use.
+        return msgspec.structs.replace(response, headers=(*headers, _CHALLENGE))
     headers.append((_RETRY_AFTER, f"{outcome.retry_after_s:.3f}"))
     return Response(
         response.status, tuple(headers), response.body, response.body_bytes
--- a/src/radishwind/platform/caller.py
+++ b/src/radishwind/platform/caller.py
@@ -3,7 +3,11 @@
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.routed import CallerFields
 from radishwind.http.types import Headers
+from radishwind.platform.fields import ACCOUNT
 from radishwind.platform.fields import CALLER_SERVICE
+from radishwind.platform.fields import KEY
+from radishwind.platform.fields import KEY_SCHEME
+from radishwind.platform.fields import OF_ACCOUNTS
 from radishwind.platform.fields import SENDING_ID
 from radishwind.platform.fields import SET_ANEW
 from radishwind.platform.fields import TIMEOUT
@@ -12,20 +16,26 @@
 
 _TIMEOUT = TIMEOUT.lower()
 _SENDING_ID = SENDING_ID.lower()
+_KEY = KEY.lower()
 
 
-def read_caller(headers: Headers, own_service: str) -> CallerFields:
+def read_caller(
+    headers: Headers, own_service: str, *, accounts: bool = False
+) -> CallerFields:
     """Returns what a caller tells.
 
     Args:
       headers: as received, without those of one connection only.
       own_service: the service of this instance; it goes on as the caller's.
+      accounts: whether there are client accounts, so that a key is read and
+        goes no further, nor does a name that the caller claims.
 
     Raises:
       CallRejectedError: the id is missing or a field cannot be read.
     """
     request_id, timeout, host = "", "", ""
     kept = []
+    keys: tuple[str, ...] = ()
     for item in headers:
         name = item[0].lower()
         if name == _TIMEOUT:
@@ -34,6 +44,10 @@
             request_id = item[1]
         elif name == "host":
             host = item[1]
+        if accounts and name in OF_ACCOUNTS:
+            if name == _KEY:
+                keys += (_key(item[1]),)
+            continue
         if name not in SET_ANEW:
             kept.append(item)
     kept.append((CALLER_SERVICE, own_service))
@@ -43,10 +57,24 @@
             f"got {len(request_id)}"
         )
     return CallerFields(
-        request_id, _timeout_ms(timeout), _host(host), tuple(kept)
+        request_id, _timeout_ms(timeout), _host(host), tuple(kept), keys
     )
 
 
+def with_account(headers: Headers, name: str) -> Headers:
+    """Returns `headers` with the account `name` for the backend server."""
+    return (*headers, (ACCOUNT, name))
+
+
+def _key(text: str) -> str:
+    """Returns the key in `text`; empty where that is malformed."""
+    scheme, _, key = text.strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME.lower() or not key.isascii():
+        return ""
+    return "" if any(c.isspace() for c in key) else key
+
+
 def _timeout_ms(text: str) -> int | None:
     if not text:
         return None
--- a/src/radishwind/platform/fields.py
+++ b/src/radishwind/platform/fields.py
@@ -29,11 +29,23 @@
 #: The incarnation of the backend server that answers.
 ANSWERING_INCARNATION = "Instance-Id"
 
+#: Carries a caller's key; it goes to nobody.
+KEY = "Authorization"
+
+#: The scheme of a key in that field.
+KEY_SCHEME = "Token"
+
+#: The account whose key a request carries.
+ACCOUNT = "Tenant"
+
 #: Fields of a caller that the system sets anew (lower case).
 SET_ANEW = frozenset(
     {TIMEOUT.lower(), INCARNATION.lower(), CALLER_SERVICE.lower()}
 )
 
+#: The same where there are client accounts (lower case).
+OF_ACCOUNTS = frozenset({KEY.lower(), ACCOUNT.lower()})
+
 #: Fields by which a backend server speaks to the system only (lower case).
 FOR_THE_SYSTEM = frozenset(
     {LOAD.lower(), ANSWERING_INCARNATION.lower(), WARMUP.lower()}
--- a/src/radishwind/platform/routes.py
+++ b/src/radishwind/platform/routes.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from radishwind.accounts import Account
+from radishwind.accounts import digest_key
 from radishwind.platform.errors import PlatformMalformedError
 from radishwind.routes.model import CallerLimits
 from radishwind.routes.model import Part
@@ -20,7 +22,8 @@
 #: Below it lies a key for each failure domain that is to be emptied.
 _EMPTIED_PREFIX = "op/evacuate/"
 
-_SAFE = "safe"
+#: Kinds of routes whose requests may run more than once.
+_IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 
@@ -35,7 +38,6 @@
     host: str
     prefix: str
     timeout_ms: _Milliseconds
-    # `safe` may run more than once, every other kind at most once.
     kind: str = "unsafe"
     aim_ms: _Milliseconds = 0.0
     priority: int = 0
@@ -43,6 +45,7 @@
     split: tuple[_Part, ...] = ()
     attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
     allowed_regions: tuple[str, ...] = ()
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
@@ -53,6 +56,15 @@
     warmup_per_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
+    # A client account; a rate of 0 is no limit.
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
@@ -65,6 +77,7 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(_Config)
@@ -99,6 +112,7 @@
             cfg.limits.header_timeout_ms / 1000,
             cfg.limits.idle_timeout_ms / 1000,
         ),
+        tuple(_account(tenant) for tenant in cfg.tenants),
     )
 
 
@@ -110,6 +124,16 @@
     return name if name and "/" not in name else None
 
 
+def _account(tenant: _Tenant) -> Account:
+    return Account(
+        tenant.name,
+        tuple(digest_key(key) for key in tenant.api_keys),
+        tenant.priority,
+        tenant.rate_per_s,
+        tenant.burst,
+    )
+
+
 def _route(route: _Route) -> Route:
     parts = tuple(Part(part.service, part.weight) for part in route.split)
     if not parts and route.service is not None:
@@ -124,11 +148,12 @@
         name=route.name,
         host=route.host.lower(),
         prefix=route.prefix,
-        idempotent=route.kind == _SAFE,
+        idempotent=route.kind in _IDEMPOTENT_KINDS,
         parts=parts,
         timeout_s=timeout_s,
         aim_s=route.aim_ms / 1000 if route.aim_ms else timeout_s,
         priority=route.priority,
         attempts=route.attempts,
         regions=frozenset(route.allowed_regions),
+        public=route.public,
     )
--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from radishwind.accounts import Account
+from radishwind.accounts import digest_key
 from radishwind.config.model import ServiceRules
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
@@ -110,6 +112,27 @@
         read_routes(data)
 
 
+def test_accounts_are_read_in_our_words():
+    tenants = (
+        b'"tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,'
+        b'"rate-per-s":135,"burst":27.5},{"name":"t2"}],"limits"'
+    )
+    kept = ROUTES.replace(b'"limits"', tenants)
+    kept = kept.replace(b'"kind":"unsafe"', b'"kind":"upload"')
+    kept = kept.replace(b'"kind":"safe"', b'"kind":"download","public":true')
+
+    cfg = read_routes(kept)
+
+    first, second = cfg.accounts
+    assert first == Account(
+        "t1", (digest_key("k1"), digest_key("k2")), 1, 135.0, 27.5
+    )
+    assert not second.is_limited
+    assert [route.idempotent for route in cfg.routes] == [False, True]
+    assert [route.public for route in cfg.routes] == [False, True]
+    assert read_routes(ROUTES).accounts == ()
+
+
 def test_a_heartbeat_is_read():
     body = (
         b'{"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1",'
--- a/src/radishwind/platform/tests/test_foreign.py
+++ b/src/radishwind/platform/tests/test_foreign.py
@@ -68,6 +68,15 @@
     ],
     "services": [{"name": "s", "health-path": "/h", "max-conns": 9}],
     "limits": {"idle-timeout-ms": 15000},
+    "tenants": [
+        {
+            "name": "t",
+            "api-keys": ["k"],
+            "priority": 1,
+            "rate-per-s": 5,
+            "burst": 5,
+        }
+    ],
 }
 
 
--- /dev/null
+++ b/src/radishwind/quotas/gate.py
@@ -0,0 +1,38 @@
+"""Whether an account's request lies within its quota."""
+
+import abc
+
+
+class QuotaGate(abc.ABC):
+    """Counts the requests of accounts against their quotas."""
+
+    @abc.abstractmethod
+    def take(self, account: str, now: float) -> float | None:
+        """Counts a request that comes now, if it lies within the quota.
+
+        Args:
+          account: the name of the account.
+          now: monotonic time (s).
+
+        Returns:
+          `None` if it may run, else after how long there will be room (s).
+        """
+
+    @abc.abstractmethod
+    def give_back(self, account: str, now: float) -> None:
+        """Takes back the count of a request that was let in and did not run.
+
+        Args:
+          account: the name of the account.
+          now: monotonic time (s).
+        """
+
+
+class NoQuotas(QuotaGate):
+    """Lets everything in."""
+
+    def take(self, account: str, now: float) -> float | None:
+        return None
+
+    def give_back(self, account: str, now: float) -> None:
+        """Counts nothing."""
--- a/src/radishwind/routes/in_force.py
+++ b/src/radishwind/routes/in_force.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from radishwind.accounts.book import AccountBook
 from radishwind.core.clock import Clock
 from radishwind.routes.model import RouteConfig
 from radishwind.routes.table import RouteTable
@@ -14,6 +15,7 @@
     Attributes:
       cfg: the version in force; `None` before the first.
       table: its look-up table.
+      accounts: its client accounts.
       raw: the same as the operator wrote it, for peers.
     """
 
@@ -23,6 +25,7 @@
         self._listeners: list[Callable[[RouteConfig], None]] = []
         self.cfg: RouteConfig | None = None
         self.table = RouteTable(())
+        self.accounts = AccountBook()
         self.raw = b""
         self._since = 0.0
 
@@ -51,6 +54,7 @@
         if cfg.version <= self.version:
             return False
         before = self.version
+        self._follow_accounts(cfg)
         self.cfg = cfg
         self.table = RouteTable(cfg.routes)
         self.raw = raw
@@ -61,7 +65,20 @@
             before=before,
             source=source,
             routes=len(cfg.routes),
+            accounts=len(cfg.accounts),
         )
         for listener in self._listeners:
             listener(cfg)
         return True
+
+    def _follow_accounts(self, cfg: RouteConfig) -> None:
+        """Takes the accounts of `cfg` where they differ from those in force."""
+        if self.cfg is not None and cfg.accounts == self.cfg.accounts:
+            return
+        self.accounts = AccountBook(cfg.accounts)
+        if self.accounts.shared_keys:
+            self._log.warning(
+                "Keys are held by several accounts; they count for none.",
+                version=cfg.version,
+                keys=self.accounts.shared_keys,
+            )
--- a/src/radishwind/routes/model.py
+++ b/src/radishwind/routes/model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from radishwind.accounts.model import Account
+
 
 class Part(msgspec.Struct, frozen=True):
     """A service that gets a share of a route's requests.
@@ -31,6 +33,7 @@
       priority: its rank; 0 is the highest.
       attempts: targets that one request may reach at most.
       regions: where its requests may run; empty for anywhere.
+      public: whether a request needs no key.
     """
 
     name: str
@@ -43,6 +46,7 @@
     priority: int
     attempts: int
     regions: frozenset[str] = frozenset()
+    public: bool = False
 
 
 class ServiceInfo(msgspec.Struct, frozen=True):
@@ -88,9 +92,11 @@
       routes: all routes.
       services: what is configured of services, by name.
       limits: what callers may send.
+      accounts: the client accounts; without any, no request needs a key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceInfo]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[Account, ...] = ()
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -4,11 +4,13 @@
 from collections.abc import Sequence
 import random
 
+from radishwind.accounts import KeyProof
 from radishwind.claims.guard import NoClaims
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.entry.foresight import NoForesight
 from radishwind.entry.foresight import RefuseLate
+from radishwind.entry.keys import KeyCheck
 from radishwind.entry.observer import CallObserver
 from radishwind.entry.pipeline import EntryPipeline
 from radishwind.entry.retry_after import RetryAfter
@@ -25,8 +27,10 @@
 from radishwind.membership.directory import Member
 from radishwind.peers.forward import ForwardRunner
 from radishwind.platform import read_caller
+from radishwind.platform import with_account
 from radishwind.platform.answers import respond
 from radishwind.quarantine.runner import CarefulRunner
+from radishwind.quotas import QuotaGate
 from radishwind.retries.shared import SharedBudget
 from radishwind.retries.shared import SharedRetries
 from radishwind.routes.emptied import EmptiedInForce
@@ -48,6 +52,7 @@
     Attributes:
       chooser: chooses targets; hears their load.
       classifier: finds the route of a request.
+      keys: finds the client account of a request.
       pipeline: answers requests.
     """
 
@@ -68,6 +73,8 @@
         unreachable: Callable[[str], None] | None = None,
         tells_unasked: Callable[[Member], bool] | None = None,
         observers: Sequence[CallObserver] = (),
+        proof: KeyProof | None = None,
+        quotas: QuotaGate | None = None,
     ) -> None:
         """Wires the entry side.
 
@@ -88,8 +95,11 @@
           tells_unasked: returns whether a target tells this node its load
             though it got nothing from here.
           observers: hear of each request that ended.
+          proof: whether what is known of keys is recent.
+          quotas: counts the requests of client accounts.
         """
         self._service = service
+        self.keys = KeyCheck(lambda: routes.accounts, proof)
         self.chooser = FreshLoadChooser(
             rng,
             node_name=settings.node,
@@ -104,6 +114,8 @@
             rules=ServiceRules(),
             read=self._read,
             work_s=self.chooser.work_s,
+            keys=self.keys,
+            with_account=with_account,
             returns=Returns() if switches.returns else None,
             siblings=Siblings(rng) if switches.siblings else None,
         )
@@ -146,7 +158,8 @@
                 if switches.foresight
                 else NoForesight()
             ),
+            quotas=quotas,
         )
 
     def _read(self, headers: Headers) -> CallerFields:
-        return read_caller(headers, self._service())
+        return read_caller(headers, self._service(), accounts=self.keys.in_use)
