Tell of each request that is refused before it is classified

Cause: a request refused for its key, host or fields left no log line and no count. Change: observers hear of it; the log tells its id and code, never the error's text, which may hold what the caller sent; lines of requests name the client account.

--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -32,9 +32,14 @@
 
 
 class CallRejectedError(RadishwindError):
-    """The request cannot be classified."""
+    """The request cannot be classified.
+
+    Attributes:
+      call_id: names the request, for the log; empty where that was not read.
+    """
 
     code = ResultCode.REQUEST_MALFORMED
+    call_id = ""
 
 
 class ServiceUnknownError(CallRejectedError):
--- a/src/radishwind/entry/observer.py
+++ b/src/radishwind/entry/observer.py
@@ -3,11 +3,12 @@
 import abc
 
 from radishwind.entry.call import Call
+from radishwind.entry.call import CallRejectedError
 from radishwind.outcomes.model import Outcome
 
 
 class CallObserver(abc.ABC):
-    """Told once of every call that was classified."""
+    """Told once of every request: how its call ended, or why it became none."""
 
     @abc.abstractmethod
     def finished(self, call: Call, outcome: Outcome, elapsed_s: float) -> None:
@@ -26,3 +27,6 @@
           call: the call.
           elapsed_s: from the request's arrival on (s).
         """
+
+    def rejected(self, exc: CallRejectedError) -> None:  # noqa: B027
+        """Notes that a request was refused before it became a call."""
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -94,6 +94,8 @@
         try:
             call = self._classifier.classify(request)
         except CallRejectedError as exc:
+            for observer in self._observers:
+                observer.rejected(exc)
             return self._respond(
                 self._with_retry_after(NotRun(exc.code, exc.args[0]))
             )
--- a/src/radishwind/entry/request_log.py
+++ b/src/radishwind/entry/request_log.py
@@ -7,6 +7,7 @@
 
 from radishwind.core.clock import Clock
 from radishwind.entry.call import Call
+from radishwind.entry.call import CallRejectedError
 from radishwind.entry.observer import CallObserver
 from radishwind.http.types import is_server_error
 from radishwind.outcomes import Done
@@ -47,6 +48,7 @@
             request=call.call_id,
             route=call.route,
             service=call.service,
+            account=call.account or None,
             priority=call.priority,
             code=_code(outcome),
             why=_why(outcome),
@@ -67,6 +69,7 @@
             request=call.call_id,
             route=call.route,
             service=call.service,
+            account=call.account or None,
             priority=call.priority,
             elapsed_ms=round(elapsed_s * 1000, 1),
             aim_left_ms=round((call.aim - now) * 1000, 1),
@@ -74,6 +77,19 @@
             held_back=held_back or None,
         )
 
+    def rejected(self, exc: CallRejectedError) -> None:
+        if not self._may_tell(self._clock.monotonic()):
+            self._held_back += 1
+            return
+        held_back, self._held_back = self._held_back, 0
+        # Without the error's text, which may hold what the caller sent.
+        self._log.change(
+            "Rejected a request.",
+            request=exc.call_id,
+            code=int(exc.code),
+            held_back=held_back or None,
+        )
+
     def _may_tell(self, now: float) -> bool:
         gained = (now - self._filled) * MOST_PER_S
         self._tokens = min(MOST_PER_S, self._tokens + gained)
--- a/src/radishwind/entry/routed.py
+++ b/src/radishwind/entry/routed.py
@@ -108,6 +108,18 @@
 
     def classify(self, request: Request) -> Call:
         told = self._read(request.headers)
+        try:
+            return self._classified(request, told)
+        except CallRejectedError as exc:
+            exc.call_id = told.request_id
+            raise
+
+    def _classified(self, request: Request, told: CallerFields) -> Call:
+        """Returns the call of a `request` that told what is read.
+
+        Raises:
+          CallRejectedError: it has no route, or no key that it needs.
+        """
         if self._routes.cfg is None:
             raise RoutesUnknownError("expected a configuration, got none yet")
         route = self._routes.table.match(told.host, request.path)
--- a/src/radishwind/entry/tests/test_keys.py
+++ b/src/radishwind/entry/tests/test_keys.py
@@ -15,6 +15,7 @@
 from radishwind.entry import AttemptRunner
 from radishwind.entry import EntryPipeline
 from radishwind.entry.keys import KeyCheck
+from radishwind.entry.observer import CallObserver
 from radishwind.entry.routed import RoutedClassifier
 from radishwind.http import Address
 from radishwind.http import Request
@@ -89,6 +90,17 @@
         self.left[account] += 1
 
 
+class Heard(CallObserver):
+    def __init__(self, rejected):
+        self._rejected = rejected
+
+    def finished(self, call, outcome, elapsed_s):
+        pass
+
+    def rejected(self, exc):
+        self._rejected.append(exc)
+
+
 class Node:
     def __init__(self, accounts=(A, B)):
         clock = ManualClock()
@@ -97,6 +109,7 @@
         self.proof, self.server = Proof(), Server()
         self.keys = KeyCheck(lambda: self.routes.accounts, self.proof)
         self.quotas = Quotas()
+        self.told_of = []
         self.pipeline = EntryPipeline(
             clock=clock,
             classifier=RoutedClassifier(
@@ -117,6 +130,7 @@
             claims=NoClaims(),
             respond=respond,
             quotas=self.quotas,
+            observers=[Heard(self.told_of)],
         )
 
     def adopt(self, version, accounts):
@@ -227,6 +241,16 @@
     assert (await node.ask(key("key-of-a"))).status == 401
 
 
+@pytest.mark.anyio
+async def test_a_refusal_is_told_by_id_and_code():
+    node = Node()
+
+    await node.ask(key("unknown"))
+
+    (told,) = node.told_of
+    assert (told.call_id, told.code) == ("9c", ResultCode.KEY_REFUSED)
+
+
 @pytest.mark.anyio
 async def test_without_proof_a_key_is_refused_as_not_run():
     node = Node()
--- a/src/radishwind/entry/tests/test_request_log.py
+++ b/src/radishwind/entry/tests/test_request_log.py
@@ -4,6 +4,7 @@
 from tests.support.calls import make_call
 
 from radishwind.core import ManualClock
+from radishwind.entry.keys import KeyRefusedError
 from radishwind.entry.request_log import MOST_PER_S
 from radishwind.entry.request_log import RequestLog
 from radishwind.telemetry import logs
@@ -39,3 +40,14 @@
 
     assert len(lines) == MOST_PER_S + 1
     assert lines[-1]["held_back"] == 7
+
+
+def test_a_rejected_request_is_told_without_what_it_sent(lines):
+    error = KeyRefusedError("expected one key, got secret-key")
+    error.call_id = "r-2"
+
+    RequestLog(ManualClock()).rejected(error)
+
+    assert lines[0]["text"] == "entry: Rejected a request."
+    assert (lines[0]["request"], lines[0]["code"]) == ("r-2", 2007)
+    assert "secret-key" not in repr(lines)
--- a/src/radishwind/telemetry/exposition.py
+++ b/src/radishwind/telemetry/exposition.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 
 from radishwind.entry.call import Call
+from radishwind.entry.call import CallRejectedError
 from radishwind.entry.observer import CallObserver
 from radishwind.outcomes import Done
 from radishwind.outcomes import Outcome
@@ -54,16 +55,7 @@
         self._read: list[tuple[str, str, str, Read]] = []
 
     def finished(self, call: Call, outcome: Outcome, elapsed_s: float) -> None:
-        labels = _labels(
-            service=call.service,
-            outcome=type(outcome).__name__,
-            code=_code(outcome),
-        )
-        if labels not in self._requests and (
-            len(self._requests) >= MOST_SERIES
-        ):
-            labels = _labels(service="other", outcome="other", code="")
-        self._requests[labels] = self._requests.get(labels, 0) + 1
+        self._count(call.service, type(outcome).__name__, _code(outcome))
         kind = _labels(
             service=call.service, idempotent=str(call.idempotent).lower()
         )
@@ -74,6 +66,16 @@
             times = self._times[kind] = Histogram()
         times.observe(elapsed_s)
 
+    def rejected(self, exc: CallRejectedError) -> None:
+        self._count("", "NotRun", str(int(exc.code)))
+
+    def _count(self, service: str, outcome: str, code: str) -> None:
+        """Counts a request; one of too many kinds among the others."""
+        labels = _labels(service=service, outcome=outcome, code=code)
+        if labels not in self._requests and len(self._requests) >= MOST_SERIES:
+            labels = _labels(service="other", outcome="other", code="")
+        self._requests[labels] = self._requests.get(labels, 0) + 1
+
     def counter(self, name: str, text: str, read: Read) -> None:
         """Adds values that only grow, read when they are asked for."""
         self._read.append(("counter", name, text, read))
