Prove that what a node knows of keys is recent, by round trips

Cause: a node that is cut off went on with the keys it knew for good, so that a key taken away could run there at any time after.

Change: where the settings ask for it and the configuration holds accounts, the entry takes a key only while the proof held is younger than the bound less what clocks run apart. The first node in turn asks the store for its revision and reads all where that moved; all others ask each other by datagram, counted from the asking. A request with no key needs no proof. Other deployments send and call nothing more.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -76,6 +76,9 @@
     ) -> Any:
         return await self._store.list(prefix, limit, allow_stale=allow_stale)
 
+    async def revision(self) -> int:
+        return await self._store.revision()
+
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Any]
     ) -> TxnResult:
--- a/src/radishwind/accounts/proof.py
+++ b/src/radishwind/accounts/proof.py
@@ -14,6 +14,14 @@
           now: monotonic time (s), which goes on while the machine stands still.
         """
 
+    def retry_s(self, now: float) -> float | None:
+        """Returns when they may again where they may not (s), if it can tell.
+
+        Args:
+          now: as with `stands`.
+        """
+        return None
+
 
 class NoProofNeeded(KeyProof):
     """Keys count as long as no newer configuration takes them away."""
--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -32,9 +32,14 @@
 
 
 class CallRejectedError(RadishwindError):
-    """The request cannot be classified."""
+    """The request cannot be classified.
+
+    Attributes:
+      retry_after_s: when the cause is likely to be over (s), if it passes.
+    """
 
     code = ResultCode.REQUEST_MALFORMED
+    retry_after_s: float | None = None
 
 
 class ServiceUnknownError(CallRejectedError):
--- a/src/radishwind/entry/keys.py
+++ b/src/radishwind/entry/keys.py
@@ -21,6 +21,10 @@
 
     code = ResultCode.KEYS_UNPROVEN
 
+    def __init__(self, retry_after_s: float | None) -> None:
+        super().__init__("expected proof of recent keys, got none")
+        self.retry_after_s = retry_after_s
+
 
 class KeyCheck:
     """Decides whose request it is; refuses at once what is nobody's.
@@ -67,18 +71,24 @@
           KeyRefusedError: there must be a key in force, and isn't one.
           KeysUnprovenError: nobody can tell whether the key is in force still.
         """
-        if public and not keys:
-            return None
+        if not keys:
+            # No version lets it run with what it doesn't carry.
+            if public:
+                return None
+            raise self._refused(keys)
         if not self._proof.stands(now):
             if public:
                 return None
             self.unproven += 1
-            raise KeysUnprovenError("expected proof of recent keys, got none")
+            raise KeysUnprovenError(self._proof.retry_s(now))
         holder = self._book().holder(keys[0]) if len(keys) == 1 else None
         if holder is None and not public:
-            self.refused += 1
-            raise KeyRefusedError(
-                f"expected one key of an account in force, got {len(keys)} "
-                f"fields and none"
-            )
+            raise self._refused(keys)
         return holder
+
+    def _refused(self, keys: tuple[str, ...]) -> KeyRefusedError:
+        self.refused += 1
+        return KeyRefusedError(
+            f"expected one key of an account in force, got {len(keys)} "
+            f"fields and none"
+        )
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -94,9 +94,10 @@
         try:
             call = self._classifier.classify(request)
         except CallRejectedError as exc:
-            return self._respond(
-                self._with_retry_after(NotRun(exc.code, exc.args[0]))
-            )
+            refusal = NotRun(exc.code, exc.args[0], exc.retry_after_s)
+            if exc.retry_after_s is None:
+                refusal = self._refusal(refusal)
+            return self._respond(refusal)
         try:
             outcome = await self._within_quota(call)
         except asyncio.CancelledError:
@@ -135,5 +136,8 @@
         """Returns `outcome` saying when to come back, if it is a refusal."""
         if not isinstance(outcome, NotRun):
             return outcome
-        retry_s = self._retry_after.for_refusal(outcome)
-        return msgspec.structs.replace(outcome, retry_after_s=retry_s)
+        return self._refusal(outcome)
+
+    def _refusal(self, refusal: NotRun) -> NotRun:
+        retry_s = self._retry_after.for_refusal(refusal)
+        return msgspec.structs.replace(refusal, retry_after_s=retry_s)
--- a/src/radishwind/entry/tests/test_keys.py
+++ b/src/radishwind/entry/tests/test_keys.py
@@ -70,10 +70,14 @@
 class Proof(KeyProof):
     def __init__(self):
         self.there = True
+        self.likely_s = None
 
     def stands(self, now):
         return self.there
 
+    def retry_s(self, now):
+        return self.likely_s
+
 
 class Quotas(QuotaGate):
     def __init__(self):
@@ -240,6 +244,38 @@
     assert (await node.ask(path="/open/x")).status == 200
 
 
+@pytest.mark.anyio
+async def test_without_proof_the_caller_is_told_when_it_is_likely_again():
+    node = Node()
+    node.proof.there, node.proof.likely_s = False, 1.25
+
+    response = await node.ask(key("key-of-a"))
+
+    assert dict(response.headers)["Retry-After"] == "1.250"
+    assert node.keys.unproven == 1
+
+
+@pytest.mark.anyio
+async def test_what_carries_no_key_needs_no_proof():
+    node = Node()
+    node.proof.there = False
+
+    assert (await node.ask()).status == 401
+    assert (await node.ask(path="/open/x")).status == 200
+    assert node.keys.unproven == 0
+
+
+@pytest.mark.anyio
+async def test_without_proof_a_key_on_a_public_route_tells_nobodys_name():
+    node = Node()
+    node.proof.there = False
+
+    response = await node.ask(key("key-of-b"), path="/open/x")
+
+    assert response.status == 200
+    assert not {"tenant", "authorization"} & {n for n, _ in node.told()}
+
+
 @pytest.mark.anyio
 async def test_the_rank_of_an_account_goes_before_its_routes():
     node = Node()
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -69,7 +69,9 @@
 
 
 def _settings(file: _File, metrics_port: int) -> PlacedSettings:
-    bounds = _bounds(file.bounds)
+    texts = _texts(file.bounds)
+    bounds = _numbers(texts)
+    strict = texts.get("strict-revoke") == "true"
     return PlacedSettings(
         node=file.node,
         service=file.service,
@@ -93,23 +95,28 @@
         retry_window_s=bounds.get("retry-window-s", 10.0),
         cold_over=bounds.get("cold-over", 1.0),
         cold_slack=bounds.get("cold-slack", 0.0),
+        revoke_s=bounds.get("revoke-ms", 5000.0) / 1000 if strict else None,
         first_start=file.bootstrap,
     )
 
 
-def _bounds(lines: tuple[str, ...]) -> dict[str, float]:
-    """Returns the bounds that are numbers; others are not used here."""
-    found: dict[str, float] = {}
+def _texts(lines: tuple[str, ...]) -> dict[str, str]:
+    """Returns the bounds as they are written, by name."""
+    found: dict[str, str] = {}
     for line in lines:
         name, mark, value = line.partition("=")
         if not mark:
             raise ValueError(f"bounds: expected NAME=VALUE, got {line[:80]!r}")
-        number = _number(value)
-        if number is not None:
-            found[name.strip()] = number
+        found[name.strip()] = value.strip()
     return found
 
 
+def _numbers(texts: dict[str, str]) -> dict[str, float]:
+    """Returns the bounds that are numbers."""
+    read = {name: _number(text) for name, text in texts.items()}
+    return {name: n for name, n in read.items() if n is not None}
+
+
 def _number(text: str) -> float | None:
     try:
         return float(text)
--- a/src/radishwind/platform/store.py
+++ b/src/radishwind/platform/store.py
@@ -19,6 +19,7 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import whole_body
+from radishwind.platform.routes import KEY as ROUTES_KEY
 from radishwind.store.base import Compare
 from radishwind.store.base import Delete
 from radishwind.store.base import Operation
@@ -141,6 +142,17 @@
                 )
         return tuple(found[:limit] if limit else found)
 
+    async def revision(self) -> int:
+        # The page behind the only key so named is empty: no value travels.
+        asked = {"prefix": ROUTES_KEY, "after": ROUTES_KEY}
+        response = await self._call("GET", _path("kv-range", **asked))
+        revision = (await _decoded(response, _Range)).current_rev
+        if revision <= 0:
+            raise StoreAnswerMalformedError(
+                f"expected the store's revision, got {revision}"
+            )
+        return revision
+
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
     ) -> TxnResult:
--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -63,6 +63,24 @@
     assert settings.retry_share == 0.1
 
 
+@pytest.mark.parametrize(
+    ("bounds", "bound_s"),
+    [
+        ('"strict-revoke=true","revoke-ms=4000"', 4.0),
+        ('"revoke-ms=4000", "strict-revoke = true"', 4.0),
+        ('"strict-revoke=true"', 5.0),
+        ('"strict-revoke=false","revoke-ms=4000"', None),
+        ('"revoke-ms=4000"', None),
+        ("", None),
+    ],
+)
+def test_keys_need_proof_only_where_the_bounds_ask_for_it(bounds, bound_s):
+    flag = '"flag=true"'
+    text = SETTINGS.replace(flag, ",".join(filter(None, (flag, bounds))))
+
+    assert read_settings(text).revoke_s == bound_s
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
--- a/src/radishwind/platform/tests/test_store.py
+++ b/src/radishwind/platform/tests/test_store.py
@@ -189,3 +189,31 @@
 
     stale = ["allow-stale=1" in request.path for request in script.asked]
     assert stale == [False, True, True]
+
+
+async def test_the_revision_is_read_without_a_value():
+    client, script = store(
+        (200, {"items": [], "truncated": False, "current-rev": 530})
+    )
+
+    assert await client.revision() == 530
+    assert script.asked[0].path == (
+        "/-/kv-range?prefix=op%2Fconfig&after=op%2Fconfig"
+    )
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((503, {}), StoreUnavailableError),
+        ((429, {}), StoreUnavailableError),
+        ((200, {}), StoreAnswerMalformedError),
+        ((200, {"current-rev": 0}), StoreAnswerMalformedError),
+        (ExchangeBrokenError("cut"), StoreAnswerLostError),
+    ],
+)
+async def test_no_revision_is_made_up(answer, error):
+    client, _ = store(answer)
+
+    with pytest.raises(error):
+        await client.revision()
--- /dev/null
+++ b/src/radishwind/recency/seeker.py
@@ -0,0 +1,182 @@
+"""Decides when a node seeks proof, from whom, and when from the store.
+
+The load it answers: callers send keyed requests all the time, so proof has to
+be renewed before it is over whichever of the nodes, links and stores fails;
+at few calls of the store, whatever the number of nodes.
+"""
+
+import math
+import random
+
+import msgspec
+
+from radishwind.membership.directory import Member
+from radishwind.recency.model import Proof
+from radishwind.recency.model import RecencyTimes
+from radishwind.recency.proof import RecentProof
+from radishwind.recency.sources import Sources
+
+#: An answer that didn't come within this time (s) is sought from another: a
+#: datagram takes some ms, a busy node some tens of ms.
+ANSWER_WAIT_S = 0.1
+
+#: Asked at once where proof is about to run out, or has.
+_ASKED_IN_HURRY = 3
+
+#: A node in doubt looks again after at most this time (s), for who is there.
+_LOOK_S = 0.5
+
+#: The first in turn try the store again sooner than others where it failed.
+_EAGER_PLACES = 4
+
+
+class Step(msgspec.Struct, frozen=True):
+    """What is to be done now.
+
+    Attributes:
+      ask: the nodes to ask.
+      read: whether to read the store.
+      again_s: when to decide again, if nothing happens before (s).
+    """
+
+    ask: tuple[Member, ...]
+    read: bool
+    again_s: float
+
+
+class Seeker:
+    """Holds what was tried; each decision is a method call."""
+
+    def __init__(
+        self,
+        *,
+        times: RecencyTimes,
+        proof: RecentProof,
+        sources: Sources,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Makes the seeker of a node that begins to need proof.
+
+        Args:
+          times: what is done at which age.
+          proof: the proof held.
+          sources: whom to ask.
+          rng: spreads calls of the store.
+          now: monotonic time (s).
+        """
+        self._times = times
+        self._proof = proof
+        self._sources = sources
+        self._rng = rng
+        self._helper = ""
+        self._round: list[Member] = []
+        self._around = sources.look()
+        self._looked_at = now
+        self._heard_in_round = True
+        self._ask_at = now
+        self._reading = False
+        # Who finds no peers at a start of all doesn't read before them.
+        self._read_at = now + rng.random() * times.round_gap_s
+
+    def step(self, now: float) -> Step:
+        """Returns what is to be done at `now` (s)."""
+        age_s = self._newest_age_s(now)
+        if now - self._looked_at >= _LOOK_S:
+            self._look(now)
+        read = self._is_turn(age_s) and not self._reading
+        if read and (now >= self._read_at or self._is_first_of_known(age_s)):
+            self._reading = True
+        else:
+            read = False
+        ask = self._ask(age_s, now)
+        return Step(ask, read, self._again_s(age_s, now))
+
+    def answered(self, name: str, proof: Proof | None, now: float) -> None:
+        """Takes that the node `name` answered, with what `proof`."""
+        self._heard_in_round = True
+        if proof is not None and now - proof.as_of < self._good_s():
+            self._helper = name
+            self._round = []
+            return
+        if name == self._helper:
+            self._helper = ""
+        # Others are asked at once in its place.
+        self._ask_at = min(self._ask_at, now)
+
+    def read_ended(self, succeeded: bool, now: float) -> None:
+        """Takes that a reading of the store ended."""
+        self._reading = False
+        if succeeded:
+            self._read_at = now
+            return
+        bound_s = self._times.bound_s
+        soon = self._newest_age_s(now) >= self._times.alone_turn_s
+        if soon and self._is_eager():
+            wait_s = self._rng.uniform(0.1, 0.2) * bound_s
+        else:
+            wait_s = self._rng.uniform(0.4, 0.8) * bound_s
+        self._read_at = now + wait_s
+
+    def _newest_age_s(self, now: float) -> float:
+        """Returns the age of the newest proof known, in force or not (s)."""
+        newest = self._proof.newest()
+        return math.inf if newest is None else now - newest.as_of
+
+    def _look(self, now: float) -> None:
+        self._around = self._sources.look(self._helper)
+        self._looked_at = now
+
+    def _is_eager(self) -> bool:
+        return self._around.place < _EAGER_PLACES or not self._heard_in_round
+
+    def _is_first_of_known(self, age_s: float) -> bool:
+        """Whether this node is to begin where nobody has any proof yet."""
+        around = self._around
+        return age_s == math.inf and around.place == 0 and bool(around.to_ask)
+
+    def _is_turn(self, age_s: float) -> bool:
+        turn_s = self._times.turn_s(self._around.place)
+        if not self._heard_in_round:
+            turn_s = min(turn_s, self._times.alone_turn_s)
+        return age_s >= turn_s
+
+    def _threshold_s(self) -> float:
+        if self._around.is_relay:
+            return self._times.relay_at_s
+        return self._times.ask_at_s
+
+    def _good_s(self) -> float:
+        """An answer younger than this spares further questions (s)."""
+        return self._threshold_s() - self._times.round_gap_s
+
+    def _ask(self, age_s: float, now: float) -> tuple[Member, ...]:
+        if age_s < self._threshold_s() or now < self._ask_at:
+            return ()
+        if not self._round:
+            self._look(now)
+            self._round = list(self._around.to_ask)
+            self._heard_in_round = False
+        count = _ASKED_IN_HURRY if age_s >= self._times.hurry_at_s else 1
+        asked, self._round = self._round[:count], self._round[count:]
+        wait_s = ANSWER_WAIT_S
+        if asked and not self._round:
+            wait_s += self._times.round_gap_s
+        self._ask_at = now + wait_s
+        return tuple(asked)
+
+    def _again_s(self, age_s: float, now: float) -> float:
+        """Returns when something else is due, at the latest (s)."""
+        waits = [_LOOK_S]
+        if age_s < math.inf:
+            turn_s = self._times.turn_s(self._around.place)
+            waits += [
+                at_s - age_s
+                for at_s in (turn_s, self._threshold_s(), self._times.limit_s)
+                if at_s > age_s
+            ]
+        if age_s >= self._threshold_s():
+            waits.append(self._ask_at - now)
+        if self._is_turn(age_s) and not self._reading:
+            waits.append(self._read_at - now)
+        return max(0.001, min(waits))
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -26,6 +26,7 @@
 from radishwind.outcomes import problem
 from radishwind.peers.client import PeerClient
 from radishwind.peers.client import PeerError
+from radishwind.recency.model import Proof
 from radishwind.routes.emptied import EmptiedDomains
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
@@ -162,6 +163,16 @@
             )
             await self._follow_peers()
 
+    async def confirm(self) -> Proof | None:
+        """Asks the store what its newest configuration is, and takes it."""
+        return await self._store_side.confirm()
+
+    def hear(self, version: int) -> None:
+        """Takes that there is `version`, to be fetched if it is newer."""
+        if version > self._heard_version:
+            self._heard_version = version
+            self._heard.set()
+
     async def handle(self, request: Request) -> Response:
         """Answers a peer that brings what is new, or asks for it."""
         body = await whole_body(request.body)
@@ -205,7 +216,10 @@
             self._packed = (version, pack(self._in_force.raw))
         return self._packed[1]
 
-    def _take(self, raw: bytes, source: str) -> None:
+    def _take(self, raw: bytes, source: str) -> int:
+        """Takes a configuration; returns its version, 0 if malformed."""
+        if self._in_force.cfg is not None and raw == self._in_force.raw:
+            return self._in_force.version
         try:
             cfg = self._decode(raw)
         except RadishwindError as exc:
@@ -214,8 +228,9 @@
                 source=source,
                 reason=str(exc)[:200],
             )
-            return
+            return 0
         self._in_force.adopt(cfg, raw, source)
+        return cfg.version
 
     def _take_emptied(self, told: EmptiedDomains, source: str) -> None:
         """Takes emptied failure domains and tells on what is new.
@@ -280,9 +295,7 @@
         except msgspec.MsgspecError as exc:
             self._log.warning("A rumor is malformed.", reason=str(exc)[:120])
             return
-        if version > self._heard_version:
-            self._heard_version = version
-            self._heard.set()
+        self.hear(version)
 
     def _on_emptied_rumor(self, key: str, value: bytes) -> None:
         try:
--- a/src/radishwind/routes/neighbours.py
+++ b/src/radishwind/routes/neighbours.py
@@ -1,5 +1,6 @@
 """The nodes there are as the feed of routes sees them, and who is to watch."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import random
@@ -27,6 +28,12 @@
 ALONE_S = 2.0
 
 
+def watchers_each(members: Iterable[Member]) -> int:
+    """Returns how many nodes of a failure domain watch the store."""
+    domains = {member.failure_domain for member in members}
+    return WATCHERS if WATCHERS * len(domains) <= ENOUGH_WATCHERS else 1
+
+
 class Neighbours:
     """The other nodes that live, by nearness, and this one's duty."""
 
@@ -83,8 +90,7 @@
 
     def _watchers(self) -> int:
         """Returns how many nodes of a failure domain watch the store."""
-        domains = {m.failure_domain for m in self._directory.members()}
-        return WATCHERS if WATCHERS * len(domains) <= ENOUGH_WATCHERS else 1
+        return watchers_each(self._directory.members())
 
     def _where(self, *, near: bool) -> Sequence[Member]:
         found = [m for m in self._others() if self._is_near(m) is near]
--- a/src/radishwind/routes/store_side.py
+++ b/src/radishwind/routes/store_side.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.recency.model import Proof
 from radishwind.routes.emptied import EmptiedDomains
 from radishwind.store.base import Store
 from radishwind.store.base import StoreCompactedError
@@ -58,7 +59,7 @@
         clock: Clock,
         rng: random.Random,
         is_watcher: Callable[[], bool],
-        take_config: Callable[[bytes, str], None],
+        take_config: Callable[[bytes, str], int],
         take_emptied: Callable[[EmptiedDomains, str], None],
         emptied: Callable[[], EmptiedDomains],
     ) -> None:
@@ -70,7 +71,8 @@
           clock: the clock.
           rng: the random source of pauses.
           is_watcher: returns whether this node is to watch.
-          take_config: takes a configuration as written, and its source.
+          take_config: takes a configuration as written, and its source;
+            returns its version, 0 where it can't be read.
           take_emptied: takes the emptied failure domains and their source.
           emptied: returns those in force.
         """
@@ -83,7 +85,11 @@
         self._emptied = emptied
         self._log = PartLogger("routes", clock)
         self._backoff = Backoff(rng, _FIRST_PAUSE_S, _LONGEST_PAUSE_S)
+        self._clock = clock
         self._revision = 0
+        # The newest revision at which the configuration is known for certain,
+        # and its version: by a read of no old state, or by a change itself.
+        self._certain = (0, 0)
         self._lost = False
 
     async def run(
@@ -116,17 +122,48 @@
 
     async def read(self, *, allow_stale: bool = False) -> bool:
         """Returns whether there is a configuration and it could be read."""
+        return await self._read(allow_stale=allow_stale) is not None
+
+    async def confirm(self) -> Proof | None:
+        """Asks the store what its newest configuration is.
+
+        A watch proves nothing: it may hear of a change late. Where the store's
+        revision is still the one at which the configuration is known, a short
+        answer does; else all is read.
+
+        Returns:
+          What that proves, counted from before the question; `None` where the
+          store gave no answer or has no configuration that can be read.
+        """
+        asked_at = self._clock.monotonic()
+        try:
+            if self._certain[1]:
+                revision = await self._store.revision()
+                if revision == self._certain[0]:
+                    self._note(lost=False)
+                    return Proof(asked_at, self._certain[1])
+        except StoreError as exc:
+            self._note(lost=True, reason=str(exc)[:120])
+            return None
+        version = await self._read()
+        return Proof(asked_at, version) if version else None
+
+    async def _read(self, *, allow_stale: bool = False) -> int | None:
+        """Reads all; returns the version, 0 for one that can't be read.
+
+        Returns `None` where there is no configuration, or no answer.
+        """
         try:
             entries = await self._store.list(
                 self._keys.prefix, allow_stale=allow_stale
             )
         except StoreError as exc:
             self._note(lost=True, reason=str(exc)[:120])
-            return False
+            return None
         self._note(lost=False)
         config = [e for e in entries if e.key == self._keys.config]
         if not config:
-            return False
+            return None
         # From the store's revision on: the keys' own may be older than the
         # history, and a watch from there is refused at once.
         newest = max(entry.mod_revision for entry in entries)
@@ -137,8 +174,15 @@
         names = self._emptied_names(entries)
         told = EmptiedDomains(newest if allow_stale else as_of, names)
         self._take_emptied(told, SOURCE)
-        self._take_config(config[0].value, SOURCE)
-        return True
+        version = self._take_config(config[0].value, SOURCE)
+        if not allow_stale:
+            self._note_certain(config[0].store_revision, version)
+        return version
+
+    def _note_certain(self, revision: int, version: int) -> None:
+        """Takes that `version` is the store's configuration at `revision`."""
+        if version and revision > self._certain[0]:
+            self._certain = (revision, version)
 
     def _emptied_names(self, entries: Sequence[StoreEntry]) -> frozenset[str]:
         names = (self._keys.emptied_domain(entry.key) for entry in entries)
@@ -168,7 +212,8 @@
     def _take(self, event: WatchEvent) -> None:
         if event.key == self._keys.config:
             if event.entry is not None:
-                self._take_config(event.entry.value, SOURCE)
+                version = self._take_config(event.entry.value, SOURCE)
+                self._note_certain(event.revision, version)
             return
         name = self._keys.emptied_domain(event.key)
         if name is None:
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -36,6 +36,9 @@
       retry_window_s: the window in which repeats are counted (s).
       cold_over: times of its rate that a cold server may get in a second.
       cold_slack: requests beyond that which it may get in a second.
+      revoke_s: a key that was taken away may run no later than this at any
+        node, in touch with others or not (s); `None` where a node may go on
+        with the newest configuration that it knows.
       first_start: whether the whole system starts for the first time, so that
         nothing was kept before.
       peer_address: where other nodes reach this one, if it is not where they
@@ -63,6 +66,7 @@
     retry_window_s: float
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    revoke_s: float | None = None
     first_start: bool = False
     region_of: Mapping[str, str] = {}
     peer_address: Address | None = None
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -53,6 +53,7 @@
 from radishwind.sidecar.options import start_spread_s
 from radishwind.sidecar.options import STORE_BUDGET
 from radishwind.sidecar.options import STORE_CONNECTIONS
+from radishwind.sidecar.recency import RecencySide
 from radishwind.sidecar.reload import SettingsFile
 from radishwind.sidecar.reload import SettingsFollower
 from radishwind.sidecar.stop import Farewell
@@ -124,6 +125,14 @@
         self._routes = RoutesInForce(self._clock)
         self._emptied = EmptiedInForce(self._clock)
         self._metrics = NodeExposition()
+        self._recency = RecencySide(
+            settings=settings,
+            clock=self._clock,
+            rng=self._rng,
+            directory=self._membership.directory,
+            routes=self._routes,
+            socket=self._datagrams,
+        )
         self._build_target()
         self._build_entry()
         self._build_control()
@@ -160,6 +169,7 @@
             unreachable=self._membership.unreachable,
             tells_unasked=lambda member: self._loads.tells_unasked(member),
             observers=(RequestLog(self._clock), self._metrics),
+            proof=self._recency.proof,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
@@ -206,6 +216,7 @@
             routes=self._routes,
             emptied=self._emptied,
             target=self._target,
+            recency=self._recency,
         )
         self._control.listen_on(self._peers)
         add_metrics(
@@ -220,6 +231,8 @@
                 self._datagrams,
                 self._output,
                 self._words_left_out,
+                self._entry.keys,
+                self._recency.keeper,
             ),
         )
 
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -25,6 +25,7 @@
 from radishwind.sidecar.habits import HabitKeeper
 from radishwind.sidecar.habits import LEARNERS
 from radishwind.sidecar.options import FIRST_START_SPREAD_S
+from radishwind.sidecar.recency import RecencySide
 from radishwind.sidecar.records import RecordsAtStart
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.base import Store
@@ -51,6 +52,7 @@
         routes: RoutesInForce,
         emptied: EmptiedInForce,
         target: SidecarTarget,
+        recency: RecencySide,
     ) -> None:
         """Wires the control side.
 
@@ -64,8 +66,10 @@
           routes: the routes in force.
           emptied: the failure domains that get nothing new.
           target: the own target.
+          recency: the proof that what is known of keys is recent.
         """
         self._settings = settings
+        self._recency = recency
         self._membership = membership
         self._routes = routes
         self._target = target
@@ -129,6 +133,7 @@
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the tasks in `tasks`."""
         tasks.start_soon(self._feed.run)
+        self._recency.start(tasks, self._feed)
         tasks.start_soon(self._records_at_start.run)
         tasks.start_soon(self._habits.run)
 
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from radishwind.entry.attempts import AttemptCounts
+from radishwind.entry.keys import KeyCheck
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
+from radishwind.recency import RecencyKeeper
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.sidecar.target_side import SidecarTarget
@@ -35,12 +37,15 @@
     datagrams: PeerSocket
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
+    keys: KeyCheck
+    recency: RecencyKeeper | None
 
 
 def add_metrics(metrics: NodeExposition, counted: Counted) -> None:
     """Adds what the parts of a node count anyway."""
     _add_data_path(metrics, counted)
     _add_control(metrics, counted)
+    _add_keys(metrics, counted.keys, counted.recency)
 
 
 def _add_data_path(metrics: NodeExposition, counted: Counted) -> None:
@@ -148,6 +153,36 @@
     )
 
 
+def _add_keys(
+    metrics: NodeExposition, keys: KeyCheck, recency: RecencyKeeper | None
+) -> None:
+    metrics.counter(
+        "radishwind_keys_refused_total",
+        "Requests refused for their key, or for want of proof that it counts.",
+        lambda: {
+            'reason="key"': keys.refused,
+            'reason="unproven"': keys.unproven,
+        },
+    )
+    if recency is None:
+        return
+    metrics.gauge(
+        "radishwind_key_proof_age_seconds",
+        "Age of the proof that what is known of keys is recent.",
+        recency.ages,
+    )
+    exchange = recency.exchange
+    metrics.counter(
+        "radishwind_key_proof_questions_total",
+        "Questions for such proof, asked and answered, and those of others.",
+        lambda: {
+            'way="asked"': exchange.asked,
+            'way="answered"': exchange.answered,
+            'way="served"': exchange.served,
+        },
+    )
+
+
 class MetricsListener(msgspec.Struct, frozen=True):
     """Answers on the metrics address.
 
--- /dev/null
+++ b/src/radishwind/sidecar/recency.py
@@ -0,0 +1,68 @@
+"""Wires the proof that keys are recent, where the settings ask for it."""
+
+import random
+
+import anyio.abc
+
+from radishwind.accounts import KeyProof
+from radishwind.accounts import NoProofNeeded
+from radishwind.core.clock import Clock
+from radishwind.membership.directory import Directory
+from radishwind.peers.datagrams import PeerSocket
+from radishwind.recency import RecencyKeeper
+from radishwind.recency import RecencyTimes
+from radishwind.routes.feed import RouteFeed
+from radishwind.routes.in_force import RoutesInForce
+from radishwind.settings.placed import PlacedSettings
+
+
+class RecencySide:
+    """The proof of a node, and the task that keeps it.
+
+    Attributes:
+      proof: for the entry.
+      keeper: renews it; `None` where the settings ask for no proof.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: PlacedSettings,
+        clock: Clock,
+        rng: random.Random,
+        directory: Directory,
+        routes: RoutesInForce,
+        socket: PeerSocket,
+    ) -> None:
+        """Wires the proof.
+
+        Args:
+          settings: of the node.
+          clock: the clock.
+          rng: names questions, spreads calls.
+          directory: the nodes there are.
+          routes: the configuration in force.
+          socket: carries questions and answers.
+        """
+        self.proof: KeyProof = NoProofNeeded()
+        self.keeper: RecencyKeeper | None = None
+        if settings.revoke_s is None:
+            return
+        self.keeper = RecencyKeeper(
+            node_name=settings.node,
+            failure_domain=settings.failure_domain,
+            times=RecencyTimes(settings.revoke_s),
+            clock=clock,
+            rng=rng,
+            directory=directory,
+            socket=socket,
+            routes=routes,
+        )
+        self.proof = self.keeper.proof
+
+    def start(self, tasks: anyio.abc.TaskGroup, feed: RouteFeed) -> None:
+        """Starts the task, which asks the store by `feed`."""
+        if self.keeper is None:
+            return
+        self.keeper.follow(feed.confirm, feed.hear)
+        tasks.start_soon(self.keeper.run)
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -155,6 +155,13 @@
           allow_stale: as with `get`.
         """
 
+    @abc.abstractmethod
+    async def revision(self) -> int:
+        """Returns the store's revision, no older than this call.
+
+        While it stays the same, nothing in the store has changed.
+        """
+
     @abc.abstractmethod
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
--- a/src/radishwind/store/budget.py
+++ b/src/radishwind/store/budget.py
@@ -137,6 +137,11 @@
                 prefix, limit, allow_stale=allow_stale
             )
 
+    async def revision(self) -> int:
+        self._spend("revision")
+        with _Watched(self):
+            return await self._inner.revision()
+
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
     ) -> TxnResult:
--- a/src/radishwind/store/etcd.py
+++ b/src/radishwind/store/etcd.py
@@ -39,6 +39,9 @@
 #: whether a write took effect.
 _NO_EFFECT = frozenset({400, 401, 403, 404, 413, 429, 501})
 
+#: A key that nobody writes.
+_NO_KEY = b"\0"
+
 
 class EtcdStore(Store):
     """Calls the store at one address; a call is never sent twice."""
@@ -81,6 +84,10 @@
                 return tuple(entries)
             start = _next_start(start, got)
 
+    async def revision(self) -> int:
+        body = {"key": gateway.encode_bytes(_NO_KEY), "count_only": True}
+        return gateway.read_revision(await self._call("kv/range", body))
+
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
     ) -> TxnResult:
--- a/src/radishwind/store/tests/test_etcd.py
+++ b/src/radishwind/store/tests/test_etcd.py
@@ -66,6 +66,15 @@
     assert len(await bench.store.list("p/", limit=7)) == 7
 
 
+async def test_the_revision_grows_with_each_change():
+    store = Bench().store
+    first = await store.revision()
+    assert await store.revision() == first
+    written = await store.transact((), (Put("k", b"1"),))
+
+    assert first < await store.revision() == written.revision
+
+
 async def test_keys_on_a_lapsed_lease_are_gone_and_renewal_tells():
     bench = Bench()
     lease = await bench.store.grant(10)
