--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -36,10 +36,12 @@
 
     Attributes:
       call_id: names the request, for the log; empty where that was not read.
+      retry_after_s: when the cause is likely to be over (s), if it passes.
     """
 
     code = ResultCode.REQUEST_MALFORMED
     call_id = ""
+    retry_after_s: float | None = None
 
 
 class ServiceUnknownError(CallRejectedError):
