Hold quotas of client accounts over all nodes together

Change: one live node an account, ranked first by hash, keeps its count; the others let in what it lent them ahead, or one request that was not lent, and no further one before the lender confirmed it. Questions carry counts that only grow, in order, so that lost, late and repeated messages change nothing; what is lent stays set aside until it is told as used or its lease, by round trip, is over. A pool serves the share of all known nodes that its node takes for live. give_back is told when a request was let in: one that comes back later than the tolerance pays for stays counted. The fake of the gate in the tests of keys takes that argument too and checks as before.

--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -113,8 +113,10 @@
         """Runs `call` if its account's quota has room for it."""
         if not call.account:
             return await self._claims.run(call, self._run)
-        wait_s = self._quotas.take(call.account, self._clock.monotonic())
+        taken_at = self._clock.monotonic()
+        wait_s = self._quotas.take(call.account, taken_at)
         if wait_s is not None:
+            call.steps.append(self._quotas.figures(call.account))
             return NotRun(
                 ResultCode.QUOTA_EXCEEDED,
                 "The account is over its quota.",
@@ -122,7 +124,8 @@
             )
         outcome = await self._claims.run(call, self._run)
         if isinstance(outcome, NotRun):
-            self._quotas.give_back(call.account, self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._quotas.give_back(call.account, taken_at, now)
         return outcome
 
     async def _run(self, call: Call) -> Outcome:
--- a/src/radishwind/entry/tests/test_keys.py
+++ b/src/radishwind/entry/tests/test_keys.py
@@ -85,7 +85,7 @@
         self.left[account] -= 1
         return None
 
-    def give_back(self, account, now):
+    def give_back(self, account, taken_at, now):
         self.left[account] += 1
 
 
--- a/src/radishwind/quotas/gate.py
+++ b/src/radishwind/quotas/gate.py
@@ -19,14 +19,19 @@
         """
 
     @abc.abstractmethod
-    def give_back(self, account: str, now: float) -> None:
+    def give_back(self, account: str, taken_at: float, now: float) -> None:
         """Takes back the count of a request that was let in and did not run.
 
         Args:
           account: the name of the account.
+          taken_at: when it was let in (monotonic s).
           now: monotonic time (s).
         """
 
+    def figures(self, account: str) -> str:
+        """Returns what decides on the requests of `account`, for the log."""
+        return ""
+
 
 class NoQuotas(QuotaGate):
     """Lets everything in."""
@@ -34,5 +39,5 @@
     def take(self, account: str, now: float) -> float | None:
         return None
 
-    def give_back(self, account: str, now: float) -> None:
+    def give_back(self, account: str, taken_at: float, now: float) -> None:
         """Counts nothing."""
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -34,6 +34,11 @@
       retry_slack: repeats that all nodes may make beyond that share, in one
         window.
       retry_window_s: the window in which repeats are counted (s).
+      quota_window_s: the window in which requests of client accounts are
+        counted (s).
+      quota_over: what all nodes may let in beyond a quota in one window, as a
+        part of it.
+      quota_slack: requests beyond that which they may let in.
       cold_over: times of its rate that a cold server may get in a second.
       cold_slack: requests beyond that which it may get in a second.
       first_start: whether the whole system starts for the first time, so that
@@ -61,6 +66,9 @@
     retry_share: float
     retry_slack: float
     retry_window_s: float
+    quota_window_s: float = 5.0
+    quota_over: float = 0.1
+    quota_slack: float = 20.0
     cold_over: float = 1.0
     cold_slack: float = 0.0
     first_start: bool = False
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -10,7 +10,6 @@
 
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
-from radishwind.core.codes import ResultCode
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.httptools_sender import HttptoolsSender
 from radishwind.http.types import Request
@@ -20,14 +19,12 @@
 from radishwind.node.callers import CallerListener
 from radishwind.node.in_progress import RequestsInProgress
 from radishwind.node.membership_tasks import MembershipTasks
-from radishwind.outcomes import NotRun
 from radishwind.peers.attempts import is_attempt
 from radishwind.peers.client import HttpPeerClient
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.peers.listener import PeerListener
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
-from radishwind.platform.answers import respond
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
@@ -47,16 +44,17 @@
 from radishwind.sidecar.options import membership_settings
 from radishwind.sidecar.options import PEER_CONNECTIONS
 from radishwind.sidecar.options import PEER_KEEPALIVE_S
-from radishwind.sidecar.options import RETRY_S
 from radishwind.sidecar.options import SERVER_CONNECTIONS
 from radishwind.sidecar.options import SERVER_KEEPALIVE_S
 from radishwind.sidecar.options import start_spread_s
 from radishwind.sidecar.options import STORE_BUDGET
 from radishwind.sidecar.options import STORE_CONNECTIONS
+from radishwind.sidecar.quotas import QuotaSharing
 from radishwind.sidecar.reload import SettingsFile
 from radishwind.sidecar.reload import SettingsFollower
 from radishwind.sidecar.stop import Farewell
 from radishwind.sidecar.stop import PlannedStop
+from radishwind.sidecar.stop import refused_late
 from radishwind.sidecar.switches import ALL_ON
 from radishwind.sidecar.switches import Switches
 from radishwind.sidecar.target_side import SidecarTarget
@@ -123,6 +121,14 @@
         )
         self._routes = RoutesInForce(self._clock)
         self._emptied = EmptiedInForce(self._clock)
+        self._quotas = QuotaSharing(
+            settings=settings,
+            clock=self._clock,
+            rng=self._rng,
+            routes=self._routes,
+            membership=self._membership,
+            socket=self._datagrams,
+        )
         self._metrics = NodeExposition()
         self._build_target()
         self._build_entry()
@@ -160,12 +166,13 @@
             unreachable=self._membership.unreachable,
             tells_unasked=lambda member: self._loads.tells_unasked(member),
             observers=(RequestLog(self._clock), self._metrics),
+            quotas=self._quotas.borrower,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
             self._handle_caller,
             self._clock,
-            refusal=_refused_late,
+            refusal=refused_late,
         )
         self._peers = PeerListener(
             node_name=settings.node,
@@ -218,6 +225,7 @@
                 self._emptied,
                 self._store,
                 self._datagrams,
+                self._quotas,
                 self._output,
                 self._words_left_out,
             ),
@@ -234,6 +242,7 @@
             self._control.start(tasks)
             tasks.start_soon(self._target.keeper.run)
             tasks.start_soon(self._loads.run)
+            tasks.start_soon(self._quotas.run)
             tasks.start_soon(self._entry.pipeline.run_hedges)
             tasks.start_soon(self._follower.run)
             self._log.change(
@@ -338,8 +347,3 @@
     def _adopted(self, cfg: RouteConfig) -> None:
         self._membership.note_revision(cfg.version)
         self._target.adopt(cfg)
-
-
-def _refused_late() -> Response:
-    """Returns the answer to a caller that comes late in a planned stop."""
-    return respond(NotRun(ResultCode.LEAVING, "The node stops.", RETRY_S))
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -13,6 +13,7 @@
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.sidecar.quotas import QuotaSharing
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
 from radishwind.telemetry.exposition import NodeExposition
@@ -33,6 +34,7 @@
     emptied: EmptiedInForce
     store: BudgetedStore
     datagrams: PeerSocket
+    quotas: QuotaSharing
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
 
@@ -41,6 +43,7 @@
     """Adds what the parts of a node count anyway."""
     _add_data_path(metrics, counted)
     _add_control(metrics, counted)
+    _add_quotas(metrics, counted.quotas)
 
 
 def _add_data_path(metrics: NodeExposition, counted: Counted) -> None:
@@ -148,6 +151,47 @@
     )
 
 
+def _add_quotas(metrics: NodeExposition, quotas: QuotaSharing) -> None:
+    metrics.counter(
+        "radishwind_quota_requests_total",
+        "Requests of accounts with a quota; the largest by name.",
+        lambda: {
+            f'account="{_label(account)}",outcome="{outcome}"': count
+            for (
+                account,
+                outcome,
+            ), count in quotas.borrower.counts.told().items()
+        },
+    )
+    metrics.counter(
+        "radishwind_quota_lent_total",
+        "Requests that this node lent ahead.",
+        lambda: {"": quotas.lender.lent},
+    )
+    metrics.gauge(
+        "radishwind_quota_accounts",
+        "Accounts with a quota that are in use, by what this node does.",
+        lambda: {
+            'kind="borrowed"': quotas.borrower.accounts,
+            'kind="lent"': quotas.lender.accounts,
+            'kind="short"': quotas.lender.short,
+        },
+    )
+    metrics.counter(
+        "radishwind_quota_sent_total",
+        "Datagrams of quotas sent, and their bytes.",
+        lambda: {
+            'kind="datagrams"': quotas.channel.sent,
+            'kind="bytes"': quotas.channel.bytes_sent,
+        },
+    )
+
+
+def _label(name: str) -> str:
+    """Returns `name` as the value of a label."""
+    return "".join(c if c.isalnum() or c in "-_." else "_" for c in name[:64])
+
+
 class MetricsListener(msgspec.Struct, frozen=True):
     """Answers on the metrics address.
 
--- a/src/radishwind/sidecar/stop.py
+++ b/src/radishwind/sidecar/stop.py
@@ -17,9 +17,14 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
 from radishwind.http.server import Server
+from radishwind.http.types import Response
 from radishwind.node.in_progress import RequestsInProgress
+from radishwind.outcomes import NotRun
+from radishwind.platform.answers import respond
 from radishwind.sidecar.control import Readiness
+from radishwind.sidecar.options import RETRY_S
 from radishwind.target.pipeline import TargetPipeline
 from radishwind.telemetry.logs import PartLogger
 
@@ -152,3 +157,8 @@
 
     def _elapsed_s(self, began: float) -> float:
         return self._clock.monotonic() - began
+
+
+def refused_late() -> Response:
+    """Returns the answer to a caller that comes late in a planned stop."""
+    return respond(NotRun(ResultCode.LEAVING, "The node stops.", RETRY_S))
