Count what passes between nodes, by failure domain, cause and route

An operator could see how many datagrams a node sent, and nothing of forwards, answers and control messages, nor where they went. Each is now counted once, by the node that sends it, a forward with its answer; series are bounded.

--- a/src/radishwind/peers/client.py
+++ b/src/radishwind/peers/client.py
@@ -15,6 +15,7 @@
 from radishwind.http.types import whole_body
 from radishwind.peers.security import AUTH_FIELD
 from radishwind.peers.security import PeerSigner
+from radishwind.peers.traffic import PeerTraffic
 
 #: Paths below this one on the peer listener are control messages.
 CONTROL_PREFIX = "/radishwind/v1/"
@@ -60,10 +61,14 @@
     """Sends control messages by a `Sender`, signed where there is a key."""
 
     def __init__(
-        self, sender: Sender, signer: PeerSigner | None = None
+        self,
+        sender: Sender,
+        signer: PeerSigner | None = None,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._sender = sender
         self._signer = signer
+        self._traffic = traffic or PeerTraffic()
 
     async def call(
         self, address: Address, name: str, payload: bytes, timeout_s: float
@@ -80,6 +85,8 @@
                     address, request, CONNECT_TIMEOUT_S
                 )
                 body = await whole_body(response.body)
+            size = len(payload) + len(body)
+            self._traffic.control(address, name, size)
         except ConnectFailedError as exc:
             raise PeerUnreachableError(f"{address} {name}: {exc}") from exc
         except (SendError, TimeoutError) as exc:
--- a/src/radishwind/peers/datagrams.py
+++ b/src/radishwind/peers/datagrams.py
@@ -30,6 +30,10 @@
     QUOTAS = 4
 
 
+#: Takes the channel, the receiver and the size (bytes) of each one sent.
+DatagramCount: TypeAlias = Callable[[Channel, Address, int], None]
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """One UDP socket.
 
@@ -39,7 +43,13 @@
       malformed: datagrams that could not be read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, count: DatagramCount | None = None) -> None:
+        """Makes a socket that isn't bound.
+
+        Args:
+          count: told of each datagram sent.
+        """
+        self._count = count
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[int, DatagramHandler] = {}
         self.sent = 0
@@ -72,6 +82,8 @@
         for peer in peers:
             self._transport.sendto(datagram, (peer.host, peer.port))
             self.sent += 1
+            if self._count is not None:
+                self._count(channel, peer, len(datagram))
         return True
 
     def close(self) -> None:
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -21,6 +21,7 @@
 from radishwind.peers.attempts import read_result
 from radishwind.peers.client import CONNECT_TIMEOUT_S
 from radishwind.peers.security import PeerSigner
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.target.pipeline import TargetPipeline
 
 #: What the caller is told of a fault, at most.
@@ -45,6 +46,7 @@
         sender: Sender,
         signer: PeerSigner | None = None,
         unreachable: UnreachableHint | None = None,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._node_name = node_name
         self._clock = clock
@@ -52,6 +54,7 @@
         self._sender = sender
         self._signer = signer
         self._unreachable = unreachable
+        self._traffic = traffic or PeerTraffic()
 
     async def run(
         self, call: Call, member: Member, attempt_id: str
@@ -64,8 +67,10 @@
                 NotRun(ResultCode.DEADLINE_PASSED, "The deadline had passed.")
             )
         request = forwarded(call, member, attempt_id, remaining_s, self._signer)
+        self._traffic.forward(member, call, request)
         answer = await self._exchange(request, member, remaining_s)
         if isinstance(answer, Response):
+            self._traffic.answer(member, call, answer)
             return read_result(answer, attempt_id)
         return AttemptResult(answer)
 
--- /dev/null
+++ b/src/radishwind/peers/tests/test_traffic.py
@@ -0,0 +1,74 @@
+"""What passes between nodes is counted by domain, cause and route."""
+
+from radishwind.config.model import ServiceRules
+from radishwind.entry.call import Call
+from radishwind.http.types import Address
+from radishwind.http.types import Request
+from radishwind.http.types import Response
+from radishwind.membership.directory import Member
+from radishwind.peers.datagrams import Channel
+from radishwind.peers.traffic import MOST_SERIES
+from radishwind.peers.traffic import PeerTraffic
+
+FAR = Member("f", "s", "b", Address("10.0.0.2", 80))
+
+
+def call(route="r", **fields):
+    return Call(
+        "c",
+        "s",
+        Request("GET", "/"),
+        ServiceRules(),
+        True,
+        1.0,
+        1,
+        "",
+        route=route,
+        **fields,
+    )
+
+
+def labels(cause, route="", domain="b"):
+    return f'domain="{domain}",cause="{cause}",route="{route}"'
+
+
+def test_a_forward_and_its_answer_are_counted_apart_by_route():
+    traffic = PeerTraffic()
+    request = Request("POST", "/", (("A", "bc"),), b"12345", 5)
+    traffic.forward(FAR, call(), request)
+    traffic.answer(FAR, call(), Response(200, (), b"x" * 90, 90))
+
+    sizes = traffic.sizes()
+    assert sizes[labels("first-head", "r")] == 7
+    assert sizes[labels("first-body", "r")] == 5
+    assert sizes[labels("answer-body", "r")] == 90
+    assert traffic.messages()[labels("answer-body", "r")] == 1
+
+
+def test_a_repeat_is_told_from_a_first_attempt():
+    traffic = PeerTraffic()
+    traffic.forward(FAR, call(steps=["x"]), Request("GET", "/"))
+
+    assert labels("again-head", "r") in traffic.messages()
+
+
+def test_datagrams_and_control_messages_count_for_the_domain_of_their_host():
+    traffic = PeerTraffic()
+    traffic.follow((FAR,))
+    traffic.datagram(Channel.LOADS, FAR.address, 40)
+    traffic.datagram(Channel.GOSSIP, Address("10.0.0.9", 80), 10)
+    traffic.control(FAR.address, "routes", 1000)
+
+    sizes = traffic.sizes()
+    assert sizes[labels("datagram-loads")] == 40
+    assert sizes[labels("datagram-gossip", domain="other")] == 10
+    assert sizes[labels("control-routes")] == 1000
+
+
+def test_the_series_are_bounded_and_nothing_is_lost():
+    traffic = PeerTraffic()
+    for number in range(2 * MOST_SERIES):
+        traffic.answer(FAR, call(f"r{number}"), Response(200, (), b"x", 1))
+
+    assert len(traffic.sizes()) <= MOST_SERIES + 1
+    assert sum(traffic.sizes().values()) == 2 * MOST_SERIES
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -25,6 +25,7 @@
 from radishwind.peers.client import HttpPeerClient
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.peers.listener import PeerListener
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
 from radishwind.platform.answers import respond
@@ -106,8 +107,9 @@
             self._rng,
             STORE_BUDGET,
         )
-        self._client = HttpPeerClient(self._peer_sender)
-        self._datagrams = PeerSocket()
+        self._traffic = PeerTraffic()
+        self._client = HttpPeerClient(self._peer_sender, traffic=self._traffic)
+        self._datagrams = PeerSocket(self._traffic.datagram)
         self._membership = MembershipTasks(
             settings=membership_settings(settings),
             clock=self._clock,
@@ -160,6 +162,7 @@
             unreachable=self._membership.unreachable,
             tells_unasked=lambda member: self._loads.tells_unasked(member),
             observers=(RequestLog(self._clock), self._metrics),
+            traffic=self._traffic,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
@@ -188,6 +191,7 @@
             target=self._target.pipeline,
             chooser=self._entry.chooser,
             socket=self._datagrams,
+            traffic=self._traffic,
         )
         self._target.pulse.listen(self._loads.tell)
 
@@ -218,6 +222,7 @@
                 self._emptied,
                 self._store,
                 self._datagrams,
+                self._traffic,
                 self._output,
                 self._words_left_out,
             ),
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -26,6 +26,7 @@
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.peers.forward import ForwardRunner
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.platform import read_caller
 from radishwind.platform import with_account
 from radishwind.platform.answers import respond
@@ -75,6 +76,7 @@
         observers: Sequence[CallObserver] = (),
         proof: KeyProof | None = None,
         quotas: QuotaGate | None = None,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         """Wires the entry side.
 
@@ -97,6 +99,7 @@
           observers: hear of each request that ended.
           proof: whether what is known of keys is recent.
           quotas: counts the requests of client accounts.
+          traffic: counts what passes to other nodes.
         """
         self._service = service
         self.keys = KeyCheck(lambda: routes.accounts, proof)
@@ -131,6 +134,7 @@
             target=target.pipeline,
             sender=sender,
             unreachable=unreachable,
+            traffic=traffic,
         )
         hedges: HedgePolicy = HedgeBeforeAim(budget, self.chooser)
         self.pipeline = EntryPipeline(
--- a/src/radishwind/sidecar/loads.py
+++ b/src/radishwind/sidecar/loads.py
@@ -15,6 +15,7 @@
 from radishwind.membership.gossip import Gossip
 from radishwind.membership.view import GossipDirectory
 from radishwind.peers.datagrams import PeerSocket
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.routing.fresh import FreshLoadChooser
 from radishwind.target.pipeline import TargetPipeline
 
@@ -44,6 +45,7 @@
         target: TargetPipeline,
         chooser: FreshLoadChooser,
         socket: PeerSocket,
+        traffic: PeerTraffic,
     ) -> None:
         """Wires the sharing.
 
@@ -57,6 +59,7 @@
           target: whose load is told.
           chooser: takes what others tell.
           socket: carries what is told.
+          traffic: counts what passes between nodes.
         """
         self._node_name = node_name
         self._clock = clock
@@ -67,6 +70,7 @@
         self._start = rng.getrandbits(32)
         self._order = 0
         self._audience = Audience(node_name, failure_domain)
+        self._traffic = traffic
         self._stale = True
         self._channel = LoadChannel(socket, self._heard)
         gossip.table.listen(self._changed)
@@ -125,6 +129,7 @@
             return
         self._stale = False
         members = self._directory.members()
+        self._traffic.follow(members)
         self._audience.follow(
             m for m in members if m.state is not MemberState.DEAD
         )
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -11,6 +11,7 @@
 from radishwind.http.types import Response
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.sidecar.target_side import SidecarTarget
@@ -33,6 +34,7 @@
     emptied: EmptiedInForce
     store: BudgetedStore
     datagrams: PeerSocket
+    traffic: PeerTraffic
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
 
@@ -136,6 +138,16 @@
             'way="malformed"': counted.datagrams.malformed,
         },
     )
+    metrics.counter(
+        "radishwind_peer_messages_total",
+        "Messages to other nodes, by failure domain, cause and route.",
+        counted.traffic.messages,
+    )
+    metrics.counter(
+        "radishwind_peer_bytes_total",
+        "Bytes of these and of their answers.",
+        counted.traffic.sizes,
+    )
     metrics.counter(
         "radishwind_left_out_total",
         "Words of other writers that nobody can read, by where they came.",
