Weigh ways by what a route's bytes take of the links at both ends

A way to another failure domain counted 0.05 s whatever crossed, so that an answer of 90 kB left its domain as readily as one of 1.5 kB. The nodes now learn the sizes of a route's requests and answers, meter what passes between nodes against the link that the settings tell, tell what is left with their load, and weigh a way by the time that its bytes take on the links concerned, up to half of the time in which an answer earns its full worth. Where the settings tell no link nothing changes.

--- a/src/radishwind/http/answer_writer.py
+++ b/src/radishwind/http/answer_writer.py
@@ -8,6 +8,8 @@
 from radishwind.http.heads import HeadMalformedError
 from radishwind.http.heads import LAST_CHUNK
 from radishwind.http.heads import response_head
+from radishwind.http.meter import ByteMeter
+from radishwind.http.meter import NO_METER
 from radishwind.http.types import abort_body
 from radishwind.http.types import BodyStream
 from radishwind.http.types import Response
@@ -19,8 +21,11 @@
     What can't be written whole cuts the connection: it must not end neatly.
     """
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, meter: ByteMeter = NO_METER
+    ) -> None:
         self._transport = transport
+        self._meter = meter
         self._writes = True
         self._lost = False
         self._writable: asyncio.Future[None] | None = None
@@ -60,7 +65,7 @@
         body = response.body
         if isinstance(body, bytes):
             bodiless = to_head or not has_body(response.status)
-            self._transport.write(head if bodiless else head + body)
+            self._send(head if bodiless else head + body)
         elif not await self._stream(head, body, in_chunks):
             return False
         if not self._writes:
@@ -72,16 +77,16 @@
     ) -> bool:
         """Returns whether the body came and was sent to its end."""
         try:
-            self._transport.write(head)
+            self._send(head)
             async for piece in body:
                 if self._lost:
                     raise ExchangeBrokenError("the caller has left")
                 if piece:
-                    self._transport.write(chunk(piece) if in_chunks else piece)
+                    self._send(chunk(piece) if in_chunks else piece)
                 if not self._writes:
                     await self._until_writable()
             if in_chunks:
-                self._transport.write(LAST_CHUNK)
+                self._send(LAST_CHUNK)
         except BaseException as exc:
             body.abort()
             self._transport.abort()
@@ -90,6 +95,10 @@
             return False
         return True
 
+    def _send(self, data: bytes) -> None:
+        self._transport.write(data)
+        self._meter.sent(len(data))
+
     def _wake(self) -> None:
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
--- a/src/radishwind/http/httptools_connection.py
+++ b/src/radishwind/http/httptools_connection.py
@@ -18,6 +18,8 @@
 from radishwind.http.errors import RequestRejectedError
 from radishwind.http.incoming import IncomingBody
 from radishwind.http.limits import ServerLimits
+from radishwind.http.meter import ByteMeter
+from radishwind.http.meter import NO_METER
 from radishwind.http.rejections import failed
 from radishwind.http.rejections import rejected
 from radishwind.http.rejections import too_slow
@@ -82,6 +84,7 @@
         opened: Callable[["ServerConnection"], bool],
         closed: Callable[["ServerConnection"], None],
         is_crowded: Callable[[], bool],
+        meter: ByteMeter = NO_METER,
     ) -> None:
         """Makes a connection that is not made yet.
 
@@ -93,7 +96,9 @@
           closed: called once it is lost.
           is_crowded: returns whether the listener has connections enough, so
             that each answer is the last one on its connection.
+          meter: counts its bytes.
         """
+        self._meter = meter
         self._handler = handler
         self._limits = limits
         self._may_run_ahead = may_run_ahead
@@ -132,13 +137,14 @@
         self._reader = RequestReader(
             self._transport, remote, self._limits, self._deliver
         )
-        self._writer = AnswerWriter(self._transport)
+        self._writer = AnswerWriter(self._transport, self._meter)
         if not self._opened(self):
             self._transport.abort()
             return
         self._expire_in(self._limits.idle_s)
 
     def data_received(self, data: bytes) -> None:
+        self._meter.received(len(data))
         reader = self._reader
         # The body of the last request is read, and nothing behind it.
         if not self._reads and not reader.is_in_body:
--- a/src/radishwind/http/httptools_exchange.py
+++ b/src/radishwind/http/httptools_exchange.py
@@ -18,6 +18,8 @@
 from radishwind.http.heads import has_body
 from radishwind.http.heads import LAST_CHUNK
 from radishwind.http.incoming import IncomingBody
+from radishwind.http.meter import ByteMeter
+from radishwind.http.meter import NO_METER
 from radishwind.http.types import BodyStream
 from radishwind.http.types import Request
 from radishwind.http.types import Response
@@ -38,14 +40,20 @@
       answered: whether anything came for the exchange that runs.
     """
 
-    def __init__(self, released: Callable[["ClientConnection"], None]) -> None:
+    def __init__(
+        self,
+        released: Callable[["ClientConnection"], None],
+        meter: ByteMeter = NO_METER,
+    ) -> None:
         """Makes a connection that is not made yet.
 
         Args:
           released: called once an exchange has ended, or the connection is
             lost; see `usable`.
+          meter: counts its bytes.
         """
         self._released = released
+        self._meter = meter
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._answer: asyncio.Future[Response] | None = None
@@ -83,10 +91,10 @@
         self.answered = False
         self.usable = False
         if isinstance(request.body, BodyStream):
-            self._transport.write(head)
+            self._send(head)
             self._pump = loop.create_task(self._send_body(request))
         else:
-            self._transport.write(head + request.body)
+            self._send(head + request.body)
         answer = self._answer
         try:
             return await answer
@@ -114,6 +122,7 @@
             self.abort()
             return
         self.answered = True
+        self._meter.received(len(data))
         if self._in_head:
             self._head_bytes += len(data)
         try:
@@ -249,6 +258,10 @@
             answer.set_exception(error)
         self.abort()
 
+    def _send(self, data: bytes) -> None:
+        self._transport.write(data)
+        self._meter.sent(len(data))
+
     async def _send_body(self, request: Request) -> None:
         """Sends the pieces of a body as they come."""
         assert isinstance(request.body, BodyStream)
@@ -257,13 +270,13 @@
             async for piece in request.body:
                 if not piece:
                     continue
-                self._transport.write(chunk(piece) if in_chunks else piece)
+                self._send(chunk(piece) if in_chunks else piece)
                 if not self._writes:
                     loop = asyncio.get_running_loop()
                     self._writable = loop.create_future()
                     await self._writable
             if in_chunks:
-                self._transport.write(LAST_CHUNK)
+                self._send(LAST_CHUNK)
         except asyncio.CancelledError:
             raise
         except Exception as exc:
--- a/src/radishwind/http/httptools_sender.py
+++ b/src/radishwind/http/httptools_sender.py
@@ -8,6 +8,8 @@
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.heads import request_head
 from radishwind.http.httptools_exchange import ClientConnection
+from radishwind.http.meter import ByteMeter
+from radishwind.http.meter import NO_METER
 from radishwind.http.sender import Sender
 from radishwind.http.silence import KEEPALIVE_S
 from radishwind.http.silence import watch_silence
@@ -60,14 +62,19 @@
     """
 
     def __init__(
-        self, connections: int, keepalive_s: float = KEEPALIVE_S
+        self,
+        connections: int,
+        keepalive_s: float = KEEPALIVE_S,
+        meter: ByteMeter = NO_METER,
     ) -> None:
         """Makes a sender.
 
         Args:
           connections: connections to one address at most.
           keepalive_s: idle connections are closed after this time (s).
+          meter: counts the bytes of all connections.
         """
+        self._meter = meter
         self._connections = connections
         self._keepalive_s = keepalive_s
         self._pools: dict[Address, _Pool] = {}
@@ -156,7 +163,7 @@
         try:
             with TimeLimit(timeout_s):
                 transport, conn = await loop.create_connection(
-                    lambda: ClientConnection(released),
+                    lambda: ClientConnection(released, self._meter),
                     address.host,
                     address.port,
                 )
--- a/src/radishwind/http/httptools_server.py
+++ b/src/radishwind/http/httptools_server.py
@@ -5,6 +5,8 @@
 from radishwind.http.httptools_connection import MayRunAhead
 from radishwind.http.httptools_connection import ServerConnection
 from radishwind.http.limits import ServerLimits
+from radishwind.http.meter import ByteMeter
+from radishwind.http.meter import NO_METER
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
 from radishwind.http.types import Address
@@ -20,7 +22,10 @@
     """Receives by httptools; see `Server` for what it promises."""
 
     def __init__(
-        self, limits: ServerLimits, may_run_ahead: MayRunAhead | None = None
+        self,
+        limits: ServerLimits,
+        may_run_ahead: MayRunAhead | None = None,
+        meter: ByteMeter = NO_METER,
     ) -> None:
         """Makes a listener.
 
@@ -28,7 +33,9 @@
           limits: what it takes.
           may_run_ahead: decides which pipelined requests run before their
             turn; by default none do.
+          meter: counts the bytes of all connections.
         """
+        self._meter = meter
         self._limits = limits
         self._may_run_ahead = may_run_ahead or _never
         self._connections: set[ServerConnection] = set()
@@ -43,6 +50,7 @@
                 opened=self._opened,
                 closed=self._connections.discard,
                 is_crowded=self._is_crowded,
+                meter=self._meter,
             )
 
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/radishwind/loads/link.py
@@ -0,0 +1,80 @@
+"""What the link of an instance carries, and what it has left."""
+
+from radishwind.core.clock import Clock
+from radishwind.http.meter import ByteMeter
+
+#: How long one count lasts, and how many are kept (s).
+STEP_S = 0.1
+STEPS = 10
+
+#: The part of a link that counts as free however full it is: what was sent
+#: before may have just ended.
+LEAST_FREE_PART = 0.05
+
+_BITS_PER_BYTE = 8
+_KBIT_PER_MBIT = 1000
+_BITS_PER_MBIT = 1e6
+
+
+class LinkMeter(ByteMeter):
+    """Bytes that were sent and received, of late.
+
+    Both ways of a link carry its full rate at once; the fuller one counts.
+    """
+
+    def __init__(self, link_mbps: float, clock: Clock) -> None:
+        """Makes a meter that has seen nothing.
+
+        Args:
+          link_mbps: what the link carries each way (Mbit/s); 0 if not known.
+          clock: the clock.
+        """
+        self._mbps = link_mbps
+        self._clock = clock
+        self._step = 0
+        self._sent = [0] * STEPS
+        self._received = [0] * STEPS
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def sent(self, size: int) -> None:
+        self._follow()
+        self._sent[self._step % STEPS] += size
+        self.sent_bytes += size
+
+    def received(self, size: int) -> None:
+        self._follow()
+        self._received[self._step % STEPS] += size
+        self.received_bytes += size
+
+    def use(self) -> float:
+        """Returns the part of the link that is in use; 0 if not known.
+
+        It is the mean of the last whole step and of the last second: a burst
+        counts at once, and ends in a second.
+        """
+        if not self._mbps:
+            return 0.0
+        self._follow()
+        last = (self._step - 1) % STEPS
+        step_bits = max(self._sent[last], self._received[last]) * _BITS_PER_BYTE
+        most = max(sum(self._sent), sum(self._received)) * _BITS_PER_BYTE
+        per_s = (step_bits / STEP_S + most / (STEP_S * STEPS)) / 2
+        return min(1.0, per_s / (self._mbps * _BITS_PER_MBIT))
+
+    def free_kbps(self) -> int:
+        """Returns what the link has left (kbit/s); 0 if not known."""
+        if not self._mbps:
+            return 0
+        free = max(LEAST_FREE_PART, 1 - self.use())
+        return max(1, int(free * self._mbps * _KBIT_PER_MBIT))
+
+    def _follow(self) -> None:
+        """Begins the step of now, and forgets those that it replaces."""
+        step = int(self._clock.monotonic() / STEP_S)
+        if step == self._step:
+            return
+        for passed in range(max(self._step + 1, step - STEPS + 1), step + 1):
+            self._sent[passed % STEPS] = 0
+            self._received[passed % STEPS] = 0
+        self._step = step
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -12,9 +12,11 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
+from radishwind.http.types import is_server_error
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Member
+from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
 from radishwind.peers.attempts import forwarded
@@ -22,6 +24,7 @@
 from radishwind.peers.client import CONNECT_TIMEOUT_S
 from radishwind.peers.security import PeerSigner
 from radishwind.peers.traffic import PeerTraffic
+from radishwind.routing.sizes import RouteSizes
 from radishwind.target.pipeline import TargetPipeline
 
 #: What the caller is told of a fault, at most.
@@ -47,6 +50,7 @@
         signer: PeerSigner | None = None,
         unreachable: UnreachableHint | None = None,
         traffic: PeerTraffic | None = None,
+        sizes: RouteSizes | None = None,
     ) -> None:
         self._node_name = node_name
         self._clock = clock
@@ -55,12 +59,13 @@
         self._signer = signer
         self._unreachable = unreachable
         self._traffic = traffic or PeerTraffic()
+        self._sizes = sizes or RouteSizes()
 
     async def run(
         self, call: Call, member: Member, attempt_id: str
     ) -> AttemptResult:
         if member.name == self._node_name:
-            return await self._target.run(call)
+            return self._sized(call, await self._target.run(call))
         remaining_s = call.deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return AttemptResult(
@@ -71,9 +76,20 @@
         answer = await self._exchange(request, member, remaining_s)
         if isinstance(answer, Response):
             self._traffic.answer(member, call, answer)
-            return read_result(answer, attempt_id)
+            return self._sized(call, read_result(answer, attempt_id))
         return AttemptResult(answer)
 
+    def _sized(self, call: Call, result: AttemptResult) -> AttemptResult:
+        """Returns `result`, after what it tells of the sizes of its route."""
+        outcome = result.outcome
+        if isinstance(outcome, Done) and not is_server_error(
+            outcome.response.status
+        ):
+            answer_bytes = _size(outcome.response)
+            request_bytes = call.request.body_bytes or 0
+            self._sizes.learn(call.route, request_bytes, answer_bytes)
+        return result
+
     async def _exchange(
         self, request: Request, member: Member, remaining_s: float
     ) -> Response | NotRun | Unknown:
@@ -109,3 +125,10 @@
                 ResultCode.EXCHANGE_TIMEOUT,
                 "The target did not answer in time.",
             )
+
+
+def _size(response: Response) -> int:
+    """Returns the length of a body; 0 where it isn't told (bytes)."""
+    if isinstance(response.body, bytes):
+        return len(response.body)
+    return response.body_bytes or 0
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -23,6 +23,7 @@
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     memory_mb: int = 300
     max_fds: int = 4100
+    link_mbps: float = 0.0
 
 
 class _Provider(msgspec.Struct, frozen=True, rename="kebab"):
@@ -93,6 +94,7 @@
         retry_window_s=bounds.get("retry-window-s", 10.0),
         cold_over=bounds.get("cold-over", 1.0),
         cold_slack=bounds.get("cold-slack", 0.0),
+        link_mbps=file.limits.link_mbps,
         first_start=file.bootstrap,
     )
 
--- a/src/radishwind/platform/routes.py
+++ b/src/radishwind/platform/routes.py
@@ -25,6 +25,9 @@
 #: Kinds of routes whose requests may run more than once.
 _IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 
+#: The kind of routes whose answers are large.
+_LARGE_KIND = "download"
+
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -156,4 +159,5 @@
         attempts=route.attempts,
         regions=frozenset(route.allowed_regions),
         public=route.public,
+        large_answers=route.kind == _LARGE_KIND,
     )
--- a/src/radishwind/routes/model.py
+++ b/src/radishwind/routes/model.py
@@ -34,6 +34,7 @@
       attempts: targets that one request may reach at most.
       regions: where its requests may run; empty for anywhere.
       public: whether a request needs no key.
+      large_answers: whether its answers are large.
     """
 
     name: str
@@ -47,6 +48,7 @@
     attempts: int
     regions: frozenset[str] = frozenset()
     public: bool = False
+    large_answers: bool = False
 
 
 class ServiceInfo(msgspec.Struct, frozen=True):
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -32,6 +32,8 @@
         with (ms); 0 where it came with none that ran.
       starts_left: requests that a cold server may still be sent just now;
         `None` where nothing bounds it.
+      link_kbps: what the link of its node has left (kbit/s); 0 where that
+        isn't known.
     """
 
     slots: int
@@ -46,6 +48,7 @@
     spell_left_ms: float = 0.0
     work_ms: float = 0.0
     starts_left: int | None = None
+    link_kbps: int = 0
 
     @property
     def is_spent(self) -> bool:
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -23,6 +23,10 @@
 from radishwind.routing.pace import begin_s
 from radishwind.routing.pace import PaceHabit
 from radishwind.routing.seen import SeenTarget
+from radishwind.routing.ways import NO_WAY
+from radishwind.routing.ways import UnmeteredWays
+from radishwind.routing.ways import Way
+from radishwind.routing.ways import WayCosts
 from radishwind.routing.weights import AWAY_S
 from radishwind.routing.weights import ChoiceWeights
 from radishwind.routing.weights import COLD_REST_S
@@ -58,6 +62,7 @@
         own_load: Callable[[], LoadReport],
         tells_unasked: Callable[[Member], bool] | None = None,
         weights: ChoiceWeights | None = None,
+        ways: WayCosts | None = None,
     ) -> None:
         """Makes a chooser that knows nothing yet.
 
@@ -69,7 +74,9 @@
           tells_unasked: returns whether a target tells this node its load
             though it got nothing from here; by default all do.
           weights: what counts.
+          ways: what the links to a target add.
         """
+        self._ways = ways or UnmeteredWays()
         self._weights = weights or ChoiceWeights()
         self._tells_unasked = tells_unasked or _always
         self._rng = rng
@@ -118,6 +125,7 @@
         least_s = math.inf
         for member in candidates:
             cost_s = self.cost_s(member, now, work)
+            cost_s += self._way(member, work).weight_s
             cost_s *= 1 + COST_SPREAD * self._rng.random()
             if cost_s < least_s:
                 best, least_s = member, cost_s
@@ -166,7 +174,7 @@
         """Returns the expected answer time (s); infinite for one away."""
         seen = self._seen.get(member.name)
         work_s = self._work_s.get(work, FIRST_WORK_S)
-        hop_s = self._hop_s(member)
+        hop_s = self._hop_s(member) + self._way(member, work).time_s
         if member.name == self._node_name:
             report, age_s, since = self._own_load(), 0.0, 0
         elif seen is None or seen.report is None:
@@ -326,6 +334,15 @@
             cost_s += self._failure_s(seen, work_s, now)
         return cost_s + work_s * self._habit.mean * max(0, seen.since)
 
+    def _way(self, member: Member, work: str) -> Way:
+        """Returns what the links to `member` add; nothing to the own target."""
+        if member.name == self._node_name:
+            return NO_WAY
+        seen = self._seen.get(member.name)
+        report = seen.report if seen else None
+        is_near = member.failure_domain == self._failure_domain
+        return self._ways.way(is_near, report.link_kbps if report else 0, work)
+
     def _hop_s(self, member: Member) -> float:
         if member.name == self._node_name:
             return 0.0
--- /dev/null
+++ b/src/radishwind/routing/tests/test_ways.py
@@ -0,0 +1,185 @@
+"""Ways are weighed by what crosses and by what links have left."""
+
+import math
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishwind.http.types import Address
+from radishwind.http.types import Response
+from radishwind.membership.directory import Member
+from radishwind.outcomes import Done
+from radishwind.routing.chooser import LoadReport
+from radishwind.routing.fresh import FreshLoadChooser
+from radishwind.routing.sizes import LARGE_BYTES
+from radishwind.routing.sizes import MOST_ROUTES
+from radishwind.routing.sizes import RouteSizes
+from radishwind.routing.ways import LinkWays
+from radishwind.routing.ways import MOST_PART
+
+AIM_S = 1.0
+LINK_KBPS = 10_000
+SMALL, LARGE = "small", "large"
+
+
+def sizes():
+    known = RouteSizes()
+    known.learn(SMALL, 0, 1_500)
+    known.learn(LARGE, 0, 90_000)
+    return known
+
+
+def ways(own_kbps=LINK_KBPS):
+    return LinkWays(sizes(), lambda: own_kbps, lambda route: AIM_S)
+
+
+def test_large_answers_cost_more_than_small_ones_and_far_more_than_near():
+    near, far = (ways().way(is_near, 0, LARGE) for is_near in (True, False))
+
+    assert ways().way(False, 0, SMALL).weight_s < far.weight_s / 10
+    assert near.weight_s < far.weight_s
+    assert near.time_s == far.time_s
+
+
+def test_a_fuller_link_at_either_end_costs_more():
+    usual = ways().way(False, LINK_KBPS, LARGE)
+
+    assert ways().way(False, LINK_KBPS // 2, LARGE).time_s > usual.time_s
+    assert ways(LINK_KBPS // 2).way(False, 0, LARGE).time_s > usual.time_s
+
+
+def test_ways_count_for_nothing_where_no_link_is_told():
+    way = ways(own_kbps=0).way(False, LINK_KBPS, LARGE)
+
+    assert way.time_s == way.weight_s == 0
+
+
+def test_a_route_without_answers_yet_is_taken_as_the_configuration_says():
+    known = RouteSizes()
+    known.expect_large(frozenset({"l"}))
+
+    assert known.exchange_bytes("l") == LARGE_BYTES
+    assert known.exchange_bytes("s") == 0
+
+
+def test_sizes_follow_a_route_whose_answers_change():
+    known = RouteSizes()
+    for _ in range(50):
+        known.learn("r", 100, 1_000)
+    for _ in range(200):
+        known.learn("r", 0, 90_000)
+    assert known.known()["r"].answer > 80_000
+
+    for _ in range(400):
+        known.learn("r", 0, 1_000)
+    assert known.known()["r"].answer < 2_000
+    assert known.known()["r"].large < 2_000
+
+
+def test_the_routes_known_are_bounded():
+    known = RouteSizes()
+    for number in range(MOST_ROUTES + 5):
+        known.learn(str(number), 1, 1)
+
+    assert len(known.known()) == MOST_ROUTES
+
+
+@given(
+    own_kbps=st.integers(0, 10**7),
+    free_kbps=st.integers(-1, 10**7),
+    size=st.integers(0, 10**12),
+    aim_s=st.floats(0, 1e4),
+    is_near=st.booleans(),
+)
+def test_a_way_is_finite_and_bounded_by_what_the_caller_can_wait(
+    own_kbps, free_kbps, size, aim_s, is_near
+):
+    known = RouteSizes()
+    known.learn("r", size, size)
+    found = LinkWays(known, lambda: own_kbps, lambda route: aim_s)
+
+    way = found.way(is_near, free_kbps, "r")
+
+    for cost_s in (way.time_s, way.weight_s):
+        assert math.isfinite(cost_s)
+        assert 0 <= cost_s <= MOST_PART * aim_s
+
+
+class Load:
+    """Requests of two routes at a node whose own domain is short of room.
+
+    Each server runs `SLOTS` at once; what waits does so in its order. The node
+    hears each change of load at once.
+    """
+
+    SLOTS = 3
+    WORK_S = 0.1
+
+    def __init__(self, chooser, near, far):
+        self.chooser = chooser
+        self.targets = [
+            Member(f"{domain}{n}", "s", domain, Address("10.0.0.1", 80))
+            for domain, count in (("a", near), ("b", far))
+            for n in range(count)
+        ]
+        self.free_at = {m.name: [0.0] * self.SLOTS for m in self.targets}
+        self.order = 0
+        self.crossed = {SMALL: 0, LARGE: 0}
+        self.answer_s = {SMALL: [], LARGE: []}
+
+    def tell(self, now):
+        for name, slots in self.free_at.items():
+            self.order += 1
+            busy = sum(at > now for at in slots)
+            queued_s = sum(max(0.0, at - now - self.WORK_S) for at in slots)
+            queued = round(queued_s / self.WORK_S)
+            self.chooser.told(
+                name,
+                LoadReport(
+                    self.SLOTS, busy, queued, 100.0, link_kbps=LINK_KBPS
+                ),
+                1,
+                self.order,
+                now,
+            )
+
+    def ask(self, route, now):
+        self.tell(now)
+        member = self.chooser.choose(self.targets, now, work=route)
+        slots = self.free_at[member.name]
+        slots.sort()
+        slots[0] = max(slots[0], now) + self.WORK_S
+        self.answer_s[route].append(slots[0] - now)
+        self.crossed[route] += member.failure_domain == "b"
+
+
+def play(costs):
+    chooser = FreshLoadChooser(
+        random.Random(5),
+        node_name="own",
+        failure_domain="a",
+        own_load=lambda: LoadReport(0, 0, 0, 0.0),
+        ways=costs,
+    )
+    for route in (SMALL, LARGE):
+        done = Done(Response(200))
+        report = LoadReport(3, 0, 0, 100.0, work_ms=100.0)
+        chooser.started("a0", 0.0)
+        chooser.finished("a0", 0.0, 0.0, done, report, route)
+    load = Load(chooser, near=2, far=4)
+    # Two servers of three slots do 60 a second; 75 come, a fifth large.
+    for number in range(750):
+        load.ask(LARGE if number % 5 == 0 else SMALL, number / 75)
+    return load
+
+
+def test_small_answers_leave_a_full_domain_first_and_all_are_in_time():
+    """A domain is asked for a quarter more than its servers can do."""
+    fixed, weighed = play(None), play(ways())
+
+    assert fixed.crossed[LARGE] > 10
+    assert weighed.crossed[LARGE] <= fixed.crossed[LARGE] / 4
+    assert weighed.crossed[SMALL] > 10 * weighed.crossed[LARGE]
+    for answer_s in weighed.answer_s.values():
+        assert max(answer_s) < AIM_S
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -36,6 +36,8 @@
       retry_window_s: the window in which repeats are counted (s).
       cold_over: times of its rate that a cold server may get in a second.
       cold_slack: requests beyond that which it may get in a second.
+      link_mbps: what the link of the instance carries each way (Mbit/s); 0
+        where that isn't told.
       first_start: whether the whole system starts for the first time, so that
         nothing was kept before.
       peer_address: where other nodes reach this one, if it is not where they
@@ -63,6 +65,7 @@
     retry_window_s: float
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    link_mbps: float = 0.0
     first_start: bool = False
     region_of: Mapping[str, str] = {}
     peer_address: Address | None = None
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -15,6 +15,7 @@
 from radishwind.http.httptools_sender import HttptoolsSender
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.loads.link import LinkMeter
 from radishwind.membership.facts import Announced
 from radishwind.membership.listing import OpenListing
 from radishwind.node.callers import CallerListener
@@ -93,7 +94,10 @@
         self._leaving = False
         self._items_left_out = 0
         self._readiness = Readiness(self._ready)
-        self._peer_sender = HttptoolsSender(PEER_CONNECTIONS, PEER_KEEPALIVE_S)
+        self._link = LinkMeter(settings.link_mbps, self._clock)
+        self._peer_sender = HttptoolsSender(
+            PEER_CONNECTIONS, PEER_KEEPALIVE_S, self._link
+        )
         self._server_sender = HttptoolsSender(
             SERVER_CONNECTIONS, SERVER_KEEPALIVE_S
         )
@@ -140,6 +144,7 @@
             ready_changed=self._ready_changed,
             learns_for_others=lambda: self._control.learns_for_others(),
             switches=self._switches,
+            link_kbps=self._link.free_kbps,
         )
         self._ready_changed(False)
         self._routes.listen(self._adopted)
@@ -163,6 +168,7 @@
             tells_unasked=lambda member: self._loads.tells_unasked(member),
             observers=(RequestLog(self._clock), self._metrics),
             traffic=self._traffic,
+            link_kbps=self._link.free_kbps,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
@@ -267,7 +273,7 @@
         )
         ahead = AHEAD if self._switches.ahead else 0
         self._servers = await listening(
-            self._settings, handlers, ahead, self._log
+            self._settings, handlers, ahead, self._log, self._link
         )
 
     async def _stop(self) -> None:
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -36,8 +36,12 @@
 from radishwind.retries.shared import SharedRetries
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routes.model import RouteConfig
 from radishwind.routing.fresh import FreshLoadChooser
 from radishwind.routing.placement import OpenDomains
+from radishwind.routing.sizes import RouteSizes
+from radishwind.routing.ways import LinkWays
+from radishwind.routing.ways import UnmeteredWays
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.options import choice_weights
 from radishwind.sidecar.options import MOST_RETRY_S
@@ -55,6 +59,7 @@
       classifier: finds the route of a request.
       keys: finds the client account of a request.
       pipeline: answers requests.
+      sizes: how long requests and answers are.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         proof: KeyProof | None = None,
         quotas: QuotaGate | None = None,
         traffic: PeerTraffic | None = None,
+        link_kbps: Callable[[], int] | None = None,
     ) -> None:
         """Wires the entry side.
 
@@ -100,9 +106,13 @@
           proof: whether what is known of keys is recent.
           quotas: counts the requests of client accounts.
           traffic: counts what passes to other nodes.
+          link_kbps: returns what the link of the node has left (kbit/s).
         """
         self._service = service
         self.keys = KeyCheck(lambda: routes.accounts, proof)
+        self.sizes = RouteSizes()
+        routes.listen(self._expect_sizes)
+        self._aims: dict[str, float] = {}
         self.chooser = FreshLoadChooser(
             rng,
             node_name=settings.node,
@@ -110,6 +120,11 @@
             own_load=target.pipeline.load,
             tells_unasked=tells_unasked,
             weights=choice_weights(switches),
+            ways=(
+                LinkWays(self.sizes, link_kbps, self._aim_s)
+                if link_kbps is not None and switches.ways
+                else UnmeteredWays()
+            ),
         )
         self.classifier = RoutedClassifier(
             clock=clock,
@@ -135,6 +150,7 @@
             sender=sender,
             unreachable=unreachable,
             traffic=traffic,
+            sizes=self.sizes,
         )
         hedges: HedgePolicy = HedgeBeforeAim(budget, self.chooser)
         self.pipeline = EntryPipeline(
@@ -165,5 +181,14 @@
             quotas=quotas,
         )
 
+    def _expect_sizes(self, cfg: RouteConfig) -> None:
+        self._aims = {route.name: route.aim_s for route in cfg.routes}
+        self.sizes.expect_large(
+            frozenset(r.name for r in cfg.routes if r.large_answers)
+        )
+
+    def _aim_s(self, route: str) -> float:
+        return self._aims.get(route, 0.0)
+
     def _read(self, headers: Headers) -> CallerFields:
         return read_caller(headers, self._service(), accounts=self.keys.in_use)
--- a/src/radishwind/sidecar/listening.py
+++ b/src/radishwind/sidecar/listening.py
@@ -7,6 +7,8 @@
 from radishwind.http.httptools_connection import MayRunAhead
 from radishwind.http.httptools_server import HttptoolsServer
 from radishwind.http.limits import ServerLimits
+from radishwind.http.meter import ByteMeter
+from radishwind.http.meter import NO_METER
 from radishwind.http.server import Handler
 from radishwind.http.types import Address
 from radishwind.node.failures import logging_failures
@@ -41,7 +43,11 @@
 
 
 async def listening(
-    settings: PlacedSettings, handlers: Handlers, ahead: int, log: PartLogger
+    settings: PlacedSettings,
+    handlers: Handlers,
+    ahead: int,
+    log: PartLogger,
+    link: ByteMeter,
 ) -> Sequence[HttptoolsServer]:
     """Returns the listeners, open.
 
@@ -50,6 +56,7 @@
       handlers: who answers.
       ahead: pipelined requests of a caller that run before their turn.
       log: told of handlers that fail.
+      link: counts what passes between nodes.
     """
     callers = ServerLimits(
         connections=CALLERS_AT_ONCE, idle_s=CALLER_IDLE_S, ahead=ahead
@@ -69,7 +76,8 @@
         wanted.append((handlers.metrics, address, others))
     servers = []
     for handler, listen, limits in wanted:
-        server = HttptoolsServer(limits, handlers.may_run_ahead)
+        meter = link if limits is peers else NO_METER
+        server = HttptoolsServer(limits, handlers.may_run_ahead, meter)
         await server.start(logging_failures(handler, log), listen)
         servers.append(server)
     return servers
--- a/src/radishwind/sidecar/switches.py
+++ b/src/radishwind/sidecar/switches.py
@@ -40,6 +40,7 @@
       siblings: calls that belong together are served or refused alike.
       run_times: what a run takes there, its calls included, is learned, and
         nothing begins that would not end in time.
+      ways: what the links between nodes add to a choice.
       foresight: what every target would answer late is refused at once.
     """
 
@@ -57,6 +58,7 @@
     returns: bool = True
     siblings: bool = True
     run_times: bool = True
+    ways: bool = True
     foresight: bool = True
 
 
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -63,6 +63,7 @@
         ready_changed: Callable[[bool], None],
         learns_for_others: Callable[[], bool],
         switches: Switches = ALL_ON,
+        link_kbps: Callable[[], int] | None = None,
     ) -> None:
         """Wires the target side.
 
@@ -76,6 +77,7 @@
           learns_for_others: returns whether this node learns of the server
             before it is used, and tells the other nodes of the service.
           switches: what is in use.
+          link_kbps: returns what the link of the node has left (kbit/s).
         """
         self._switches = switches
         self._clock = clock
@@ -128,6 +130,7 @@
             ran=self._ran,
             gate=self.warmup,
             run_times=RunTimes() if switches.run_times else None,
+            link_kbps=link_kbps,
         )
         self.keeper = PulseKeeper(
             clock=clock,
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -58,6 +58,8 @@
       gate: bounds what the server is sent; by default nothing does.
       run_times: learns what runs take, so that none begins that would not end
         in time; by default twice their work is left.
+      link_kbps: returns what the link of the node has left (kbit/s); by
+        default it isn't told.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         ran: Callable[[Run], None] | None = None,
         gate: SendGate | None = None,
         run_times: RunTimes | None = None,
+        link_kbps: Callable[[], int] | None = None,
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -83,6 +86,7 @@
         self._ran = ran or _ignored
         self._gate = gate or OpenSendGate()
         self._run_times = run_times
+        self._link_kbps = link_kbps or _untold
         self._service_s = 0.0
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._queue_wait_s = 0.0
@@ -132,6 +136,7 @@
             spell_ms=round(pace.spell_s * 1000, 1),
             spell_left_ms=round(pace.left_s * 1000, 1),
             starts_left=self._gate.left(),
+            link_kbps=self._link_kbps(),
         )
 
     def outcomes(self) -> dict[str, float]:
@@ -327,6 +332,10 @@
     """Takes a run where nobody learns from it."""
 
 
+def _untold() -> int:
+    return 0
+
+
 def _nobody_waits() -> None:
     """Takes the news of a ticket that is admitted or refused at once."""
 
