--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -121,16 +121,20 @@
         candidates = [m for m in members if m.name not in exclude]
         if len(candidates) > MOST_NEAR + MOST_FAR:
             candidates = self._drawn(candidates)
-        best: Member | None = None
-        least_s = math.inf
+        best = soonest = None
+        least_s = least_time_s = best_time_s = math.inf
         for member in candidates:
-            cost_s = self.cost_s(member, now, work)
-            cost_s += self._way(member, work).weight_s
-            cost_s *= 1 + COST_SPREAD * self._rng.random()
+            time_s = self.cost_s(member, now, work)
+            time_s *= 1 + COST_SPREAD * self._rng.random()
+            cost_s = time_s + self._way(member, work).weight_s
             if cost_s < least_s:
-                best, least_s = member, cost_s
+                best, least_s, best_time_s = member, cost_s, time_s
+            if time_s < least_time_s:
+                soonest, least_time_s = member, time_s
         if best is None:
             return self._any_of(candidates, now)
+        if best_time_s > self._ways.in_time_s(work):
+            return soonest
         return best
 
     def _any_of(
--- a/src/radishwind/routing/tests/test_ways.py
+++ b/src/radishwind/routing/tests/test_ways.py
@@ -183,3 +183,25 @@
     assert weighed.crossed[SMALL] > 10 * weighed.crossed[LARGE]
     for answer_s in weighed.answer_s.values():
         assert max(answer_s) < AIM_S
+
+
+def choose_large(near_busy):
+    chooser = FreshLoadChooser(
+        random.Random(5),
+        node_name="own",
+        failure_domain="a",
+        own_load=lambda: LoadReport(0, 0, 0, 0.0),
+        ways=ways(),
+    )
+    near, far = (Member(d, "s", d, Address("10.0.0.1", 80)) for d in ("a", "b"))
+    done = LoadReport(3, 0, 0, 100.0, work_ms=100.0)
+    chooser.started("a", 0.0)
+    chooser.finished("a", 0.0, 0.0, Done(Response(200)), done, LARGE)
+    chooser.told("a", LoadReport(3, near_busy, 0, 100.0), 1, 1, 0.0)
+    chooser.told("b", LoadReport(3, 0, 0, 100.0), 1, 1, 0.0)
+    return chooser.choose((near, far), 0.0, work=LARGE).name
+
+
+def test_a_large_answer_stays_while_in_time_and_leaves_before_it_is_late():
+    assert choose_large(near_busy=4) == "a"
+    assert choose_large(near_busy=24) == "b"
