--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -98,7 +98,11 @@
         members = self._placement.candidates(history.call)
         now = self._clock.monotonic()
         return self._chooser.choose(
-            members, now, history.tried, history.call.route
+            members,
+            now,
+            history.tried,
+            history.call.route,
+            history.call.aim,
         )
 
     async def _attempt_or_race(
--- a/src/radishwind/entry/tests/test_foresight.py
+++ b/src/radishwind/entry/tests/test_foresight.py
@@ -19,7 +19,7 @@
         self._expected_s = expected_s
         self._usual_s = usual_s
 
-    def choose(self, members, now, exclude=frozenset(), work=""):
+    def choose(self, members, now, exclude=frozenset(), work="", aim=0.0):
         return members[0]
 
     def started(self, name, now, expected_s=0.0):
--- a/src/radishwind/routing/balanced.py
+++ b/src/radishwind/routing/balanced.py
@@ -112,6 +112,7 @@
         now: float,
         exclude: frozenset[str] = frozenset(),
         work: str = "",
+        aim: float = math.inf,
     ) -> Member | None:
         if not members:
             return None
--- a/src/radishwind/routing/baselines.py
+++ b/src/radishwind/routing/baselines.py
@@ -3,6 +3,7 @@
 import abc
 import collections
 from collections.abc import Sequence
+import math
 import random
 
 from radishwind.membership.directory import Member
@@ -24,6 +25,7 @@
         now: float,
         exclude: frozenset[str] = frozenset(),
         work: str = "",
+        aim: float = math.inf,
     ) -> Member | None:
         fit = [m for m in members if m.name not in exclude]
         return self._pick(fit) if fit else None
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Sequence
+import math
 
 import msgspec
 
@@ -70,6 +71,7 @@
         now: float,
         exclude: frozenset[str] = frozenset(),
         work: str = "",
+        aim: float = math.inf,
     ) -> Member | None:
         """Returns the member to try, or `None` where none is fit.
 
@@ -78,6 +80,7 @@
           now: monotonic time (s).
           exclude: names already tried for this request.
           work: the kind of work, whose run times are learned apart.
+          aim: when an answer stops earning its full worth (monotonic s).
         """
 
     def inputs(self, member: Member, now: float, work: str = "") -> str:
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -23,6 +23,7 @@
 from radishwind.routing.pace import begin_s
 from radishwind.routing.pace import PaceHabit
 from radishwind.routing.seen import SeenTarget
+from radishwind.routing.ways import IN_TIME_PART
 from radishwind.routing.ways import NO_WAY
 from radishwind.routing.ways import UnmeteredWays
 from radishwind.routing.ways import Way
@@ -117,6 +118,7 @@
         now: float,
         exclude: frozenset[str] = frozenset(),
         work: str = "",
+        aim: float = math.inf,
     ) -> Member | None:
         candidates = [m for m in members if m.name not in exclude]
         if len(candidates) > MOST_NEAR + MOST_FAR:
@@ -133,7 +135,7 @@
                 soonest, least_time_s = member, time_s
         if best is None:
             return self._any_of(candidates, now)
-        if best_time_s > self._ways.in_time_s(work):
+        if best_time_s > IN_TIME_PART * (aim - now):
             return soonest
         return best
 
--- a/src/radishwind/routing/tests/test_ways.py
+++ b/src/radishwind/routing/tests/test_ways.py
@@ -146,7 +146,9 @@
 
     def ask(self, route, now):
         self.tell(now)
-        member = self.chooser.choose(self.targets, now, work=route)
+        member = self.chooser.choose(
+            self.targets, now, work=route, aim=now + AIM_S
+        )
         slots = self.free_at[member.name]
         slots.sort()
         slots[0] = max(slots[0], now) + self.WORK_S
@@ -199,7 +201,7 @@
     chooser.finished("a", 0.0, 0.0, Done(Response(200)), done, LARGE)
     chooser.told("a", LoadReport(3, near_busy, 0, 100.0), 1, 1, 0.0)
     chooser.told("b", LoadReport(3, 0, 0, 100.0), 1, 1, 0.0)
-    return chooser.choose((near, far), 0.0, work=LARGE).name
+    return chooser.choose((near, far), 0.0, work=LARGE, aim=AIM_S).name
 
 
 def test_a_large_answer_stays_while_in_time_and_leaves_before_it_is_late():
--- a/src/radishwind/routing/ways.py
+++ b/src/radishwind/routing/ways.py
@@ -8,7 +8,6 @@
 
 import abc
 from collections.abc import Callable
-import math
 
 import msgspec
 
@@ -26,8 +25,8 @@
 #: earns its full worth, so that no caller is late for their sake.
 MOST_PART = 0.5
 
-#: Links are spared while an answer comes within this part of that time; the
-#: rest is for what a forecast is wrong by.
+#: Links are spared while an answer comes within this part of the time that is
+#: left to earn its full worth; the rest is for what a forecast is wrong by.
 IN_TIME_PART = 0.7
 
 _BITS_PER_BYTE = 8
@@ -63,13 +62,6 @@
           route: the route of the request.
         """
 
-    @abc.abstractmethod
-    def in_time_s(self, route: str) -> float:
-        """Returns up to which answer time the use of links is weighed (s).
-
-        What would take longer goes where it ends soonest.
-        """
-
 
 class UnmeteredWays(WayCosts):
     """Links that count for nothing."""
@@ -77,9 +69,6 @@
     def way(self, is_near: bool, free_kbps: int, route: str) -> Way:
         return NO_WAY
 
-    def in_time_s(self, route: str) -> float:
-        return math.inf
-
 
 class LinkWays(WayCosts):
     """Weighs ways by the bytes of a route and what links have left."""
@@ -119,6 +108,3 @@
         # in what they carry but not in its time.
         weight_s = min(most_s, (links - 1) * time_s)
         return Way(min(most_s, time_s), weight_s)
-
-    def in_time_s(self, route: str) -> float:
-        return IN_TIME_PART * self._aim_s(route)
