Tell link use, sizes by route, and what a way counted for

An operator who asks why a request left its failure domain finds the way's time and weight beside the target in the log line of the request, and which link is full in the metrics of its node.

--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -242,11 +242,12 @@
         if member.name == self._node_name:
             report, age_s = self._own_load(), 0.0
         elif seen is None or seen.report is None:
-            return f"cost={cost_ms:.0f}ms unheard"
+            return f"cost={cost_ms:.0f}ms{self._told_way(member, work)} unheard"
         else:
             report, age_s = seen.report, now - seen.heard
         return (
-            f"cost={cost_ms:.0f}ms pace={report.pace:g} "
+            f"cost={cost_ms:.0f}ms{self._told_way(member, work)} "
+            f"pace={report.pace:g} "
             f"age={age_s * 1000:.0f}ms spell={report.spell_ms:g}ms "
             f"busy={report.in_flight}+{report.queued}/{report.slots}"
         )
@@ -349,6 +350,13 @@
         is_near = member.failure_domain == self._failure_domain
         return self._ways.way(is_near, report.link_kbps if report else 0, work)
 
+    def _told_way(self, member: Member, work: str) -> str:
+        """Returns what the links to `member` counted for, if anything."""
+        way = self._way(member, work)
+        if way is NO_WAY:
+            return ""
+        return f" way={way.time_s * 1000:.0f}+{way.weight_s * 1000:.0f}ms"
+
     def _hop_s(self, member: Member) -> float:
         if member.name == self._node_name:
             return 0.0
--- a/src/radishwind/routing/sizes.py
+++ b/src/radishwind/routing/sizes.py
@@ -79,3 +79,8 @@
     def known(self) -> dict[str, Sizes]:
         """Returns what is known, by route."""
         return dict(self._sizes)
+
+    def most_used(self, most: int) -> dict[str, Sizes]:
+        """Returns what is known of `most` routes, those used most first."""
+        used = sorted(self._sizes.items(), key=lambda item: -item[1].count)
+        return dict(used[:most])
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -229,6 +229,8 @@
                 self._store,
                 self._datagrams,
                 self._traffic,
+                self._link,
+                self._entry.sizes,
                 self._output,
                 self._words_left_out,
             ),
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -9,11 +9,13 @@
 from radishwind.entry.attempts import AttemptCounts
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.loads.link import LinkMeter
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.peers.traffic import PeerTraffic
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routing.sizes import RouteSizes
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
 from radishwind.telemetry.exposition import NodeExposition
@@ -21,6 +23,9 @@
 
 PATH = "/metrics"
 
+#: Routes whose sizes are told: those used most.
+MOST_ROUTES_TOLD = 32
+
 _TEXT = (("Content-Type", "text/plain; version=0.0.4"),)
 
 
@@ -35,6 +40,8 @@
     store: BudgetedStore
     datagrams: PeerSocket
     traffic: PeerTraffic
+    link: LinkMeter
+    sizes: RouteSizes
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
 
@@ -138,6 +145,21 @@
             'way="malformed"': counted.datagrams.malformed,
         },
     )
+    _add_links(metrics, counted)
+    metrics.counter(
+        "radishwind_left_out_total",
+        "Words of other writers that nobody can read, by where they came.",
+        lambda: {f'from="{k}"': n for k, n in counted.left_out().items()},
+    )
+    metrics.counter(
+        "radishwind_log_lines_dropped_total",
+        "Log lines that the reader did not take in time.",
+        lambda: {"": counted.output.dropped},
+    )
+
+
+def _add_links(metrics: NodeExposition, counted: Counted) -> None:
+    link, sizes = counted.link, counted.sizes
     metrics.counter(
         "radishwind_peer_messages_total",
         "Messages to other nodes, by failure domain, cause and route.",
@@ -149,14 +171,30 @@
         counted.traffic.sizes,
     )
     metrics.counter(
-        "radishwind_left_out_total",
-        "Words of other writers that nobody can read, by where they came.",
-        lambda: {f'from="{k}"': n for k, n in counted.left_out().items()},
+        "radishwind_link_bytes_total",
+        "Bytes of the exchanges with other nodes.",
+        lambda: {
+            'way="sent"': link.sent_bytes,
+            'way="received"': link.received_bytes,
+        },
     )
-    metrics.counter(
-        "radishwind_log_lines_dropped_total",
-        "Log lines that the reader did not take in time.",
-        lambda: {"": counted.output.dropped},
+    metrics.gauge(
+        "radishwind_link_use",
+        "The part of the link that these take, of late.",
+        lambda: {"": link.use()},
+    )
+    metrics.gauge(
+        "radishwind_route_bytes",
+        "Bodies of a route's exchanges, as learned.",
+        lambda: {
+            f'route="{route}",body="{body}"': size
+            for route, known in sizes.most_used(MOST_ROUTES_TOLD).items()
+            for body, size in (
+                ("request", known.request),
+                ("answer", known.answer),
+                ("large-answer", known.large),
+            )
+        },
     )
 
 
