--- a/src/radishwind/node/gossip_datagrams.py
+++ b/src/radishwind/node/gossip_datagrams.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from radishwind.core.clock import Clock
 from radishwind.http.types import Address
 from radishwind.membership.actions import Call
 from radishwind.membership.actions import Purpose
@@ -26,6 +27,9 @@
 #: Takes a message that came unasked; returns the answer to it.
 Receiver: TypeAlias = Callable[[Message], Message]
 
+#: Takes the other node's address and how long a round trip took (s).
+RoundTripTaker: TypeAlias = Callable[[Address, float], None]
+
 #: Part of its time after which a question without an answer goes by HTTP: a
 #: datagram may be lost where a connection still gets through.
 QUESTION_PART = 0.5
@@ -52,7 +56,12 @@
     """Sends what fits a datagram, and pairs answers with questions."""
 
     def __init__(
-        self, socket: PeerSocket, rng: random.Random, receive: Receiver
+        self,
+        socket: PeerSocket,
+        rng: random.Random,
+        receive: Receiver,
+        clock: Clock,
+        round_trip: RoundTripTaker | None = None,
     ) -> None:
         """Takes its channel of `socket`.
 
@@ -61,7 +70,11 @@
           rng: chooses the first number, so that answers to an earlier start
             of this node are told apart.
           receive: takes the messages that come unasked.
+          clock: times round trips.
+          round_trip: takes each one that was answered.
         """
+        self._clock = clock
+        self._round_trip = round_trip
         self._socket = socket
         self._receive = receive
         self._number = rng.randrange(1, _FIRST_NUMBERS)
@@ -86,12 +99,16 @@
         number = self._number
         question = _Question(call.address)
         self._questions[number] = question
+        began = self._clock.monotonic()
         try:
             if self._send(Envelope(number, False, call.message), call.address):
                 with anyio.move_on_after(call.timeout_s * QUESTION_PART):
                     await question.answered.wait()
         finally:
             del self._questions[number]
+        if question.answer is not None and self._round_trip is not None:
+            trip_s = self._clock.monotonic() - began
+            self._round_trip(call.address, trip_s)
         return question.answer
 
     def _send(self, envelope: Envelope, address: Address) -> bool:
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -31,6 +31,7 @@
 from radishwind.membership.messages import Message
 from radishwind.membership.messages import MessageError
 from radishwind.node.gossip_datagrams import GossipDatagrams
+from radishwind.node.gossip_datagrams import RoundTripTaker
 from radishwind.node.peer_search import PeerSearch
 from radishwind.node.peer_security import advertised
 from radishwind.outcomes import problem
@@ -67,6 +68,7 @@
         options: GossipOptions | None = None,
         discovery: DiscoveryOptions | None = None,
         socket: PeerSocket | None = None,
+        round_trip: RoundTripTaker | None = None,
     ) -> None:
         """Wires membership.
 
@@ -80,6 +82,7 @@
           options: of gossip; by default those of `settings`.
           discovery: of the search for peers; by default those of `settings`.
           socket: carries short messages, where peers' messages aren't signed.
+          round_trip: takes how long short messages took there and back.
         """
         self._clock = clock
         self._listing = listing
@@ -128,7 +131,9 @@
         self.traffic = Traffic()
         self._datagrams: GossipDatagrams | None = None
         if socket is not None:
-            self._datagrams = GossipDatagrams(socket, rng, self._received)
+            self._datagrams = GossipDatagrams(
+                socket, rng, self._received, clock, round_trip
+            )
 
     def listen_on(self, listener: PeerListener) -> None:
         """Receives the messages of membership on `listener`."""
--- a/src/radishwind/peers/traffic.py
+++ b/src/radishwind/peers/traffic.py
@@ -37,6 +37,10 @@
         """Takes which nodes there are, to know where a host stands."""
         self._domains = {m.address.host: m.failure_domain for m in members}
 
+    def domain_of(self, host: str) -> str | None:
+        """Returns the failure domain of a node, if it is known."""
+        return self._domains.get(host)
+
     def forward(self, member: Member, call: Call, request: Request) -> None:
         """Counts the request of a forwarded attempt.
 
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -23,9 +23,9 @@
 from radishwind.routing.pace import begin_s
 from radishwind.routing.pace import PaceHabit
 from radishwind.routing.seen import SeenTarget
+from radishwind.routing.ways import FixedWays
 from radishwind.routing.ways import IN_TIME_PART
 from radishwind.routing.ways import NO_WAY
-from radishwind.routing.ways import UnmeteredWays
 from radishwind.routing.ways import Way
 from radishwind.routing.ways import WayCosts
 from radishwind.routing.weights import AWAY_S
@@ -77,8 +77,8 @@
           weights: what counts.
           ways: what the links to a target add.
         """
-        self._ways = ways or UnmeteredWays()
         self._weights = weights or ChoiceWeights()
+        self._ways = ways or FixedWays(failure_domain, self._weights.crossing_s)
         self._tells_unasked = tells_unasked or _always
         self._rng = rng
         self._node_name = node_name
@@ -128,7 +128,7 @@
         for member in candidates:
             time_s = self.cost_s(member, now, work)
             time_s *= 1 + COST_SPREAD * self._rng.random()
-            cost_s = time_s + self._way(member, work).weight_s
+            cost_s = time_s + self._way(member, work, now).weight_s
             if cost_s < least_s:
                 best, least_s, best_time_s = member, cost_s, time_s
             if time_s < least_time_s:
@@ -180,7 +180,7 @@
         """Returns the expected answer time (s); infinite for one away."""
         seen = self._seen.get(member.name)
         work_s = self._work_s.get(work, FIRST_WORK_S)
-        hop_s = self._hop_s(member) + self._way(member, work).time_s
+        hop_s = self._hop_s(member) + self._way(member, work, now).time_s
         if member.name == self._node_name:
             report, age_s, since = self._own_load(), 0.0, 0
         elif seen is None or seen.report is None:
@@ -238,15 +238,16 @@
 
     def inputs(self, member: Member, now: float, work: str = "") -> str:
         cost_ms = self.cost_s(member, now, work) * 1000
+        way = self._told_way(member, work, now)
         seen = self._seen.get(member.name)
         if member.name == self._node_name:
             report, age_s = self._own_load(), 0.0
         elif seen is None or seen.report is None:
-            return f"cost={cost_ms:.0f}ms{self._told_way(member, work)} unheard"
+            return f"cost={cost_ms:.0f}ms{way} unheard"
         else:
             report, age_s = seen.report, now - seen.heard
         return (
-            f"cost={cost_ms:.0f}ms{self._told_way(member, work)} "
+            f"cost={cost_ms:.0f}ms{way} "
             f"pace={report.pace:g} "
             f"age={age_s * 1000:.0f}ms spell={report.spell_ms:g}ms "
             f"busy={report.in_flight}+{report.queued}/{report.slots}"
@@ -341,18 +342,18 @@
             cost_s += self._failure_s(seen, work_s, now)
         return cost_s + work_s * self._habit.mean * max(0, seen.since)
 
-    def _way(self, member: Member, work: str) -> Way:
-        """Returns what the links to `member` add; nothing to the own target."""
+    def _way(self, member: Member, work: str, now: float) -> Way:
+        """Returns what the way to `member` adds."""
         if member.name == self._node_name:
             return NO_WAY
         seen = self._seen.get(member.name)
         report = seen.report if seen else None
-        is_near = member.failure_domain == self._failure_domain
-        return self._ways.way(is_near, report.link_kbps if report else 0, work)
+        free_kbps = report.link_kbps if report else 0
+        return self._ways.way(member.failure_domain, free_kbps, work, now)
 
-    def _told_way(self, member: Member, work: str) -> str:
+    def _told_way(self, member: Member, work: str, now: float) -> str:
         """Returns what the links to `member` counted for, if anything."""
-        way = self._way(member, work)
+        way = self._way(member, work, now)
         if way is NO_WAY:
             return ""
         return f" way={way.time_s * 1000:.0f}+{way.weight_s * 1000:.0f}ms"
@@ -360,9 +361,7 @@
     def _hop_s(self, member: Member) -> float:
         if member.name == self._node_name:
             return 0.0
-        if member.failure_domain == self._failure_domain:
-            return FORWARDING_S
-        return FORWARDING_S + self._weights.crossing_s
+        return FORWARDING_S
 
 
 def _coldness(report: LoadReport) -> float:
--- a/src/radishwind/routing/ways.py
+++ b/src/radishwind/routing/ways.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
+from radishwind.routing.round_trips import RoundTrips
 from radishwind.routing.sizes import RouteSizes
+from radishwind.routing.weights import CROSSING_S
 
 #: The least a link is taken to have left (kbit/s): one that is full gets free.
 LEAST_FREE_KBPS = 64
@@ -21,7 +23,7 @@
 NEAR_LINKS = 2
 FAR_LINKS = 4
 
-#: The links of a way weigh at most this part of the time in which an answer
+#: The bytes of a way weigh at most this part of the time in which an answer
 #: earns its full worth, so that no caller is late for their sake.
 MOST_PART = 0.5
 
@@ -37,7 +39,7 @@
     """One way, as weighed.
 
     Attributes:
-      time_s: what its bytes add to an answer time (s).
+      time_s: what it adds to an answer time (s).
       weight_s: what its use of links counts for beside that (s).
     """
 
@@ -45,66 +47,96 @@
     weight_s: float = 0.0
 
 
+#: To the own target.
 NO_WAY = Way()
 
 
 class WayCosts(abc.ABC):
-    """Says what the links between two nodes add."""
+    """Says what the way to another node adds."""
 
     @abc.abstractmethod
-    def way(self, is_near: bool, free_kbps: int, route: str) -> Way:
+    def way(self, domain: str, free_kbps: int, route: str, now: float) -> Way:
         """Returns what a usual exchange of `route` takes.
 
         Args:
-          is_near: whether both nodes stand in one failure domain.
-          free_kbps: what the other node's link has left (kbit/s); 0 where it
-            isn't told.
+          domain: the failure domain of the other node.
+          free_kbps: what that node's link has left (kbit/s); 0 where it isn't
+            told.
           route: the route of the request.
+          now: monotonic time (s).
         """
 
 
-class UnmeteredWays(WayCosts):
-    """Links that count for nothing."""
+class FixedWays(WayCosts):
+    """The same for whatever crosses."""
 
-    def way(self, is_near: bool, free_kbps: int, route: str) -> Way:
-        return NO_WAY
+    def __init__(self, own_domain: str, crossing_s: float = CROSSING_S) -> None:
+        """Takes what a way counts.
+
+        Args:
+          own_domain: the failure domain of this node.
+          crossing_s: the way to any other and back (s).
+        """
+        self._own_domain = own_domain
+        self._far = Way(crossing_s)
+
+    def way(self, domain: str, free_kbps: int, route: str, now: float) -> Way:
+        return NO_WAY if domain == self._own_domain else self._far
 
 
 class LinkWays(WayCosts):
-    """Weighs ways by the bytes of a route and what links have left."""
+    """Weighs ways by the bytes of a route and what links have left.
+
+    Without a link to go by, a way counts as a fixed one; without a fresh round
+    trip, its time does.
+    """
 
     def __init__(
         self,
+        *,
+        own_domain: str,
         sizes: RouteSizes,
+        trips: RoundTrips,
         own_free_kbps: Callable[[], int],
         aim_s: Callable[[str], float],
+        crossing_s: float = CROSSING_S,
     ) -> None:
         """Wires the ways.
 
         Args:
+          own_domain: the failure domain of this node.
           sizes: of exchanges, by route.
+          trips: to other failure domains.
           own_free_kbps: returns what the own link has left (kbit/s); 0 where
             it isn't known.
           aim_s: returns the time in which an answer of a route earns its full
             worth (s).
+          crossing_s: what the way to another failure domain and back counts
+            for at least, whatever crosses (s).
         """
+        self._own_domain = own_domain
         self._sizes = sizes
+        self._trips = trips
         self._own_free_kbps = own_free_kbps
         self._aim_s = aim_s
+        self._crossing_s = crossing_s
 
-    def way(self, is_near: bool, free_kbps: int, route: str) -> Way:
+    def way(self, domain: str, free_kbps: int, route: str, now: float) -> Way:
+        is_near = domain == self._own_domain
+        there_s = counted_s = 0.0 if is_near else self._crossing_s
         own_kbps = self._own_free_kbps()
         if not own_kbps:
-            return NO_WAY
-        size = self._sizes.exchange_bytes(route)
-        if not size:
-            return NO_WAY
-        kbps = min(own_kbps, free_kbps or own_kbps)
-        bits = size * _BITS_PER_BYTE
-        time_s = bits / (_BITS_PER_KBIT * max(LEAST_FREE_KBPS, kbps))
+            return Way(there_s)
+        if not is_near:
+            trip_s = self._trips.usual_s(domain, now)
+            there_s = counted_s if trip_s is None else trip_s
         most_s = MOST_PART * self._aim_s(route)
-        links = NEAR_LINKS if is_near else FAR_LINKS
+        kbps = max(LEAST_FREE_KBPS, min(own_kbps, free_kbps or own_kbps))
+        bits = self._sizes.exchange_bytes(route) * _BITS_PER_BYTE
+        bytes_s = bits / (_BITS_PER_KBIT * kbps)
         # A body passes the links of a way piece by piece, so that they add up
         # in what they carry but not in its time.
-        weight_s = min(most_s, (links - 1) * time_s)
-        return Way(min(most_s, time_s), weight_s)
+        others = (NEAR_LINKS if is_near else FAR_LINKS) - 1
+        weight_s = min(most_s, others * bytes_s)
+        weight_s += max(0.0, counted_s - there_s)
+        return Way(there_s + min(most_s, bytes_s), weight_s)
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -13,6 +13,7 @@
 from radishwind.core.codes import ResultCode
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.httptools_sender import HttptoolsSender
+from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.loads.link import LinkMeter
@@ -33,6 +34,7 @@
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
+from radishwind.routing.round_trips import RoundTrips
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.control import Readiness
 from radishwind.sidecar.control_side import ControlSide
@@ -112,6 +114,7 @@
             STORE_BUDGET,
         )
         self._traffic = PeerTraffic()
+        self._trips = RoundTrips()
         self._client = HttpPeerClient(self._peer_sender, traffic=self._traffic)
         self._datagrams = PeerSocket(self._traffic.datagram)
         self._membership = MembershipTasks(
@@ -126,6 +129,7 @@
                 DISCOVERY, spread_s=start_spread_s(settings)
             ),
             socket=self._datagrams,
+            round_trip=self._took_trip,
         )
         self._routes = RoutesInForce(self._clock)
         self._emptied = EmptiedInForce(self._clock)
@@ -169,6 +173,7 @@
             observers=(RequestLog(self._clock), self._metrics),
             traffic=self._traffic,
             link_kbps=self._link.free_kbps,
+            trips=self._trips,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
@@ -231,6 +236,8 @@
                 self._traffic,
                 self._link,
                 self._entry.sizes,
+                self._trips,
+                self._clock,
                 self._output,
                 self._words_left_out,
             ),
@@ -343,6 +350,12 @@
             "store": self._items_left_out,
         }
 
+    def _took_trip(self, address: Address, trip_s: float) -> None:
+        """Takes how long a message to another node took there and back."""
+        domain = self._traffic.domain_of(address.host)
+        if domain is not None:
+            self._trips.took(domain, trip_s, self._clock.monotonic())
+
     def _left_out(self, reason: str) -> None:
         """Says which item of the store nobody can read; the others hold."""
         self._items_left_out += 1
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -39,9 +39,10 @@
 from radishwind.routes.model import RouteConfig
 from radishwind.routing.fresh import FreshLoadChooser
 from radishwind.routing.placement import OpenDomains
+from radishwind.routing.round_trips import RoundTrips
 from radishwind.routing.sizes import RouteSizes
 from radishwind.routing.ways import LinkWays
-from radishwind.routing.ways import UnmeteredWays
+from radishwind.routing.ways import WayCosts
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.options import choice_weights
 from radishwind.sidecar.options import MOST_RETRY_S
@@ -83,6 +84,7 @@
         quotas: QuotaGate | None = None,
         traffic: PeerTraffic | None = None,
         link_kbps: Callable[[], int] | None = None,
+        trips: RoundTrips | None = None,
     ) -> None:
         """Wires the entry side.
 
@@ -107,24 +109,32 @@
           quotas: counts the requests of client accounts.
           traffic: counts what passes to other nodes.
           link_kbps: returns what the link of the node has left (kbit/s).
+          trips: round trips to other failure domains.
         """
         self._service = service
         self.keys = KeyCheck(lambda: routes.accounts, proof)
         self.sizes = RouteSizes()
         routes.listen(self._expect_sizes)
         self._aims: dict[str, float] = {}
+        weights = choice_weights(switches)
+        ways: WayCosts | None = None
+        if link_kbps is not None and switches.ways:
+            ways = LinkWays(
+                own_domain=settings.failure_domain,
+                sizes=self.sizes,
+                trips=trips or RoundTrips(),
+                own_free_kbps=link_kbps,
+                aim_s=self._aim_s,
+                crossing_s=weights.crossing_s,
+            )
         self.chooser = FreshLoadChooser(
             rng,
             node_name=settings.node,
             failure_domain=settings.failure_domain,
             own_load=target.pipeline.load,
             tells_unasked=tells_unasked,
-            weights=choice_weights(switches),
-            ways=(
-                LinkWays(self.sizes, link_kbps, self._aim_s)
-                if link_kbps is not None and switches.ways
-                else UnmeteredWays()
-            ),
+            weights=weights,
+            ways=ways,
         )
         self.classifier = RoutedClassifier(
             clock=clock,
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from radishwind.core.clock import Clock
 from radishwind.entry.attempts import AttemptCounts
 from radishwind.http.types import Request
 from radishwind.http.types import Response
@@ -15,6 +16,7 @@
 from radishwind.peers.traffic import PeerTraffic
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routing.round_trips import RoundTrips
 from radishwind.routing.sizes import RouteSizes
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
@@ -42,6 +44,8 @@
     traffic: PeerTraffic
     link: LinkMeter
     sizes: RouteSizes
+    trips: RoundTrips
+    clock: Clock
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
 
@@ -183,6 +187,16 @@
         "The part of the link that these take, of late.",
         lambda: {"": link.use()},
     )
+    metrics.gauge(
+        "radishwind_round_trip_seconds",
+        "The usual way to a failure domain and back, where one is fresh.",
+        lambda: {
+            f'domain="{name}"': trip_s
+            for name, trip_s in counted.trips.fresh(
+                counted.clock.monotonic()
+            ).items()
+        },
+    )
     metrics.gauge(
         "radishwind_route_bytes",
         "Bodies of a route's exchanges, as learned.",
