Ask for a large body only once somebody reads it

A caller that waits to be told to go on was told so before its request was looked at, so that a refused upload crossed all the same. It is now told when the body is read first. A body of which nothing was read is still at hand, so that a request refused before may go to another node; one begun never does.

--- a/src/radishwind/http/incoming.py
+++ b/src/radishwind/http/incoming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 
 from radishwind.http.types import BodyStream
 
@@ -16,13 +17,20 @@
       complete: whether its end has come.
     """
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        asked: Callable[[], None] | None = None,
+    ) -> None:
         """Makes a body of which nothing has come.
 
         Args:
           transport: of the connection that it comes from.
+          asked: called once somebody begins to read it.
         """
         self._transport = transport
+        self._asked = asked
+        self._begun = False
         self._pieces: list[bytes] = []
         self._held = 0
         self._paused = False
@@ -64,8 +72,15 @@
         """Returns the whole of a body whose end has come."""
         return self._pieces[0] if len(self._pieces) == 1 else self._joined()
 
+    @property
+    def is_unread(self) -> bool:
+        return not self._begun and not self._discards
+
     async def __aiter__(self) -> AsyncIterator[bytes]:
         whole = False
+        self._begun = True
+        if self._asked is not None and not self._held:
+            self._asked()
         try:
             while True:
                 while self._pieces:
--- a/src/radishwind/http/request_reader.py
+++ b/src/radishwind/http/request_reader.py
@@ -238,13 +238,20 @@
 
     def _begin_body(self, framing: Framing) -> None:
         """Waits for a small body; a larger one streams at once."""
-        body = self._body = IncomingBody(self._transport)
+        is_large = (framing.length or 0) > SMALL_BODY_BYTES
+        asked = self._continue if framing.continues and is_large else None
+        body = self._body = IncomingBody(self._transport, asked)
         self._body_bytes = 0
         self._delivered = False
-        if framing.continues:
-            self._transport.write(_CONTINUE)
-        if framing.length is not None and framing.length > SMALL_BODY_BYTES:
+        if is_large:
             self._deliver_stream(body, framing.length)
+        elif framing.continues:
+            self._continue()
+
+    def _continue(self) -> None:
+        """Tells a sender that waits to go on with its body."""
+        if not self._transport.is_closing():
+            self._transport.write(_CONTINUE)
 
     def _deliver_stream(self, body: IncomingBody, length: int | None) -> None:
         """Hands on the request whose body is still arriving."""
--- /dev/null
+++ b/src/radishwind/http/tests/test_uploads.py
@@ -0,0 +1,94 @@
+"""A large body is asked for only once somebody reads it."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from radishwind.http import Address
+from radishwind.http import Request
+from radishwind.http import Response
+from radishwind.http import ServerLimits
+from radishwind.http.httptools_sender import HttptoolsSender
+from radishwind.http.httptools_server import HttptoolsServer
+from radishwind.http.types import is_at_hand
+from radishwind.http.types import whole_body
+
+pytestmark = pytest.mark.anyio
+
+SIZE = 100_000
+HEAD = (
+    b"POST /%s HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n"
+    b"Expect: 100-continue\r\n\r\n"
+)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Handler:
+    """Refuses some unread, and reads others."""
+
+    def __init__(self):
+        self.at_hand = []
+
+    async def handle(self, request):
+        self.at_hand.append(is_at_hand(request.body))
+        if request.path == "/refused":
+            return Response(429, (), b"no", 2)
+        size = len(await whole_body(request.body))
+        self.at_hand.append(is_at_hand(request.body))
+        return Response(200, (), str(size).encode())
+
+
+@contextlib.asynccontextmanager
+async def listening():
+    handler = Handler()
+    server = HttptoolsServer(ServerLimits(linger_s=0.1))
+    address = await server.start(handler.handle, Address("127.0.0.1", 0))
+    try:
+        yield address, handler
+    finally:
+        await server.close(0.0)
+
+
+async def test_a_refused_body_is_never_asked_for():
+    async with (
+        listening() as (address, handler),
+        await anyio.connect_tcp(*address) as stream,
+    ):
+        await stream.send(HEAD % b"refused")
+        with anyio.fail_after(10):
+            answer = await stream.receive()
+
+    assert answer.startswith(b"HTTP/1.1 429")
+    assert handler.at_hand == [True]
+
+
+async def test_a_body_that_is_read_is_asked_for_first():
+    async with (
+        listening() as (address, handler),
+        await anyio.connect_tcp(*address) as stream,
+    ):
+        await stream.send(HEAD % b"read")
+        with anyio.fail_after(10):
+            first = await stream.receive()
+            await stream.send(b"x" * SIZE)
+            second = await stream.receive()
+
+    assert first == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert second.endswith(b"100000")
+    assert handler.at_hand == [True, False]
+
+
+async def test_a_body_without_that_field_is_read_as_before():
+    async with listening() as (address, _):
+        sender = HttptoolsSender(1)
+        body = b"x" * SIZE
+        request = Request("POST", "/read", (), body, SIZE)
+        response = await sender.send(address, request, 1.0)
+        await sender.close()
+
+    assert response.status == 200
--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -48,6 +48,11 @@
     def abort(self) -> None:
         """Gives the exchange up; its connection is closed, never reused."""
 
+    @property
+    def is_unread(self) -> bool:
+        """Whether nobody began to read it; some streams can't tell."""
+        return False
+
 
 Body: TypeAlias = bytes | BodyStream
 
@@ -108,6 +113,11 @@
     return b"".join([piece async for piece in body])
 
 
+def is_at_hand(body: Body) -> bool:
+    """Returns whether the whole of `body` can still be sent."""
+    return isinstance(body, bytes) or body.is_unread
+
+
 def abort_body(body: Body) -> None:
     """Aborts `body` if it is a stream."""
     if isinstance(body, BodyStream):
--- a/src/radishwind/retries/shared.py
+++ b/src/radishwind/retries/shared.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from radishwind.core.codes import ResultCode
-from radishwind.http.types import BodyStream
+from radishwind.http.types import is_at_hand
 from radishwind.http.types import is_server_error
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
@@ -132,7 +132,7 @@
     ) -> bool:
         if attempts >= MOST_ATTEMPTS or now + LEAST_LEFT_S >= call.deadline:
             return False
-        if isinstance(call.request.body, BodyStream):
+        if not is_at_hand(call.request.body):
             return False
         if isinstance(outcome, NotRun):
             if outcome.code in _FINAL:
