--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -23,6 +23,7 @@
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     memory_mb: int = 300
     max_fds: int = 4100
+    link_mbps: float = 0.0
 
 
 class _Provider(msgspec.Struct, frozen=True, rename="kebab"):
@@ -99,6 +100,7 @@
         cold_over=bounds.get("cold-over", 1.0),
         cold_slack=bounds.get("cold-slack", 0.0),
         revoke_s=bounds.get("revoke-ms", 5000.0) / 1000 if strict else None,
+        link_mbps=file.limits.link_mbps,
         first_start=file.bootstrap,
     )
 
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Sequence
+import math
 
 import msgspec
 
@@ -32,6 +33,8 @@
         with (ms); 0 where it came with none that ran.
       starts_left: requests that a cold server may still be sent just now;
         `None` where nothing bounds it.
+      link_kbps: what the link of its node has left (kbit/s); 0 where that
+        isn't known.
     """
 
     slots: int
@@ -46,6 +49,7 @@
     spell_left_ms: float = 0.0
     work_ms: float = 0.0
     starts_left: int | None = None
+    link_kbps: int = 0
 
     @property
     def is_spent(self) -> bool:
@@ -67,6 +71,7 @@
         now: float,
         exclude: frozenset[str] = frozenset(),
         work: str = "",
+        aim: float = math.inf,
     ) -> Member | None:
         """Returns the member to try, or `None` where none is fit.
 
@@ -75,6 +80,7 @@
           now: monotonic time (s).
           exclude: names already tried for this request.
           work: the kind of work, whose run times are learned apart.
+          aim: when an answer stops earning its full worth (monotonic s).
         """
 
     def inputs(self, member: Member, now: float, work: str = "") -> str:
--- a/src/radishwind/settings/placed.py
+++ b/src/radishwind/settings/placed.py
@@ -44,6 +44,8 @@
       revoke_s: a key that was taken away may run no later than this at any
         node, in touch with others or not (s); `None` where a node may go on
         with the newest configuration that it knows.
+      link_mbps: what the link of the instance carries each way (Mbit/s); 0
+        where that isn't told.
       first_start: whether the whole system starts for the first time, so that
         nothing was kept before.
       peer_address: where other nodes reach this one, if it is not where they
@@ -75,6 +77,7 @@
     cold_over: float = 1.0
     cold_slack: float = 0.0
     revoke_s: float | None = None
+    link_mbps: float = 0.0
     first_start: bool = False
     region_of: Mapping[str, str] = {}
     peer_address: Address | None = None
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -12,8 +12,10 @@
 from radishwind.core.clock import Clock
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.httptools_sender import HttptoolsSender
+from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.loads.link import LinkMeter
 from radishwind.membership.facts import Announced
 from radishwind.membership.listing import OpenListing
 from radishwind.node.callers import CallerListener
@@ -23,11 +25,13 @@
 from radishwind.peers.client import HttpPeerClient
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.peers.listener import PeerListener
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
+from radishwind.routing.round_trips import RoundTrips
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.control import Readiness
 from radishwind.sidecar.control_side import ControlSide
@@ -91,7 +95,10 @@
         self._leaving = False
         self._items_left_out = 0
         self._readiness = Readiness(self._ready)
-        self._peer_sender = HttptoolsSender(PEER_CONNECTIONS, PEER_KEEPALIVE_S)
+        self._link = LinkMeter(settings.link_mbps, self._clock)
+        self._peer_sender = HttptoolsSender(
+            PEER_CONNECTIONS, PEER_KEEPALIVE_S, self._link
+        )
         self._server_sender = HttptoolsSender(
             SERVER_CONNECTIONS, SERVER_KEEPALIVE_S
         )
@@ -105,8 +112,10 @@
             self._rng,
             STORE_BUDGET,
         )
-        self._client = HttpPeerClient(self._peer_sender)
-        self._datagrams = PeerSocket()
+        self._traffic = PeerTraffic()
+        self._trips = RoundTrips()
+        self._client = HttpPeerClient(self._peer_sender, traffic=self._traffic)
+        self._datagrams = PeerSocket(self._traffic.datagram)
         self._membership = MembershipTasks(
             settings=membership_settings(settings),
             clock=self._clock,
@@ -119,6 +128,7 @@
                 DISCOVERY, spread_s=start_spread_s(settings)
             ),
             socket=self._datagrams,
+            round_trip=self._took_trip,
         )
         self._routes = RoutesInForce(self._clock)
         self._emptied = EmptiedInForce(self._clock)
@@ -153,6 +163,7 @@
             ready_changed=self._ready_changed,
             learns_for_others=lambda: self._control.learns_for_others(),
             switches=self._switches,
+            link_kbps=self._link.free_kbps,
         )
         self._ready_changed(False)
         self._routes.listen(self._adopted)
@@ -177,6 +188,9 @@
             observers=(RequestLog(self._clock), self._metrics),
             proof=self._recency.proof,
             quotas=self._quotas.borrower,
+            traffic=self._traffic,
+            link_kbps=self._link.free_kbps,
+            trips=self._trips,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
@@ -205,6 +219,7 @@
             target=self._target.pipeline,
             chooser=self._entry.chooser,
             socket=self._datagrams,
+            traffic=self._traffic,
         )
         self._target.pulse.listen(self._loads.tell)
 
@@ -237,6 +252,11 @@
                 self._store,
                 self._datagrams,
                 self._quotas,
+                self._traffic,
+                self._link,
+                self._entry.sizes,
+                self._trips,
+                self._clock,
                 self._output,
                 self._words_left_out,
                 self._entry.keys,
@@ -284,7 +304,7 @@
         )
         ahead = AHEAD if self._switches.ahead else 0
         self._servers = await listening(
-            self._settings, handlers, ahead, self._log
+            self._settings, handlers, ahead, self._log, self._link
         )
 
     async def _stop(self) -> None:
@@ -352,6 +372,12 @@
             "store": self._items_left_out,
         }
 
+    def _took_trip(self, address: Address, trip_s: float) -> None:
+        """Takes how long a message to another node took there and back."""
+        domain = self._traffic.domain_of(address.host)
+        if domain is not None:
+            self._trips.took(domain, trip_s, self._clock.monotonic())
+
     def _left_out(self, reason: str) -> None:
         """Says which item of the store nobody can read; the others hold."""
         self._items_left_out += 1
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -6,15 +6,20 @@
 
 import msgspec
 
+from radishwind.core.clock import Clock
 from radishwind.entry.attempts import AttemptCounts
 from radishwind.entry.keys import KeyCheck
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.loads.link import LinkMeter
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
+from radishwind.peers.traffic import PeerTraffic
 from radishwind.recency import RecencyKeeper
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.routing.round_trips import RoundTrips
+from radishwind.routing.sizes import RouteSizes
 from radishwind.sidecar.quotas import QuotaSharing
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
@@ -23,6 +28,9 @@
 
 PATH = "/metrics"
 
+#: Routes whose sizes are told: those used most.
+MOST_ROUTES_TOLD = 32
+
 _TEXT = (("Content-Type", "text/plain; version=0.0.4"),)
 
 
@@ -37,6 +45,11 @@
     store: BudgetedStore
     datagrams: PeerSocket
     quotas: QuotaSharing
+    traffic: PeerTraffic
+    link: LinkMeter
+    sizes: RouteSizes
+    trips: RoundTrips
+    clock: Clock
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
     keys: KeyCheck
@@ -144,6 +157,7 @@
             'way="malformed"': counted.datagrams.malformed,
         },
     )
+    _add_links(metrics, counted)
     metrics.counter(
         "radishwind_left_out_total",
         "Words of other writers that nobody can read, by where they came.",
@@ -222,6 +236,56 @@
     )
 
 
+def _add_links(metrics: NodeExposition, counted: Counted) -> None:
+    link, sizes = counted.link, counted.sizes
+    metrics.counter(
+        "radishwind_peer_messages_total",
+        "Messages to other nodes, by failure domain, cause and route.",
+        counted.traffic.messages,
+    )
+    metrics.counter(
+        "radishwind_peer_bytes_total",
+        "Bytes of these and of their answers.",
+        counted.traffic.sizes,
+    )
+    metrics.counter(
+        "radishwind_link_bytes_total",
+        "Bytes of the exchanges with other nodes.",
+        lambda: {
+            'way="sent"': link.sent_bytes,
+            'way="received"': link.received_bytes,
+        },
+    )
+    metrics.gauge(
+        "radishwind_link_use",
+        "The part of the link that these take, of late.",
+        lambda: {"": link.use()},
+    )
+    metrics.gauge(
+        "radishwind_round_trip_seconds",
+        "The usual way to a failure domain and back, where one is fresh.",
+        lambda: {
+            f'domain="{name}"': trip_s
+            for name, trip_s in counted.trips.fresh(
+                counted.clock.monotonic()
+            ).items()
+        },
+    )
+    metrics.gauge(
+        "radishwind_route_bytes",
+        "Bodies of a route's exchanges, as learned.",
+        lambda: {
+            f'route="{route}",body="{body}"': size
+            for route, known in sizes.most_used(MOST_ROUTES_TOLD).items()
+            for body, size in (
+                ("request", known.request),
+                ("answer", known.answer),
+                ("large-answer", known.large),
+            )
+        },
+    )
+
+
 def _label(name: str) -> str:
     """Returns `name` as the value of a label."""
     return "".join(c if c.isalnum() or c in "-_." else "_" for c in name[:64])
