Keep a hot account short, and answer nothing before the nodes are known

Change: an account has room again only when no more is asked for than time brings; a node answers nothing in its first 0.7 s; a shortage told by one who lends no more is forgotten; questions go out in a fixed order, so that plays in virtual time repeat.

--- a/src/radishwind/quotas/borrower.py
+++ b/src/radishwind/quotas/borrower.py
@@ -32,6 +32,9 @@
 #: A lender that answered so lately is in touch (s).
 _ANSWERED_S = 1.0
 
+#: What isn't used is given up so long before its lease is over (s).
+_GIVE_UP_S = 0.3
+
 #: Giving up what was lent is told again after so long (s).
 _GIVES_UP_AGAIN_S = 0.1
 
@@ -77,12 +80,13 @@
         self._order = 0
         self._session = 0
         self._loans: dict[str, Loan] = {}
-        self._short_until: dict[str, float] = {}
+        #: By account, who said that it is short and until when (monotonic s).
+        self._short: dict[str, tuple[str, float]] = {}
         #: By lender, since when it has not answered (monotonic s).
         self._unanswered: dict[str, float] = {}
         #: By lender, when it answered last (monotonic s).
         self._answered: dict[str, float] = {}
-        self._due: set[str] = set()
+        self._due: dict[str, None] = {}
         self.counts = AccountCounts()
 
     @property
@@ -130,7 +134,7 @@
         return (
             f"quota={limit.rate_per_s:g}/s most={limit.most:.0f}/"
             f"{limit.window_s:g}s limit={loan.limit} spent={loan.spent} "
-            f"short={account in self._short_until} lender={loan.lender} "
+            f"short={account in self._short} lender={loan.lender} "
             f"nodes={loan.askers}"
         )
 
@@ -156,14 +160,11 @@
                 continue
             if self._fleet.lender(account) != told.node:
                 continue
-            if told.is_over:
-                self._short_until.pop(account, None)
-            else:
-                self._short_until[account] = now + SHORT_S
+            self._note_room(account, told.node, told.is_over, now)
 
     def flush(self, now: float) -> list[tuple[str, Ask]]:
         """Returns the messages that are due, with the node each is for."""
-        due, self._due = self._due, set()
+        due, self._due = self._due, {}
         by_lender: dict[str, list[AskItem]] = {}
         for account in due:
             loan = self._loans.get(account)
@@ -216,10 +217,10 @@
             for lender, when in self._answered.items()
             if now - when < _ANSWERED_S
         }
-        self._short_until = {
-            account: until
-            for account, until in self._short_until.items()
-            if now < until
+        self._short = {
+            account: told
+            for account, told in self._short.items()
+            if now < told[1]
         }
 
     def _is_idle(self, loan: Loan, now: float) -> bool:
@@ -232,7 +233,7 @@
             return now - loan.asked_at >= ASK_AGAIN_S
         if loan.want(now):
             return loan.lease_until - now < LEASE_S / 2
-        if loan.limit > loan.spent:
+        if loan.limit > loan.spent and now >= loan.lease_until - _GIVE_UP_S:
             loan.give_up(self._order)
             return True
         return False
@@ -266,7 +267,8 @@
         """Returns whether one that was not lent may be let in."""
         if not loan.confirmed or limit.unasked < 1:
             return False
-        if self._short_until.get(account, now) > now:
+        teller, until = self._short.get(account, ("", now))
+        if teller == loan.lender and now < until:
             return False
         return self._fleet.known <= limit.unasked or self._in_touch(
             loan.lender, now
@@ -290,7 +292,7 @@
     def _ask_soon(self, account: str) -> None:
         if not self._due:
             self._wake()
-        self._due.add(account)
+        self._due[account] = None
 
     def _ask_here(self, account: str, loan: Loan, now: float) -> None:
         item = self._item(account, loan, now)
@@ -327,7 +329,12 @@
             loan.lease_until = grant.sent_at + LEASE_S
         if loan.spent_known >= loan.unasked_to:
             loan.confirmed = True
-        if item.calm:
-            self._short_until.pop(item.account, None)
+        self._note_room(item.account, grant.node, item.calm, now)
+
+    def _note_room(
+        self, account: str, lender: str, has_room: bool, now: float
+    ) -> None:
+        if has_room:
+            self._short.pop(account, None)
         else:
-            self._short_until[item.account] = now + SHORT_S
+            self._short[account] = (lender, now + SHORT_S)
--- a/src/radishwind/quotas/lender.py
+++ b/src/radishwind/quotas/lender.py
@@ -158,6 +158,9 @@
         limit = self._limit_of(account)
         if limit is None or self._fleet.lender(account) != self._fleet.own:
             return None
+        if now < self._ready_at:
+            # Each node may let in one unasked until it is answered.
+            return None
         pool = self._pools.get(account)
         if pool is None:
             pool = self._pools[account] = self._open(limit, now)
@@ -173,8 +176,7 @@
         )
         share = self._fleet.share
         gained = max(0.0, now - since) * limit.rate_per_s
-        opening = limit.opening if now >= self._ready_at else 0.0
-        level = min(limit.depth, opening + gained) * share
+        level = min(limit.depth, limit.opening + gained) * share
         return Pool(limit, level, since, now)
 
     def _must_tell(self, pool: Pool, now: float) -> bool:
--- a/src/radishwind/quotas/pool.py
+++ b/src/radishwind/quotas/pool.py
@@ -18,9 +18,8 @@
 #: Below this part of its depth an account is short: what is let in unasked
 #: would use up the rest before the nodes hear of it.
 _SHORT = 1 / 6
-#: It has room again from this part on, or from so many times the other if no
-#: more is asked for than time brings.
-_PLENTY = 1 / 2
+#: It has room again from so many times that on, if no more is asked for than
+#: time brings.
 _ROOM_AGAIN = 1.3
 
 #: How fast the rate of what is asked for follows (s).
@@ -202,8 +201,6 @@
         bound = self.limit.depth * _SHORT
         if not self.is_short:
             return self.left < bound
-        if self.left >= self.limit.depth * _PLENTY * share:
-            return False
         too_much = self._demand_per_s(now) > self.limit.rate_per_s * share
         return too_much or self.left < bound * _ROOM_AGAIN
 
