--- a/src/radishwind/quotas/lender.py
+++ b/src/radishwind/quotas/lender.py
@@ -106,7 +106,7 @@
             if answer is not None:
                 granted.append(answer)
                 if pool.is_short and answer.limit <= answer.spent:
-                    self._log.info(f"Account {item.account} has no room.")
+                    self._note_over(item.account, pool)
             if self._must_tell(pool, now):
                 short.append(item.account)
         grant = Grant(
@@ -143,6 +143,7 @@
             if pool.told_short and not pool.is_short:
                 pool.told_short = False
                 roomy.append(account)
+                self._note_back(account, pool)
             if pool.is_idle and pool.is_full(self._fleet.share):
                 self._drop(account)
             elif self._must_tell(pool, now):
@@ -188,6 +189,27 @@
         pool.told_short = True
         return True
 
+    def _note_over(self, account: str, pool: Pool) -> None:
+        if pool.is_over:
+            return
+        pool.is_over = True
+        self._log.info(
+            f"Account {account} is over its quota.",
+            rate_per_s=pool.limit.rate_per_s,
+            most=round(pool.limit.most, 1),
+            window_s=pool.limit.window_s,
+            level=round(pool.level, 1),
+            share=round(self._fleet.share, 3),
+        )
+
+    def _note_back(self, account: str, pool: Pool) -> None:
+        if not pool.is_over:
+            return
+        pool.is_over = False
+        self._log.info(
+            f"Account {account} has room again.", level=round(pool.level, 1)
+        )
+
     def _drop(self, account: str) -> None:
         self._lent_before += self._pools.pop(account).lent
 
--- a/src/radishwind/quotas/pool.py
+++ b/src/radishwind/quotas/pool.py
@@ -69,6 +69,7 @@
         let in more unasked.
       lent: requests lent since the pool was opened.
       is_short: whether nothing may be let in unasked.
+      is_over: whether it was logged that the account is over its quota.
       told_short: whether all nodes were told so, and not the end of it.
       told_short_at: when all nodes were told so last (monotonic s).
       asked_at: when anybody asked last (monotonic s).
@@ -89,6 +90,7 @@
         self.level = level
         self.lent = 0
         self.is_short = False
+        self.is_over = False
         self.told_short = False
         self.told_short_at = -float("inf")
         self.asked_at = now
@@ -186,7 +188,7 @@
             self.lent += given
             need -= given
         if need > 0:
-            self._asked_for(need, now)
+            self._asked_for(1, now)
         return GrantItem(
             item.account,
             item.session,
