Take proof with the first read of a start, and ask less where nobody can help

Cause: a trial of a start of all showed proof 0.1 to 0.2 s after the configuration, which had come by a read that may be old; and where the store was lost for all, each answer in vain began the next round of questions at once (a test did not end).

Change: where proof is wanted the first read is of the newest state and proves it. Rounds of questions in vain follow each other in growing gaps; who asked in vain is answered again once there is better proof.

--- a/src/radishwind/recency/exchange.py
+++ b/src/radishwind/recency/exchange.py
@@ -102,7 +102,7 @@
         if proof is None or now - proof.as_of >= self._helps_below_s:
             if len(self._held) >= _MOST_HELD:
                 self._held.clear()
-            self._held[sender] = (question, now + self._helps_below_s / 2)
+            self._held[sender] = (question, now + self._helps_below_s)
         self._answer(question, sender, now)
 
     def _answer(self, question: Question, to: Address, now: float) -> None:
--- a/src/radishwind/recency/keeper.py
+++ b/src/radishwind/recency/keeper.py
@@ -97,6 +97,11 @@
         self._confirm = confirm
         self._hear = hear
 
+    def read_first(self, proof: Proof) -> None:
+        """Takes what the first read of the store proves, beside the task."""
+        self._take(proof, "store")
+        self._wake()
+
     def ages(self) -> dict[str, float]:
         """Returns the age of the proof held (s), for the metrics; if any."""
         age_s = self.proof.age_s(self._clock.monotonic())
--- a/src/radishwind/recency/seeker.py
+++ b/src/radishwind/recency/seeker.py
@@ -23,6 +23,9 @@
 #: Asked at once where proof is about to run out, or has.
 _ASKED_IN_HURRY = 3
 
+#: How often the gap between rounds in vain is doubled.
+_MOST_DOUBLINGS = 2
+
 #: A node in doubt looks again after at most this time (s), for who is there.
 _LOOK_S = 0.5
 
@@ -75,6 +78,7 @@
         self._looked_at = now
         self._heard_in_round = True
         self._ask_at = now
+        self._vain_rounds = 0
         self._reading = False
         # Who finds no peers at a start of all doesn't read before them.
         self._read_at = now + rng.random() * times.round_gap_s
@@ -98,11 +102,13 @@
         if proof is not None and now - proof.as_of < self._good_s():
             self._helper = name
             self._round = []
+            self._vain_rounds = 0
             return
         if name == self._helper:
             self._helper = ""
-        # Others are asked at once in its place.
-        self._ask_at = min(self._ask_at, now)
+        if self._round:
+            # Others are asked at once in its place; after them there is a gap.
+            self._ask_at = min(self._ask_at, now)
 
     def read_ended(self, succeeded: bool, now: float) -> None:
         """Takes that a reading of the store ended."""
@@ -161,7 +167,9 @@
         asked, self._round = self._round[:count], self._round[count:]
         wait_s = ANSWER_WAIT_S
         if asked and not self._round:
-            wait_s += self._times.round_gap_s
+            # Whoever gets proof meanwhile answers again.
+            wait_s += self._times.round_gap_s * 2**self._vain_rounds
+            self._vain_rounds = min(self._vain_rounds + 1, _MOST_DOUBLINGS)
         self._ask_at = now + wait_s
         return tuple(asked)
 
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -96,6 +96,7 @@
         clock: Clock,
         rng: random.Random,
         first_wait_s: float = 0.0,
+        take_proof: Callable[[Proof], None] | None = None,
     ) -> None:
         """Wires the feed.
 
@@ -115,6 +116,7 @@
           rng: the random source of pauses.
           first_wait_s: the store is first asked after up to this time (s), at
             random; not where a peer brought the configuration before.
+          take_proof: takes what the first read proves, where that is wanted.
         """
         self._node_name = node_name
         self._neighbours = Neighbours(
@@ -133,6 +135,7 @@
             take_config=self._take,
             take_emptied=self._take_emptied,
             emptied=lambda: emptied.domains,
+            take_proof=take_proof,
         )
         self._decode = decode
         self._in_force = in_force
--- a/src/radishwind/routes/store_side.py
+++ b/src/radishwind/routes/store_side.py
@@ -62,6 +62,7 @@
         take_config: Callable[[bytes, str], int],
         take_emptied: Callable[[EmptiedDomains, str], None],
         emptied: Callable[[], EmptiedDomains],
+        take_proof: Callable[[Proof], None] | None = None,
     ) -> None:
         """Wires the store's side of the feed.
 
@@ -75,7 +76,10 @@
             returns its version, 0 where it can't be read.
           take_emptied: takes the emptied failure domains and their source.
           emptied: returns those in force.
+          take_proof: takes what the first read proves; `None` where nobody
+            wants proof, so that it may bring old state.
         """
+        self._take_proof = take_proof
         self._keys = keys
         self._store = store
         self._rng = rng
@@ -104,9 +108,7 @@
         await anyio.sleep(self._rng.random() * first_wait_s)
         peers_may_bring_it = first_wait_s > 0
         while not is_known() or not peers_may_bring_it:
-            # What is newer than an old answer comes by the watch from its
-            # revision on, and to those who don't watch as a rumor.
-            if await self.read(allow_stale=True):
+            if await self._read_first():
                 break
             await anyio.sleep(self._backoff.failed())
             if is_known():
@@ -120,6 +122,17 @@
                 continue
             await self._watch()
 
+    async def _read_first(self) -> bool:
+        """Returns whether the first read brought a configuration."""
+        if self._take_proof is None:
+            # What is newer than an old answer comes by the watch from its
+            # revision on, and to those who don't watch as a rumor.
+            return await self.read(allow_stale=True)
+        proof = await self.confirm()
+        if proof is not None:
+            self._take_proof(proof)
+        return proof is not None
+
     async def read(self, *, allow_stale: bool = False) -> bool:
         """Returns whether there is a configuration and it could be read."""
         return await self._read(allow_stale=allow_stale) is not None
--- a/src/radishwind/routes/tests/test_confirm.py
+++ b/src/radishwind/routes/tests/test_confirm.py
@@ -2,6 +2,7 @@
 
 import random
 
+import anyio
 import pytest
 
 from radishwind.core import ManualClock
@@ -167,3 +168,30 @@
     assert await node.side.confirm() is None
     node.store.write(b"9")
     assert (await node.side.confirm()).version == 9
+
+
+async def run_first(node):
+    """Runs until the first read is done."""
+    node.side._is_watcher = lambda: False
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.side.run, 0.0, lambda: bool(node.taken))
+        with anyio.fail_after(5):
+            while not node.taken:  # noqa: ASYNC110
+                await anyio.sleep(0.001)
+        tasks.cancel_scope.cancel()
+
+
+async def test_the_first_read_proves_something_where_that_is_wanted(node):
+    proofs = []
+    node.side._take_proof = proofs.append
+
+    await run_first(node)
+
+    assert node.store.calls == ["list"]
+    assert proofs == [Proof(0.0, 7)]
+
+
+async def test_the_first_read_may_bring_old_state_where_it_is_not(node):
+    await run_first(node)
+
+    assert node.store.calls == ["stale"]
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -108,6 +108,7 @@
             first_wait_s=(
                 FIRST_START_SPREAD_S if settings.first_start else 0.0
             ),
+            take_proof=recency.keeper.read_first if recency.keeper else None,
         )
         self.heartbeats = HeartbeatListener(
             clock=clock,
--- a/tests/support/recency_net.py
+++ b/tests/support/recency_net.py
@@ -212,7 +212,9 @@
             return
         loop = asyncio.get_running_loop()
         if node.frozen_until > loop.time():
-            loop.call_at(node.frozen_until, self._deliver, sender, name, data)
+            loop.call_at(
+                node.frozen_until + 1e-6, self._deliver, sender, name, data
+            )
             return
         self.delivered += 1
         node.handler(data, sender.address)
