Bound what large answers take of memory, and give their slots back at once

An answer was held whole and then handed to its connection in one piece, so that readers which stop could take any amount of memory. It is handed on in pieces now, as its reader takes them; what all such answers may take is bounded, and beyond that one streams from the server at its reader's pace.

--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -53,6 +53,11 @@
         """Whether nobody began to read it; some streams can't tell."""
         return False
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of it has come, so that it can't break off."""
+        return False
+
 
 Body: TypeAlias = bytes | BodyStream
 
--- a/src/radishwind/target/confirmed.py
+++ b/src/radishwind/target/confirmed.py
@@ -17,7 +17,9 @@
 from radishwind.http.sender import Sender
 from radishwind.http.types import abort_body
 from radishwind.http.types import Body
+from radishwind.http.types import header
 from radishwind.http.types import Response
+from radishwind.http.types import SMALL_BODY_BYTES
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
@@ -26,6 +28,8 @@
 from radishwind.target.dialect import ServerDialect
 from radishwind.target.exchange import HeldStream
 from radishwind.target.exchange_base import Exchange
+from radishwind.target.held import HeldBody
+from radishwind.target.held import HeldRoom
 from radishwind.target.pulse import ServerPulse
 from radishwind.target.server import ServerView
 from radishwind.target.watch import ServerWatch
@@ -34,8 +38,8 @@
 #: instance, so one that takes longer meets a full accept queue.
 CONNECT_TIMEOUT_S = 0.5
 
-#: Answers up to this size (bytes) are held until they are whole. The largest
-#: the deployments name is 30 KB.
+#: Answers up to this size (bytes) are held until they are whole, while there is
+#: room.
 HELD_BYTES = 1 << 20
 
 #: When to come back after the server shed a request (s): about a run time.
@@ -46,7 +50,11 @@
 
 
 class ConfirmedExchange(Exchange):
-    """Holds each answer until it is known to be whole and the right one."""
+    """Holds each answer until it is known to be whole and the right one.
+
+    Attributes:
+      room: what the answers that are held may take in all.
+    """
 
     def __init__(
         self,
@@ -74,6 +82,7 @@
         self._watch = watch
         self._pulse = pulse
         self._replaced = replaced
+        self.room = HeldRoom()
 
     async def send(self, call: Call, view: ServerView, alone: bool) -> Outcome:
         self._pulse.used()
@@ -84,7 +93,7 @@
                 response = await self._sender.send(
                     view.address, request, CONNECT_TIMEOUT_S
                 )
-                body = await _held(response)
+                body = await self._held(response)
         except ConnectFailedError:
             self._watch.refused()
             return NotRun(
@@ -141,16 +150,19 @@
         if answer.not_run:
             abort_body(body)
             return self._refused(answer, view)
-        if isinstance(body, bytes):
-            self._watch.answered(call, response.status, alone)
-        return Done(
-            Response(
-                response.status,
-                end_to_end(answer.headers),
-                body,
-                response.body_bytes,
+        headers = end_to_end(answer.headers)
+        if not isinstance(body, bytes):
+            return Done(
+                Response(response.status, headers, body, response.body_bytes)
             )
-        )
+        self._watch.answered(call, response.status, alone)
+        size = len(body)
+        if size <= SMALL_BODY_BYTES:
+            return Done(Response(response.status, headers, body, size))
+        if header(headers, "content-length") is None:
+            headers += (("Content-Length", str(size)),)
+        held = HeldBody(body, self.room)
+        return Done(Response(response.status, headers, held, size))
 
     def _refused(self, answer: ServerAnswer, view: ServerView) -> NotRun:
         if answer.another:
@@ -167,23 +179,25 @@
             _SHED_RETRY_S,
         )
 
-
-async def _held(response: Response) -> Body:
-    """Returns the whole body, or the stream of one that is too large."""
-    body = response.body
-    if isinstance(body, bytes):
-        return body
-    if response.body_bytes is not None and response.body_bytes > HELD_BYTES:
-        return body
-    pieces = []
-    size = 0
-    async for piece in body:
-        pieces.append(piece)
-        size += len(piece)
-        if size > HELD_BYTES:
-            body.abort()
-            raise ExchangeBrokenError(
-                f"expected an answer of at most {HELD_BYTES} bytes without "
-                "a length, got more"
-            )
-    return b"".join(pieces)
+    async def _held(self, response: Response) -> Body:
+        """Returns the whole body, or the stream of one that is too large."""
+        body = response.body
+        if isinstance(body, bytes):
+            return body
+        length = response.body_bytes
+        if length is not None and (
+            length > HELD_BYTES or not self.room.fits(length)
+        ):
+            return body
+        pieces = []
+        size = 0
+        async for piece in body:
+            pieces.append(piece)
+            size += len(piece)
+            if size > HELD_BYTES:
+                body.abort()
+                raise ExchangeBrokenError(
+                    f"expected an answer of at most {HELD_BYTES} bytes without "
+                    "a length, got more"
+                )
+        return b"".join(pieces)
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -14,6 +14,7 @@
 from radishwind.entry.call import Call
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.sender import Sender
+from radishwind.http.types import Body
 from radishwind.http.types import BodyStream
 from radishwind.http.types import is_server_error
 from radishwind.outcomes.model import Done
@@ -233,9 +234,7 @@
         except BaseException:
             ended()
             raise
-        if isinstance(outcome, Done) and isinstance(
-            outcome.response.body, BodyStream
-        ):
+        if isinstance(outcome, Done) and _still_comes(outcome.response.body):
             return Done(
                 self._exchange.hold(call, outcome.response, ticket.alone, ended)
             )
@@ -318,6 +317,10 @@
     work_s: float = 0.0
 
 
+def _still_comes(body: Body) -> bool:
+    return isinstance(body, BodyStream) and not body.is_whole
+
+
 def _ran_well(outcome: Outcome | None) -> bool:
     if not isinstance(outcome, Done):
         return False
