Take on no more large answers than the link carries

A server may have slots free while the link before it has none. A node now counts what it sent and can't have left yet, and what attempts of others in progress will answer by the learned sizes; what would queue for over 0.3 s is refused at once as not run, with the time until there is room. Short answers always pass, and so does one for which nothing waits.

--- a/src/radishwind/loads/link.py
+++ b/src/radishwind/loads/link.py
@@ -20,6 +20,10 @@
     """Bytes that were sent and received, of late.
 
     Both ways of a link carry its full rate at once; the fuller one counts.
+
+    Attributes:
+      sent_bytes: since the start.
+      received_bytes: since the start.
     """
 
     def __init__(self, link_mbps: float, clock: Clock) -> None:
@@ -34,12 +38,17 @@
         self._step = 0
         self._sent = [0] * STEPS
         self._received = [0] * STEPS
+        # What was sent and can't have left yet (s of the link), as of a time.
+        self._queue_s = 0.0
+        self._queued_at = clock.monotonic()
         self.sent_bytes = 0
         self.received_bytes = 0
 
     def sent(self, size: int) -> None:
         self._follow()
         self._sent[self._step % STEPS] += size
+        self._queue_s = self._left_s() + self.time_s(size)
+        self._queued_at = self._clock.monotonic()
         self.sent_bytes += size
 
     def received(self, size: int) -> None:
@@ -69,6 +78,25 @@
         free = max(LEAST_FREE_PART, 1 - self.use())
         return max(1, int(free * self._mbps * _KBIT_PER_MBIT))
 
+    def time_s(self, size: int) -> float:
+        """Returns how long the link takes for `size` bytes (s)."""
+        if not self._mbps:
+            return 0.0
+        return size * _BITS_PER_BYTE / (self._mbps * _BITS_PER_MBIT)
+
+    def queue_s(self, expected_bytes: int = 0) -> float:
+        """Returns how long what is to be sent will take (s).
+
+        Args:
+          expected_bytes: what will come beside what was sent (bytes).
+        """
+        return self._left_s() + self.time_s(expected_bytes)
+
+    def _left_s(self) -> float:
+        return max(
+            0.0, self._queue_s - (self._clock.monotonic() - self._queued_at)
+        )
+
     def _follow(self) -> None:
         """Begins the step of now, and forgets those that it replaces."""
         step = int(self._clock.monotonic() / STEP_S)
--- /dev/null
+++ b/src/radishwind/loads/link_room.py
@@ -0,0 +1,79 @@
+"""Bounds what a node takes on for others by what its link can carry.
+
+A server may have slots free while the link before it has none: on 5 Mbit/s a
+tenth of what its slots answer fits. What is on its way and what attempts in
+progress will answer is counted; where that would wait longer than callers of
+others bear, further large answers go elsewhere, while short ones still pass.
+"""
+
+from radishwind.core.codes import ResultCode
+from radishwind.loads.link import LinkMeter
+from radishwind.outcomes import NotRun
+from radishwind.routing.sizes import RouteSizes
+
+#: The longest that answers may queue at the link (s).
+MOST_QUEUE_S = 0.3
+
+#: An answer that takes less of the link is always taken (s).
+SHORT_S = 0.01
+
+#: When to come back at the earliest (s).
+_LEAST_RETRY_S = 0.05
+
+
+class LinkRoom:
+    """What attempts in progress will put on the link.
+
+    Attributes:
+      expected_bytes: the answers of attempts in progress, as learned (bytes).
+      refused: attempts refused for want of room.
+      sizes: of answers, by route.
+    """
+
+    def __init__(self, meter: LinkMeter, sizes: RouteSizes) -> None:
+        """Wires the room.
+
+        Args:
+          meter: knows the link and what is on its way.
+          sizes: of answers, by route.
+        """
+        self._meter = meter
+        self.sizes = sizes
+        self.expected_bytes = 0
+        self.refused = 0
+
+    def begin(self, route: str) -> int | NotRun:
+        """Takes an attempt.
+
+        Args:
+          route: the route of the attempt.
+
+        Returns:
+          What it was counted for, to be told at its end (bytes), or why it
+          isn't taken.
+        """
+        size = int(self.sizes.answer_bytes(route))
+        queue_s = self._meter.queue_s(self.expected_bytes)
+        # One that would wait for nothing but itself is taken, however long.
+        wait_s = queue_s + self._meter.time_s(size) - MOST_QUEUE_S
+        if queue_s and wait_s > 0 and not self._is_short(size):
+            self.refused += 1
+            return NotRun(
+                ResultCode.OVERLOADED,
+                "The link of the target's node is full.",
+                round(max(_LEAST_RETRY_S, wait_s), 3),
+            )
+        self.expected_bytes += size
+        return size
+
+    def end(self, size: int) -> None:
+        """Takes that an attempt was answered; see `begin`.
+
+        Args:
+          size: what it was counted for (bytes).
+        """
+        self.expected_bytes -= size
+
+    def _is_short(self, size: int) -> bool:
+        """Returns whether an answer takes next to nothing of the link."""
+        return self._meter.time_s(size) < SHORT_S
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -12,11 +12,9 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
-from radishwind.http.types import is_server_error
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Member
-from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
 from radishwind.peers.attempts import forwarded
@@ -81,13 +79,7 @@
 
     def _sized(self, call: Call, result: AttemptResult) -> AttemptResult:
         """Returns `result`, after what it tells of the sizes of its route."""
-        outcome = result.outcome
-        if isinstance(outcome, Done) and not is_server_error(
-            outcome.response.status
-        ):
-            answer_bytes = _size(outcome.response)
-            request_bytes = call.request.body_bytes or 0
-            self._sizes.learn(call.route, request_bytes, answer_bytes)
+        self._sizes.learn_from(call, result.outcome)
         return result
 
     async def _exchange(
@@ -125,10 +117,3 @@
                 ResultCode.EXCHANGE_TIMEOUT,
                 "The target did not answer in time.",
             )
-
-
-def _size(response: Response) -> int:
-    """Returns the length of a body; 0 where it isn't told (bytes)."""
-    if isinstance(response.body, bytes):
-        return len(response.body)
-    return response.body_bytes or 0
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -11,11 +11,13 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.types import abort_body
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import whole_body
+from radishwind.loads.link_room import LinkRoom
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
 from radishwind.outcomes import problem
@@ -58,6 +60,7 @@
         target: TargetPipeline,
         verifier: PeerVerifier | None = None,
         asked_by: Callable[[str], None] | None = None,
+        link_room: LinkRoom | None = None,
     ) -> None:
         """Wires the listener.
 
@@ -68,7 +71,9 @@
           target: runs the attempts.
           verifier: checks who sends; `None` where there is no key.
           asked_by: takes the host of each node that sends an attempt.
+          link_room: bounds what the link is to carry; by default nothing does.
         """
+        self._link_room = link_room
         self._asked_by = asked_by or _forget_host
         self._node_name = node_name
         self._clock = clock
@@ -120,9 +125,25 @@
             )
             return with_answer(info.attempt_id, outcome, self._target.load())
         self._asked_by(request.remote)
-        result = await self._target.run(self._call(info, request, others))
+        call = self._call(info, request, others)
+        if self._link_room is None:
+            result = await self._target.run(call)
+        else:
+            result = await self._run_within(self._link_room, call)
         return with_answer(info.attempt_id, result.outcome, result.load)
 
+    async def _run_within(self, room: LinkRoom, call: Call) -> AttemptResult:
+        """Runs an attempt if the link has room for its answer."""
+        size = room.begin(call.route)
+        if isinstance(size, NotRun):
+            return AttemptResult(size, self._target.load())
+        try:
+            result = await self._target.run(call)
+        finally:
+            room.end(size)
+        room.sizes.learn_from(call, result.outcome)
+        return result
+
     async def _handle_control(
         self, request: Request, auth: str | None
     ) -> Response:
--- a/src/radishwind/routing/sizes.py
+++ b/src/radishwind/routing/sizes.py
@@ -1,7 +1,16 @@
 """How long the requests and answers of a route are, learned and bounded."""
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
+from radishwind.http.types import is_server_error
+from radishwind.outcomes.model import Done
+from radishwind.outcomes.model import Outcome
+
+if TYPE_CHECKING:
+    from radishwind.entry.call import Call
+
 #: Weight of one exchange in the mean sizes.
 MEAN_WEIGHT = 0.05
 
@@ -31,11 +40,6 @@
     large: float = 0.0
     count: int = 0
 
-    @property
-    def exchange(self) -> float:
-        """Both bodies of a usual exchange (bytes)."""
-        return self.request + self.answer
-
 
 class RouteSizes:
     """The sizes by route."""
@@ -69,11 +73,28 @@
         sizes.large += FADE_WEIGHT * (answer_bytes - sizes.large)
         sizes.large = max(sizes.large, float(answer_bytes))
 
+    def learn_from(self, call: "Call", outcome: Outcome) -> None:
+        """Takes an attempt that went well; others tell nothing of sizes."""
+        if not isinstance(outcome, Done):
+            return
+        response = outcome.response
+        if is_server_error(response.status):
+            return
+        body = response.body
+        told = len(body) if isinstance(body, bytes) else response.body_bytes
+        self.learn(call.route, call.request.body_bytes or 0, told or 0)
+
     def exchange_bytes(self, route: str) -> float:
         """Returns both bodies of a usual exchange; 0 where unknown (bytes)."""
         sizes = self._sizes.get(route)
+        request_bytes = sizes.request if sizes is not None else 0.0
+        return request_bytes + self.answer_bytes(route)
+
+    def answer_bytes(self, route: str) -> float:
+        """Returns the body of a usual answer; 0 where unknown (bytes)."""
+        sizes = self._sizes.get(route)
         if sizes is not None:
-            return sizes.exchange
+            return sizes.answer
         return float(LARGE_BYTES) if route in self._large else 0.0
 
     def known(self) -> dict[str, Sizes]:
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -17,6 +17,7 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.loads.link import LinkMeter
+from radishwind.loads.link_room import LinkRoom
 from radishwind.membership.facts import Announced
 from radishwind.membership.listing import OpenListing
 from radishwind.node.callers import CallerListener
@@ -181,12 +182,14 @@
             self._clock,
             refusal=_refused_late,
         )
+        self._link_room = LinkRoom(self._link, self._entry.sizes)
         self._peers = PeerListener(
             node_name=settings.node,
             clock=self._clock,
             rules_for=lambda service: ServiceRules(),
             target=self._target.pipeline,
             asked_by=lambda host: self._loads.asked_by(host),
+            link_room=self._link_room,
         )
         self._membership.listen_on(self._peers)
         self._attempts = RequestsInProgress(
@@ -235,6 +238,7 @@
                 self._datagrams,
                 self._traffic,
                 self._link,
+                self._link_room,
                 self._entry.sizes,
                 self._trips,
                 self._clock,
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -11,6 +11,7 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.loads.link import LinkMeter
+from radishwind.loads.link_room import LinkRoom
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.peers.traffic import PeerTraffic
@@ -43,6 +44,7 @@
     datagrams: PeerSocket
     traffic: PeerTraffic
     link: LinkMeter
+    link_room: LinkRoom
     sizes: RouteSizes
     trips: RoundTrips
     clock: Clock
@@ -187,6 +189,16 @@
         "The part of the link that these take, of late.",
         lambda: {"": link.use()},
     )
+    metrics.gauge(
+        "radishwind_link_queue_seconds",
+        "How long the link takes for what was sent and can't have left yet.",
+        lambda: {"": link.queue_s()},
+    )
+    metrics.counter(
+        "radishwind_link_refusals_total",
+        "Attempts of other nodes refused for want of room on the link.",
+        lambda: {"": counted.link_room.refused},
+    )
     metrics.gauge(
         "radishwind_round_trip_seconds",
         "The usual way to a failure domain and back, where one is fresh.",
