Leave what links take out of the forecast of an answer time

The time counts where targets are compared and where a way is judged to be in time; use is that of the last second, as a single answer fills 100 ms of a link.

--- a/src/radishwind/loads/link.py
+++ b/src/radishwind/loads/link.py
@@ -57,19 +57,17 @@
         self.received_bytes += size
 
     def use(self) -> float:
-        """Returns the part of the link that is in use; 0 if not known.
+        """Returns the part of the link used in a second; 0 if not known."""
+        self._follow()
+        size = max(sum(self._sent), sum(self._received))
+        return min(1.0, self.time_s(size) / (STEP_S * STEPS))
 
-        It is the mean of the last whole step and of the last second: a burst
-        counts at once, and ends in a second.
-        """
-        if not self._mbps:
-            return 0.0
+    def use_now(self) -> float:
+        """Returns the part used in the last whole step; 0 if not known."""
         self._follow()
         last = (self._step - 1) % STEPS
-        step_bits = max(self._sent[last], self._received[last]) * _BITS_PER_BYTE
-        most = max(sum(self._sent), sum(self._received)) * _BITS_PER_BYTE
-        per_s = (step_bits / STEP_S + most / (STEP_S * STEPS)) / 2
-        return min(1.0, per_s / (self._mbps * _BITS_PER_MBIT))
+        size = max(self._sent[last], self._received[last])
+        return min(1.0, self.time_s(size) / STEP_S)
 
     def free_kbps(self) -> int:
         """Returns what the link has left (kbit/s); 0 if not known."""
--- a/src/radishwind/loads/link_room.py
+++ b/src/radishwind/loads/link_room.py
@@ -6,10 +6,12 @@
 others bear, further large answers go elsewhere, while short ones still pass.
 """
 
+from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.loads.link import LinkMeter
 from radishwind.outcomes import NotRun
 from radishwind.routing.sizes import RouteSizes
+from radishwind.telemetry.logs import PartLogger
 
 #: The longest that answers may queue at the link (s).
 MOST_QUEUE_S = 0.3
@@ -30,13 +32,17 @@
       sizes: of answers, by route.
     """
 
-    def __init__(self, meter: LinkMeter, sizes: RouteSizes) -> None:
+    def __init__(
+        self, meter: LinkMeter, sizes: RouteSizes, clock: Clock
+    ) -> None:
         """Wires the room.
 
         Args:
           meter: knows the link and what is on its way.
           sizes: of answers, by route.
+          clock: bounds what is logged.
         """
+        self._log = PartLogger("loads", clock)
         self._meter = meter
         self.sizes = sizes
         self.expected_bytes = 0
@@ -58,6 +64,13 @@
         wait_s = queue_s + self._meter.time_s(size) - MOST_QUEUE_S
         if queue_s and wait_s > 0 and not self._is_short(size):
             self.refused += 1
+            self._log.info(
+                "The link is full; large answers go elsewhere.",
+                route=route,
+                answer_bytes=size,
+                expected_bytes=self.expected_bytes,
+                queue_ms=round(queue_s * 1000),
+            )
             return NotRun(
                 ResultCode.OVERLOADED,
                 "The link of the target's node is full.",
--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -126,9 +126,10 @@
         best = soonest = None
         least_s = least_time_s = best_time_s = math.inf
         for member in candidates:
-            time_s = self.cost_s(member, now, work)
+            way = self._way(member, work, now)
+            time_s = self.cost_s(member, now, work) + way.carry_s
             time_s *= 1 + COST_SPREAD * self._rng.random()
-            cost_s = time_s + self._way(member, work, now).weight_s
+            cost_s = time_s + way.weight_s
             if cost_s < least_s:
                 best, least_s, best_time_s = member, cost_s, time_s
             if time_s < least_time_s:
@@ -356,7 +357,8 @@
         way = self._way(member, work, now)
         if way is NO_WAY:
             return ""
-        return f" way={way.time_s * 1000:.0f}+{way.weight_s * 1000:.0f}ms"
+        parts = (way.time_s, way.carry_s, way.weight_s)
+        return f" way={'+'.join(f'{part * 1000:.0f}' for part in parts)}ms"
 
     def _hop_s(self, member: Member) -> float:
         if member.name == self._node_name:
--- a/src/radishwind/routing/ways.py
+++ b/src/radishwind/routing/ways.py
@@ -39,11 +39,14 @@
     """One way, as weighed.
 
     Attributes:
-      time_s: what it adds to an answer time (s).
+      time_s: there and back, for a message of no length (s).
+      carry_s: what the links take for a usual exchange (s). Not part of a
+        forecast: it is that of a mean use, which a link at rest betters.
       weight_s: what its use of links counts for beside that (s).
     """
 
     time_s: float = 0.0
+    carry_s: float = 0.0
     weight_s: float = 0.0
 
 
@@ -139,4 +142,4 @@
         others = (NEAR_LINKS if is_near else FAR_LINKS) - 1
         weight_s = min(most_s, others * bytes_s)
         weight_s += max(0.0, counted_s - there_s)
-        return Way(there_s + min(most_s, bytes_s), weight_s)
+        return Way(there_s, min(most_s, bytes_s), weight_s)
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -182,7 +182,7 @@
             self._clock,
             refusal=_refused_late,
         )
-        self._link_room = LinkRoom(self._link, self._entry.sizes)
+        self._link_room = LinkRoom(self._link, self._entry.sizes, self._clock)
         self._peers = PeerListener(
             node_name=settings.node,
             clock=self._clock,
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -186,8 +186,11 @@
     )
     metrics.gauge(
         "radishwind_link_use",
-        "The part of the link that these take, of late.",
-        lambda: {"": link.use()},
+        "The part of the link that these take, over a time.",
+        lambda: {
+            'over="1s"': link.use(),
+            'over="100ms"': link.use_now(),
+        },
     )
     metrics.gauge(
         "radishwind_link_queue_seconds",
