--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -13,11 +13,8 @@
 from radishwind.core.codes import ResultCode
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.httptools_sender import HttptoolsSender
-from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
-from radishwind.loads.link import LinkMeter
-from radishwind.loads.link_room import LinkRoom
 from radishwind.membership.facts import Announced
 from radishwind.membership.listing import OpenListing
 from radishwind.node.callers import CallerListener
@@ -28,18 +25,17 @@
 from radishwind.peers.client import HttpPeerClient
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.peers.listener import PeerListener
-from radishwind.peers.traffic import PeerTraffic
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
 from radishwind.platform.answers import respond
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
-from radishwind.routing.round_trips import RoundTrips
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.control import Readiness
 from radishwind.sidecar.control_side import ControlSide
 from radishwind.sidecar.entry_side import EntrySide
+from radishwind.sidecar.link_side import LinkSide
 from radishwind.sidecar.listening import Handlers
 from radishwind.sidecar.listening import listening
 from radishwind.sidecar.loads import LoadSharing
@@ -97,9 +93,9 @@
         self._leaving = False
         self._items_left_out = 0
         self._readiness = Readiness(self._ready)
-        self._link = LinkMeter(settings.link_mbps, self._clock)
+        self._links = LinkSide(settings, self._clock)
         self._peer_sender = HttptoolsSender(
-            PEER_CONNECTIONS, PEER_KEEPALIVE_S, self._link
+            PEER_CONNECTIONS, PEER_KEEPALIVE_S, self._links.meter
         )
         self._server_sender = HttptoolsSender(
             SERVER_CONNECTIONS, SERVER_KEEPALIVE_S
@@ -114,10 +110,10 @@
             self._rng,
             STORE_BUDGET,
         )
-        self._traffic = PeerTraffic()
-        self._trips = RoundTrips()
-        self._client = HttpPeerClient(self._peer_sender, traffic=self._traffic)
-        self._datagrams = PeerSocket(self._traffic.datagram)
+        self._client = HttpPeerClient(
+            self._peer_sender, traffic=self._links.traffic
+        )
+        self._datagrams = PeerSocket(self._links.traffic.datagram)
         self._membership = MembershipTasks(
             settings=membership_settings(settings),
             clock=self._clock,
@@ -130,7 +126,7 @@
                 DISCOVERY, spread_s=start_spread_s(settings)
             ),
             socket=self._datagrams,
-            round_trip=self._took_trip,
+            round_trip=self._links.took_trip,
         )
         self._routes = RoutesInForce(self._clock)
         self._emptied = EmptiedInForce(self._clock)
@@ -149,10 +145,11 @@
             ready_changed=self._ready_changed,
             learns_for_others=lambda: self._control.learns_for_others(),
             switches=self._switches,
-            link_kbps=self._link.free_kbps,
+            link_kbps=self._links.meter.free_kbps,
         )
         self._ready_changed(False)
         self._routes.listen(self._adopted)
+        self._routes.listen(self._links.adopt)
         self._emptied.listen(self._target.follow_emptied)
 
     def _build_entry(self) -> None:
@@ -172,9 +169,7 @@
             unreachable=self._membership.unreachable,
             tells_unasked=lambda member: self._loads.tells_unasked(member),
             observers=(RequestLog(self._clock), self._metrics),
-            traffic=self._traffic,
-            link_kbps=self._link.free_kbps,
-            trips=self._trips,
+            links=self._links,
         )
         self._caller_listener = CallerListener(self._entry.pipeline)
         self._callers = RequestsInProgress(
@@ -182,14 +177,13 @@
             self._clock,
             refusal=_refused_late,
         )
-        self._link_room = LinkRoom(self._link, self._entry.sizes, self._clock)
         self._peers = PeerListener(
             node_name=settings.node,
             clock=self._clock,
             rules_for=lambda service: ServiceRules(),
             target=self._target.pipeline,
             asked_by=lambda host: self._loads.asked_by(host),
-            link_room=self._link_room,
+            link_room=self._links.room,
         )
         self._membership.listen_on(self._peers)
         self._attempts = RequestsInProgress(
@@ -205,7 +199,7 @@
             target=self._target.pipeline,
             chooser=self._entry.chooser,
             socket=self._datagrams,
-            traffic=self._traffic,
+            traffic=self._links.traffic,
         )
         self._target.pulse.listen(self._loads.tell)
 
@@ -236,11 +230,7 @@
                 self._emptied,
                 self._store,
                 self._datagrams,
-                self._traffic,
-                self._link,
-                self._link_room,
-                self._entry.sizes,
-                self._trips,
+                self._links,
                 self._clock,
                 self._output,
                 self._words_left_out,
@@ -286,7 +276,7 @@
         )
         ahead = AHEAD if self._switches.ahead else 0
         self._servers = await listening(
-            self._settings, handlers, ahead, self._log, self._link
+            self._settings, handlers, ahead, self._log, self._links.meter
         )
 
     async def _stop(self) -> None:
@@ -354,12 +344,6 @@
             "store": self._items_left_out,
         }
 
-    def _took_trip(self, address: Address, trip_s: float) -> None:
-        """Takes how long a message to another node took there and back."""
-        domain = self._traffic.domain_of(address.host)
-        if domain is not None:
-            self._trips.took(domain, trip_s, self._clock.monotonic())
-
     def _left_out(self, reason: str) -> None:
         """Says which item of the store nobody can read; the others hold."""
         self._items_left_out += 1
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -26,7 +26,6 @@
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.peers.forward import ForwardRunner
-from radishwind.peers.traffic import PeerTraffic
 from radishwind.platform import read_caller
 from radishwind.platform import with_account
 from radishwind.platform.answers import respond
@@ -36,14 +35,10 @@
 from radishwind.retries.shared import SharedRetries
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
-from radishwind.routes.model import RouteConfig
 from radishwind.routing.fresh import FreshLoadChooser
 from radishwind.routing.placement import OpenDomains
-from radishwind.routing.round_trips import RoundTrips
-from radishwind.routing.sizes import RouteSizes
-from radishwind.routing.ways import LinkWays
-from radishwind.routing.ways import WayCosts
 from radishwind.settings.placed import PlacedSettings
+from radishwind.sidecar.link_side import LinkSide
 from radishwind.sidecar.options import choice_weights
 from radishwind.sidecar.options import MOST_RETRY_S
 from radishwind.sidecar.options import RETRY_S
@@ -60,7 +55,6 @@
       classifier: finds the route of a request.
       keys: finds the client account of a request.
       pipeline: answers requests.
-      sizes: how long requests and answers are.
     """
 
     def __init__(
@@ -82,9 +76,7 @@
         observers: Sequence[CallObserver] = (),
         proof: KeyProof | None = None,
         quotas: QuotaGate | None = None,
-        traffic: PeerTraffic | None = None,
-        link_kbps: Callable[[], int] | None = None,
-        trips: RoundTrips | None = None,
+        links: LinkSide | None = None,
     ) -> None:
         """Wires the entry side.
 
@@ -107,26 +99,11 @@
           observers: hear of each request that ended.
           proof: whether what is known of keys is recent.
           quotas: counts the requests of client accounts.
-          traffic: counts what passes to other nodes.
-          link_kbps: returns what the link of the node has left (kbit/s).
-          trips: round trips to other failure domains.
+          links: what is known of links and ways; by default a way is fixed.
         """
         self._service = service
         self.keys = KeyCheck(lambda: routes.accounts, proof)
-        self.sizes = RouteSizes()
-        routes.listen(self._expect_sizes)
-        self._aims: dict[str, float] = {}
         weights = choice_weights(switches)
-        ways: WayCosts | None = None
-        if link_kbps is not None and switches.ways:
-            ways = LinkWays(
-                own_domain=settings.failure_domain,
-                sizes=self.sizes,
-                trips=trips or RoundTrips(),
-                own_free_kbps=link_kbps,
-                aim_s=self._aim_s,
-                crossing_s=weights.crossing_s,
-            )
         self.chooser = FreshLoadChooser(
             rng,
             node_name=settings.node,
@@ -134,7 +111,11 @@
             own_load=target.pipeline.load,
             tells_unasked=tells_unasked,
             weights=weights,
-            ways=ways,
+            ways=(
+                links.ways(weights.crossing_s)
+                if links is not None and switches.ways
+                else None
+            ),
         )
         self.classifier = RoutedClassifier(
             clock=clock,
@@ -159,8 +140,8 @@
             target=target.pipeline,
             sender=sender,
             unreachable=unreachable,
-            traffic=traffic,
-            sizes=self.sizes,
+            traffic=links.traffic if links else None,
+            sizes=links.sizes if links else None,
         )
         hedges: HedgePolicy = HedgeBeforeAim(budget, self.chooser)
         self.pipeline = EntryPipeline(
@@ -191,14 +172,5 @@
             quotas=quotas,
         )
 
-    def _expect_sizes(self, cfg: RouteConfig) -> None:
-        self._aims = {route.name: route.aim_s for route in cfg.routes}
-        self.sizes.expect_large(
-            frozenset(r.name for r in cfg.routes if r.large_answers)
-        )
-
-    def _aim_s(self, route: str) -> float:
-        return self._aims.get(route, 0.0)
-
     def _read(self, headers: Headers) -> CallerFields:
         return read_caller(headers, self._service(), accounts=self.keys.in_use)
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -10,15 +10,11 @@
 from radishwind.entry.attempts import AttemptCounts
 from radishwind.http.types import Request
 from radishwind.http.types import Response
-from radishwind.loads.link import LinkMeter
-from radishwind.loads.link_room import LinkRoom
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
-from radishwind.peers.traffic import PeerTraffic
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
-from radishwind.routing.round_trips import RoundTrips
-from radishwind.routing.sizes import RouteSizes
+from radishwind.sidecar.link_side import LinkSide
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
 from radishwind.telemetry.exposition import NodeExposition
@@ -42,11 +38,7 @@
     emptied: EmptiedInForce
     store: BudgetedStore
     datagrams: PeerSocket
-    traffic: PeerTraffic
-    link: LinkMeter
-    link_room: LinkRoom
-    sizes: RouteSizes
-    trips: RoundTrips
+    links: LinkSide
     clock: Clock
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
@@ -165,16 +157,16 @@
 
 
 def _add_links(metrics: NodeExposition, counted: Counted) -> None:
-    link, sizes = counted.link, counted.sizes
+    links, link = counted.links, counted.links.meter
     metrics.counter(
         "radishwind_peer_messages_total",
         "Messages to other nodes, by failure domain, cause and route.",
-        counted.traffic.messages,
+        links.traffic.messages,
     )
     metrics.counter(
         "radishwind_peer_bytes_total",
         "Bytes of these and of their answers.",
-        counted.traffic.sizes,
+        links.traffic.sizes,
     )
     metrics.counter(
         "radishwind_link_bytes_total",
@@ -200,14 +192,14 @@
     metrics.counter(
         "radishwind_link_refusals_total",
         "Attempts of other nodes refused for want of room on the link.",
-        lambda: {"": counted.link_room.refused},
+        lambda: {"": links.room.refused},
     )
     metrics.gauge(
         "radishwind_round_trip_seconds",
         "The usual way to a failure domain and back, where one is fresh.",
         lambda: {
             f'domain="{name}"': trip_s
-            for name, trip_s in counted.trips.fresh(
+            for name, trip_s in links.trips.fresh(
                 counted.clock.monotonic()
             ).items()
         },
@@ -217,7 +209,7 @@
         "Bodies of a route's exchanges, as learned.",
         lambda: {
             f'route="{route}",body="{body}"': size
-            for route, known in sizes.most_used(MOST_ROUTES_TOLD).items()
+            for route, known in links.sizes.most_used(MOST_ROUTES_TOLD).items()
             for body, size in (
                 ("request", known.request),
                 ("answer", known.answer),
