Count no queue at the link for what a slow server lets wait

Attempts in progress counted for the link as if all were answered at once, so that a slow server's node refused large answers though its link was idle. What the link carries while they run is taken off.

--- a/src/radishwind/loads/link_room.py
+++ b/src/radishwind/loads/link_room.py
@@ -10,6 +10,7 @@
 from radishwind.core.codes import ResultCode
 from radishwind.loads.link import LinkMeter
 from radishwind.outcomes import NotRun
+from radishwind.routing.chooser import LoadReport
 from radishwind.routing.sizes import RouteSizes
 from radishwind.telemetry.logs import PartLogger
 
@@ -46,20 +47,22 @@
         self._meter = meter
         self.sizes = sizes
         self.expected_bytes = 0
+        self._in_progress = 0
         self.refused = 0
 
-    def begin(self, route: str) -> int | NotRun:
+    def begin(self, route: str, load: LoadReport) -> int | NotRun:
         """Takes an attempt.
 
         Args:
           route: the route of the attempt.
+          load: of the server beside.
 
         Returns:
           What it was counted for, to be told at its end (bytes), or why it
           isn't taken.
         """
         size = int(self.sizes.answer_bytes(route))
-        queue_s = self._meter.queue_s(self.expected_bytes)
+        queue_s = self._queue_s(load)
         # One that would wait for nothing but itself is taken, however long.
         wait_s = queue_s + self._meter.time_s(size) - MOST_QUEUE_S
         if queue_s and wait_s > 0 and not self._is_short(size):
@@ -77,6 +80,7 @@
                 round(max(_LEAST_RETRY_S, wait_s), 3),
             )
         self.expected_bytes += size
+        self._in_progress += 1
         return size
 
     def end(self, size: int) -> None:
@@ -86,6 +90,17 @@
           size: what it was counted for (bytes).
         """
         self.expected_bytes -= size
+        self._in_progress -= 1
+
+    def _queue_s(self, load: LoadReport) -> float:
+        """Returns how long the link will be behind the server (s).
+
+        While the server answers those in progress the link carries what came
+        before; of a slow server's answers none waits there.
+        """
+        server_s = load.service_ms / 1000 * self._in_progress
+        server_s /= max(1, load.slots)
+        return max(0.0, self._meter.queue_s(self.expected_bytes) - server_s)
 
     def _is_short(self, size: int) -> bool:
         """Returns whether an answer takes next to nothing of the link."""
--- a/src/radishwind/loads/tests/test_link_room.py
+++ b/src/radishwind/loads/tests/test_link_room.py
@@ -8,6 +8,7 @@
 from radishwind.loads.link_room import LinkRoom
 from radishwind.loads.link_room import MOST_QUEUE_S
 from radishwind.outcomes import NotRun
+from radishwind.routing.chooser import LoadReport
 from radishwind.routing.sizes import RouteSizes
 
 MBPS = 5
@@ -19,7 +20,8 @@
 class Node:
     """A node whose server answers each attempt after `RUN_S`."""
 
-    def __init__(self, mbps=MBPS):
+    def __init__(self, mbps=MBPS, slots=100, run_s=RUN_S):
+        self.load = LoadReport(slots, 0, 0, run_s * 1000)
         self.clock = ManualClock()
         sizes = RouteSizes()
         for route, size in BYTES.items():
@@ -32,7 +34,7 @@
         self.longest_s = 0.0
 
     def ask(self, route):
-        size = self.room.begin(route)
+        size = self.room.begin(route, self.load)
         if isinstance(size, NotRun):
             self.refused[route] += 1
             return
@@ -73,6 +75,15 @@
     assert node.taken[LARGE] == node.refused[LARGE] == 1
 
 
+def test_what_a_slow_server_lets_wait_is_no_queue_at_the_link():
+    """Three slots of 0.55 s answer half of what 10 Mbit/s carries."""
+    node = Node(mbps=10, slots=3, run_s=0.55)
+    for _ in range(12):
+        node.ask(LARGE)
+
+    assert node.refused[LARGE] == 0
+
+
 def test_nothing_is_refused_where_no_link_is_told():
     node = Node(mbps=0)
     for _ in range(100):
@@ -85,7 +96,7 @@
     node = Node()
     while not node.refused[LARGE]:
         node.ask(LARGE)
-    refusal = node.room.begin(LARGE)
+    refusal = node.room.begin(LARGE, node.load)
 
     assert 0 < refusal.retry_after_s < 1
 
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -134,9 +134,10 @@
 
     async def _run_within(self, room: LinkRoom, call: Call) -> AttemptResult:
         """Runs an attempt if the link has room for its answer."""
-        size = room.begin(call.route)
+        load = self._target.load()
+        size = room.begin(call.route, load)
         if isinstance(size, NotRun):
-            return AttemptResult(size, self._target.load())
+            return AttemptResult(size, load)
         try:
             result = await self._target.run(call)
         finally:
