--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -127,7 +127,7 @@
         least_s = least_time_s = best_time_s = math.inf
         for member in candidates:
             way = self._way(member, work, now)
-            time_s = self.cost_s(member, now, work) + way.carry_s
+            time_s = self._answer_s(member, now, work, way) + way.carry_s
             time_s *= 1 + COST_SPREAD * self._rng.random()
             cost_s = time_s + way.weight_s
             if cost_s < least_s:
@@ -179,9 +179,16 @@
 
     def cost_s(self, member: Member, now: float, work: str = "") -> float:
         """Returns the expected answer time (s); infinite for one away."""
+        way = self._way(member, work, now)
+        return self._answer_s(member, now, work, way)
+
+    def _answer_s(
+        self, member: Member, now: float, work: str, way: Way
+    ) -> float:
+        """Returns the same by the way to `member`, where it is known."""
         seen = self._seen.get(member.name)
         work_s = self._work_s.get(work, FIRST_WORK_S)
-        hop_s = self._hop_s(member) + self._way(member, work, now).time_s
+        hop_s = self._hop_s(member) + way.time_s
         if member.name == self._node_name:
             report, age_s, since = self._own_load(), 0.0, 0
         elif seen is None or seen.report is None:
--- a/src/radishwind/routing/tests/test_ways.py
+++ b/src/radishwind/routing/tests/test_ways.py
@@ -19,6 +19,7 @@
 from radishwind.routing.sizes import MOST_ROUTES
 from radishwind.routing.sizes import RouteSizes
 from radishwind.routing.ways import FixedWays
+from radishwind.routing.ways import KEPT_S
 from radishwind.routing.ways import LinkWays
 from radishwind.routing.ways import MOST_PART
 from radishwind.routing.weights import CROSSING_S
@@ -263,3 +264,20 @@
 def test_a_large_answer_stays_while_in_time_and_leaves_before_it_is_late():
     assert choose_large(near_busy=4) == "a"
     assert choose_large(near_busy=24) == "b"
+
+
+def test_a_way_that_was_weighed_is_kept_for_a_moment_only():
+    free_kbps = [LINK_KBPS]
+    known = sizes()
+    found = LinkWays(
+        own_domain="a",
+        sizes=known,
+        trips=RoundTrips(),
+        own_free_kbps=lambda: free_kbps[0],
+        aim_s=lambda route: AIM_S,
+    )
+    before = found.way("b", 0, LARGE, 1.0)
+    free_kbps[0] //= 2
+
+    assert found.way("b", 0, LARGE, 1.0 + KEPT_S / 2) == before
+    assert found.way("b", 0, LARGE, 1.0 + KEPT_S).carry_s > before.carry_s
--- a/src/radishwind/routing/ways.py
+++ b/src/radishwind/routing/ways.py
@@ -8,6 +8,7 @@
 
 import abc
 from collections.abc import Callable
+import math
 
 import msgspec
 
@@ -31,6 +32,10 @@
 #: left to earn its full worth; the rest is for what a forecast is wrong by.
 IN_TIME_PART = 0.7
 
+#: A way that was weighed is kept so long (s): the time over which a node
+#: counts what its link carries.
+KEPT_S = 0.1
+
 _BITS_PER_BYTE = 8
 _BITS_PER_KBIT = 1000
 
@@ -123,8 +128,23 @@
         self._own_free_kbps = own_free_kbps
         self._aim_s = aim_s
         self._crossing_s = crossing_s
+        self._kept: dict[tuple[str, int, str], Way] = {}
+        self._kept_since = -math.inf
 
     def way(self, domain: str, free_kbps: int, route: str, now: float) -> Way:
+        # A choice asks for each candidate, and little changes between.
+        if not 0 <= now - self._kept_since < KEPT_S:
+            self._kept.clear()
+            self._kept_since = now
+        key = (domain, free_kbps, route)
+        way = self._kept.get(key)
+        if way is None:
+            way = self._kept[key] = self._weighed(domain, free_kbps, route, now)
+        return way
+
+    def _weighed(
+        self, domain: str, free_kbps: int, route: str, now: float
+    ) -> Way:
         is_near = domain == self._own_domain
         there_s = counted_s = 0.0 if is_near else self._crossing_s
         own_kbps = self._own_free_kbps()
