--- a/src/radishwind/loads/link.py
+++ b/src/radishwind/loads/link.py
@@ -20,6 +20,10 @@
     """Bytes that were sent and received, of late.
 
     Both ways of a link carry its full rate at once; the fuller one counts.
+
+    Attributes:
+      sent_bytes: since the start.
+      received_bytes: since the start.
     """
 
     def __init__(self, link_mbps: float, clock: Clock) -> None:
@@ -34,12 +38,17 @@
         self._step = 0
         self._sent = [0] * STEPS
         self._received = [0] * STEPS
+        # What was sent and can't have left yet (s of the link), as of a time.
+        self._queue_s = 0.0
+        self._queued_at = clock.monotonic()
         self.sent_bytes = 0
         self.received_bytes = 0
 
     def sent(self, size: int) -> None:
         self._follow()
         self._sent[self._step % STEPS] += size
+        self._queue_s = self._left_s() + self.time_s(size)
+        self._queued_at = self._clock.monotonic()
         self.sent_bytes += size
 
     def received(self, size: int) -> None:
@@ -48,19 +57,17 @@
         self.received_bytes += size
 
     def use(self) -> float:
-        """Returns the part of the link that is in use; 0 if not known.
+        """Returns the part of the link used in a second; 0 if not known."""
+        self._follow()
+        size = max(sum(self._sent), sum(self._received))
+        return min(1.0, self.time_s(size) / (STEP_S * STEPS))
 
-        It is the mean of the last whole step and of the last second: a burst
-        counts at once, and ends in a second.
-        """
-        if not self._mbps:
-            return 0.0
+    def use_now(self) -> float:
+        """Returns the part used in the last whole step; 0 if not known."""
         self._follow()
         last = (self._step - 1) % STEPS
-        step_bits = max(self._sent[last], self._received[last]) * _BITS_PER_BYTE
-        most = max(sum(self._sent), sum(self._received)) * _BITS_PER_BYTE
-        per_s = (step_bits / STEP_S + most / (STEP_S * STEPS)) / 2
-        return min(1.0, per_s / (self._mbps * _BITS_PER_MBIT))
+        size = max(self._sent[last], self._received[last])
+        return min(1.0, self.time_s(size) / STEP_S)
 
     def free_kbps(self) -> int:
         """Returns what the link has left (kbit/s); 0 if not known."""
@@ -69,6 +76,25 @@
         free = max(LEAST_FREE_PART, 1 - self.use())
         return max(1, int(free * self._mbps * _KBIT_PER_MBIT))
 
+    def time_s(self, size: int) -> float:
+        """Returns how long the link takes for `size` bytes (s)."""
+        if not self._mbps:
+            return 0.0
+        return size * _BITS_PER_BYTE / (self._mbps * _BITS_PER_MBIT)
+
+    def queue_s(self, expected_bytes: int = 0) -> float:
+        """Returns how long what is to be sent will take (s).
+
+        Args:
+          expected_bytes: what will come beside what was sent (bytes).
+        """
+        return self._left_s() + self.time_s(expected_bytes)
+
+    def _left_s(self) -> float:
+        return max(
+            0.0, self._queue_s - (self._clock.monotonic() - self._queued_at)
+        )
+
     def _follow(self) -> None:
         """Begins the step of now, and forgets those that it replaces."""
         step = int(self._clock.monotonic() / STEP_S)
--- a/src/radishwind/routing/ways.py
+++ b/src/radishwind/routing/ways.py
@@ -8,6 +8,7 @@
 
 import abc
 from collections.abc import Callable
+import math
 
 import msgspec
 
@@ -31,6 +32,10 @@
 #: left to earn its full worth; the rest is for what a forecast is wrong by.
 IN_TIME_PART = 0.7
 
+#: A way that was weighed is kept so long (s): the time over which a node
+#: counts what its link carries.
+KEPT_S = 0.1
+
 _BITS_PER_BYTE = 8
 _BITS_PER_KBIT = 1000
 
@@ -39,11 +44,14 @@
     """One way, as weighed.
 
     Attributes:
-      time_s: what it adds to an answer time (s).
+      time_s: there and back, for a message of no length (s).
+      carry_s: what the links take for a usual exchange (s). Not part of a
+        forecast: it is that of a mean use, which a link at rest betters.
       weight_s: what its use of links counts for beside that (s).
     """
 
     time_s: float = 0.0
+    carry_s: float = 0.0
     weight_s: float = 0.0
 
 
@@ -120,8 +128,23 @@
         self._own_free_kbps = own_free_kbps
         self._aim_s = aim_s
         self._crossing_s = crossing_s
+        self._kept: dict[tuple[str, int, str], Way] = {}
+        self._kept_since = -math.inf
 
     def way(self, domain: str, free_kbps: int, route: str, now: float) -> Way:
+        # A choice asks for each candidate, and little changes between.
+        if not 0 <= now - self._kept_since < KEPT_S:
+            self._kept.clear()
+            self._kept_since = now
+        key = (domain, free_kbps, route)
+        way = self._kept.get(key)
+        if way is None:
+            way = self._kept[key] = self._weighed(domain, free_kbps, route, now)
+        return way
+
+    def _weighed(
+        self, domain: str, free_kbps: int, route: str, now: float
+    ) -> Way:
         is_near = domain == self._own_domain
         there_s = counted_s = 0.0 if is_near else self._crossing_s
         own_kbps = self._own_free_kbps()
@@ -139,4 +162,4 @@
         others = (NEAR_LINKS if is_near else FAR_LINKS) - 1
         weight_s = min(most_s, others * bytes_s)
         weight_s += max(0.0, counted_s - there_s)
-        return Way(there_s + min(most_s, bytes_s), weight_s)
+        return Way(there_s, min(most_s, bytes_s), weight_s)
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -11,15 +11,12 @@
 from radishwind.entry.keys import KeyCheck
 from radishwind.http.types import Request
 from radishwind.http.types import Response
-from radishwind.loads.link import LinkMeter
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.datagrams import PeerSocket
-from radishwind.peers.traffic import PeerTraffic
 from radishwind.recency import RecencyKeeper
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
-from radishwind.routing.round_trips import RoundTrips
-from radishwind.routing.sizes import RouteSizes
+from radishwind.sidecar.link_side import LinkSide
 from radishwind.sidecar.quotas import QuotaSharing
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
@@ -45,10 +42,7 @@
     store: BudgetedStore
     datagrams: PeerSocket
     quotas: QuotaSharing
-    traffic: PeerTraffic
-    link: LinkMeter
-    sizes: RouteSizes
-    trips: RoundTrips
+    links: LinkSide
     clock: Clock
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
@@ -237,16 +231,16 @@
 
 
 def _add_links(metrics: NodeExposition, counted: Counted) -> None:
-    link, sizes = counted.link, counted.sizes
+    links, link = counted.links, counted.links.meter
     metrics.counter(
         "radishwind_peer_messages_total",
         "Messages to other nodes, by failure domain, cause and route.",
-        counted.traffic.messages,
+        links.traffic.messages,
     )
     metrics.counter(
         "radishwind_peer_bytes_total",
         "Bytes of these and of their answers.",
-        counted.traffic.sizes,
+        links.traffic.sizes,
     )
     metrics.counter(
         "radishwind_link_bytes_total",
@@ -258,15 +252,28 @@
     )
     metrics.gauge(
         "radishwind_link_use",
-        "The part of the link that these take, of late.",
-        lambda: {"": link.use()},
+        "The part of the link that these take, over a time.",
+        lambda: {
+            'over="1s"': link.use(),
+            'over="100ms"': link.use_now(),
+        },
+    )
+    metrics.gauge(
+        "radishwind_link_queue_seconds",
+        "How long the link takes for what was sent and can't have left yet.",
+        lambda: {"": link.queue_s()},
+    )
+    metrics.counter(
+        "radishwind_link_refusals_total",
+        "Attempts of other nodes refused for want of room on the link.",
+        lambda: {"": links.room.refused},
     )
     metrics.gauge(
         "radishwind_round_trip_seconds",
         "The usual way to a failure domain and back, where one is fresh.",
         lambda: {
             f'domain="{name}"': trip_s
-            for name, trip_s in counted.trips.fresh(
+            for name, trip_s in links.trips.fresh(
                 counted.clock.monotonic()
             ).items()
         },
@@ -276,7 +283,7 @@
         "Bodies of a route's exchanges, as learned.",
         lambda: {
             f'route="{route}",body="{body}"': size
-            for route, known in sizes.most_used(MOST_ROUTES_TOLD).items()
+            for route, known in links.sizes.most_used(MOST_ROUTES_TOLD).items()
             for body, size in (
                 ("request", known.request),
                 ("answer", known.answer),
