--- a/src/radishwind/membership/discovery.py
+++ b/src/radishwind/membership/discovery.py
@@ -1,5 +1,6 @@
 """Finds first peers by settings and store, within a budget of store calls."""
 
+from collections.abc import Callable
 import enum
 import random
 from typing import TypeAlias
@@ -97,7 +98,21 @@
         clock: Clock,
         rng: random.Random,
         options: DiscoveryOptions,
+        listed: Callable[[StoreEntry], None] | None = None,
     ) -> None:
+        """Makes a finder.
+
+        Args:
+          store: holds the records.
+          failure_domain: where this node stands.
+          own: where other nodes reach this one.
+          clock: the clock.
+          rng: the random source of pauses.
+          options: how often the store is asked.
+          listed: takes each entry that was listed, also those that lie beside
+            the records and are none.
+        """
+        self._on_listed = listed
         self._store = store
         self._key = key_of(failure_domain)
         self._own = own
@@ -159,6 +174,9 @@
         except StoreError:
             self.calls["failed"] += 1
             return None
+        if self._on_listed is not None:
+            for entry in entries:
+                self._on_listed(entry)
         records = {e.key: read_record(e.value) for e in entries}
         self._record = records.get(self._key, ContactRecord())
         own = next((e for e in entries if e.key == self._key), None)
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -1,5 +1,6 @@
 """Runs membership: the timers and messages of the state machine."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import random
 from typing import Any
@@ -40,6 +41,7 @@
 from radishwind.peers.datagrams import PeerSocket
 from radishwind.settings import NodeSettings
 from radishwind.store import Store
+from radishwind.store import StoreEntry
 from radishwind.telemetry.logs import PartLogger
 
 #: Messages on their way at once; further ones count as lost.
@@ -67,6 +69,7 @@
         options: GossipOptions | None = None,
         discovery: DiscoveryOptions | None = None,
         socket: PeerSocket | None = None,
+        listed: Callable[[StoreEntry], None] | None = None,
     ) -> None:
         """Wires membership.
 
@@ -79,7 +82,8 @@
           store: holds the contacts.
           options: of gossip; by default those of `settings`.
           discovery: of the search for peers; by default those of `settings`.
-          socket: carries short messages, where peers' messages aren't signed.
+          socket: carries short messages; by default none goes by datagram.
+          listed: takes each entry that is listed with the contacts.
         """
         self._clock = clock
         self._listing = listing
@@ -111,6 +115,7 @@
             clock=clock,
             rng=rng,
             options=discovery,
+            listed=listed,
         )
         self._search = PeerSearch(
             settings=settings,
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -24,8 +24,8 @@
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Outcome
 from radishwind.outcomes import Unknown
-from radishwind.peers.security import AUTH_FIELD
-from radishwind.peers.security import PeerSigner
+from radishwind.peers.signing import AUTH_FIELD
+from radishwind.peers.signing import RequestSigner
 from radishwind.routing.chooser import LoadReport
 
 ATTEMPT_FIELD = "Radishwind-Node-Attempt"
@@ -129,7 +129,7 @@
     member: Member,
     attempt_id: str,
     remaining_s: float,
-    signer: PeerSigner | None,
+    signer: RequestSigner | None,
 ) -> Request:
     """Returns the request of an attempt, signed where there is a key.
 
@@ -150,7 +150,8 @@
     )
     if signer is not None:
         auth = signer.sign(member.address, request.method, request.path, field)
-        headers += ((AUTH_FIELD, auth),)
+        if auth is not None:
+            headers += ((AUTH_FIELD, auth),)
     return Request(
         request.method,
         request.path,
--- a/src/radishwind/peers/client.py
+++ b/src/radishwind/peers/client.py
@@ -12,9 +12,10 @@
 from radishwind.http.types import Address
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
+from radishwind.http.types import Response
 from radishwind.http.types import whole_body
-from radishwind.peers.security import AUTH_FIELD
-from radishwind.peers.security import PeerSigner
+from radishwind.peers.signing import AUTH_FIELD
+from radishwind.peers.signing import RequestSigner
 
 #: Paths below this one on the peer listener are control messages.
 CONTROL_PREFIX = "/radishwind/v1/"
@@ -60,7 +61,7 @@
     """Sends control messages by a `Sender`, signed where there is a key."""
 
     def __init__(
-        self, sender: Sender, signer: PeerSigner | None = None
+        self, sender: Sender, signer: RequestSigner | None = None
     ) -> None:
         self._sender = sender
         self._signer = signer
@@ -68,17 +69,9 @@
     async def call(
         self, address: Address, name: str, payload: bytes, timeout_s: float
     ) -> bytes:
-        path = CONTROL_PREFIX + name
-        headers: Headers = (("Content-Type", "application/json"),)
-        if self._signer is not None:
-            auth = self._signer.sign(address, "POST", path, payload)
-            headers += ((AUTH_FIELD, auth),)
-        request = Request("POST", path, headers, payload, len(payload))
         try:
             with anyio.fail_after(timeout_s):
-                response = await self._sender.send(
-                    address, request, CONNECT_TIMEOUT_S
-                )
+                response = await self._exchange(address, name, payload)
                 body = await whole_body(response.body)
         except ConnectFailedError as exc:
             raise PeerUnreachableError(f"{address} {name}: {exc}") from exc
@@ -89,3 +82,26 @@
                 f"{address} {name}: expected status 200, got {response.status}"
             )
         return body
+
+    async def _exchange(
+        self, address: Address, name: str, payload: bytes
+    ) -> Response:
+        """Returns the answer; a refusal may tell how to sign."""
+        request = self._signed(address, name, payload)
+        response = await self._sender.send(address, request, CONNECT_TIMEOUT_S)
+        if self._signer is None or not self._signer.may_sign_anew(
+            address, response
+        ):
+            return response
+        await whole_body(response.body)
+        request = self._signed(address, name, payload)
+        return await self._sender.send(address, request, CONNECT_TIMEOUT_S)
+
+    def _signed(self, address: Address, name: str, payload: bytes) -> Request:
+        path = CONTROL_PREFIX + name
+        headers: Headers = (("Content-Type", "application/json"),)
+        if self._signer is not None:
+            auth = self._signer.sign(address, "POST", path, payload)
+            if auth is not None:
+                headers += ((AUTH_FIELD, auth),)
+        return Request("POST", path, headers, payload, len(payload))
--- a/src/radishwind/peers/datagrams.py
+++ b/src/radishwind/peers/datagrams.py
@@ -4,9 +4,11 @@
 counted, not waited for: whoever needs an answer asks again, or by HTTP.
 """
 
+import abc
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import enum
 from typing import TypeAlias
 
@@ -30,6 +32,20 @@
     QUOTAS = 4
 
 
+class DatagramGuard(abc.ABC):
+    """Signs what leaves, and lets through what other nodes signed."""
+
+    @abc.abstractmethod
+    def outgoing(
+        self, datagram: bytes, peers: Iterable[Address]
+    ) -> Iterator[tuple[bytes, Address]]:
+        """Yields what to send to each of `peers` in place of `datagram`."""
+
+    @abc.abstractmethod
+    def incoming(self, datagram: bytes, sender: Address) -> bytes | None:
+        """Returns the datagram as it was before; `None` where it is refused."""
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """One UDP socket.
 
@@ -39,7 +55,13 @@
       malformed: datagrams that could not be read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, guard: DatagramGuard | None = None) -> None:
+        """Makes a socket that is not bound yet.
+
+        Args:
+          guard: signs and checks; by default all that comes is taken.
+        """
+        self._guard = guard
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[int, DatagramHandler] = {}
         self.sent = 0
@@ -69,19 +91,32 @@
         if len(data) >= MAX_DATAGRAM_BYTES:
             return False
         datagram = bytes((channel,)) + data
-        for peer in peers:
-            self._transport.sendto(datagram, (peer.host, peer.port))
+        for peer_datagram, peer in self._outgoing(datagram, peers):
+            self._transport.sendto(peer_datagram, (peer.host, peer.port))
             self.sent += 1
         return True
 
+    def _outgoing(
+        self, datagram: bytes, peers: Iterable[Address]
+    ) -> Iterable[tuple[bytes, Address]]:
+        if self._guard is None:
+            return ((datagram, peer) for peer in peers)
+        return self._guard.outgoing(datagram, peers)
+
     def close(self) -> None:
         """Closes the socket."""
         if self._transport is not None:
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = Address(*addr[:2])
+        if self._guard is not None:
+            checked = self._guard.incoming(data, sender)
+            if checked is None:
+                return
+            data = checked
         handler = self._handlers.get(data[0]) if data else None
-        if handler is None or not handler(data[1:], Address(*addr[:2])):
+        if handler is None or not handler(data[1:], sender):
             self.malformed += 1
             return
         self.received += 1
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -20,7 +20,7 @@
 from radishwind.peers.attempts import forwarded
 from radishwind.peers.attempts import read_result
 from radishwind.peers.client import CONNECT_TIMEOUT_S
-from radishwind.peers.security import PeerSigner
+from radishwind.peers.signing import RequestSigner
 from radishwind.target.pipeline import TargetPipeline
 
 #: What the caller is told of a fault, at most.
@@ -43,7 +43,7 @@
         clock: Clock,
         target: TargetPipeline,
         sender: Sender,
-        signer: PeerSigner | None = None,
+        signer: RequestSigner | None = None,
         unreachable: UnreachableHint | None = None,
     ) -> None:
         self._node_name = node_name
@@ -58,16 +58,36 @@
     ) -> AttemptResult:
         if member.name == self._node_name:
             return await self._target.run(call)
+        answer = await self._forward(call, member, attempt_id)
+        if self._may_sign_anew(call, member, answer):
+            answer = await self._forward(call, member, attempt_id)
+        if isinstance(answer, Response):
+            return read_result(answer, attempt_id)
+        return AttemptResult(answer)
+
+    def _may_sign_anew(
+        self, call: Call, member: Member, answer: Response | NotRun | Unknown
+    ) -> bool:
+        """Returns whether the node there only asks for another signature.
+
+        A body that is streamed can't be sent twice.
+        """
+        if self._signer is None or not isinstance(answer, Response):
+            return False
+        if not self._signer.may_sign_anew(member.address, answer):
+            return False
+        return isinstance(call.request.body, bytes)
+
+    async def _forward(
+        self, call: Call, member: Member, attempt_id: str
+    ) -> Response | NotRun | Unknown:
         remaining_s = call.deadline - self._clock.monotonic()
         if remaining_s <= 0:
-            return AttemptResult(
-                NotRun(ResultCode.DEADLINE_PASSED, "The deadline had passed.")
+            return NotRun(
+                ResultCode.DEADLINE_PASSED, "The deadline had passed."
             )
         request = forwarded(call, member, attempt_id, remaining_s, self._signer)
-        answer = await self._exchange(request, member, remaining_s)
-        if isinstance(answer, Response):
-            return read_result(answer, attempt_id)
-        return AttemptResult(answer)
+        return await self._exchange(request, member, remaining_s)
 
     async def _exchange(
         self, request: Request, member: Member, remaining_s: float
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -1,8 +1,10 @@
 """Serves the peer listener: forwarded attempts and control messages."""
 
+import abc
 from collections.abc import Awaitable
 from collections.abc import Callable
 import math
+from typing import NamedTuple
 from typing import TypeAlias
 
 import msgspec
@@ -27,11 +29,12 @@
 from radishwind.peers.attempts import split_node_fields
 from radishwind.peers.attempts import with_answer
 from radishwind.peers.client import CONTROL_PREFIX
-from radishwind.peers.security import AUTH_FIELD
-from radishwind.peers.security import PeerRefusedError
-from radishwind.peers.security import PeerReplayedError
-from radishwind.peers.security import PeerVerifier
+from radishwind.peers.signing import AUTH_FIELD
+from radishwind.peers.signing import PeerRefusedError
+from radishwind.peers.signing import PeerReplayedError
+from radishwind.peers.signing import RequestVerifier
 from radishwind.target.pipeline import TargetPipeline
+from radishwind.telemetry.logs import PartLogger
 
 #: Control messages up to this size (bytes) are read where `add_control` is
 #: given no other limit.
@@ -46,6 +49,33 @@
 ControlHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
 
+class AttemptPolicy(abc.ABC):
+    """What a forwarded attempt may claim, beyond being signed."""
+
+    @abc.abstractmethod
+    def agrees(self, info: AttemptInfo, request: Request) -> bool:
+        """Returns whether the request says no other account than `info`."""
+
+    @abc.abstractmethod
+    def takes_unsigned(self, info: AttemptInfo, request: Request) -> bool:
+        """Returns whether the attempt is harmless enough without signature."""
+
+
+class _Control(NamedTuple):
+    """Who answers at a control path.
+
+    Attributes:
+      handler: takes authentic requests.
+      max_bytes: longer messages are refused unread (bytes).
+      unsigned: takes requests without a signature where one is required;
+        `None` where they are refused.
+    """
+
+    handler: ControlHandler
+    max_bytes: int
+    unsigned: ControlHandler | None
+
+
 class PeerListener:
     """Serves the peer listener: forwarded attempts and control messages."""
 
@@ -56,7 +86,8 @@
         clock: Clock,
         rules_for: Callable[[str], ServiceRules],
         target: TargetPipeline,
-        verifier: PeerVerifier | None = None,
+        verifier: RequestVerifier | None = None,
+        policy: AttemptPolicy | None = None,
         asked_by: Callable[[str], None] | None = None,
     ) -> None:
         """Wires the listener.
@@ -67,6 +98,7 @@
           rules_for: returns the rules of a service.
           target: runs the attempts.
           verifier: checks who sends; `None` where there is no key.
+          policy: checks what an attempt claims; by default nothing.
           asked_by: takes the host of each node that sends an attempt.
         """
         self._asked_by = asked_by or _forget_host
@@ -75,7 +107,9 @@
         self._rules_for = rules_for
         self._target = target
         self._verifier = verifier
-        self._control: dict[str, tuple[ControlHandler, int]] = {}
+        self._policy = policy
+        self._log = PartLogger("peers", clock)
+        self._control: dict[str, _Control] = {}
         #: Requests refused, by result code.
         self.refused: dict[int, int] = {}
 
@@ -84,6 +118,7 @@
         name: str,
         handler: ControlHandler,
         max_bytes: int = MAX_CONTROL_BYTES,
+        unsigned: ControlHandler | None = None,
     ) -> None:
         """Routes the control path `/radishwind/v1/NAME` to `handler`.
 
@@ -93,8 +128,12 @@
           name: the last part of the path.
           handler: answers the messages.
           max_bytes: longer messages are refused unread (bytes).
+          unsigned: answers those without a signature where one is required;
+            by default they are refused.
         """
-        self._control[CONTROL_PREFIX + name] = (handler, max_bytes)
+        self._control[CONTROL_PREFIX + name] = _Control(
+            handler, max_bytes, unsigned
+        )
 
     async def handle(self, request: Request) -> Response:
         """Answers one request of a peer."""
@@ -109,9 +148,9 @@
             return self._refuse(exc.code, exc.args[0])
         try:
             covered = field.encode("utf-8", "surrogateescape")
-            self._verify(request, auth, covered)
+            self._verify_attempt(info, request, auth, covered)
         except PeerRefusedError as exc:
-            return self._refuse_attempt(info, exc)
+            return self._refuse_attempt(info, exc, request)
         if info.target != self._node_name:
             # The address has passed to another target since the peer heard.
             outcome: Outcome = NotRun(
@@ -127,26 +166,50 @@
         self, request: Request, auth: str | None
     ) -> Response:
         path = request.path.partition("?")[0]
-        handler, max_bytes = self._control.get(path, (None, 0))
-        if handler is None:
+        control = self._control.get(path)
+        if control is None:
             return self._refuse(
                 ResultCode.PEER_MALFORMED,
                 f"expected a known path, got {request.path[:80]!r}",
             )
         size = request.body_bytes
-        if size is None or size > max_bytes:
+        if size is None or size > control.max_bytes:
             abort_body(request.body)
             return self._refuse(
                 ResultCode.PEER_TOO_LARGE,
-                f"expected a body of at most {max_bytes} bytes, got {size}",
+                f"expected a body of at most {control.max_bytes} bytes, "
+                f"got {size}",
             )
         body = await whole_body(request.body)
+        handler = control.handler
         try:
             self._verify(request, auth, body)
         except PeerRefusedError as exc:
-            return self._refuse(exc.code, exc.args[0])
+            if auth is not None or control.unsigned is None:
+                self._note_refused(exc.code, path, request)
+                return self._refuse(exc.code, exc.args[0])
+            handler = control.unsigned
         return await handler(msgspec.structs.replace(request, body=body))
 
+    def _verify_attempt(
+        self, info: AttemptInfo, request: Request, auth: str | None, told: bytes
+    ) -> None:
+        """Returns if the attempt may run.
+
+        Raises:
+          PeerRefusedError: it may not.
+        """
+        policy = self._policy
+        try:
+            self._verify(request, auth, told)
+        except PeerRefusedError:
+            if auth is not None or policy is None:
+                raise
+            if not policy.takes_unsigned(info, request):
+                raise
+        if policy is not None and not policy.agrees(info, request):
+            raise PeerRefusedError("expected the account of the attempt")
+
     def _verify(
         self, request: Request, auth: str | None, covered: bytes
     ) -> None:
@@ -156,17 +219,38 @@
 
     def _refuse(self, code: ResultCode, detail: str) -> Response:
         self.refused[code] = self.refused.get(code, 0) + 1
-        return problem(code, detail, "not-run")
+        return self._telling_how_to_sign(problem(code, detail, "not-run"))
+
+    def _note_refused(
+        self, code: ResultCode, what: str, request: Request
+    ) -> None:
+        self._log.warning(
+            "Refuses a message that no node is known to have sent.",
+            what=what,
+            code=int(code),
+            sender=request.remote,
+        )
+
+    def _telling_how_to_sign(self, response: Response) -> Response:
+        if self._verifier is None:
+            return response
+        fields = self._verifier.refusal_fields()
+        if not fields:
+            return response
+        headers = (*response.headers, *fields)
+        return msgspec.structs.replace(response, headers=headers)
 
     def _refuse_attempt(
-        self, info: AttemptInfo, exc: PeerRefusedError
+        self, info: AttemptInfo, exc: PeerRefusedError, request: Request
     ) -> Response:
         self.refused[exc.code] = self.refused.get(exc.code, 0) + 1
+        self._note_refused(exc.code, "attempt", request)
         outcome: Outcome = NotRun(exc.code, exc.args[0], _RETRY_S)
         if isinstance(exc, PeerReplayedError):
             # The first one may have run.
             outcome = Unknown(exc.code, exc.args[0])
-        return with_answer(info.attempt_id, outcome, None)
+        refusal = with_answer(info.attempt_id, outcome, None)
+        return self._telling_how_to_sign(refusal)
 
     def _call(
         self, info: AttemptInfo, request: Request, headers: Headers
--- a/src/radishwind/peers/security.py
+++ b/src/radishwind/peers/security.py
@@ -10,11 +10,13 @@
 import itertools
 
 from radishwind.core.clock import Clock
-from radishwind.core.codes import ResultCode
-from radishwind.core.errors import RadishwindError
 from radishwind.http.types import Address
-
-AUTH_FIELD = "Radishwind-Node-Auth"
+from radishwind.peers.signing import AUTH_FIELD
+from radishwind.peers.signing import PeerRefusedError
+from radishwind.peers.signing import PeerReplayedError
+from radishwind.peers.signing import PeerStaleError
+from radishwind.peers.signing import RequestSigner
+from radishwind.peers.signing import RequestVerifier
 
 #: A request may have been sent this long ago (s) ...
 WINDOW_PAST_S = 30.0
@@ -30,25 +32,7 @@
 _PARTS = 4
 
 
-class PeerRefusedError(RadishwindError):
-    """A request of a peer is refused; nothing of it was done."""
-
-    code = ResultCode.PEER_UNAUTHENTICATED
-
-
-class PeerReplayedError(PeerRefusedError):
-    """The same request was received before."""
-
-    code = ResultCode.PEER_REPLAYED
-
-
-class PeerStaleError(PeerRefusedError):
-    """The time of the request is outside the window."""
-
-    code = ResultCode.PEER_STALE
-
-
-class PeerSigner:
+class PeerSigner(RequestSigner):
     """Signs requests to peers with the first key."""
 
     def __init__(self, key: bytes, clock: Clock, nonce_prefix: str) -> None:
@@ -65,14 +49,13 @@
         self._counts = itertools.count()
 
     def sign(self, to: Address, method: str, path: str, covered: bytes) -> str:
-        """Returns the value of `AUTH_FIELD` for a request to `to`."""
         stamp = str(self._clock.wall_ms())
         nonce = f"{self._nonce_prefix}{next(self._counts):x}"
         mac = _mac(self._key, to, method, path, stamp, nonce, covered)
         return f"{_VERSION} {stamp} {nonce} {mac}"
 
 
-class PeerVerifier:
+class PeerVerifier(RequestVerifier):
     """Checks the requests of peers against every key, once each."""
 
     def __init__(
--- /dev/null
+++ b/src/radishwind/peers/tests/test_fleet_security.py
@@ -0,0 +1,296 @@
+"""A message counts once, by the secret, at the process it is meant for."""
+
+import pytest
+
+from radishwind.core import ManualClock
+from radishwind.http import Address
+from radishwind.http import Response
+from radishwind.peers import fleet_security
+from radishwind.peers.datagrams import Channel
+from radishwind.peers.fleet_security import DATAGRAM_TAG_BYTES
+from radishwind.peers.fleet_security import FleetDatagrams
+from radishwind.peers.fleet_security import FleetSigner
+from radishwind.peers.fleet_security import FleetVerifier
+from radishwind.peers.fleet_security import Starts
+from radishwind.peers.keyring import Keyring
+from radishwind.peers.keyring import LENIENT_S
+from radishwind.peers.keyring import RETIRE_S
+from radishwind.peers.signing import PeerRefusedError
+from radishwind.peers.signing import PeerReplayedError
+
+OLD, NEW, FOREIGN = b"o" * 32, b"n" * 32, b"f" * 32
+ENTRY = Address("10.0.0.1", 7600)
+HERE = Address("10.0.0.2", 7600)
+ELSEWHERE = Address("10.0.0.3", 7600)
+PLAIN = bytes((Channel.LOADS,)) + b"a load"
+
+
+class Node:
+    """What signs and checks at one process."""
+
+    def __init__(self, address, secret=OLD, *, accounts=True, lenient=False):
+        self.clock = ManualClock()
+        self.address = address
+        self.keyring = Keyring(self.clock)
+        if secret is not None:
+            self.keyring.learn(secret, 1)
+        self.keyring.follow(accounts, lenient=lenient)
+        Node.started += 1
+        self.starts = Starts(Node.started.to_bytes(4, "big"))
+        self.signer = FleetSigner(self.keyring, self.starts)
+        self.verifier = FleetVerifier(self.keyring, self.starts, address)
+        self.guard = FleetDatagrams(
+            self.keyring, self.starts, address, self.clock
+        )
+
+    started = 0
+
+    def meets(self, other):
+        """Hears a datagram of `other`, as nodes do each second."""
+        ((data, _),) = other.guard.outgoing(PLAIN, [self.address])
+        self.guard.incoming(data, other.address)
+
+    def sign(self, to, covered=b"account-1"):
+        return self.signer.sign(to.address, "POST", "/x", covered)
+
+    def takes(self, field, method="POST", path="/x", covered=b"account-1"):
+        self.verifier.verify(field, method, path, covered)
+
+    def send(self, to, datagram=PLAIN):
+        ((data, _),) = self.guard.outgoing(datagram, [to.address])
+        return data
+
+
+@pytest.fixture
+def entry():
+    return Node(ENTRY)
+
+
+@pytest.fixture
+def here(entry):
+    node = Node(HERE)
+    entry.meets(node)
+    return node
+
+
+def test_request_of_a_node_is_taken_once(entry, here):
+    field = entry.sign(here)
+
+    here.takes(field)
+    with pytest.raises(PeerReplayedError):
+        here.takes(field)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"method": "GET"},
+        {"path": "/y"},
+        {"covered": b"account-2"},
+    ],
+)
+def test_altered_request_is_refused(entry, here, change):
+    with pytest.raises(PeerRefusedError):
+        here.takes(entry.sign(here), **change)
+
+
+@pytest.mark.parametrize("field", [None, "", "x" * 28, "é" * 28, "=" * 28])
+def test_request_without_a_signature_is_refused(here, field):
+    with pytest.raises(PeerRefusedError):
+        here.takes(field)
+
+
+def test_request_by_another_secret_is_refused(here):
+    foreign = Node(ENTRY, FOREIGN)
+    foreign.starts.note(HERE, here.starts.own)
+
+    with pytest.raises(PeerRefusedError):
+        here.takes(foreign.sign(here))
+
+
+def test_request_to_another_node_is_refused(entry, here):
+    other = Node(ELSEWHERE)
+    entry.starts.note(ELSEWHERE, here.starts.own)
+
+    with pytest.raises(PeerRefusedError):
+        here.takes(entry.sign(other))
+
+
+def test_request_to_an_earlier_process_is_refused_and_signed_anew(entry, here):
+    field = entry.sign(here)
+    restarted = Node(HERE)
+
+    with pytest.raises(PeerRefusedError):
+        restarted.takes(field)
+    refusal = Response(401, restarted.verifier.refusal_fields())
+
+    assert entry.signer.may_sign_anew(HERE, refusal)
+    restarted.takes(entry.sign(restarted))
+    assert not entry.signer.may_sign_anew(HERE, refusal)
+
+
+@pytest.mark.parametrize("told", ["", "zz", "00", "ü"])
+def test_refusal_with_a_start_that_cannot_be_read_changes_nothing(entry, told):
+    refusal = Response(401, ((fleet_security.START_FIELD, told),))
+
+    assert not entry.signer.may_sign_anew(HERE, refusal)
+
+
+def test_datagram_of_a_node_is_taken_once(entry, here):
+    data = entry.send(here)
+
+    assert here.guard.incoming(data, ENTRY) == PLAIN
+    assert here.guard.incoming(data, ENTRY) is None
+    assert here.guard.refused == {"unsigned": 0, "forged": 0, "replayed": 1}
+
+
+def test_each_altered_byte_of_a_datagram_is_noticed(entry, here):
+    data = entry.send(here)
+
+    for i in range(1, len(data)):
+        changed = data[:i] + bytes((data[i] ^ 1,)) + data[i + 1 :]
+        assert here.guard.incoming(changed, ENTRY) is None
+    other_channel = bytes((data[0] ^ 3,)) + data[1:]
+    assert here.guard.incoming(other_channel, ENTRY) is None
+    assert here.guard.incoming(data, ENTRY) == PLAIN
+
+
+@pytest.mark.parametrize("length", range(1, 10 + DATAGRAM_TAG_BYTES))
+def test_datagram_cut_short_is_refused(entry, here, length):
+    assert here.guard.incoming(entry.send(here)[:length], ENTRY) is None
+
+
+def test_datagram_to_another_node_is_refused(entry, here):
+    assert here.guard.incoming(entry.send(Node(ELSEWHERE)), ENTRY) is None
+    assert here.guard.refused["forged"] == 1
+
+
+def test_datagram_without_a_signature_is_refused(here):
+    assert here.guard.incoming(PLAIN, ENTRY) is None
+    assert here.guard.refused["unsigned"] == 1
+
+
+def test_one_sending_to_many_is_taken_by_each(entry, here):
+    other = Node(ELSEWHERE)
+
+    sent = {
+        peer: data
+        for data, peer in entry.guard.outgoing(PLAIN, [HERE, ELSEWHERE])
+    }
+
+    assert here.guard.incoming(sent[HERE], ENTRY) == PLAIN
+    assert other.guard.incoming(sent[ELSEWHERE], ENTRY) == PLAIN
+    assert here.guard.incoming(sent[ELSEWHERE], ENTRY) is None
+
+
+def test_without_accounts_nothing_is_signed_or_checked(monkeypatch):
+    def fail(*args, **more):
+        raise AssertionError("expected no signature to be made")
+
+    node, other = Node(ENTRY, accounts=False), Node(HERE, accounts=False)
+    monkeypatch.setattr(fleet_security.hashlib, "blake2b", fail)
+
+    assert node.sign(other) is None
+    assert node.send(other) is PLAIN
+    assert other.guard.incoming(PLAIN, ENTRY) is PLAIN
+    other.takes(None)
+    assert other.verifier.refusal_fields() == ()
+
+
+def test_node_without_accounts_yet_reads_what_others_sign(entry):
+    behind = Node(HERE, None, accounts=False)
+
+    assert behind.guard.incoming(entry.send(behind), ENTRY) == PLAIN
+    behind.takes(entry.sign(behind))
+
+
+def test_node_that_lacks_the_secret_takes_what_comes(entry):
+    lacking = Node(HERE, None)
+
+    assert lacking.keyring.lacks
+    assert lacking.guard.incoming(entry.send(lacking), ENTRY) == PLAIN
+    assert lacking.guard.incoming(PLAIN, ENTRY) == PLAIN
+    lacking.takes(entry.sign(lacking))
+    lacking.takes(None)
+
+
+def test_members_accept_before_they_require(entry):
+    adopting = Node(HERE, lenient=True)
+
+    assert adopting.keyring.signing is not None
+    adopting.takes(None)
+    assert adopting.guard.incoming(PLAIN, ENTRY) == PLAIN
+    adopting.clock.advance(LENIENT_S)
+    with pytest.raises(PeerRefusedError):
+        adopting.takes(None)
+    assert adopting.guard.incoming(PLAIN, ENTRY) is None
+
+
+def test_replay_is_refused_also_while_signatures_are_not_required(entry):
+    adopting = Node(HERE, lenient=True)
+    entry.meets(adopting)
+    field, data = entry.sign(adopting), entry.send(adopting)
+    adopting.takes(field)
+    adopting.guard.incoming(data, ENTRY)
+
+    with pytest.raises(PeerReplayedError):
+        adopting.takes(field)
+    assert adopting.guard.incoming(data, ENTRY) is None
+
+
+def test_rotation_takes_both_secrets_for_a_while(entry, here):
+    here.keyring.learn(NEW, 2)
+
+    here.takes(entry.sign(here))
+    assert here.guard.incoming(entry.send(here), ENTRY) == PLAIN
+    entry.keyring.learn(NEW, 2)
+    here.takes(entry.sign(here))
+    assert here.guard.incoming(entry.send(here), ENTRY) == PLAIN
+
+
+def test_replaced_secret_ends(entry, here):
+    here.keyring.learn(NEW, 2)
+    here.clock.advance(RETIRE_S)
+
+    with pytest.raises(PeerRefusedError):
+        here.takes(entry.sign(here))
+    assert here.guard.incoming(entry.send(here), ENTRY) is None
+
+
+def test_older_record_changes_nothing(entry, here):
+    here.keyring.learn(NEW, 5)
+    here.keyring.learn(FOREIGN, 4)
+
+    assert here.keyring.signing == NEW
+
+
+def test_unknown_signature_asks_for_a_look_at_the_record(entry, here):
+    asked = []
+    here.keyring.listen(lambda: asked.append(1))
+    entry.keyring.learn(NEW, 2)
+
+    here.guard.incoming(entry.send(here), ENTRY)
+
+    assert asked
+    assert here.keyring.doubted
+
+
+def test_no_line_or_field_holds_the_secret(entry, here):
+    secret = OLD.hex()
+    lines = []
+    from radishwind.telemetry import logs
+
+    taker = lines.append
+    logs._takers.append(taker)
+    try:
+        here.keyring.learn(NEW, 2)
+        here.guard.incoming(PLAIN, ENTRY)
+    finally:
+        logs._takers.remove(taker)
+    text = repr(lines) + entry.sign(here) + repr(here.verifier.refusal_fields())
+
+    assert lines
+    assert secret not in text
+    assert NEW.hex() not in text
+    assert "oooo" not in text
+    assert "nnnn" not in text
--- a/src/radishwind/platform/__init__.py
+++ b/src/radishwind/platform/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from radishwind.platform.boot import read_settings
+from radishwind.platform.caller import host_of
+from radishwind.platform.caller import named_accounts
 from radishwind.platform.caller import read_caller
 from radishwind.platform.caller import with_account
 from radishwind.platform.dialect import PlatformDialect
@@ -17,6 +19,8 @@
     "Heartbeat",
     "PlatformDialect",
     "PlatformStore",
+    "host_of",
+    "named_accounts",
     "read_call",
     "read_caller",
     "read_routes",
--- a/src/radishwind/platform/caller.py
+++ b/src/radishwind/platform/caller.py
@@ -2,6 +2,7 @@
 
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.routed import CallerFields
+from radishwind.http.types import header
 from radishwind.http.types import Headers
 from radishwind.platform.fields import ACCOUNT
 from radishwind.platform.fields import CALLER_SERVICE
@@ -17,6 +18,7 @@
 _TIMEOUT = TIMEOUT.lower()
 _SENDING_ID = SENDING_ID.lower()
 _KEY = KEY.lower()
+_ACCOUNT = ACCOUNT.lower()
 
 
 def read_caller(
@@ -61,6 +63,16 @@
     )
 
 
+def host_of(headers: Headers) -> str:
+    """Returns the host that a request names; empty where it names none."""
+    return _host(header(headers, "host") or "")
+
+
+def named_accounts(headers: Headers) -> tuple[str, ...]:
+    """Returns the accounts that a request names to a backend server."""
+    return tuple(value for name, value in headers if name.lower() == _ACCOUNT)
+
+
 def with_account(headers: Headers, name: str) -> Headers:
     """Returns `headers` with the account `name` for the backend server."""
     return (*headers, (ACCOUNT, name))
--- a/src/radishwind/routes/feed.py
+++ b/src/radishwind/routes/feed.py
@@ -174,11 +174,11 @@
             return problem(exc.code, str(exc), "not-run")
         answer: Offer | Nothing = Nothing()
         if isinstance(message, Ask):
-            answer = self._answer(message)
+            answer = self.answer(message)
         data = encode(answer)
         return Response(200, _MSGPACK, data, len(data))
 
-    def _answer(self, ask: Ask) -> Offer | Nothing:
+    def answer(self, ask: Ask) -> Offer | Nothing:
         """Returns what the peer that asks lacks."""
         emptied = self._emptied.domains
         if ask.have < self._in_force.version:
@@ -346,9 +346,8 @@
                 member.address, CONTROL_NAME, ask, _PEER_TIMEOUT_S
             )
             message = decode_message(data)
-            if not isinstance(message, Offer):
-                return False
-            self._take_offer(message, f"peer {member.name}")
+            if isinstance(message, Offer):
+                self._take_offer(message, f"peer {member.name}")
         except (PeerError, FeedMalformedError) as exc:
             self._log.info("A peer gave no routes.", reason=str(exc)[:120])
             return False
--- /dev/null
+++ b/src/radishwind/sidecar/account_policy.py
@@ -0,0 +1,54 @@
+"""Decides what a forwarded attempt may claim of client accounts."""
+
+from radishwind.http.types import Request
+from radishwind.membership.directory import Directory
+from radishwind.peers.attempts import AttemptInfo
+from radishwind.peers.keyring import Keyring
+from radishwind.peers.listener import AttemptPolicy
+from radishwind.platform import host_of
+from radishwind.platform import named_accounts
+from radishwind.routes.in_force import RoutesInForce
+
+
+class AccountPolicy(AttemptPolicy):
+    """Believes the name of an account from nodes only.
+
+    A node that started while the store was away can't sign yet. Its callers'
+    requests on public routes are still taken: anybody may make those.
+    """
+
+    def __init__(
+        self, keyring: Keyring, routes: RoutesInForce, directory: Directory
+    ) -> None:
+        """Makes a policy.
+
+        Args:
+          keyring: whether signatures are required.
+          routes: the routes in force.
+          directory: the nodes there are.
+        """
+        self._keyring = keyring
+        self._routes = routes
+        self._directory = directory
+
+    def agrees(self, info: AttemptInfo, request: Request) -> bool:
+        """Returns whether the server is told the account that was signed."""
+        if not self._keyring.requires:
+            return True
+        told = (info.account,) if info.account else ()
+        return named_accounts(request.headers) == told
+
+    def takes_unsigned(self, info: AttemptInfo, request: Request) -> bool:
+        """Returns whether any caller might make the request without a key."""
+        if info.account:
+            return False
+        host = host_of(request.headers)
+        route = self._routes.table.match(host, request.path)
+        if route is None or not route.public:
+            return False
+        if all(part.service != info.service for part in route.parts):
+            return False
+        return any(
+            member.address.host == request.remote
+            for member in self._directory.members()
+        )
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -8,7 +8,6 @@
 import anyio.abc
 import msgspec
 
-from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.request_log import RequestLog
@@ -22,9 +21,6 @@
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.outcomes import NotRun
 from radishwind.peers.attempts import is_attempt
-from radishwind.peers.client import HttpPeerClient
-from radishwind.peers.datagrams import PeerSocket
-from radishwind.peers.listener import PeerListener
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
 from radishwind.platform.answers import respond
@@ -53,6 +49,7 @@
 from radishwind.sidecar.options import start_spread_s
 from radishwind.sidecar.options import STORE_BUDGET
 from radishwind.sidecar.options import STORE_CONNECTIONS
+from radishwind.sidecar.peer_side import PeerSide
 from radishwind.sidecar.reload import SettingsFile
 from radishwind.sidecar.reload import SettingsFollower
 from radishwind.sidecar.stop import Farewell
@@ -106,20 +103,22 @@
             self._rng,
             STORE_BUDGET,
         )
-        self._client = HttpPeerClient(self._peer_sender)
-        self._datagrams = PeerSocket()
+        self._peers = PeerSide(
+            settings=settings, clock=self._clock, sender=self._peer_sender
+        )
         self._membership = MembershipTasks(
             settings=membership_settings(settings),
             clock=self._clock,
             rng=self._rng,
             listing=OpenListing(),
-            client=self._client,
+            client=self._peers.client,
             store=self._store,
             options=GOSSIP,
             discovery=msgspec.structs.replace(
                 DISCOVERY, spread_s=start_spread_s(settings)
             ),
-            socket=self._datagrams,
+            socket=self._peers.socket,
+            listed=self._peers.listed,
         )
         self._routes = RoutesInForce(self._clock)
         self._emptied = EmptiedInForce(self._clock)
@@ -150,6 +149,7 @@
             clock=self._clock,
             rng=self._rng,
             sender=self._peer_sender,
+            signer=self._peers.signer,
             directory=self._membership.directory,
             routes=self._routes,
             emptied=self._emptied,
@@ -167,16 +167,16 @@
             self._clock,
             refusal=_refused_late,
         )
-        self._peers = PeerListener(
-            node_name=settings.node,
-            clock=self._clock,
-            rules_for=lambda service: ServiceRules(),
+        self._peers.wire(
+            rng=self._rng,
+            store=self._store,
+            membership=self._membership,
+            routes=self._routes,
             target=self._target.pipeline,
             asked_by=lambda host: self._loads.asked_by(host),
         )
-        self._membership.listen_on(self._peers)
         self._attempts = RequestsInProgress(
-            self._peers.handle, self._clock, is_attempt
+            self._peers.listener.handle, self._clock, is_attempt
         )
         self._loads = LoadSharing(
             node_name=settings.node,
@@ -187,7 +187,7 @@
             directory=self._membership.directory,
             target=self._target.pipeline,
             chooser=self._entry.chooser,
-            socket=self._datagrams,
+            socket=self._peers.socket,
         )
         self._target.pulse.listen(self._loads.tell)
 
@@ -201,13 +201,13 @@
             clock=self._clock,
             rng=self._rng,
             store=self._store,
-            client=self._client,
+            client=self._peers.client,
             membership=self._membership,
             routes=self._routes,
             emptied=self._emptied,
             target=self._target,
         )
-        self._control.listen_on(self._peers)
+        self._control.listen_on(self._peers.listener)
         add_metrics(
             self._metrics,
             Counted(
@@ -217,7 +217,7 @@
                 self._routes,
                 self._emptied,
                 self._store,
-                self._datagrams,
+                self._peers,
                 self._output,
                 self._words_left_out,
             ),
@@ -231,6 +231,7 @@
             await tasks.start(self._wait_for_signal)
             await self._listen()
             tasks.start_soon(self._membership.run)
+            tasks.start_soon(self._peers.run)
             self._control.start(tasks)
             tasks.start_soon(self._target.keeper.run)
             tasks.start_soon(self._loads.run)
@@ -251,7 +252,7 @@
         self._output.flush()
 
     async def _listen(self) -> None:
-        await self._datagrams.start(self._settings.peers)
+        await self._peers.socket.start(self._settings.peers)
         handlers = Handlers(
             callers=self._callers.handle,
             peers=self._attempts.handle,
@@ -277,7 +278,7 @@
             farewell=Farewell(self._say_leaving, self._membership.say_left),
         )
         await stop.run(self._servers)
-        self._datagrams.close()
+        self._peers.socket.close()
 
     def _say_leaving(self) -> None:
         self._leaving = True
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -19,6 +19,7 @@
 from radishwind.routes.feed import RouteFeed
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.store_side import OperatorKeys
+from radishwind.routes.unsigned import UnsignedAsks
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.control import HeartbeatListener
 from radishwind.sidecar.habits import Findings
@@ -105,6 +106,12 @@
                 FIRST_START_SPREAD_S if settings.first_start else 0.0
             ),
         )
+        self._unsigned_asks = UnsignedAsks(
+            feed=self._feed,
+            directory=membership.directory,
+            peers=client,
+            clock=clock,
+        )
         self.heartbeats = HeartbeatListener(
             clock=clock,
             register=target.register,
@@ -123,7 +130,12 @@
 
     def listen_on(self, peers: PeerListener) -> None:
         """Answers what other nodes tell of routes and of who leaves."""
-        peers.add_control(ROUTES_CONTROL, self._feed.handle, ROUTES_MAX_BYTES)
+        peers.add_control(
+            ROUTES_CONTROL,
+            self._feed.handle,
+            ROUTES_MAX_BYTES,
+            unsigned=self._unsigned_asks.handle,
+        )
         peers.add_control(LEAVING_CONTROL, self._records.handle)
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -26,6 +26,7 @@
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.peers.forward import ForwardRunner
+from radishwind.peers.signing import RequestSigner
 from radishwind.platform import read_caller
 from radishwind.platform import with_account
 from radishwind.platform.answers import respond
@@ -73,6 +74,7 @@
         unreachable: Callable[[str], None] | None = None,
         tells_unasked: Callable[[Member], bool] | None = None,
         observers: Sequence[CallObserver] = (),
+        signer: RequestSigner | None = None,
         proof: KeyProof | None = None,
         quotas: QuotaGate | None = None,
     ) -> None:
@@ -95,6 +97,7 @@
           tells_unasked: returns whether a target tells this node its load
             though it got nothing from here.
           observers: hear of each request that ended.
+          signer: signs what is sent to other nodes.
           proof: whether what is known of keys is recent.
           quotas: counts the requests of client accounts.
         """
@@ -130,6 +133,7 @@
             clock=clock,
             target=target.pipeline,
             sender=sender,
+            signer=signer,
             unreachable=unreachable,
         )
         hedges: HedgePolicy = HedgeBeforeAim(budget, self.chooser)
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -10,9 +10,9 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.node.membership_tasks import MembershipTasks
-from radishwind.peers.datagrams import PeerSocket
 from radishwind.routes.emptied import EmptiedInForce
 from radishwind.routes.in_force import RoutesInForce
+from radishwind.sidecar.peer_side import PeerSide
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budget import BudgetedStore
 from radishwind.telemetry.exposition import NodeExposition
@@ -32,7 +32,7 @@
     routes: RoutesInForce
     emptied: EmptiedInForce
     store: BudgetedStore
-    datagrams: PeerSocket
+    peers: PeerSide
     output: BoundedOutput
     left_out: Callable[[], Mapping[str, int]]
 
@@ -131,9 +131,23 @@
         "radishwind_datagrams_total",
         "Datagrams between nodes: load, and short messages of membership.",
         lambda: {
-            'way="sent"': counted.datagrams.sent,
-            'way="received"': counted.datagrams.received,
-            'way="malformed"': counted.datagrams.malformed,
+            'way="sent"': counted.peers.socket.sent,
+            'way="received"': counted.peers.socket.received,
+            'way="malformed"': counted.peers.socket.malformed,
+        },
+    )
+    metrics.counter(
+        "radishwind_peer_messages_refused_total",
+        "Messages between nodes that were refused, by what and why.",
+        counted.peers.refused,
+    )
+    metrics.gauge(
+        "radishwind_peer_signatures",
+        "1 for what holds: messages are signed, required to be, lack a secret.",
+        lambda: {
+            'state="signed"': int(counted.peers.keyring.signing is not None),
+            'state="required"': int(counted.peers.keyring.requires),
+            'state="lacking"': int(counted.peers.keyring.lacks),
         },
     )
     metrics.counter(
--- /dev/null
+++ b/src/radishwind/sidecar/peer_side.py
@@ -0,0 +1,158 @@
+"""Wires what goes between nodes, and what authenticates it.
+
+With client accounts a node says for which account an attempt is, so messages
+between nodes are signed while the configuration in force has any.
+"""
+
+from collections.abc import Callable
+import os
+import random
+
+from radishwind.config.model import ServiceRules
+from radishwind.core.clock import Clock
+from radishwind.http.sender import Sender
+from radishwind.membership.directory import MemberState
+from radishwind.membership.ranking import ranks_among_first
+from radishwind.node.membership_tasks import MembershipTasks
+from radishwind.peers.client import HttpPeerClient
+from radishwind.peers.datagrams import PeerSocket
+from radishwind.peers.fleet_security import FleetDatagrams
+from radishwind.peers.fleet_security import FleetSigner
+from radishwind.peers.fleet_security import FleetVerifier
+from radishwind.peers.fleet_security import START_BYTES
+from radishwind.peers.fleet_security import Starts
+from radishwind.peers.keyring import Keyring
+from radishwind.peers.listener import PeerListener
+from radishwind.routes.in_force import RoutesInForce
+from radishwind.routes.model import RouteConfig
+from radishwind.settings.placed import PlacedSettings
+from radishwind.sidecar.account_policy import AccountPolicy
+from radishwind.sidecar.options import start_spread_s
+from radishwind.sidecar.secret import SecretKeeper
+from radishwind.store.base import Store
+from radishwind.store.base import StoreEntry
+from radishwind.target.pipeline import TargetPipeline
+
+
+class PeerSide:
+    """What a node sends to others and takes from them.
+
+    Attributes:
+      keyring: the secrets that count.
+      guard: checks datagrams.
+      signer: signs requests.
+      client: sends control messages.
+      socket: sends datagrams.
+      listener: takes requests of other nodes.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: PlacedSettings,
+        clock: Clock,
+        sender: Sender,
+    ) -> None:
+        """Wires what needs no other part.
+
+        Args:
+          settings: of the node.
+          clock: the clock.
+          sender: sends to other nodes.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._own = settings.peer_address or settings.peers
+        self._ran_without = False
+        self._starts = Starts(os.urandom(START_BYTES))
+        self.keyring = Keyring(clock)
+        self.guard = FleetDatagrams(
+            self.keyring, self._starts, self._own, clock
+        )
+        self.signer = FleetSigner(self.keyring, self._starts)
+        self.client = HttpPeerClient(sender, self.signer)
+        self.socket = PeerSocket(self.guard)
+
+    def wire(
+        self,
+        *,
+        rng: random.Random,
+        store: Store,
+        membership: MembershipTasks,
+        routes: RoutesInForce,
+        target: TargetPipeline,
+        asked_by: Callable[[str], None],
+    ) -> None:
+        """Wires what needs other parts.
+
+        Args:
+          rng: the random source of pauses.
+          store: the platform's store.
+          membership: which nodes there are.
+          routes: the routes in force.
+          target: runs the attempts.
+          asked_by: takes the host of each node that sends an attempt.
+        """
+        self._directory = membership.directory
+        self._keeper = SecretKeeper(
+            keyring=self.keyring,
+            store=store,
+            clock=self._clock,
+            rng=rng,
+            board=membership.board,
+            makes=self._ranks_first,
+            spread_s=start_spread_s(self._settings),
+            entropy=os.urandom,
+        )
+        self.listener = PeerListener(
+            node_name=self._settings.node,
+            clock=self._clock,
+            rules_for=lambda service: ServiceRules(),
+            target=target,
+            verifier=FleetVerifier(self.keyring, self._starts, self._own),
+            policy=AccountPolicy(self.keyring, routes, self._directory),
+            asked_by=asked_by,
+        )
+        membership.listen_on(self.listener)
+        routes.listen(self._adopted)
+
+    def listed(self, entry: StoreEntry) -> None:
+        """Takes an entry that was listed with the contacts."""
+        self._keeper.listed(entry)
+
+    async def run(self) -> None:
+        """Finds the secret when it is needed, until cancelled."""
+        await self._keeper.run()
+
+    def refused(self) -> dict[str, int]:
+        """Returns how many messages were refused, by what and why."""
+        return {
+            **{
+                f'what="request",why="RW-{code}"': count
+                for code, count in self.listener.refused.items()
+            },
+            **{
+                f'what="datagram",why="{why}"': count
+                for why, count in self.guard.refused.items()
+            },
+        }
+
+    def _adopted(self, cfg: RouteConfig) -> None:
+        """Signs where there are accounts, and asks others to some time later.
+
+        Where this node ran without accounts the others may still do so, and at
+        the very first start all read the secret at the same time.
+        """
+        lenient = self._ran_without or self._settings.first_start
+        self.keyring.follow(bool(cfg.accounts), lenient=lenient)
+        self._ran_without = not cfg.accounts
+
+    def _ranks_first(self) -> bool:
+        """Returns whether this node ranks first of those that live."""
+        others = [
+            member.name
+            for member in self._directory.members()
+            if member.state is not MemberState.DEAD
+            and member.name != self._settings.node
+        ]
+        return ranks_among_first(self._settings.node, others, 1)
--- /dev/null
+++ b/src/radishwind/sidecar/secret.py
@@ -0,0 +1,236 @@
+"""Keeps the secret of the fleet: finds it in the store, or makes it there.
+
+The record lies beside the contacts of membership, which each start lists
+anyway. Who finds none writes one on the condition that there is none, so that
+one writer wins. Nodes tell each other that there is a record, never the
+secret.
+"""
+
+from collections.abc import Callable
+import random
+
+import anyio
+import msgspec
+
+from radishwind.core.clock import Clock
+from radishwind.membership.contacts import PREFIX as CONTACTS_PREFIX
+from radishwind.membership.rumors import RumorBoard
+from radishwind.peers.keyring import Keyring
+from radishwind.store.base import Compare
+from radishwind.store.base import Put
+from radishwind.store.base import Store
+from radishwind.store.base import StoreEntry
+from radishwind.store.base import StoreError
+from radishwind.store.budget import Backoff
+from radishwind.telemetry.logs import PartLogger
+
+#: No failure domain has this name.
+KEY = CONTACTS_PREFIX + ".peers"
+
+#: The topic of the rumor that tells the revision of the record, and how long
+#: it is kept (s).
+TOPIC = "peer-secret"
+_RUMOR_S = 60.0
+
+SECRET_BYTES = 32
+
+#: Who isn't to make the record waits this long for who is (s).
+OTHERS_WAIT_S = 1.0
+
+#: What listing the contacts takes (s), with time for a busy store.
+_LISTING_S = 0.05
+
+#: Pauses between looks that brought nothing new (s).
+_FIRST_PAUSE_S = 0.2
+_LONGEST_PAUSE_S = 2.0
+
+#: Pauses between looks for a newer secret than the one known (s). Forged
+#: messages cause them too.
+_FIRST_DOUBT_S = 1.0
+_LONGEST_DOUBT_S = 60.0
+
+
+class SecretRecord(msgspec.Struct, frozen=True):
+    """The record in the store.
+
+    Attributes:
+      secret: of all nodes.
+    """
+
+    secret: bytes
+
+
+def read_record(value: bytes) -> SecretRecord | None:
+    """Returns the record in `value`; `None` where there is no good one."""
+    try:
+        record = msgspec.json.decode(value, type=SecretRecord)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    return record if len(record.secret) == SECRET_BYTES else None
+
+
+class SecretKeeper:
+    """The task that gives a keyring the secret when it needs one."""
+
+    def __init__(
+        self,
+        *,
+        keyring: Keyring,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        board: RumorBoard,
+        makes: Callable[[], bool],
+        spread_s: float,
+        entropy: Callable[[int], bytes],
+    ) -> None:
+        """Wires the task.
+
+        Args:
+          keyring: takes the secret.
+          store: the platform's store.
+          clock: the clock.
+          rng: the random source of pauses.
+          board: tells that there is a record.
+          makes: returns whether this node is the one to make the record.
+          spread_s: how long the first listing of the contacts may take to
+            begin (s), which mostly brings the secret.
+          entropy: returns as many bytes as asked, from a safe source.
+        """
+        self._keyring = keyring
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._board = board
+        self._makes = makes
+        self._spread_s = spread_s
+        self._entropy = entropy
+        self._log = PartLogger("peers", clock)
+        self._backoff = Backoff(rng, _FIRST_PAUSE_S, _LONGEST_PAUSE_S)
+        self._doubts = Backoff(rng, _FIRST_DOUBT_S, _LONGEST_DOUBT_S)
+        self._looks_again_at = 0.0
+        self._heard = 0
+        self._due = anyio.Event()
+        self._told = anyio.Event()
+        board.subscribe(TOPIC, self._on_rumor)
+        keyring.listen(self._wanted)
+
+    def listed(self, entry: StoreEntry) -> None:
+        """Takes an entry that was listed with the contacts."""
+        if entry.key == KEY:
+            self._take(entry)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        await anyio.sleep(self._spread_s + _LISTING_S)
+        while True:
+            await self._due.wait()
+            self._due = anyio.Event()
+            if self._keyring.lacks:
+                await self._find()
+            elif self._keyring.in_use and self._is_doubtful():
+                await self._look_for_newer()
+
+    def _is_doubtful(self) -> bool:
+        """Returns whether the record should be read, by now."""
+        if self._heard > self._keyring.revision:
+            return True
+        if not self._keyring.doubted:
+            return False
+        self._keyring.doubted = False
+        return self._clock.monotonic() >= self._looks_again_at
+
+    def _wanted(self) -> None:
+        self._due.set()
+
+    def _on_rumor(self, key: str, value: bytes) -> None:
+        try:
+            revision = msgspec.json.decode(value, type=int)
+        except msgspec.MsgspecError as exc:
+            self._log.warning("A rumor is malformed.", reason=str(exc)[:120])
+            return
+        if revision <= self._keyring.revision:
+            return
+        self._heard = max(self._heard, revision)
+        self._told.set()
+        self._due.set()
+
+    async def _find(self) -> None:
+        """Returns once the secret is known, or not needed any more."""
+        if not self._makes() and not self._heard:
+            with anyio.move_on_after(OTHERS_WAIT_S):
+                await self._told.wait()
+        while self._keyring.lacks:
+            if await self._look():
+                self._backoff.succeeded()
+                return
+            await anyio.sleep(self._backoff.failed())
+
+    async def _look_for_newer(self) -> None:
+        """Reads the record once, seldom where that brings nothing new."""
+        before = self._keyring.revision
+        now = self._clock.monotonic()
+        self._looks_again_at = now + self._doubts.failed()
+        try:
+            entry = await self._store.get(KEY)
+        except StoreError as exc:
+            self._log.info("The secret is unread.", reason=str(exc)[:120])
+            return
+        # Else a rumor of a record that was removed would be followed for ever.
+        self._heard = 0
+        if entry is not None:
+            self._take(entry)
+        if self._keyring.revision > before:
+            self._doubts.succeeded()
+
+    async def _look(self) -> bool:
+        """Returns whether there is a secret now, made here if need be."""
+        try:
+            # An old answer will do where it shows a secret: who holds a newer
+            # one refuses the old, and then the record is read again.
+            entry = await self._store.get(KEY, allow_stale=True)
+            if entry is None:
+                entry = await self._store.get(KEY)
+            if entry is None or read_record(entry.value) is None:
+                return await self._make(entry)
+        except StoreError as exc:
+            self._log.info("The secret is unread.", reason=str(exc)[:120])
+            return False
+        self._take(entry)
+        return True
+
+    async def _make(self, before: StoreEntry | None) -> bool:
+        """Returns whether this node's secret is the one of the fleet.
+
+        Args:
+          before: a record that nobody can read; `None` for none.
+
+        Raises:
+          StoreError: the store failed; a later look finds what became of it.
+        """
+        record = SecretRecord(self._entropy(SECRET_BYTES))
+        value = msgspec.json.encode(record)
+        result = await self._store.transact(
+            (Compare(KEY, before.mod_revision if before else 0),),
+            (Put(KEY, value),),
+        )
+        if not result.succeeded:
+            return False
+        self._log.change("Made the secret.", revision=result.revision)
+        self._keyring.learn(record.secret, result.revision)
+        self._tell(result.revision)
+        return True
+
+    def _take(self, entry: StoreEntry) -> None:
+        record = read_record(entry.value)
+        if record is None:
+            self._log.error(
+                "The record of the secret is malformed.",
+                revision=entry.mod_revision,
+            )
+            return
+        self._keyring.learn(record.secret, entry.mod_revision)
+
+    def _tell(self, revision: int) -> None:
+        value = msgspec.json.encode(revision)
+        self._board.publish(TOPIC, "record", revision, value, _RUMOR_S)
--- /dev/null
+++ b/src/radishwind/sidecar/tests/test_secret.py
@@ -0,0 +1,339 @@
+"""The secret of the fleet is made once, and read once a start."""
+
+import random
+
+import anyio
+import anyio.lowlevel
+import msgspec
+import pytest
+
+from radishwind.core import ManualClock
+from radishwind.membership.contacts import addresses
+from radishwind.membership.contacts import PREFIX
+from radishwind.membership.contacts import read_record as read_contacts
+from radishwind.peers.keyring import Keyring
+from radishwind.sidecar import secret
+from radishwind.sidecar.secret import KEY
+from radishwind.sidecar.secret import read_record
+from radishwind.sidecar.secret import SECRET_BYTES
+from radishwind.sidecar.secret import SecretKeeper
+from radishwind.sidecar.secret import SecretRecord
+from radishwind.store.base import StoreAnswerLostError
+from radishwind.store.base import StoreEntry
+from radishwind.store.base import StoreUnavailableError
+from radishwind.store.base import TxnResult
+
+pytestmark = pytest.mark.anyio
+
+WITHIN_S = 10.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+def short(monkeypatch):
+    monkeypatch.setattr(secret, "_LISTING_S", 0.0)
+    for name in ("OTHERS_WAIT_S", "_FIRST_PAUSE_S"):
+        monkeypatch.setattr(secret, name, 0.01)
+
+
+class Store:
+    """Holds the record; fails as told."""
+
+    def __init__(self):
+        self.revision = 10
+        self.value = None
+        self.away = False
+        self.behind = False
+        self.lost = 0
+        self.calls = []
+
+    async def get(self, key, *, allow_stale=False):
+        assert key == KEY
+        self.calls.append("get stale" if allow_stale else "get")
+        await anyio.lowlevel.checkpoint()
+        if self.away:
+            raise StoreUnavailableError("away")
+        if self.value is None or (allow_stale and self.behind):
+            return None
+        return StoreEntry(key, self.value, self.revision, self.revision)
+
+    async def transact(self, compares, operations):
+        self.calls.append("transact")
+        await anyio.lowlevel.checkpoint()
+        if self.away:
+            raise StoreUnavailableError("away")
+        stands = self.revision if self.value is not None else 0
+        if compares[0].mod_revision != stands:
+            return TxnResult(False, 0)
+        self.revision += 1
+        self.value = operations[0].value
+        if self.lost:
+            self.lost -= 1
+            raise StoreAnswerLostError("lost")
+        return TxnResult(True, self.revision)
+
+    def replace(self, value):
+        self.revision += 1
+        self.value = value
+
+
+class Board:
+    """Tells each subscriber at once."""
+
+    def __init__(self):
+        self.handlers = []
+        self.told = []
+
+    def publish(self, topic, key, version, value, ttl_s):
+        self.told.append(value)
+        for handler in self.handlers:
+            handler(key, value)
+
+    def subscribe(self, topic, handler):
+        self.handlers.append(handler)
+
+
+class Node:
+    def __init__(self, store, board, number=1, makes=True):
+        self.clock = ManualClock()
+        self.keyring = Keyring(self.clock)
+        rng = random.Random(number)
+        self.keeper = SecretKeeper(
+            keyring=self.keyring,
+            store=store,
+            clock=self.clock,
+            rng=rng,
+            board=board,
+            makes=lambda: makes,
+            spread_s=0.0,
+            entropy=rng.randbytes,
+        )
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def board():
+    return Board()
+
+
+async def settled():
+    """Lets every task that is ready run until it waits."""
+    for _ in range(50):
+        await anyio.lowlevel.checkpoint()
+
+
+async def until(check):
+    with anyio.fail_after(WITHIN_S):
+        while not check():  # noqa: ASYNC110
+            await anyio.sleep(0.002)
+
+
+@pytest.fixture
+async def running():
+    async with anyio.create_task_group() as tasks:
+
+        def start(*nodes):
+            for node in nodes:
+                tasks.start_soon(node.keeper.run)
+
+        yield start
+        tasks.cancel_scope.cancel()
+
+
+async def test_of_many_that_find_none_one_wins(store, board, running):
+    nodes = [Node(store, board, i) for i in range(8)]
+    for node in nodes:
+        node.keyring.follow(True, lenient=False)
+    running(*nodes)
+
+    await until(lambda: not any(n.keyring.lacks for n in nodes))
+
+    secrets = {n.keyring.signing for n in nodes}
+    assert secrets == {read_record(store.value).secret}
+    assert len(next(iter(secrets))) == SECRET_BYTES
+
+
+async def test_others_wait_for_who_is_to_make_it(
+    store, board, running, monkeypatch
+):
+    monkeypatch.setattr(secret, "OTHERS_WAIT_S", WITHIN_S)
+    maker = Node(store, board, 1)
+    others = [Node(store, board, i, makes=False) for i in range(2, 9)]
+    for node in (maker, *others):
+        node.keyring.follow(True, lenient=False)
+    running(*others, maker)
+
+    await until(lambda: not any(n.keyring.lacks for n in (maker, *others)))
+
+    assert store.calls.count("transact") == 1
+    assert store.calls.count("get") == 1
+    assert store.calls.count("get stale") == 1 + len(others)
+
+
+async def test_the_secret_is_told_to_nobody(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+
+    await until(lambda: board.told)
+
+    assert board.told == [msgspec.json.encode(store.revision)]
+
+
+async def test_a_start_takes_it_from_the_list_of_contacts(
+    store, board, running
+):
+    value = msgspec.json.encode(SecretRecord(b"s" * SECRET_BYTES))
+    node = Node(store, board)
+    running(node)
+
+    node.keeper.listed(StoreEntry(PREFIX + "a", b"{}", 3, 3))
+    node.keeper.listed(StoreEntry(KEY, value, 4, 4))
+    node.keyring.follow(True, lenient=False)
+    await settled()
+
+    assert node.keyring.signing == b"s" * SECRET_BYTES
+    assert store.calls == []
+
+
+def test_the_record_counts_as_no_contact():
+    value = msgspec.json.encode(SecretRecord(b"s" * SECRET_BYTES))
+
+    assert KEY.startswith(PREFIX)
+    assert addresses(read_contacts(value)) == ()
+
+
+async def test_without_accounts_no_call_is_made(store, board, running):
+    node = Node(store, board)
+    running(node)
+
+    node.keyring.follow(False, lenient=False)
+    await settled()
+
+    assert store.calls == []
+
+
+async def test_a_known_secret_costs_no_further_call(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: not node.keyring.lacks)
+    before = len(store.calls)
+
+    node.keyring.follow(False, lenient=False)
+    node.keyring.follow(True, lenient=False)
+    await settled()
+
+    assert len(store.calls) == before
+
+
+async def test_a_store_that_comes_back_is_asked_again(store, board, running):
+    store.away = True
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: len(store.calls) >= 2)
+    assert node.keyring.lacks
+
+    store.away = False
+
+    await until(lambda: not node.keyring.lacks)
+
+
+async def test_a_write_whose_answer_is_lost_is_found(store, board, running):
+    store.lost = 1
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+
+    await until(lambda: not node.keyring.lacks)
+
+    assert store.calls.count("transact") == 1
+
+
+async def test_an_old_answer_without_it_makes_no_second_secret(
+    store, board, running
+):
+    store.replace(msgspec.json.encode(SecretRecord(b"s" * SECRET_BYTES)))
+    store.behind = True
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+
+    await until(lambda: not node.keyring.lacks)
+
+    assert node.keyring.signing == b"s" * SECRET_BYTES
+    assert "transact" not in store.calls
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"{}", b'{"secret":"c3M="}'])
+async def test_a_record_nobody_can_read_is_replaced(
+    store, board, running, value
+):
+    store.replace(value)
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+
+    await until(lambda: not node.keyring.lacks)
+
+    assert read_record(store.value) is not None
+
+
+async def test_a_removed_record_is_made_anew_and_all_read_it(
+    store, board, running
+):
+    nodes = [Node(store, board, i, makes=i == 1) for i in range(1, 4)]
+    for node in nodes:
+        node.keyring.follow(True, lenient=False)
+    running(*nodes)
+    await until(lambda: not any(n.keyring.lacks for n in nodes))
+    before = nodes[0].keyring.signing
+
+    store.value = None
+    started = Node(store, board, 9)
+    started.keyring.follow(True, lenient=False)
+    running(started)
+    nodes.append(started)
+
+    await until(lambda: len({n.keyring.signing for n in nodes}) == 1)
+    assert started.keyring.signing != before
+    assert all(before in n.keyring.accepted for n in nodes[:3])
+
+
+async def test_forged_messages_cause_few_looks(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: not node.keyring.lacks)
+    before = len(store.calls)
+
+    for _ in range(200):
+        node.keyring.doubt()
+        await settled()
+    await settled()
+    assert len(store.calls) == before + 1
+
+    for _ in range(600):
+        node.clock.advance(1.0)
+        node.keyring.doubt()
+        await settled()
+    assert len(store.calls) <= before + 40
+
+
+async def test_a_malformed_rumor_changes_nothing(store, board, running):
+    node = Node(store, board)
+    running(node)
+
+    board.publish("peer-secret", "record", 1, b'"x"', 1.0)
+    await settled()
+
+    assert store.calls == []
