--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -59,7 +59,7 @@
     )
     args = parser.parse_args()
     costs = [
-        _measured(library, args.requests, args.connections)
+        measured(library, args.requests, args.connections)
         for library in args.libraries
     ]
     first = costs[0]
@@ -73,7 +73,8 @@
         )
 
 
-def _measured(library: HttpLibrary, requests: int, connections: int) -> Cost:
+def measured(library: HttpLibrary, requests: int, connections: int) -> Cost:
+    """Returns what a bare forwarder takes for a request by `library`."""
     context = multiprocessing.get_context("spawn")
     ours, theirs = context.Pipe()
     process = context.Process(target=_forward, args=(library, theirs))
--- a/src/radishwind/peers/client.py
+++ b/src/radishwind/peers/client.py
@@ -12,7 +12,6 @@
 from radishwind.http.types import Address
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
-from radishwind.http.types import Response
 from radishwind.http.types import whole_body
 from radishwind.peers.signing import AUTH_FIELD
 from radishwind.peers.signing import RequestSigner
@@ -71,7 +70,11 @@
     ) -> bytes:
         try:
             with anyio.fail_after(timeout_s):
-                response = await self._exchange(address, name, payload)
+                response = await self._sender.send(
+                    address,
+                    self._signed(address, name, payload),
+                    CONNECT_TIMEOUT_S,
+                )
                 body = await whole_body(response.body)
         except ConnectFailedError as exc:
             raise PeerUnreachableError(f"{address} {name}: {exc}") from exc
@@ -83,20 +86,6 @@
             )
         return body
 
-    async def _exchange(
-        self, address: Address, name: str, payload: bytes
-    ) -> Response:
-        """Returns the answer; a refusal may tell how to sign."""
-        request = self._signed(address, name, payload)
-        response = await self._sender.send(address, request, CONNECT_TIMEOUT_S)
-        if self._signer is None or not self._signer.may_sign_anew(
-            address, response
-        ):
-            return response
-        await whole_body(response.body)
-        request = self._signed(address, name, payload)
-        return await self._sender.send(address, request, CONNECT_TIMEOUT_S)
-
     def _signed(self, address: Address, name: str, payload: bytes) -> Request:
         path = CONTROL_PREFIX + name
         headers: Headers = (("Content-Type", "application/json"),)
--- a/src/radishwind/peers/fleet_security.py
+++ b/src/radishwind/peers/fleet_security.py
@@ -2,13 +2,14 @@
 
 A message names the start of the process that sent it and a number that rises
 with each of its messages, so that a message counts once at each receiver. A
-request is also bound to the start of its receiver: what was meant for an
-earlier process at the same address counts for nothing. No clock is involved.
+request also names the process that it is meant for: an attempt that was meant
+for an earlier one at the same address doesn't run. No clock is involved.
 """
 
 import base64
 from collections.abc import Iterable
 from collections.abc import Iterator
+import functools
 import hashlib
 import hmac
 
@@ -22,6 +23,7 @@
 from radishwind.peers.replays import ReplayGuard
 from radishwind.peers.signing import PeerRefusedError
 from radishwind.peers.signing import PeerReplayedError
+from radishwind.peers.signing import PeerStaleError
 from radishwind.peers.signing import RequestSigner
 from radishwind.peers.signing import RequestVerifier
 from radishwind.telemetry.logs import PartLogger
@@ -33,6 +35,9 @@
 _NUMBER_BYTES = 5
 _HEAD_BYTES = START_BYTES + _NUMBER_BYTES
 
+#: Bytes of the receiver's start that a request names.
+_MEANT_BYTES = 3
+
 #: A request's tag (bytes).
 REQUEST_TAG_BYTES = 12
 
@@ -40,6 +45,13 @@
 #: 2**63 datagrams in the mean are more than a link carries.
 DATAGRAM_TAG_BYTES = 8
 
+#: Numbers below the highest one received that are still told apart. Requests
+#: to all nodes share their numbers and may wait half a second for a
+#: connection; of datagrams one sending to many has one number, and they are
+#: out of order by what a link's way differs.
+_REQUEST_WINDOW = 2_048
+_DATAGRAM_WINDOW = 256
+
 #: Set in the first byte of a signed datagram, beside its channel.
 SIGNED = 0x80
 
@@ -50,7 +62,7 @@
 _DATAGRAM = b"radishwind-dgram"
 
 _UNKNOWN_START = bytes(START_BYTES)
-_FIELD_CHARS = 28
+_FIELD_CHARS = 32
 
 #: Addresses are padded to this length (bytes), so that none continues what
 #: stands before it.
@@ -97,10 +109,12 @@
         if secret is None:
             return None
         self._number += 1
-        head = self._starts.own + self._number.to_bytes(_NUMBER_BYTES, "big")
-        tag = _request_tag(
-            secret, to, self._starts.of(to), method, path, head, covered
+        head = (
+            self._starts.own
+            + self._number.to_bytes(_NUMBER_BYTES, "big")
+            + self._starts.of(to)[:_MEANT_BYTES]
         )
+        tag = _request_tag(secret, to, method, path, head, covered)
         return base64.urlsafe_b64encode(head + tag).decode()
 
     def may_sign_anew(self, to: Address, answer: Response) -> bool:
@@ -128,10 +142,16 @@
         self._keyring = keyring
         self._starts = starts
         self._own = own
-        self._replays = ReplayGuard()
+        self._replays = ReplayGuard(_REQUEST_WINDOW)
 
     def verify(
-        self, field: str | None, method: str, path: str, covered: bytes
+        self,
+        field: str | None,
+        method: str,
+        path: str,
+        covered: bytes,
+        *,
+        once: bool = False,
     ) -> None:
         secrets = self._keyring.accepted
         if not secrets or not (field or self._keyring.requires):
@@ -139,41 +159,41 @@
         if field is None:
             raise PeerRefusedError("expected a signature, got none")
         try:
-            signed = _unpacked(field)
-            self._check(signed, secrets, method, path, covered)
-        except PeerReplayedError:
-            raise
+            head = self._checked(field, secrets, method, path, covered)
         except PeerRefusedError:
-            # A peer may not know yet which process this is.
             if self._keyring.requires:
                 raise
+            return
+        if once and head[_HEAD_BYTES:] != self._starts.own[:_MEANT_BYTES]:
+            raise PeerStaleError("expected an attempt for this process")
+        if not self._replays.add(head[:START_BYTES], _number(head)):
+            raise PeerReplayedError("expected a new request, got a known one")
 
     def refusal_fields(self) -> Headers:
         if self._keyring.signing is None:
             return ()
         return ((START_FIELD, self._starts.own.hex()),)
 
-    def _check(
+    def _checked(
         self,
-        signed: bytes,
+        field: str,
         secrets: tuple[bytes, ...],
         method: str,
         path: str,
         covered: bytes,
-    ) -> None:
-        head, tag = signed[:_HEAD_BYTES], signed[_HEAD_BYTES:]
-        own, start = self._own, self._starts.own
-        good = any(
-            hmac.compare_digest(
-                tag,
-                _request_tag(secret, own, start, method, path, head, covered),
-            )
-            for secret in secrets
-        )
-        if not good:
-            raise PeerRefusedError("expected a signature by the fleet's secret")
-        if not self._replays.add(head[:START_BYTES], _number(head)):
-            raise PeerReplayedError("expected a new request, got a known one")
+    ) -> bytes:
+        """Returns what precedes the tag in `field`.
+
+        Raises:
+          PeerRefusedError: the tag is not by one of `secrets`.
+        """
+        signed = _unpacked(field)
+        head, tag = signed[:-REQUEST_TAG_BYTES], signed[-REQUEST_TAG_BYTES:]
+        for secret in secrets:
+            good = _request_tag(secret, self._own, method, path, head, covered)
+            if hmac.compare_digest(tag, good):
+                return head
+        raise PeerRefusedError("expected a signature by the fleet's secret")
 
 
 class FleetDatagrams(DatagramGuard):
@@ -199,7 +219,7 @@
         self._own = _packed(own)
         self._log = PartLogger("peers", clock)
         self._number = 0
-        self._replays = ReplayGuard()
+        self._replays = ReplayGuard(_DATAGRAM_WINDOW)
         self.refused = {"unsigned": 0, "forged": 0, "replayed": 0}
 
     def outgoing(
@@ -273,42 +293,40 @@
     return int.from_bytes(head[START_BYTES:_HEAD_BYTES], "big")
 
 
+@functools.lru_cache(maxsize=_MAX_STARTS)
 def _packed(address: Address) -> bytes:
     text = f"{address.host}:{address.port}".encode()
     return text.ljust(_ADDRESS_BYTES, b"\0")
 
 
+@functools.lru_cache(maxsize=8)
+def _keyed(secret: bytes, tag_bytes: int, person: bytes) -> hashlib.blake2b:
+    """Returns a hash to copy: taking the key in costs as much as a message."""
+    return hashlib.blake2b(key=secret, digest_size=tag_bytes, person=person)
+
+
 def _datagram_hash(secret: bytes, head: bytes, data: bytes) -> hashlib.blake2b:
-    hashed = hashlib.blake2b(
-        head, key=secret, digest_size=DATAGRAM_TAG_BYTES, person=_DATAGRAM
-    )
-    hashed.update(data)
+    hashed = _keyed(secret, DATAGRAM_TAG_BYTES, _DATAGRAM).copy()
+    hashed.update(head + data)
     return hashed
 
 
 def _request_tag(
     secret: bytes,
     to: Address,
-    start: bytes,
     method: str,
     path: str,
     head: bytes,
     covered: bytes,
 ) -> bytes:
-    line = f"{method}\n{path}\n{to.host}:{to.port}\n"
-    hashed = hashlib.blake2b(
-        line.encode("utf-8", "surrogateescape"),
-        key=secret,
-        digest_size=REQUEST_TAG_BYTES,
-        person=_REQUEST,
-    )
-    hashed.update(start + head)
-    hashed.update(covered)
+    line = f"{method}\n{path}\n".encode("utf-8", "surrogateescape")
+    hashed = _keyed(secret, REQUEST_TAG_BYTES, _REQUEST).copy()
+    hashed.update(b"".join((line, _packed(to), head, covered)))
     return hashed.digest()
 
 
 def _unpacked(field: str) -> bytes:
-    """Returns the head and the tag in `AUTH_FIELD`.
+    """Returns the bytes in `AUTH_FIELD`.
 
     Raises:
       PeerRefusedError: they cannot be read.
--- a/src/radishwind/peers/keyring.py
+++ b/src/radishwind/peers/keyring.py
@@ -33,6 +33,7 @@
         self._older: bytes | None = None
         self._older_until = 0.0
         self._lenient_until = 0.0
+        self._decided = False
         self._listeners: list[Callable[[], None]] = []
         self.in_use = False
         self.revision = 0
@@ -49,6 +50,7 @@
           in_use: whether there are.
           lenient: whether other nodes may not know of them yet.
         """
+        self._decided = True
         if in_use == self.in_use:
             return
         self.in_use = in_use
@@ -95,8 +97,12 @@
 
     @property
     def signing(self) -> bytes | None:
-        """The secret to sign with; `None` where nothing is signed."""
-        return self._newest if self.in_use else None
+        """The secret to sign with; `None` where nothing is signed.
+
+        Who finds a secret signs before it knows whether there are accounts: the
+        others know.
+        """
+        return self._newest if self.in_use or not self._decided else None
 
     @property
     def accepted(self) -> tuple[bytes, ...]:
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -201,7 +201,7 @@
         """
         policy = self._policy
         try:
-            self._verify(request, auth, told)
+            self._verify(request, auth, told, once=True)
         except PeerRefusedError:
             if auth is not None or policy is None:
                 raise
@@ -211,11 +211,18 @@
             raise PeerRefusedError("expected the account of the attempt")
 
     def _verify(
-        self, request: Request, auth: str | None, covered: bytes
+        self,
+        request: Request,
+        auth: str | None,
+        covered: bytes,
+        *,
+        once: bool = False,
     ) -> None:
         if self._verifier is None:
             return
-        self._verifier.verify(auth, request.method, request.path, covered)
+        self._verifier.verify(
+            auth, request.method, request.path, covered, once=once
+        )
 
     def _refuse(self, code: ResultCode, detail: str) -> Response:
         self.refused[code] = self.refused.get(code, 0) + 1
@@ -224,6 +231,9 @@
     def _note_refused(
         self, code: ResultCode, what: str, request: Request
     ) -> None:
+        if code == ResultCode.PEER_STALE:
+            # Nodes restart, and others hear of it a moment later.
+            return
         self._log.warning(
             "Refuses a message that no node is known to have sent.",
             what=what,
--- a/src/radishwind/peers/security.py
+++ b/src/radishwind/peers/security.py
@@ -70,7 +70,13 @@
         self._nonces = NonceMemory(MAX_NONCES)
 
     def verify(
-        self, field: str | None, method: str, path: str, covered: bytes
+        self,
+        field: str | None,
+        method: str,
+        path: str,
+        covered: bytes,
+        *,
+        once: bool = False,
     ) -> None:
         """Returns if the request is authentic, in time and new.
 
--- a/src/radishwind/peers/signing.py
+++ b/src/radishwind/peers/signing.py
@@ -60,7 +60,13 @@
 
     @abc.abstractmethod
     def verify(
-        self, field: str | None, method: str, path: str, covered: bytes
+        self,
+        field: str | None,
+        method: str,
+        path: str,
+        covered: bytes,
+        *,
+        once: bool = False,
     ) -> None:
         """Returns if the request may be taken for one of a node.
 
@@ -69,6 +75,8 @@
           method: of the request.
           path: of the request, with its query.
           covered: what else must not have been altered.
+          once: whether it must not count at an earlier process of this address
+            and at this one too.
 
         Raises:
           PeerRefusedError: it may not.
