--- a/src/radishwind/peers/fleet_security.py
+++ b/src/radishwind/peers/fleet_security.py
@@ -161,9 +161,11 @@
         try:
             head = self._checked(field, secrets, method, path, covered)
         except PeerRefusedError:
-            if self._keyring.requires:
-                raise
-            return
+            if not self._keyring.requires:
+                return
+            # Or signed by a secret that came after the one known here.
+            self._keyring.doubt()
+            raise
         if once and head[_HEAD_BYTES:] != self._starts.own[:_MEANT_BYTES]:
             raise PeerStaleError("expected an attempt for this process")
         if not self._replays.add(head[:START_BYTES], _number(head)):
@@ -259,7 +261,7 @@
         if not self._is_good(secrets, head, data, tag):
             if not self._keyring.requires:
                 return plain
-            # Or signed by a secret that came after the one known here.
+            # As with a request.
             self._keyring.doubt()
             self._refuse("forged", sender)
             return None
--- a/src/radishwind/peers/tests/test_fleet_security.py
+++ b/src/radishwind/peers/tests/test_fleet_security.py
@@ -298,12 +298,17 @@
     assert here.keyring.signing == NEW
 
 
-def test_unknown_signature_asks_for_a_look_at_the_record(entry, here):
+@pytest.mark.parametrize("by", ["datagram", "request"])
+def test_unknown_signature_asks_for_a_look_at_the_record(entry, here, by):
     asked = []
     here.keyring.listen(lambda: asked.append(1))
     entry.keyring.learn(NEW, 2)
 
-    here.guard.incoming(entry.send(here), ENTRY)
+    if by == "datagram":
+        here.guard.incoming(entry.send(here), ENTRY)
+    else:
+        with pytest.raises(PeerRefusedError):
+            here.takes(entry.sign(here))
 
     assert asked
     assert here.keyring.doubted
--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import json
@@ -262,8 +263,13 @@
         for instance in self.instances.values():
             await self.until_ready(instance)
 
-    def configure(self, routes: list[dict[str, Any]]) -> int:
-        """Writes a configuration as the operator does; returns its version."""
+    def configure(self, routes: list[dict[str, Any]], **more: Any) -> int:
+        """Writes a configuration as the operator does; returns its version.
+
+        Args:
+          routes: as `route` returns them.
+          **more: further fields of the configuration.
+        """
         self._version += 2
         names = {i.place.service for i in self.instances.values()}
         cfg = {
@@ -274,6 +280,7 @@
                 for name in sorted(names)
             ],
             "limits": {"idle-timeout-ms": 15000},
+            **more,
         }
         self.store.put("op/config", json.dumps(cfg).encode())
         return self._version
@@ -296,18 +303,20 @@
         method: str = "GET",
         timeout_ms: int = 2000,
         request_id: str = "",
+        headers: Mapping[str, str] | None = None,
     ) -> Answer:
         """Sends a request as a caller on `instance` does."""
-        headers = {
+        fields = {
             "Host": HOST,
             "Attempt-Id": request_id or uuid.uuid4().hex[:16],
             "Timeout-Ms": str(timeout_ms),
+            **(headers or {}),
         }
         url = f"http://{instance.callers}{path}"
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
         try:
             async with self._session.request(
-                method, url, headers=headers, timeout=timeout
+                method, url, headers=fields, timeout=timeout
             ) as answer:
                 body = await answer.read()
                 return Answer(answer.status, dict(answer.headers), body)
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -112,6 +112,17 @@
         self._tell()
         return self.revision
 
+    def value(self, key: str) -> bytes | None:
+        """Returns the value of an item; `None` where there is none."""
+        item = self._items.get(key)
+        return None if item is None else base64.b64decode(item["value"])
+
+    def remove(self, key: str) -> None:
+        """Removes an item as the operator does."""
+        self.revision += 1
+        self._remove(key)
+        self._tell()
+
     def forget_history(self) -> None:
         """Drops the history, so that watches have to read anew."""
         self._history.clear()
