--- a/src/radishwind/sidecar/tests/test_forged.py
+++ b/src/radishwind/sidecar/tests/test_forged.py
@@ -404,6 +404,7 @@
 
     assert await sender.forward(PUBLIC, account="") != 6001
     assert here.refused == 0
+    assert await sender.forward(PUBLIC) == 6001
     assert await sender.forward(KEYED, account="") == 6001
     assert await sender.forward(PUBLIC, account="", told="other") == 6001
     assert await sender.forward(PUBLIC, account="", service="t") == 6001
--- a/src/radishwind/sidecar/tests/test_secret.py
+++ b/src/radishwind/sidecar/tests/test_secret.py
@@ -148,8 +148,8 @@
         tasks.cancel_scope.cancel()
 
 
-async def test_of_many_that_find_none_one_wins(store, board, running):
-    nodes = [Node(store, board, i) for i in range(8)]
+async def test_of_many_that_find_none_one_wins(store, running):
+    nodes = [Node(store, Board(), i) for i in range(8)]
     for node in nodes:
         node.keyring.follow(True, lenient=False)
     running(*nodes)
