Read a record just made by old answers while nothing is refused yet

All nodes heard of the record milliseconds after it was made, an old answer didn't show it yet, and each asked for the newest.

Ruled out: a call at steady state; the logs show none.

Change: while unsigned messages are still taken, a node waits 2 s and asks for an old answer, three times at most.

--- a/src/radishwind/peers/keyring.py
+++ b/src/radishwind/peers/keyring.py
@@ -121,9 +121,14 @@
         """Whether what isn't signed is refused."""
         if not self.in_use or self._newest is None:
             return False
+        return not self.lenient
+
+    @property
+    def lenient(self) -> bool:
+        """Whether what isn't signed is taken for a while yet."""
         if not self._lenient_until:
-            return True
-        if self._clock.monotonic() < self._lenient_until:
             return False
+        if self._clock.monotonic() < self._lenient_until:
+            return True
         self._lenient_until = 0.0
-        return True
+        return False
--- a/src/radishwind/sidecar/secret.py
+++ b/src/radishwind/sidecar/secret.py
@@ -40,6 +40,12 @@
 #: What listing the contacts takes (s), with time for a busy store.
 _LISTING_S = 0.05
 
+#: Answers of the store that may be old are read so often, and so far apart (s),
+#: until they show a record just made: while nothing is refused yet, where all
+#: nodes at once would ask for the newest.
+_AGED_READS = 3
+_AGED_S = 2.0
+
 #: Pauses between looks that brought nothing new (s).
 _FIRST_PAUSE_S = 0.2
 _LONGEST_PAUSE_S = 2.0
@@ -160,6 +166,12 @@
         if not self._makes() and not self._heard:
             with anyio.move_on_after(OTHERS_WAIT_S):
                 await self._told.wait()
+        for _ in range(_AGED_READS):
+            if not self._keyring.lenient or not self._heard:
+                break
+            await anyio.sleep(_AGED_S)
+            if not self._keyring.lacks or await self._look(patient=True):
+                return
         while self._keyring.lacks:
             if await self._look():
                 self._backoff.succeeded()
@@ -183,12 +195,18 @@
         if self._keyring.revision > before:
             self._doubts.succeeded()
 
-    async def _look(self) -> bool:
-        """Returns whether there is a secret now, made here if need be."""
+    async def _look(self, *, patient: bool = False) -> bool:
+        """Returns whether there is a secret now, made here if need be.
+
+        Args:
+          patient: whether an old answer without one settles nothing.
+        """
         try:
             # An old answer will do where it shows a secret: who holds a newer
             # one refuses the old, and then the record is read again.
             entry = await self._store.get(KEY, allow_stale=True)
+            if entry is None and patient:
+                return False
             if entry is None:
                 entry = await self._store.get(KEY)
             if entry is None or read_record(entry.value) is None:
--- a/src/radishwind/sidecar/tests/test_secret.py
+++ b/src/radishwind/sidecar/tests/test_secret.py
@@ -36,7 +36,7 @@
 @pytest.fixture(autouse=True)
 def short(monkeypatch):
     monkeypatch.setattr(secret, "_LISTING_S", 0.0)
-    for name in ("OTHERS_WAIT_S", "_FIRST_PAUSE_S"):
+    for name in ("OTHERS_WAIT_S", "_FIRST_PAUSE_S", "_AGED_S"):
         monkeypatch.setattr(secret, name, 0.01)
 
 
@@ -178,6 +178,37 @@
     assert store.calls.count("get stale") == 1 + len(others)
 
 
+async def test_where_nothing_is_refused_yet_an_old_answer_is_waited_for(
+    store, board, running, monkeypatch
+):
+    monkeypatch.setattr(secret, "_AGED_READS", 10_000)
+    store.behind = True
+    maker = Node(store, board, 1)
+    others = [Node(store, board, i, makes=False) for i in range(2, 9)]
+    for node in (maker, *others):
+        node.keyring.follow(True, lenient=True)
+    running(*others, maker)
+    await until(lambda: store.calls.count("get stale") > len(others))
+
+    store.behind = False
+
+    await until(lambda: not any(n.keyring.lacks for n in (maker, *others)))
+    assert store.calls.count("get") == 1
+
+
+async def test_an_answer_that_stays_old_is_not_waited_for_long(
+    store, board, running
+):
+    store.behind = True
+    maker = Node(store, board, 1)
+    other = Node(store, board, 2, makes=False)
+    for node in (maker, other):
+        node.keyring.follow(True, lenient=True)
+    running(other, maker)
+
+    await until(lambda: not other.keyring.lacks)
+
+
 async def test_the_secret_is_told_to_nobody(store, board, running):
     node = Node(store, board)
     node.keyring.follow(True, lenient=False)
