--- a/src/radishwind/peers/client.py
+++ b/src/radishwind/peers/client.py
@@ -13,8 +13,8 @@
 from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import whole_body
-from radishwind.peers.security import AUTH_FIELD
-from radishwind.peers.security import PeerSigner
+from radishwind.peers.signing import AUTH_FIELD
+from radishwind.peers.signing import RequestSigner
 from radishwind.peers.traffic import PeerTraffic
 
 #: Paths below this one on the peer listener are control messages.
@@ -63,7 +63,7 @@
     def __init__(
         self,
         sender: Sender,
-        signer: PeerSigner | None = None,
+        signer: RequestSigner | None = None,
         traffic: PeerTraffic | None = None,
     ) -> None:
         self._sender = sender
@@ -73,16 +73,12 @@
     async def call(
         self, address: Address, name: str, payload: bytes, timeout_s: float
     ) -> bytes:
-        path = CONTROL_PREFIX + name
-        headers: Headers = (("Content-Type", "application/json"),)
-        if self._signer is not None:
-            auth = self._signer.sign(address, "POST", path, payload)
-            headers += ((AUTH_FIELD, auth),)
-        request = Request("POST", path, headers, payload, len(payload))
         try:
             with anyio.fail_after(timeout_s):
                 response = await self._sender.send(
-                    address, request, CONNECT_TIMEOUT_S
+                    address,
+                    self._signed(address, name, payload),
+                    CONNECT_TIMEOUT_S,
                 )
                 body = await whole_body(response.body)
             size = len(payload) + len(body)
@@ -96,3 +92,12 @@
                 f"{address} {name}: expected status 200, got {response.status}"
             )
         return body
+
+    def _signed(self, address: Address, name: str, payload: bytes) -> Request:
+        path = CONTROL_PREFIX + name
+        headers: Headers = (("Content-Type", "application/json"),)
+        if self._signer is not None:
+            auth = self._signer.sign(address, "POST", path, payload)
+            if auth is not None:
+                headers += ((AUTH_FIELD, auth),)
+        return Request("POST", path, headers, payload, len(payload))
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -20,7 +20,7 @@
 from radishwind.peers.attempts import forwarded
 from radishwind.peers.attempts import read_result
 from radishwind.peers.client import CONNECT_TIMEOUT_S
-from radishwind.peers.security import PeerSigner
+from radishwind.peers.signing import RequestSigner
 from radishwind.peers.traffic import PeerTraffic
 from radishwind.routing.sizes import RouteSizes
 from radishwind.target.pipeline import TargetPipeline
@@ -45,7 +45,7 @@
         clock: Clock,
         target: TargetPipeline,
         sender: Sender,
-        signer: PeerSigner | None = None,
+        signer: RequestSigner | None = None,
         unreachable: UnreachableHint | None = None,
         traffic: PeerTraffic | None = None,
         sizes: RouteSizes | None = None,
@@ -64,14 +64,9 @@
     ) -> AttemptResult:
         if member.name == self._node_name:
             return self._sized(call, await self._target.run(call))
-        remaining_s = call.deadline - self._clock.monotonic()
-        if remaining_s <= 0:
-            return AttemptResult(
-                NotRun(ResultCode.DEADLINE_PASSED, "The deadline had passed.")
-            )
-        request = forwarded(call, member, attempt_id, remaining_s, self._signer)
-        self._traffic.forward(member, call, request)
-        answer = await self._exchange(request, member, remaining_s)
+        answer = await self._forward(call, member, attempt_id)
+        if self._may_sign_anew(call, member, answer):
+            answer = await self._forward(call, member, attempt_id)
         if isinstance(answer, Response):
             self._traffic.answer(member, call, answer)
             return self._sized(call, read_result(answer, attempt_id))
@@ -82,6 +77,31 @@
         self._sizes.learn_from(call, result.outcome)
         return result
 
+    def _may_sign_anew(
+        self, call: Call, member: Member, answer: Response | NotRun | Unknown
+    ) -> bool:
+        """Returns whether the node there only asks for another signature.
+
+        A body that is streamed can't be sent twice.
+        """
+        if self._signer is None or not isinstance(answer, Response):
+            return False
+        if not self._signer.may_sign_anew(member.address, answer):
+            return False
+        return isinstance(call.request.body, bytes)
+
+    async def _forward(
+        self, call: Call, member: Member, attempt_id: str
+    ) -> Response | NotRun | Unknown:
+        remaining_s = call.deadline - self._clock.monotonic()
+        if remaining_s <= 0:
+            return NotRun(
+                ResultCode.DEADLINE_PASSED, "The deadline had passed."
+            )
+        request = forwarded(call, member, attempt_id, remaining_s, self._signer)
+        self._traffic.forward(member, call, request)
+        return await self._exchange(request, member, remaining_s)
+
     async def _exchange(
         self, request: Request, member: Member, remaining_s: float
     ) -> Response | NotRun | Unknown:
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -8,7 +8,6 @@
 import anyio.abc
 import msgspec
 
-from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.httptools_sender import HttptoolsSender
@@ -20,9 +19,6 @@
 from radishwind.node.in_progress import RequestsInProgress
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.peers.attempts import is_attempt
-from radishwind.peers.client import HttpPeerClient
-from radishwind.peers.datagrams import PeerSocket
-from radishwind.peers.listener import PeerListener
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
 from radishwind.routes.emptied import EmptiedInForce
@@ -50,6 +46,7 @@
 from radishwind.sidecar.options import start_spread_s
 from radishwind.sidecar.options import STORE_BUDGET
 from radishwind.sidecar.options import STORE_CONNECTIONS
+from radishwind.sidecar.peer_side import PeerSide
 from radishwind.sidecar.quotas import QuotaSharing
 from radishwind.sidecar.recency import RecencySide
 from radishwind.sidecar.reload import SettingsFile
@@ -109,22 +106,25 @@
             self._rng,
             STORE_BUDGET,
         )
-        self._client = HttpPeerClient(
-            self._peer_sender, traffic=self._links.traffic
+        self._peers = PeerSide(
+            settings=settings,
+            clock=self._clock,
+            sender=self._peer_sender,
+            traffic=self._links.traffic,
         )
-        self._datagrams = PeerSocket(self._links.traffic.datagram)
         self._membership = MembershipTasks(
             settings=membership_settings(settings),
             clock=self._clock,
             rng=self._rng,
             listing=OpenListing(),
-            client=self._client,
+            client=self._peers.client,
             store=self._store,
             options=GOSSIP,
             discovery=msgspec.structs.replace(
                 DISCOVERY, spread_s=start_spread_s(settings)
             ),
-            socket=self._datagrams,
+            socket=self._peers.socket,
+            listed=self._peers.listed,
             round_trip=self._links.took_trip,
         )
         self._routes = RoutesInForce(self._clock)
@@ -135,7 +135,7 @@
             rng=self._rng,
             routes=self._routes,
             membership=self._membership,
-            socket=self._datagrams,
+            socket=self._peers.socket,
         )
         self._metrics = NodeExposition()
         self._recency = RecencySide(
@@ -144,7 +144,7 @@
             rng=self._rng,
             directory=self._membership.directory,
             routes=self._routes,
-            socket=self._datagrams,
+            socket=self._peers.socket,
         )
         self._build_target()
         self._build_entry()
@@ -174,6 +174,7 @@
             clock=self._clock,
             rng=self._rng,
             sender=self._peer_sender,
+            signer=self._peers.signer,
             directory=self._membership.directory,
             routes=self._routes,
             emptied=self._emptied,
@@ -194,17 +195,17 @@
             self._clock,
             refusal=refused_late,
         )
-        self._peers = PeerListener(
-            node_name=settings.node,
-            clock=self._clock,
-            rules_for=lambda service: ServiceRules(),
+        self._peers.wire(
+            rng=self._rng,
+            store=self._store,
+            membership=self._membership,
+            routes=self._routes,
             target=self._target.pipeline,
             asked_by=lambda host: self._loads.asked_by(host),
             link_room=self._links.room,
         )
-        self._membership.listen_on(self._peers)
         self._attempts = RequestsInProgress(
-            self._peers.handle, self._clock, is_attempt
+            self._peers.listener.handle, self._clock, is_attempt
         )
         self._loads = LoadSharing(
             node_name=settings.node,
@@ -215,7 +216,7 @@
             directory=self._membership.directory,
             target=self._target.pipeline,
             chooser=self._entry.chooser,
-            socket=self._datagrams,
+            socket=self._peers.socket,
             traffic=self._links.traffic,
         )
         self._target.pulse.listen(self._loads.tell)
@@ -230,31 +231,31 @@
             clock=self._clock,
             rng=self._rng,
             store=self._store,
-            client=self._client,
+            client=self._peers.client,
             membership=self._membership,
             routes=self._routes,
             emptied=self._emptied,
             target=self._target,
             recency=self._recency,
         )
-        self._control.listen_on(self._peers)
+        self._control.listen_on(self._peers.listener)
         add_metrics(
             self._metrics,
             Counted(
-                self._entry.pipeline.counts,
-                self._target,
-                self._membership,
-                self._routes,
-                self._emptied,
-                self._store,
-                self._datagrams,
-                self._quotas,
-                self._links,
-                self._clock,
-                self._output,
-                self._words_left_out,
-                self._entry.keys,
-                self._recency.keeper,
+                attempts=self._entry.pipeline.counts,
+                target=self._target,
+                membership=self._membership,
+                routes=self._routes,
+                emptied=self._emptied,
+                store=self._store,
+                peers=self._peers,
+                quotas=self._quotas,
+                links=self._links,
+                clock=self._clock,
+                output=self._output,
+                left_out=self._words_left_out,
+                keys=self._entry.keys,
+                recency=self._recency.keeper,
             ),
         )
 
@@ -266,6 +267,7 @@
             await tasks.start(self._wait_for_signal)
             await self._listen()
             tasks.start_soon(self._membership.run)
+            tasks.start_soon(self._peers.run)
             self._control.start(tasks)
             tasks.start_soon(self._target.keeper.run)
             tasks.start_soon(self._loads.run)
@@ -287,7 +289,7 @@
         self._output.flush()
 
     async def _listen(self) -> None:
-        await self._datagrams.start(self._settings.peers)
+        await self._peers.socket.start(self._settings.peers)
         handlers = Handlers(
             callers=self._callers.handle,
             peers=self._attempts.handle,
@@ -313,7 +315,7 @@
             farewell=Farewell(self._say_leaving, self._membership.say_left),
         )
         await stop.run(self._servers)
-        self._datagrams.close()
+        self._peers.socket.close()
 
     def _say_leaving(self) -> None:
         self._leaving = True
