Soak client accounts: keys that change, quotas, forged names

Cause: the soak knew no accounts. Change: every second seed plays with two accounts, one far over its quota; keys are given anew while callers use the old ones for a while. What ran is held against the account of its key, the time since a key's end, and the quota's bound.

--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -33,6 +33,9 @@
 HOST = "calm.example"
 STORE_HOST = "127.0.9.1"
 
+#: What holds in every deployment of stand-ins.
+_BOUNDS = ("drain-ms=2000", "grace-s=6", "retry-slack=58")
+
 #: How long a node may take to be ready (s).
 READY_WITHIN_S = 20.0
 
@@ -99,7 +102,9 @@
         self._beats: asyncio.Task[None] | None = None
         self.server: PlatformServerStandin | None = None
 
-    def write_settings(self, store: Address, domains: list[str]) -> None:
+    def write_settings(
+        self, store: Address, domains: list[str], bounds: tuple[str, ...]
+    ) -> None:
         """Writes the settings file as the platform does."""
         place = self.place
         lines = [
@@ -110,7 +115,7 @@
             f'app-addr = "{self.server_seen}"',
             f"port-range = [{self.peers.port}, {self.peers.port}]",
             "heartbeat-ms = 500",
-            'bounds = ["drain-ms=2000", "grace-s=6", "retry-slack=58"]',
+            f"bounds = {json.dumps([*_BOUNDS, *bounds])}",
             "[zones]",
             *(f'{domain} = "here"' for domain in domains),
             "[listen]",
@@ -202,6 +207,8 @@
     Attributes:
       instances: by name.
       store: the store stood in.
+      accounts: the client accounts of the next configurations, as the
+        operator writes them.
     """
 
     def __init__(
@@ -209,6 +216,7 @@
         places: list[Place],
         folder: pathlib.Path,
         prepare: Callable[[Instance], Awaitable[None]] | None = None,
+        bounds: tuple[str, ...] = (),
     ) -> None:
         """Makes a deployment that is not started yet.
 
@@ -216,7 +224,10 @@
           places: the instances.
           folder: where settings and logs go.
           prepare: called with each instance before its settings are written.
+          bounds: further ones of the settings, as NAME=VALUE.
         """
+        self._bounds = bounds
+        self.accounts: list[dict[str, Any]] = []
         self._prepare = prepare
         port = free_ports([p.host for p in places] + [STORE_HOST], 10)
         self.instances = {p.name: Instance(p, port, folder) for p in places}
@@ -240,7 +251,7 @@
         for instance in self.instances.values():
             if self._prepare is not None:
                 await self._prepare(instance)
-            instance.write_settings(self.store_address, domains)
+            instance.write_settings(self.store_address, domains, self._bounds)
             self._stack.push_async_callback(instance.close)
         return self
 
@@ -282,6 +293,8 @@
             "limits": {"idle-timeout-ms": 15000},
             **more,
         }
+        if self.accounts:
+            cfg["tenants"] = self.accounts
         self.store.put("op/config", json.dumps(cfg).encode())
         return self._version
 
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -101,6 +101,7 @@
       born_ms: when this life began (ms since the epoch, UTC).
       faults: what goes wrong, until told otherwise.
       runs: runs begun, by the name of the request.
+      accounts: the client account that each came for; empty for none.
       draining: whether it says that it takes no new work.
       left_at: when its leaving was acknowledged (monotonic s), set by who
         lets it leave; `None` before.
@@ -125,6 +126,7 @@
         self.incarnation = options.incarnation or drawn
         self.born_ms = clock.wall_ms()
         self.runs: collections.Counter[str] = collections.Counter()
+        self.accounts: dict[str, str] = {}
         self.draining = False
         self.left_at: float | None = None
         self.last_began = 0.0
@@ -248,6 +250,7 @@
     async def _run(self, request: web.Request) -> web.StreamResponse:
         name = request.headers["Attempt-Id"]
         self.runs[name] += 1
+        self.accounts[name] = request.headers.get("Tenant", "")
         self.last_began = self._clock.monotonic()
         left_s = float(request.headers.get("Timeout-Ms", "10000")) / 1000
         work_s = self._rng.gammavariate(8, self.options.work_s / 8)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,7 @@
 
 from radishwind.standins.platform_fleet import HOST
 from radishwind.standins.platform_fleet import Instance
+from tests.soak.accounts import Accounts
 
 #: Statuses by which a node says that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -20,11 +21,13 @@
     """What callers were told.
 
     Attributes:
+      accounts: whose keys the requests carry; `None` for none.
       not_run: names of requests that have not run, by what they were told.
       faults: promises seen broken at once.
       statuses: answers by status; 0 for none.
     """
 
+    accounts: Accounts | None = None
     not_run: set[str] = dataclasses.field(default_factory=set)
     faults: list[str] = dataclasses.field(default_factory=list)
     statuses: collections.Counter[int] = dataclasses.field(
@@ -49,11 +52,26 @@
 
 
 async def ask(
-    session: aiohttp.ClientSession, instance: Instance, service: str, told: Told
+    session: aiohttp.ClientSession,
+    instance: Instance,
+    service: str,
+    told: Told,
+    account: str = "",
 ) -> int:
-    """Sends one request and checks the answer; returns its status."""
+    """Sends one request and checks the answer; returns its status.
+
+    Args:
+      session: sends it.
+      instance: whose node it goes to.
+      service: what it asks for.
+      told: takes what it is told.
+      account: whose key it carries; any account's by default.
+    """
     name = uuid.uuid4().hex[:16]
     headers = {"Host": HOST, "Attempt-Id": name, "Timeout-Ms": "1500"}
+    if told.accounts is not None:
+        headers["Tenant"] = "forged"
+        headers["Authorization"] = told.accounts.authorize(name, account)
     # The library sends a request again by itself where it is idempotent.
     method = "POST"
     url = f"http://{instance.callers}/{service}/x"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,6 @@
 from typing import TypeAlias
 
 from radishwind.standins.platform_fleet import Instance
-from radishwind.standins.platform_fleet import route
 from radishwind.standins.platform_server import ServerFaults
 from radishwind.standins.platform_store import StoreFaults
 from tests.soak.proxy import Mode
@@ -173,13 +172,16 @@
 
 async def change_routes(stage: Stage, rng: random.Random) -> str:
     timeout_ms = rng.choice((800, 1000, 1500))
-    version = stage.fleet.configure(
-        [
-            route("library", "safe", **{"timeout-ms": timeout_ms}),
-            route("sessions", "unsafe"),
-        ]
-    )
-    return str(version)
+    return str(stage.configure(**{"timeout-ms": timeout_ms}))
+
+
+async def change_keys(stage: Stage, rng: random.Random) -> str:
+    if stage.accounts is None:
+        return "no accounts"
+    name = stage.accounts.give_another_key(rng)
+    version = stage.configure()
+    stage.accounts.took_old_keys(asyncio.get_running_loop().time())
+    return f"{name} {version}"
 
 
 _FAULTS: tuple[_Fault, ...] = (
@@ -194,4 +196,5 @@
     harm_link,
     harm_link,
     change_routes,
+    change_keys,
 )
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -6,7 +6,8 @@
 
 import aiohttp
 
-from radishwind.standins.platform_fleet import route
+from tests.soak.accounts import Accounts
+from tests.soak.accounts import UNLIMITED
 from tests.soak.callers import ask
 from tests.soak.callers import call_for
 from tests.soak.callers import Told
@@ -31,12 +32,11 @@
 async def play(seed: int, length_s: float, folder: pathlib.Path) -> list[str]:
     """Returns the promises that were broken; empty where none was."""
     rng = random.Random(seed)
-    stage = Stage(folder, rng)
-    told = Told()
+    # The nodes' own part without accounts is soaked by every second seed.
+    accounts = None if seed % 2 else Accounts(rng)
+    stage = Stage(folder, rng, accounts)
+    told = Told(accounts)
     async with stage.fleet:
-        stage.fleet.configure(
-            [route("library", "safe"), route("sessions", "unsafe")]
-        )
         await stage.start(seed)
         done = asyncio.Event()
         async with asyncio.TaskGroup() as tasks:
@@ -67,7 +67,7 @@
     try:
         async with asyncio.timeout(RECOVER_S):
             while in_a_row < _SERVED_IN_A_ROW:
-                status = await ask(session, instance, service, told)
+                status = await ask(session, instance, service, told, UNLIMITED)
                 in_a_row = in_a_row + 1 if status == 200 else 0
                 await asyncio.sleep(0.02)
     except TimeoutError:
@@ -91,6 +91,8 @@
         count = sum(s.runs[name] for s in stage.servers)
         if count:
             broken.append(f"{name}: told not run, ran {count} times")
+    if stage.accounts is not None:
+        broken += stage.accounts.broken(stage.servers)
     return broken + _twice(stage)
 
 
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -12,8 +12,10 @@
 from radishwind.standins.platform_fleet import Fleet
 from radishwind.standins.platform_fleet import Instance
 from radishwind.standins.platform_fleet import Place
+from radishwind.standins.platform_fleet import route
 from radishwind.standins.platform_server import PlatformServerStandin
 from radishwind.standins.platform_server import ServerOptions
+from tests.soak.accounts import Accounts
 from tests.soak.proxy import LoopbackProxy
 
 PLACES = tuple(
@@ -47,9 +49,16 @@
 class Stage:
     """Instances with their links; remembers every server that ever ran."""
 
-    def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        rng: random.Random,
+        accounts: Accounts | None = None,
+    ) -> None:
         self.rng = rng
-        self.fleet = Fleet(list(PLACES), folder, self._wire)
+        self.accounts = accounts
+        bounds = accounts.bounds if accounts else ()
+        self.fleet = Fleet(list(PLACES), folder, self._wire, bounds)
         self.links: dict[str, Links] = {}
         self.servers: list[PlatformServerStandin] = []
         self.crashes: list[str] = []
@@ -73,9 +82,18 @@
 
     async def start(self, seed: int) -> None:
         """Starts servers and nodes."""
+        self.configure()
         await self.fleet.start(seed, work_s=0.02, heartbeat_s=0.4)
         self.servers += [i.server for i in self.instances() if i.server]
 
+    def configure(self, **library: object) -> int:
+        """Writes the routes, `library` as told, and the accounts in force."""
+        if self.accounts is not None:
+            self.fleet.accounts = self.accounts.as_written()
+        return self.fleet.configure(
+            [route("library", "safe", **library), route("sessions", "unsafe")]
+        )
+
     def instances(self) -> tuple[Instance, ...]:
         return tuple(self.fleet.instances.values())
 
