--- a/src/radishwind/recency/tests/test_keeper.py
+++ b/src/radishwind/recency/tests/test_keeper.py
@@ -1,11 +1,14 @@
 """Proof is kept with few calls of the store, whatever fails."""
 
+import datetime
+
 import pytest
 from tests.support.recency_net import BOUND_S
 from tests.support.recency_net import Net
 
 from radishwind.experiment.loop import run
 from radishwind.recency import RecencyTimes
+from radishwind.telemetry import logs
 
 NAMES = [f"{domain}-{number}" for domain in "abcd" for number in range(15)]
 LIMIT_S = RecencyTimes(BOUND_S).limit_s
@@ -298,3 +301,38 @@
 
     assert standing == len(NAMES)
     assert calls_per_s <= 1.5
+
+
+@pytest.mark.parametrize("jump_s", [-4.0, 4.0, 3600.0])
+def test_a_time_of_day_that_jumps_changes_nothing(jump_s):
+    async def story(net):
+        await net.pass_s(2.0)
+        now = net.clock.now
+        net.clock.now = lambda: now() + datetime.timedelta(seconds=jump_s)
+        least = await watched(net, 5.0)
+        net.store.faults = dict.fromkeys(net.nodes, "busy")
+        await net.pass_s(LIMIT_S)
+        return least, len(net.standing())
+
+    assert play(story) == (len(NAMES), 0)
+
+
+def test_proof_lost_and_regained_are_logged_once(monkeypatch):
+    lines = []
+    monkeypatch.setattr(logs, "_takers", [lines.append])
+
+    async def story(net):
+        await net.pass_s(2.0)
+        net.store.faults = dict.fromkeys(net.nodes, "busy")
+        await net.pass_s(10.0)
+        net.store.faults = {}
+        await net.pass_s(2.0)
+
+    play(story, ["a-1", "b-1"])
+
+    told = [x for x in lines if x["message_type"] == "radishwind:recency"]
+    out = [x for x in told if "Out of proof" in x["text"]]
+    back = [x for x in told if "Has proof" in x["text"]]
+    assert (len(out), len(back)) == (2, 4)
+    assert all(x["age_s"] >= LIMIT_S for x in out)
+    assert {x["source"] for x in back} <= {"store", "a-1", "b-1"}
