--- a/src/radishwind/recency/keeper.py
+++ b/src/radishwind/recency/keeper.py
@@ -45,6 +45,7 @@
         directory: Directory,
         socket: PeerSocket,
         routes: RoutesInForce,
+        first_wait_s: float = 0.0,
     ) -> None:
         """Wires the keeper.
 
@@ -57,7 +58,10 @@
           directory: the nodes there are.
           socket: carries questions and answers.
           routes: the configuration in force, and its client accounts.
+          first_wait_s: a node that a peer brought the configuration reads the
+            store itself after up to this time (s), at random.
         """
+        self._first_wait_s = first_wait_s
         self._times = times
         self._clock = clock
         self._rng = rng
@@ -128,6 +132,7 @@
                 sources=self._sources,
                 rng=self._rng,
                 now=now,
+                first_wait_s=self._first_wait_s,
             )
         self._note(now)
         step = self._seeker.step(now)
--- a/src/radishwind/recency/seeker.py
+++ b/src/radishwind/recency/seeker.py
@@ -58,6 +58,7 @@
         sources: Sources,
         rng: random.Random,
         now: float,
+        first_wait_s: float,
     ) -> None:
         """Makes the seeker of a node that begins to need proof.
 
@@ -67,6 +68,8 @@
           sources: whom to ask.
           rng: spreads calls of the store.
           now: monotonic time (s).
+          first_wait_s: it reads the store after up to this time (s) first,
+            unless it knows others and is the first of them.
         """
         self._times = times
         self._proof = proof
@@ -80,8 +83,7 @@
         self._ask_at = now
         self._vain_rounds = 0
         self._reading = False
-        # Who finds no peers at a start of all doesn't read before them.
-        self._read_at = now + rng.random() * times.round_gap_s
+        self._read_at = now + rng.random() * first_wait_s
 
     def step(self, now: float) -> Step:
         """Returns what is to be done at `now` (s)."""
--- a/src/radishwind/sidecar/recency.py
+++ b/src/radishwind/sidecar/recency.py
@@ -14,6 +14,7 @@
 from radishwind.routes.feed import RouteFeed
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.settings.placed import PlacedSettings
+from radishwind.sidecar.options import start_spread_s
 
 
 class RecencySide:
@@ -57,6 +58,7 @@
             directory=directory,
             socket=socket,
             routes=routes,
+            first_wait_s=start_spread_s(settings),
         )
         self.proof = self.keeper.proof
 
--- a/tests/support/recency_net.py
+++ b/tests/support/recency_net.py
@@ -121,6 +121,7 @@
             directory=self.known,
             socket=self,
             routes=self.routes,
+            first_wait_s=0.15,
         )
         self.side = StoreSide(
             keys=KEYS,
--- /dev/null
+++ b/tests/test_recency_processes.py
@@ -0,0 +1,133 @@
+"""Nodes as processes take a key only while it is known to be in force."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+from radishwind.standins.platform_fleet import Fleet
+from radishwind.standins.platform_fleet import HOST
+from radishwind.standins.platform_fleet import Place
+from radishwind.standins.platform_fleet import route
+from radishwind.standins.platform_server import HEALTH_PATH
+from radishwind.standins.platform_store import StoreFaults
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+PLACES = [
+    Place("a-1", "127.0.9.11", "a", "library"),
+    Place("a-2", "127.0.9.12", "a", "library"),
+    Place("b-1", "127.0.9.13", "b", "library"),
+]
+ROUTES = [
+    route("library", "safe"),
+    route("library", "safe", name="open", prefix="/open/", public=True),
+]
+BOUND_MS = 1500
+WITHIN_S = 20.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with Fleet(PLACES, tmp_path) as running:
+        for instance in running.instances.values():
+            path = instance.settings_path
+            strict = f'"strict-revoke=true", "revoke-ms={BOUND_MS}", "grace-s'
+            path.write_text(path.read_text().replace('"grace-s', strict))
+        configure(running, 2, ["one", "two"])
+        await running.start(7, spell_s=0.0)
+        for instance in running.instances.values():
+            await until(lambda i=instance: gets(i, 200, key="one"))
+        yield running
+
+
+def configure(fleet, version, keys):
+    cfg = {
+        "version": version,
+        "routes": ROUTES,
+        "services": [
+            {"name": "library", "health-path": HEALTH_PATH, "max-conns": 64}
+        ],
+        "limits": {"idle-timeout-ms": 15000},
+        "tenants": [{"name": "first", "api-keys": keys}],
+    }
+    fleet.store.put("op/config", json.dumps(cfg).encode())
+
+
+async def ask(instance, path="/library/x", key=""):
+    headers = {"Host": HOST, "Attempt-Id": "9c41", "Timeout-Ms": "1500"}
+    if key:
+        headers["Authorization"] = f"Token {key}"
+    url = f"http://{instance.callers}{path}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(url, headers=headers) as got,
+    ):
+        await got.read()
+        return got.status, got.headers
+
+
+async def gets(instance, status, path="/library/x", key=""):
+    return (await ask(instance, path, key))[0] == status
+
+
+async def until(check):
+    async with asyncio.timeout(WITHIN_S):
+        while not await check():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def is_told(instance, words):
+    return words in instance.log_path.read_text()
+
+
+async def test_where_the_store_is_lost_keys_are_refused_and_no_more(fleet):
+    fleet.store.faults = StoreFaults(down="reset")
+
+    for instance in fleet.instances.values():
+        await until(lambda i=instance: gets(i, 503, key="one"))
+        status, headers = await ask(instance, key="one")
+        assert status == 503
+        assert headers["Radishwind-Code"] == "3017"
+        assert float(headers["Retry-After"]) >= 0.1
+        assert await gets(instance, 200, "/open/x")
+        assert await gets(instance, 200, "/open/x", key="one")
+        assert await gets(instance, 401)
+        assert is_told(instance, "Out of proof")
+    fleet.store.faults = StoreFaults()
+    for instance in fleet.instances.values():
+        await until(lambda i=instance: gets(i, 200, key="one"))
+
+
+@pytest.mark.parametrize("how", ["busy", "many", "reset", "silent"])
+async def test_a_node_that_the_store_turns_away_stays_in_service(fleet, how):
+    turned_away = fleet.instances["a-2"]
+    away = (turned_away.place.host,)
+    fleet.store.faults = StoreFaults(down=how, only=away)
+    # Several times as long as a proof counts.
+    for _ in range(3 * BOUND_MS // 100):
+        assert await gets(turned_away, 200, key="one")
+        await asyncio.sleep(0.1)
+
+    configure(fleet, 4, ["two"])
+
+    await until(lambda: gets(turned_away, 401, key="one"))
+    assert await gets(turned_away, 200, key="two")
+    assert not is_told(turned_away, "Out of proof")
+
+
+async def test_the_metrics_of_proof_are_told_and_documented(fleet):
+    instance = fleet.instances["a-1"]
+    url = f"http://{instance.metrics}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as got:
+        text = await got.text()
+
+    for name in ("age_seconds ", "questions_total{"):
+        assert f"\nradishwind_key_proof_{name}" in text
+    assert 'radishwind_keys_refused_total{reason="unproven"}' in text
