Take a node for alone only after a whole round without an answer

Cause: at the beginning of each round of questions a node took itself for one that nobody answers, and could read the store before its turn where others were just about to answer.

Change: as the subject says; tests of each decision of the seeker.

--- a/src/radishwind/recency/seeker.py
+++ b/src/radishwind/recency/seeker.py
@@ -79,7 +79,10 @@
         self._round: list[Member] = []
         self._around = sources.look()
         self._looked_at = now
-        self._heard_in_round = True
+        # Whether a whole round of questions brought no answer at all, and
+        # whether the present one brought any.
+        self._alone = False
+        self._heard = True
         self._ask_at = now
         self._vain_rounds = 0
         self._reading = False
@@ -100,7 +103,8 @@
 
     def answered(self, name: str, proof: Proof | None, now: float) -> None:
         """Takes that the node `name` answered, with what `proof`."""
-        self._heard_in_round = True
+        self._heard = True
+        self._alone = False
         if proof is not None and now - proof.as_of < self._good_s():
             self._helper = name
             self._round = []
@@ -136,7 +140,7 @@
         self._looked_at = now
 
     def _is_eager(self) -> bool:
-        return self._around.place < _EAGER_PLACES or not self._heard_in_round
+        return self._around.place < _EAGER_PLACES or self._alone
 
     def _is_first_of_known(self, age_s: float) -> bool:
         """Whether this node is to begin where nobody has any proof yet."""
@@ -145,7 +149,7 @@
 
     def _is_turn(self, age_s: float) -> bool:
         turn_s = self._times.turn_s(self._around.place)
-        if not self._heard_in_round:
+        if self._alone:
             turn_s = min(turn_s, self._times.alone_turn_s)
         return age_s >= turn_s
 
@@ -164,7 +168,7 @@
         if not self._round:
             self._look(now)
             self._round = list(self._around.to_ask)
-            self._heard_in_round = False
+            self._alone, self._heard = not self._heard, False
         count = _ASKED_IN_HURRY if age_s >= self._times.hurry_at_s else 1
         asked, self._round = self._round[:count], self._round[count:]
         wait_s = ANSWER_WAIT_S
