--- a/src/radishwind/quotas/borrower.py
+++ b/src/radishwind/quotas/borrower.py
@@ -131,11 +131,11 @@
         limit, loan = self._limit_of(account), self._loans.get(account)
         if limit is None or loan is None:
             return ""
+        short = account in self._short
         return (
-            f"quota={limit.rate_per_s:g}/s most={limit.most:.0f}/"
-            f"{limit.window_s:g}s limit={loan.limit} spent={loan.spent} "
-            f"short={account in self._short} lender={loan.lender} "
-            f"nodes={loan.askers}"
+            f"{loan.lender} (lends quota={limit.rate_per_s:g}/s "
+            f"most={limit.most:.0f}/{limit.window_s:g}s nodes={loan.askers} "
+            f"lent_to={loan.limit} let_in={loan.spent} short={short})"
         )
 
     def heard_grant(self, grant: Grant, now: float) -> None:
--- a/src/radishwind/quotas/tests/test_bound.py
+++ b/src/radishwind/quotas/tests/test_bound.py
@@ -4,9 +4,9 @@
 from hypothesis import HealthCheck
 from hypothesis import settings
 from hypothesis import strategies as st
+from tests.support.quota_net import Net
+from tests.support.quota_net import worst_window
 
-from bench.quota_net import Net
-from bench.quota_net import worst_window
 from radishwind.accounts import Account
 
 NODES = 6
--- a/src/radishwind/quotas/tests/test_fleets.py
+++ b/src/radishwind/quotas/tests/test_fleets.py
@@ -4,11 +4,11 @@
 import math
 
 import pytest
+from tests.support.quota_net import load
+from tests.support.quota_net import Net
+from tests.support.quota_net import power_law
+from tests.support.quota_net import refused_wrongly
 
-from bench.quota_net import load
-from bench.quota_net import Net
-from bench.quota_net import power_law
-from bench.quota_net import refused_wrongly
 from radishwind.accounts import Account
 
 #: Times of its usual rate that the bound lets an account use, and more.
