Lend sooner after a start, and call an account short later

Change: a lender answers 0.3 s after its start once no node came for 0.2 s, 0.7 s at most; an account is short below a twelfth of its depth; questions are repeated after 0.15 s.

--- a/src/radishwind/quotas/borrower.py
+++ b/src/radishwind/quotas/borrower.py
@@ -24,7 +24,7 @@
 from radishwind.quotas.returns import return_in_s
 
 #: A question without an answer is asked again after so long (s).
-ASK_AGAIN_S = 0.25
+ASK_AGAIN_S = 0.15
 
 #: A lender that answered nothing for so long is silent (s).
 SILENT_S = 0.4
--- a/src/radishwind/quotas/lender.py
+++ b/src/radishwind/quotas/lender.py
@@ -22,8 +22,10 @@
 STOOD_STILL_S = 1.0
 
 #: A node that just started lends nothing for so long (s): it doesn't know yet
-#: who else there is.
-SETTLES_S = 0.7
+#: who else there is. Nor while others still come, up to the longer time.
+SETTLES_S = 0.3
+SETTLED_BY_S = 0.7
+_COMING_S = 0.2
 
 #: Where nodes were lost, another may lend for so long until it notices (s).
 _BOTH_LEND_S = 1.0
@@ -61,6 +63,7 @@
         self._log = PartLogger("quotas", clock)
         self._pools: dict[str, Pool] = {}
         now = clock.monotonic()
+        self._started_at = now
         self._ready_at = now + SETTLES_S
         self._ticked_at = now
         self._lent_before = 0
@@ -159,7 +162,7 @@
         limit = self._limit_of(account)
         if limit is None or self._fleet.lender(account) != self._fleet.own:
             return None
-        if now < self._ready_at:
+        if not self._is_ready(now):
             # Each node may let in one unasked until it is answered.
             return None
         pool = self._pools.get(account)
@@ -168,6 +171,13 @@
         pool.limit = limit
         return pool
 
+    def _is_ready(self, now: float) -> bool:
+        if now < self._ready_at:
+            return False
+        if now - self._started_at >= SETTLED_BY_S:
+            return True
+        return now - self._fleet.changed_at >= _COMING_S
+
     def _open(self, limit: QuotaLimit, now: float) -> Pool:
         """Opens a pool: full if nobody else can have lent for long enough."""
         since = max(
--- a/src/radishwind/quotas/pool.py
+++ b/src/radishwind/quotas/pool.py
@@ -17,7 +17,7 @@
 
 #: Below this part of its depth an account is short: what is let in unasked
 #: would use up the rest before the nodes hear of it.
-_SHORT = 1 / 6
+_SHORT = 1 / 12
 #: It has room again from so many times that on, if no more is asked for than
 #: time brings.
 _ROOM_AGAIN = 1.3
