--- a/src/radishwind/entry/tests/test_keys.py
+++ b/src/radishwind/entry/tests/test_keys.py
@@ -93,6 +93,19 @@
     def give_back(self, account, taken_at, now):
         self.left[account] += 1
 
+    def figures(self, account):
+        return f"far (lends quota={account})"
+
+
+class Seen(CallObserver):
+    """Keeps the requests that ended."""
+
+    def __init__(self):
+        self.calls = []
+
+    def finished(self, call, outcome, elapsed_s):
+        self.calls.append(call)
+
 
 class Heard(CallObserver):
     def __init__(self, rejected):
@@ -112,7 +125,7 @@
         self.adopt(1, accounts)
         self.proof, self.server = Proof(), Server()
         self.keys = KeyCheck(lambda: self.routes.accounts, self.proof)
-        self.quotas = Quotas()
+        self.quotas, self.seen = Quotas(), Seen()
         self.told_of = []
         self.pipeline = EntryPipeline(
             clock=clock,
@@ -134,7 +147,7 @@
             claims=NoClaims(),
             respond=respond,
             quotas=self.quotas,
-            observers=[Heard(self.told_of)],
+            observers=(self.seen, Heard(self.told_of)),
         )
 
     def adopt(self, version, accounts):
@@ -339,3 +352,16 @@
     await node.ask(key("key-of-a"))
 
     assert node.quotas.left["a"] == left
+
+
+@pytest.mark.anyio
+async def test_a_refusal_over_quota_tells_who_lends_and_reaches_no_server():
+    node = Node()
+    node.quotas.left["a"] = 0
+
+    answer = await node.ask(key("key-of-a"))
+
+    assert answer.status == 429
+    assert dict(answer.headers)["Retry-After"] == "0.250"
+    assert node.seen.calls[0].steps == ["far (lends quota=a)"]
+    assert not node.server.calls
