--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -252,3 +252,20 @@
     assert response.status == 503
     assert dict(response.headers)["Retry-After"] == "0.150"
     assert respond(Unknown(ResultCode.EXCHANGE_BROKEN, "x")).status == 502
+
+
+def test_the_link_of_an_instance_is_read_where_it_is_told():
+    limits = "[limits]\nlink-mbps = 12.5\n[provider]"
+
+    assert read_settings(SETTINGS).link_mbps == 0
+    told = read_settings(SETTINGS.replace("[provider]", limits))
+    assert told.link_mbps == 12.5
+
+
+def test_answers_of_downloads_are_large():
+    kept = ROUTES.replace(b'"kind":"safe"', b'"kind":"download"')
+
+    large = [route.large_answers for route in read_routes(kept).routes]
+
+    assert large == [False, True]
+    assert not any(route.large_answers for route in read_routes(ROUTES).routes)
