--- a/src/radishwind/loads/link_room.py
+++ b/src/radishwind/loads/link_room.py
@@ -15,7 +15,7 @@
 from radishwind.telemetry.logs import PartLogger
 
 #: The longest that answers may queue at the link (s).
-MOST_QUEUE_S = 0.3
+MOST_QUEUE_S = 0.45
 
 #: An answer that takes less of the link is always taken (s).
 SHORT_S = 0.01
