Compare routes taken before the secret was known with the operator's

Cause: until a node knows the secret it takes a configuration from whoever brings it, also in the tenths of a second of each start. Versions only rise, so a made-up one would have stayed in force and been told on, signed.

Change: a node whose version came from a peer before it knew the secret asks the store once, at the price of an old answer mostly, signs nothing until then, and starts anew where the store's version is lower.

--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -1,17 +1,22 @@
 """What a node on the platform costs, as a ratio to another version's.
 
     python -m bench.node_cost [--nodes 30] [--seconds 10] [--than SRC]
+    python -m bench.node_cost --accounts
     python -m bench.node_cost --profile FILE
 
 Nodes run as processes on stand-ins of the platform: processor time of a start
 until ready, at rest, and with requests. `--than` names the `src` folder of
 another version, measured in the same run and in the same way; the ratio says
-more than the seconds, which are the machine's. `--profile` runs one node under
-cProfile, beside the others, with requests, and keeps its statistics.
+more than the seconds, which are the machine's. `--accounts` compares nodes that
+sign what they send each other, since there are client accounts, with nodes that
+don't. `--profile` runs one node under cProfile, beside the others, with
+requests, and keeps its statistics.
 """
 
 import argparse
 import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
 import compileall
 import dataclasses
 import os
@@ -20,6 +25,8 @@
 import signal
 import sys
 import tempfile
+from typing import Any
+from typing import TypeAlias
 
 from radishwind.standins.platform_fleet import Fleet
 from radishwind.standins.platform_fleet import Instance
@@ -33,6 +40,9 @@
 _SERVICES = ("library", "library", "sessions")
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
+_Accounts: TypeAlias = Sequence[Mapping[str, Any]]
+_HELD: _Accounts = ({"name": "ward-7", "api-keys": ["k-7"]},)
+
 #: After the start of all, until nodes know each other and are at rest (s).
 _SETTLE_S = 8.0
 
@@ -58,6 +68,7 @@
     parser.add_argument("--nodes", type=int, default=30)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--than", type=pathlib.Path)
+    parser.add_argument("--accounts", action="store_true")
     parser.add_argument("--profile", type=pathlib.Path)
     args = parser.parse_args()
     if args.profile is not None:
@@ -65,16 +76,22 @@
         asyncio.run(_profiled(args.nodes, args.seconds, kept))
         return
     own = pathlib.Path(__file__).resolve().parent.parent / "src"
+    if args.accounts:
+        costs = [
+            _measured(own, args.nodes, args.seconds, held)
+            for held in ((), _HELD)
+        ]
+        _print(costs, ("without accounts", "with accounts"))
+        return
     sources = [own] if args.than is None else [args.than.resolve(), own]
     costs = [_measured(src, args.nodes, args.seconds) for src in sources]
-    _print(costs)
+    _print(costs, ("other version", "this version"))
 
 
-def _print(costs: list[Cost]) -> None:
+def _print(costs: list[Cost], names: tuple[str, str]) -> None:
     print("| of a node | s of a start | cores at rest | cores with requests |")
     print("|---|---|---|---|")
-    names = ["other version", "this version"][-len(costs) :]
-    for name, cost in zip(names, costs, strict=True):
+    for name, cost in zip(names[-len(costs) :], costs, strict=True):
         print(
             f"| {name} | {cost.start_s:.3f} | {cost.rest:.4f} | "
             f"{cost.busy:.4f} |"
@@ -99,17 +116,19 @@
     ]
 
 
-def _measured(src: pathlib.Path, nodes: int, seconds: float) -> Cost:
+def _measured(
+    src: pathlib.Path, nodes: int, seconds: float, accounts: _Accounts = ()
+) -> Cost:
     # As deployed: no start compiles anything.
     compileall.compile_dir(src, quiet=1)
     os.environ["PYTHONPATH"] = str(src)
-    return asyncio.run(_cost(nodes, seconds))
+    return asyncio.run(_cost(nodes, seconds, accounts))
 
 
-async def _cost(nodes: int, seconds: float) -> Cost:
+async def _cost(nodes: int, seconds: float, accounts: _Accounts) -> Cost:
     with tempfile.TemporaryDirectory() as folder:
         async with Fleet(_places(nodes), pathlib.Path(folder)) as fleet:
-            await _start(fleet)
+            await _start(fleet, accounts)
             start_s = _cpu_s(fleet) / nodes
             await asyncio.sleep(_SETTLE_S)
             before = _cpu_s(fleet)
@@ -121,8 +140,13 @@
             return Cost(start_s, rest, busy)
 
 
-async def _start(fleet: Fleet) -> None:
-    fleet.configure([route("library", "safe"), route("sessions", "unsafe")])
+async def _start(fleet: Fleet, accounts: _Accounts = ()) -> None:
+    # Public, so that requests need no key: only what nodes sign differs.
+    routes = [
+        route("library", "safe", public=True),
+        route("sessions", "unsafe", public=True),
+    ]
+    fleet.configure(routes, tenants=accounts)
     await fleet.start(7, work_s=0.03)
 
 
--- a/src/radishwind/peers/keyring.py
+++ b/src/radishwind/peers/keyring.py
@@ -24,6 +24,7 @@
       in_use: whether there are client accounts, so that messages are signed.
       revision: of the store's record of the newest secret; 0 for none.
       doubted: whether others may know a newer secret.
+      held: whether nothing is signed, whatever else.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -38,9 +39,10 @@
         self.in_use = False
         self.revision = 0
         self.doubted = False
+        self.held = False
 
     def listen(self, listener: Callable[[], None]) -> None:
-        """Calls `listener` when a secret is lacking, or doubted."""
+        """Calls `listener` when a secret is lacking, doubted or learned."""
         self._listeners.append(listener)
 
     def follow(self, in_use: bool, *, lenient: bool) -> None:
@@ -80,6 +82,7 @@
             revision=revision,
             replaced=int(self._older is not None),
         )
+        self._call_listeners()
 
     def doubt(self) -> None:
         """Takes that somebody may know a newer secret."""
@@ -90,6 +93,11 @@
         for listener in self._listeners:
             listener()
 
+    @property
+    def knows(self) -> bool:
+        """Whether a secret is known."""
+        return self._newest is not None
+
     @property
     def lacks(self) -> bool:
         """Whether messages are to be signed and no secret is known."""
@@ -102,6 +110,8 @@
         Who finds a secret signs before it knows whether there are accounts: the
         others know.
         """
+        if self.held:
+            return None
         return self._newest if self.in_use or not self._decided else None
 
     @property
--- a/src/radishwind/routes/in_force.py
+++ b/src/radishwind/routes/in_force.py
@@ -17,6 +17,7 @@
       table: its look-up table.
       accounts: its client accounts.
       raw: the same as the operator wrote it, for peers.
+      source: where it came from.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -27,6 +28,7 @@
         self.table = RouteTable(())
         self.accounts = AccountBook()
         self.raw = b""
+        self.source = ""
         self._since = 0.0
 
     @property
@@ -49,7 +51,7 @@
         Args:
           cfg: decoded.
           raw: the same as the operator wrote it.
-          source: where it came from, for the log.
+          source: where it came from.
         """
         if cfg.version <= self.version:
             return False
@@ -58,6 +60,7 @@
         self.cfg = cfg
         self.table = RouteTable(cfg.routes)
         self.raw = raw
+        self.source = source
         self._since = self._clock.monotonic()
         self._log.change(
             "Adopted a configuration.",
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -174,6 +174,7 @@
             routes=self._routes,
             target=self._target.pipeline,
             asked_by=lambda host: self._loads.asked_by(host),
+            start_anew=self._stopping.set,
         )
         self._attempts = RequestsInProgress(
             self._peers.listener.handle, self._clock, is_attempt
--- a/src/radishwind/sidecar/peer_side.py
+++ b/src/radishwind/sidecar/peer_side.py
@@ -8,6 +8,8 @@
 import os
 import random
 
+import anyio
+
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.http.sender import Sender
@@ -23,12 +25,15 @@
 from radishwind.peers.fleet_security import Starts
 from radishwind.peers.keyring import Keyring
 from radishwind.peers.listener import PeerListener
+from radishwind.platform import read_routes
+from radishwind.platform.routes import KEY as ROUTES_KEY
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.account_policy import AccountPolicy
 from radishwind.sidecar.options import start_spread_s
 from radishwind.sidecar.secret import SecretKeeper
+from radishwind.sidecar.unchecked import UncheckedRoutes
 from radishwind.store.base import Store
 from radishwind.store.base import StoreEntry
 from radishwind.target.pipeline import TargetPipeline
@@ -82,6 +87,7 @@
         routes: RoutesInForce,
         target: TargetPipeline,
         asked_by: Callable[[str], None],
+        start_anew: Callable[[], None],
     ) -> None:
         """Wires what needs other parts.
 
@@ -92,6 +98,7 @@
           routes: the routes in force.
           target: runs the attempts.
           asked_by: takes the host of each node that sends an attempt.
+          start_anew: ends the process, to begin without what it believes.
         """
         self._directory = membership.directory
         self._keeper = SecretKeeper(
@@ -104,6 +111,15 @@
             spread_s=start_spread_s(self._settings),
             entropy=os.urandom,
         )
+        self._unchecked = UncheckedRoutes(
+            keyring=self.keyring,
+            routes=routes,
+            store=store,
+            key=ROUTES_KEY,
+            decode=read_routes,
+            clock=self._clock,
+            forged=start_anew,
+        )
         self.listener = PeerListener(
             node_name=self._settings.node,
             clock=self._clock,
@@ -122,7 +138,9 @@
 
     async def run(self) -> None:
         """Finds the secret when it is needed, until cancelled."""
-        await self._keeper.run()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._unchecked.run)
+            await self._keeper.run()
 
     def refused(self) -> dict[str, int]:
         """Returns how many messages were refused, by what and why."""
--- /dev/null
+++ b/src/radishwind/sidecar/unchecked.py
@@ -0,0 +1,118 @@
+"""Compares routes that were taken unchecked with the operator's own.
+
+Until a node knows the secret of the fleet it takes a configuration from
+whoever brings it. Versions only rise, so a made-up one would stay in force, and
+the node would tell it on once it can sign: so it signs after the comparison.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from radishwind.core.clock import Clock
+from radishwind.core.errors import RadishwindError
+from radishwind.peers.keyring import Keyring
+from radishwind.routes.in_force import RoutesInForce
+from radishwind.routes.model import RouteConfig
+from radishwind.routes.store_side import SOURCE
+from radishwind.store.base import Store
+from radishwind.store.base import StoreError
+from radishwind.telemetry.logs import PartLogger
+
+#: The store is asked again after this time (s).
+_AGAIN_S = 1.0
+
+
+class UncheckedRoutes:
+    """The task that asks the store, once, where there is reason to."""
+
+    def __init__(
+        self,
+        *,
+        keyring: Keyring,
+        routes: RoutesInForce,
+        store: Store,
+        key: str,
+        decode: Callable[[bytes], RouteConfig],
+        clock: Clock,
+        forged: Callable[[], None],
+    ) -> None:
+        """Wires the task.
+
+        Args:
+          keyring: whether the secret is known.
+          routes: the routes in force.
+          store: the platform's store.
+          key: of the configuration there.
+          decode: reads a configuration; raises a `RadishwindError` if it is
+            malformed.
+          clock: the clock.
+          forged: called where the version in force is none of the operator's.
+        """
+        self._keyring = keyring
+        self._routes = routes
+        self._store = store
+        self._key = key
+        self._decode = decode
+        self._log = PartLogger("routes", clock)
+        self._forged = forged
+        self._unchecked = False
+        self._due = anyio.Event()
+        routes.listen(self._adopted)
+        keyring.listen(self._wake)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            while self._unchecked and self._keyring.knows:
+                await self._compare()
+                if self._unchecked:
+                    await anyio.sleep(_AGAIN_S)
+            await self._due.wait()
+            self._due = anyio.Event()
+
+    def _adopted(self, cfg: RouteConfig) -> None:
+        if self._routes.source == SOURCE:
+            self._settle()
+        elif not self._keyring.knows:
+            self._unchecked = True
+            self._keyring.held = True
+
+    def _settle(self) -> None:
+        """Lets the node sign: what it believes is the operator's."""
+        self._unchecked = False
+        self._keyring.held = False
+
+    def _wake(self) -> None:
+        self._due.set()
+
+    async def _compare(self) -> None:
+        """Asks the store; it may be away."""
+        try:
+            # What an old answer shows is the operator's too.
+            stored = await self._stored_version(allow_stale=True)
+            if self._routes.version > stored:
+                stored = await self._stored_version(allow_stale=False)
+        except StoreError as exc:
+            self._log.info("Routes uncompared.", reason=str(exc)[:120])
+            return
+        except RadishwindError as exc:
+            # Nothing to compare with; what is in force stays, as elsewhere.
+            self._settle()
+            self._log.warning("Routes uncompared.", reason=str(exc)[:120])
+            return
+        if self._routes.version <= stored:
+            self._settle()
+            return
+        self._unchecked = False
+        self._log.error(
+            "The routes in force are none of the operator's.",
+            version=self._routes.version,
+            stored=stored,
+            source=self._routes.source,
+        )
+        self._forged()
+
+    async def _stored_version(self, *, allow_stale: bool) -> int:
+        entry = await self._store.get(self._key, allow_stale=allow_stale)
+        return self._decode(entry.value).version if entry else 0
