--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -203,6 +203,7 @@
             target=self._target.pipeline,
             asked_by=lambda host: self._loads.asked_by(host),
             link_room=self._links.room,
+            start_anew=self._stopping.set,
         )
         self._attempts = RequestsInProgress(
             self._peers.listener.handle, self._clock, is_attempt
--- a/src/radishwind/sidecar/peer_side.py
+++ b/src/radishwind/sidecar/peer_side.py
@@ -8,6 +8,8 @@
 import os
 import random
 
+import anyio
+
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.http.sender import Sender
@@ -25,12 +27,15 @@
 from radishwind.peers.keyring import Keyring
 from radishwind.peers.listener import PeerListener
 from radishwind.peers.traffic import PeerTraffic
+from radishwind.platform import read_routes
+from radishwind.platform.routes import KEY as ROUTES_KEY
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
 from radishwind.settings.placed import PlacedSettings
 from radishwind.sidecar.account_policy import AccountPolicy
 from radishwind.sidecar.options import start_spread_s
 from radishwind.sidecar.secret import SecretKeeper
+from radishwind.sidecar.unchecked import UncheckedRoutes
 from radishwind.store.base import Store
 from radishwind.store.base import StoreEntry
 from radishwind.target.pipeline import TargetPipeline
@@ -87,6 +92,7 @@
         target: TargetPipeline,
         asked_by: Callable[[str], None],
         link_room: LinkRoom,
+        start_anew: Callable[[], None],
     ) -> None:
         """Wires what needs other parts.
 
@@ -98,6 +104,7 @@
           target: runs the attempts.
           asked_by: takes the host of each node that sends an attempt.
           link_room: bounds the large answers that go out at once.
+          start_anew: ends the process, to begin without what it believes.
         """
         self._directory = membership.directory
         self._keeper = SecretKeeper(
@@ -110,6 +117,15 @@
             spread_s=start_spread_s(self._settings),
             entropy=os.urandom,
         )
+        self._unchecked = UncheckedRoutes(
+            keyring=self.keyring,
+            routes=routes,
+            store=store,
+            key=ROUTES_KEY,
+            decode=read_routes,
+            clock=self._clock,
+            forged=start_anew,
+        )
         self.listener = PeerListener(
             node_name=self._settings.node,
             clock=self._clock,
@@ -129,7 +145,9 @@
 
     async def run(self) -> None:
         """Finds the secret when it is needed, until cancelled."""
-        await self._keeper.run()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._unchecked.run)
+            await self._keeper.run()
 
     def refused(self) -> dict[str, int]:
         """Returns how many messages were refused, by what and why."""
