Tell calls of servers from callers' requests, and serve them first

Cause: a call that is refused costs the run that waits for it, and the slot that it holds. No field tells a call, so it was refused like a caller's request where its own short aim could not be met, waited behind new runs, and repeats after a shed went to whoever asked first.

Change: a node weighs for each route whether its requests come with what the server beside runs, or whatever it runs (likelihood ratio, bounded, given up as soon as callers use the route). Without calls nothing changes.

--- a/src/radishwind/admission/gate.py
+++ b/src/radishwind/admission/gate.py
@@ -31,6 +31,7 @@
       run_s: what such runs take there now in the mean, their calls included
         (s); 0 where not known.
       likely_s: what four of five of them end within (s); 0 where not known.
+      nested: whether a run elsewhere waits for it.
       admitted: whether it holds a slot.
       refused: the refusal, if it was turned away.
       released: whether it was given back.
@@ -47,6 +48,7 @@
     lot: float = 0.0
     run_s: float = 0.0
     likely_s: float = 0.0
+    nested: bool = False
     admitted: bool = False
     refused: NotRun | None = None
     released: bool = False
--- a/src/radishwind/admission/tests/test_urgent.py
+++ b/src/radishwind/admission/tests/test_urgent.py
@@ -158,3 +158,29 @@
             names.append(running.caller)
 
     assert len(set(began[0]) & set(began[1])) >= 9
+
+
+def test_a_call_goes_before_callers_of_its_rank_as_a_run_waits_for_it(
+    admission,
+):
+    caller = ticket("caller", aim=0.30, priority=1)
+    call = ticket("call", aim=0.40, deadline=0.40, priority=1)
+    call.nested = True
+
+    assert order(admission, caller, call) == ["call", "caller"]
+
+
+def test_a_call_past_its_aim_is_not_late_for_the_run_that_waits(admission):
+    caller = ticket("caller", aim=0.9, priority=1)
+    call = ticket("call", aim=0.005, deadline=0.8, priority=1)
+    call.nested = True
+
+    assert order(admission, caller, call) == ["call", "caller"]
+
+
+def test_callers_far_nearer_to_their_aim_go_before_calls(admission):
+    caller = ticket("caller", aim=0.1, priority=1)
+    call = ticket("call", aim=0.5, deadline=0.9, priority=1)
+    call.nested = True
+
+    assert order(admission, call, caller) == ["caller", "call"]
--- a/src/radishwind/entry/foresight.py
+++ b/src/radishwind/entry/foresight.py
@@ -68,8 +68,7 @@
         expected_s = self._chooser.expected_s(member, now, call.route)
         if not expected_s:
             return None
-        most_s = max(call.aim - now, self._chooser.usual_s(call.route))
-        most_s += max(0.0, MOST_LATE_S - RANK_STEP_S * call.priority)
+        most_s = self._most_s(call, now)
         if expected_s <= most_s:
             return None
         return NotRun(
@@ -77,3 +76,14 @@
             "Every target would answer late.",
             round(max(_LEAST_RETRY_S, expected_s - most_s), 3),
         )
+
+    def _most_s(self, call: "Call", now: float) -> float:
+        """Returns what `call` may take (s).
+
+        The run that waits for a nested call is lost without it, and has until
+        the call's deadline.
+        """
+        if call.depth:
+            return call.deadline - now
+        most_s = max(call.aim - now, self._chooser.usual_s(call.route))
+        return most_s + max(0.0, MOST_LATE_S - RANK_STEP_S * call.priority)
--- /dev/null
+++ b/src/radishwind/entry/nested.py
@@ -0,0 +1,111 @@
+"""Tells routes that backend servers call from those that callers use.
+
+A call that a server makes while it runs something comes to the node beside it
+like any request, with no field that says so. If it is refused, the run that
+waits for it is lost with the slot that it holds. So it is told apart by when it
+comes: callers come whatever the server beside is doing, calls come the more the
+more it runs, and never while it runs nothing. Each request weighs these two
+explanations of its route by their likelihood; nothing is inferred from a server
+that is always equally busy.
+"""
+
+from collections.abc import Callable
+import math
+
+#: Routes remembered; the longest known is forgotten.
+MOST_ROUTES = 2048
+
+#: Evidence from which on requests of a route count as calls: they came so much
+#: (e to this power) more likely with what the server ran.
+ENOUGH = 4.0
+
+#: Evidence is kept up to this, so that a route which callers begin to use is
+#: soon one of theirs.
+_MOST = 6.0
+
+#: What one request counts at most, for and against. The mean follows a change
+#: of load with a delay, so that one request proves little; one that comes while
+#: nothing runs was no call.
+_MOST_FOR = 0.7
+_MOST_AGAINST = 4.0
+
+#: Requests that the server runs in the mean count for at least this.
+_LEAST_MEAN = 0.05
+
+#: Time over which the mean is taken (s).
+_MEAN_S = 1.0
+
+
+class RunsBeside:
+    """Counts what the server beside runs, now and in the mean of late."""
+
+    def __init__(self) -> None:
+        self._running = 0
+        self._mean = 0.0
+        self._since = -math.inf
+
+    @property
+    def running(self) -> int:
+        """Requests that run there now."""
+        return self._running
+
+    def began(self, now: float) -> None:
+        """Takes that a run began (monotonic s)."""
+        self._mean = self.mean(now)
+        self._since = now
+        self._running += 1
+
+    def ended(self, now: float) -> None:
+        """Takes that a run ended (monotonic s)."""
+        self._mean = self.mean(now)
+        self._since = now
+        self._running -= 1
+
+    def mean(self, now: float) -> float:
+        """Returns how many ran there in the last seconds."""
+        faded = math.exp((self._since - now) / _MEAN_S)
+        return self._running + (self._mean - self._running) * faded
+
+
+class NestedRoutes:
+    """Learns which routes' requests are calls of the server beside."""
+
+    def __init__(
+        self, runs: RunsBeside, learned: Callable[[str, bool], None]
+    ) -> None:
+        """Makes a learner that knows nothing yet.
+
+        Args:
+          runs: what the server beside runs.
+          learned: told of a route whose requests now count as calls, or no
+            longer do.
+        """
+        self._runs = runs
+        self._learned = learned
+        self._evidence: dict[str, float] = {}
+
+    def came(self, route: str, now: float) -> bool:
+        """Takes a request; returns whether it counts as a call of the server.
+
+        Args:
+          route: that takes it.
+          now: monotonic time (s).
+        """
+        before = self._evidence.get(route, 0.0)
+        step = self._step(now)
+        after = max(-_MOST, min(_MOST, before + step))
+        self._evidence[route] = after
+        if len(self._evidence) > MOST_ROUTES:
+            del self._evidence[next(iter(self._evidence))]
+        is_nested = after >= ENOUGH
+        if is_nested != (before >= ENOUGH):
+            self._learned(route, is_nested)
+        return is_nested and self._runs.running > 0
+
+    def _step(self, now: float) -> float:
+        """Returns the logarithm of the likelihoods' ratio, bounded."""
+        if not self._runs.running:
+            return -_MOST_AGAINST
+        mean = max(_LEAST_MEAN, self._runs.mean(now))
+        ratio = math.log(self._runs.running / mean)
+        return max(-_MOST_AGAINST, min(_MOST_FOR, ratio))
--- a/src/radishwind/entry/routed.py
+++ b/src/radishwind/entry/routed.py
@@ -13,6 +13,7 @@
 from radishwind.entry.call import ServiceUnknownError
 from radishwind.entry.classifier import Classifier
 from radishwind.entry.keys import KeyCheck
+from radishwind.entry.nested import NestedRoutes
 from radishwind.entry.returns import Returns
 from radishwind.entry.siblings import Siblings
 from radishwind.http.types import Headers
@@ -64,6 +65,7 @@
         with_account: Callable[[Headers, str], Headers],
         returns: Returns | None = None,
         siblings: Siblings | None = None,
+        nested: NestedRoutes | None = None,
     ) -> None:
         """Makes a classifier.
 
@@ -80,6 +82,8 @@
             request counts as its caller's first.
           siblings: draws lots for those that belong together; by default none
             do.
+          nested: tells calls of the server beside from callers' requests; by
+            default none count as such.
         """
         self._clock = clock
         self._routes = routes
@@ -90,6 +94,7 @@
         self._with_account = with_account
         self._returns = returns
         self._siblings = siblings
+        self._nested = nested
 
     def is_idempotent(self, request: Request) -> bool:
         """Returns whether a route takes `request` and lets it run twice.
@@ -142,6 +147,7 @@
             deadline=now + timeout_s,
             expires_ms=NO_WALL_DEADLINE_MS,
             caller=request.remote,
+            depth=self._depth(route, account, now),
             aim=now + max(0.0, min(route.aim_s - age_s, timeout_s)),
             priority=priority,
             most_reached=route.attempts,
@@ -152,6 +158,12 @@
             account=account.name if account else "",
         )
 
+    def _depth(self, route: Route, account: Account | None, now: float) -> int:
+        """Returns 1 for a call of the server beside, which carries no key."""
+        if self._nested is None or account is not None:
+            return 0
+        return int(self._nested.came(route.name, now))
+
     def _account(
         self, told: CallerFields, route: Route, now: float
     ) -> Account | None:
--- a/src/radishwind/entry/tests/test_foresight.py
+++ b/src/radishwind/entry/tests/test_foresight.py
@@ -35,9 +35,9 @@
         return self._usual_s
 
 
-def refusal(expected_s, aim_s, priority=0, usual_s=0.2):
+def refusal(expected_s, aim_s, priority=0, usual_s=0.2, **changed):
     foresight = RefuseLate(Chooser(expected_s, usual_s))
-    call = make_call(aim=10.0 + aim_s, priority=priority)
+    call = make_call(aim=10.0 + aim_s, priority=priority, **changed)
     return foresight.refusal(call, MEMBER, 10.0)
 
 
@@ -67,3 +67,12 @@
 
 def test_where_nothing_is_known_all_is_sent():
     assert refusal(0.0, aim_s=-1.0) is None
+
+
+def test_a_call_of_a_run_is_sent_while_the_run_can_use_its_answer():
+    """A run of 0.2 s waits 0.8 s for a call with an aim of 0.15 s."""
+    nested = {"depth": 1, "deadline": 10.8}
+
+    assert refusal(0.6, aim_s=0.15, priority=2) is not None
+    assert refusal(0.6, aim_s=0.15, priority=2, **nested) is None
+    assert refusal(0.9, aim_s=0.15, priority=0, **nested) is not None
--- a/src/radishwind/hedging/fresh.py
+++ b/src/radishwind/hedging/fresh.py
@@ -95,7 +95,7 @@
         return call.aim if now < call.aim else call.deadline
 
     def spend(self, call: "Call", now: float) -> bool:
-        return self._budget.spend(call.service, now)
+        return self._budget.spend(call.service, now, nested=call.depth > 0)
 
     def finished(
         self,
--- a/src/radishwind/retries/shared.py
+++ b/src/radishwind/retries/shared.py
@@ -24,6 +24,11 @@
 #: count otherwise, and calls that repeated runs make.
 USED_PART = 0.5
 
+#: The part of what is allowed that is kept for nested calls where a service
+#: gets such: their callers don't come back, and each that fails costs the run
+#: that waits for it. A caller outside may come again, which takes no repeat.
+NESTED_PART = 0.6
+
 #: Nodes that are taken to share the slack at least: one that just started
 #: knows of itself only.
 LEAST_NODES = 8
@@ -94,18 +99,23 @@
         self._window_s = window_s
         self._requests: dict[str, _Window] = {}
         self._repeats: dict[str, _Window] = {}
+        self._nested: dict[str, _Window] = {}
 
-    def first(self, service: str, now: float) -> None:
+    def first(self, service: str, now: float, *, nested: bool = False) -> None:
         """Counts a request for `service`."""
         self._window(self._requests, service).add(now)
+        if nested:
+            self._window(self._nested, service).add(now)
 
-    def spend(self, service: str, now: float) -> bool:
+    def spend(self, service: str, now: float, *, nested: bool = False) -> bool:
         """Takes one repeat; returns whether there was one left."""
         requests = self._window(self._requests, service).total(now)
         repeats = self._window(self._repeats, service)
         allowed = self._share * requests + self._slack / max(
             LEAST_NODES, self._nodes()
         )
+        if not nested and self._window(self._nested, service).total(now):
+            allowed *= 1 - NESTED_PART
         if repeats.total(now) + 1 > allowed:
             return False
         repeats.add(now)
@@ -125,7 +135,7 @@
         self._budget = budget
 
     def first(self, call: "Call", now: float) -> None:
-        self._budget.first(call.service, now)
+        self._budget.first(call.service, now, nested=call.depth > 0)
 
     def again(
         self, call: "Call", outcome: Outcome, attempts: int, now: float
@@ -139,11 +149,14 @@
                 return False
             if outcome.code not in _ARRIVED:
                 return True
-            return self._budget.spend(call.service, now)
+            return self._spend(call, now)
         if not call.idempotent:
             return False
         if isinstance(outcome, Done) and not is_server_error(
             outcome.response.status
         ):
             return False
-        return self._budget.spend(call.service, now)
+        return self._spend(call, now)
+
+    def _spend(self, call: "Call", now: float) -> bool:
+        return self._budget.spend(call.service, now, nested=call.depth > 0)
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -11,6 +11,7 @@
 from radishwind.entry.foresight import NoForesight
 from radishwind.entry.foresight import RefuseLate
 from radishwind.entry.keys import KeyCheck
+from radishwind.entry.nested import NestedRoutes
 from radishwind.entry.observer import CallObserver
 from radishwind.entry.pipeline import EntryPipeline
 from radishwind.entry.retry_after import RetryAfter
@@ -44,6 +45,7 @@
 from radishwind.sidecar.options import RETRY_SPREAD
 from radishwind.sidecar.switches import Switches
 from radishwind.sidecar.target_side import SidecarTarget
+from radishwind.telemetry.logs import PartLogger
 
 
 class EntrySide:
@@ -99,6 +101,7 @@
           quotas: counts the requests of client accounts.
         """
         self._service = service
+        self._log = PartLogger("entry", clock)
         self.keys = KeyCheck(lambda: routes.accounts, proof)
         self.chooser = FreshLoadChooser(
             rng,
@@ -118,6 +121,11 @@
             with_account=with_account,
             returns=Returns() if switches.returns else None,
             siblings=Siblings(rng) if switches.siblings else None,
+            nested=(
+                NestedRoutes(target.runs, self._nested)
+                if switches.nested
+                else None
+            ),
         )
         budget = SharedBudget(
             settings.retry_share,
@@ -161,5 +169,13 @@
             quotas=quotas,
         )
 
+    def _nested(self, route: str, is_nested: bool) -> None:
+        self._log.change(
+            "Requests of a route are calls of the server beside."
+            if is_nested
+            else "Requests of a route are no longer taken for calls.",
+            route=route,
+        )
+
     def _read(self, headers: Headers) -> CallerFields:
         return read_caller(headers, self._service(), accounts=self.keys.in_use)
--- a/src/radishwind/sidecar/switches.py
+++ b/src/radishwind/sidecar/switches.py
@@ -40,6 +40,7 @@
       siblings: calls that belong together are served or refused alike.
       run_times: what a run takes there, its calls included, is learned, and
         nothing begins that would not end in time.
+      nested: calls of the server beside are told from callers' requests.
       foresight: what every target would answer late is refused at once.
     """
 
@@ -57,6 +58,7 @@
     returns: bool = True
     siblings: bool = True
     run_times: bool = True
+    nested: bool = True
     foresight: bool = True
 
 
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -12,6 +12,7 @@
 from radishwind.admission.urgent import OpenGate
 from radishwind.admission.urgent import UrgentAdmission
 from radishwind.core.clock import Clock
+from radishwind.entry.nested import RunsBeside
 from radishwind.http.sender import Sender
 from radishwind.membership.rumors import RumorBoard
 from radishwind.probing.health import HealthModel
@@ -99,6 +100,7 @@
             callers_come_at_once=not settings.first_start,
         )
         self.room = RoomLearner()
+        self.runs = RunsBeside()
         self.warmup = WarmupGate(clock, time.process_time())
         self._services: Mapping[str, ServiceInfo] = {}
         self._limits = AdmissionLimits()
@@ -128,6 +130,7 @@
             ran=self._ran,
             gate=self.warmup,
             run_times=RunTimes() if switches.run_times else None,
+            runs=self.runs,
         )
         self.keeper = PulseKeeper(
             clock=clock,
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -12,6 +12,7 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.nested import RunsBeside
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.sender import Sender
 from radishwind.http.types import BodyStream
@@ -58,6 +59,7 @@
       gate: bounds what the server is sent; by default nothing does.
       run_times: learns what runs take, so that none begins that would not end
         in time; by default twice their work is left.
+      runs: counts what runs there.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         ran: Callable[[Run], None] | None = None,
         gate: SendGate | None = None,
         run_times: RunTimes | None = None,
+        runs: RunsBeside | None = None,
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -83,6 +86,7 @@
         self._ran = ran or _ignored
         self._gate = gate or OpenSendGate()
         self._run_times = run_times
+        self._runs = runs or RunsBeside()
         self._service_s = 0.0
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._queue_wait_s = 0.0
@@ -169,6 +173,7 @@
             call.work_s,
             call.lot,
             *self._expected_run(call),
+            nested=call.depth > 0,
         )
         self._admission.offer(ticket, now)
         try:
@@ -214,8 +219,10 @@
         outcome: Outcome | None = None
         factor = self._pace().factor
         begun_with = self._admission.in_flight
+        self._runs.began(began)
 
         def ended() -> None:
+            self._runs.ended(self._clock.monotonic())
             if _ran_well(outcome):
                 took_s = self._clock.monotonic() - began
                 run.work_s = took_s / factor
