Take a call that comes after its run was lost for no evidence

Change: a request within 50 ms after the last run weighs nothing; hedges don't use the repeats kept for calls that would be lost.

--- a/src/radishwind/entry/nested.py
+++ b/src/radishwind/entry/nested.py
@@ -32,6 +32,10 @@
 #: Requests that the server runs in the mean count for at least this.
 _LEAST_MEAN = 0.05
 
+#: A run that is lost with its first call ends before the others have come (s):
+#: a request so soon after the last run proves nothing.
+_AFTERMATH_S = 0.05
+
 #: Time over which the mean is taken (s).
 _MEAN_S = 1.0
 
@@ -61,6 +65,10 @@
         self._since = now
         self._running -= 1
 
+    def just_ended(self, now: float) -> bool:
+        """Returns whether a run ended only just before."""
+        return now - self._since < _AFTERMATH_S
+
     def mean(self, now: float) -> float:
         """Returns how many ran there in the last seconds."""
         faded = math.exp((self._since - now) / _MEAN_S)
@@ -105,7 +113,7 @@
     def _step(self, now: float) -> float:
         """Returns the logarithm of the likelihoods' ratio, bounded."""
         if not self._runs.running:
-            return -_MOST_AGAINST
+            return 0.0 if self._runs.just_ended(now) else -_MOST_AGAINST
         mean = max(_LEAST_MEAN, self._runs.mean(now))
         ratio = math.log(self._runs.running / mean)
         return max(-_MOST_AGAINST, min(_MOST_FOR, ratio))
--- a/src/radishwind/entry/tests/test_nested.py
+++ b/src/radishwind/entry/tests/test_nested.py
@@ -79,6 +79,24 @@
     assert sum(read) <= 0.05 * len(read)
 
 
+def test_calls_that_come_after_their_run_was_lost_prove_nothing():
+    """One of two calls is refused at once, and the run ends before the other."""
+    server = Server()
+    server.play(5, 40.0)
+    server.now += 5.0
+    while server.runs.running:
+        server.runs.ended(server.now)
+
+    for _ in range(20):
+        server.now += 1.0
+        server.runs.began(server.now)
+        server.routes.came("called", server.now + 0.05)
+        server.runs.ended(server.now + 0.051)
+        server.routes.came("called", server.now + 0.052)
+
+    assert server.learned[-1] == ("called", True)
+
+
 def test_a_server_that_is_always_full_tells_nothing():
     server = Server()
     for _ in range(3):
--- a/src/radishwind/hedging/fresh.py
+++ b/src/radishwind/hedging/fresh.py
@@ -95,7 +95,8 @@
         return call.aim if now < call.aim else call.deadline
 
     def spend(self, call: "Call", now: float) -> bool:
-        return self._budget.spend(call.service, now, nested=call.depth > 0)
+        # What is kept for nested calls saves lost ones, not late ones.
+        return self._budget.spend(call.service, now)
 
     def finished(
         self,
