--- a/src/radishwind/entry/nested.py
+++ b/src/radishwind/entry/nested.py
@@ -21,13 +21,13 @@
 
 #: Evidence is kept up to this, so that a route which callers begin to use is
 #: soon one of theirs.
-_MOST = 6.0
+_MOST = 8.0
 
 #: What one request counts at most, for and against. The mean follows a change
 #: of load with a delay, so that one request proves little; one that comes while
 #: nothing runs was no call.
 _MOST_FOR = 0.7
-_MOST_AGAINST = 4.0
+_MOST_AGAINST = 3.0
 
 #: Requests that the server runs in the mean count for at least this.
 _LEAST_MEAN = 0.05
