Forecast answers by load alone; failures only make a target dear

Cause: three failed runs in a row count as eight usual run times and more, which the refusal at the entry took for lateness.

Change: the forecast leaves the memory of failures out; the choice keeps it.

--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -163,6 +163,18 @@
         return near + far
 
     def cost_s(self, member: Member, now: float, work: str = "") -> float:
+        """Returns what an attempt counts for (s); infinite for one away.
+
+        It is the expected answer time, and more for a target that failed.
+        """
+        answer_s = self._answer_s(member, now, work)
+        seen = self._seen.get(member.name)
+        if seen is None or not seen.failures or math.isinf(answer_s):
+            return answer_s
+        work_s = self._work_s.get(work, FIRST_WORK_S)
+        return answer_s + self._failure_s(seen, work_s, now)
+
+    def _answer_s(self, member: Member, now: float, work: str) -> float:
         """Returns the expected answer time (s); infinite for one away."""
         seen = self._seen.get(member.name)
         work_s = self._work_s.get(work, FIRST_WORK_S)
@@ -193,13 +205,11 @@
         cost_s += ahead * max(report.service_ms / 1000, queued_s)
         if silent:
             cost_s += SILENT_FACTOR * work_s * self._habit.mean
-        if seen is not None and seen.failures:
-            cost_s += self._failure_s(seen, work_s, now)
         return hop_s + cost_s
 
     def expected_s(self, member: Member, now: float, work: str) -> float:
-        cost_s = self.cost_s(member, now, work)
-        return 0.0 if math.isinf(cost_s) else cost_s
+        answer_s = self._answer_s(member, now, work)
+        return 0.0 if math.isinf(answer_s) else answer_s
 
     def usual_s(self, work: str) -> float:
         return self.work_s(work) * self._habit.mean
@@ -322,8 +332,6 @@
             return cost_s
         if seen.away_until > now:
             return math.inf
-        if seen.failures:
-            cost_s += self._failure_s(seen, work_s, now)
         return cost_s + work_s * self._habit.mean * max(0, seen.since)
 
     def _hop_s(self, member: Member) -> float:
--- a/src/radishwind/routing/tests/test_fresh.py
+++ b/src/radishwind/routing/tests/test_fresh.py
@@ -133,6 +133,19 @@
     assert setup.chooser.cost_s(member("x"), 20.0, "r") < 1.1 * before
 
 
+def test_failures_make_no_answer_later_than_it_would_be(setup):
+    """Servers whose runs fail for want of a call are free all the same."""
+    setup.tell("x", report())
+    before_s = setup.chooser.expected_s(member("x"), 0.0, "r")
+    for _ in range(3):
+        setup.chooser.started("x", 0.0)
+        failed = Done(Response(500))
+        setup.chooser.finished("x", 0.0, 0.0, failed, report(), "r")
+
+    assert setup.chooser.expected_s(member("x"), 0.0, "r") == before_s
+    assert setup.chooser.cost_s(member("x"), 0.0, "r") > 2 * before_s
+
+
 def test_a_silent_node_counts_as_far_worse(setup):
     setup.tell("silent", report(), 0.0)
     setup.tell("heard", report(), 3.0)
