A call is one step of rank ahead, and may take half of its time

Change: one step of rank (0.1 s) in place of 0.2 s, and a call is refused at once where it would take more than half of its run's time.

--- a/src/radishwind/admission/urgent.py
+++ b/src/radishwind/admission/urgent.py
@@ -19,9 +19,9 @@
 #: that a request of the highest rank waits for one slot at most.
 RANK_LEAD_S = 0.1
 
-#: The lead of a nested call (s): the run that waits for it holds a slot
-#: elsewhere meanwhile.
-NESTED_LEAD_S = 0.2
+#: Steps of rank that a nested call is ahead of its route's: the run that waits
+#: for it holds a slot elsewhere meanwhile.
+NESTED_STEPS = 1
 
 #: What the whole width of lots counts for in a congestion, as a lead (s): more
 #: than the requests that wait differ in age, so that those which belong
@@ -165,9 +165,8 @@
         """Returns what sorts `ticket`: whether it is late, then its rank."""
         aim = ticket.deadline if ticket.nested else ticket.aim
         late = now + _AIM_MARGIN * self._cost_s(ticket) > aim
-        lead_s = ticket.priority * RANK_LEAD_S
-        if ticket.nested:
-            lead_s -= NESTED_LEAD_S
+        rank = ticket.priority - NESTED_STEPS * ticket.nested
+        lead_s = rank * RANK_LEAD_S
         if self._is_congested():
             return late, lead_s - ticket.offered + LOT_LEAD_S * ticket.lot
         return late, (ticket.deadline if late else ticket.aim) + lead_s
--- a/src/radishwind/entry/foresight.py
+++ b/src/radishwind/entry/foresight.py
@@ -24,6 +24,9 @@
 #: So much less for each step of rank (s), so that the most urgent stay longest.
 RANK_STEP_S = 0.1
 
+#: The part of the time left to a nested call that it may take.
+NESTED_PART = 0.5
+
 #: The least that a refused caller is told to wait (s).
 _LEAST_RETRY_S = 0.05
 
@@ -80,10 +83,10 @@
     def _most_s(self, call: "Call", now: float) -> float:
         """Returns what `call` may take (s).
 
-        The run that waits for a nested call is lost without it, and has until
-        the call's deadline.
+        The run that waits for a nested call is lost without it. It has until
+        the call's deadline, less what it still needs itself.
         """
         if call.depth:
-            return call.deadline - now
+            return NESTED_PART * (call.deadline - now)
         most_s = max(call.aim - now, self._chooser.usual_s(call.route))
         return most_s + max(0.0, MOST_LATE_S - RANK_STEP_S * call.priority)
