Count calls as the bound on repeats does

Change: calls of servers no longer add to what may be repeated, and each call counts as a repeat by the part of the runs beside that are repeats. An attempt after one that came to a server is told as repeated to the node beside (one more field, the last).

--- a/src/radishwind/entry/attempts.py
+++ b/src/radishwind/entry/attempts.py
@@ -1,5 +1,7 @@
 """Runs the attempts of one call: the first, hedges beside it, retries after."""
 
+import dataclasses
+
 import msgspec
 
 from radishwind.core.clock import Clock
@@ -157,6 +159,8 @@
         expected_s = self._chooser.expected_s(member, began, call.route)
         self._chooser.started(member.name, began, expected_s)
         outcome, load = None, None
+        if history.reached > 1:
+            call = dataclasses.replace(call, repeated=True)
         try:
             result = await self._runner.run(call, member, attempt_id)
             outcome, load = result.outcome, result.load
--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -69,6 +69,7 @@
       lot: drawn with those that it belongs to, -0.5 to 0.5; the lower go
         first where not all can be served. 0 where it belongs to no others.
       account: the client account that asks; empty for none.
+      repeated: whether an attempt before came to a server, or may still.
       steps: what was tried and what came of it, for the log; grows.
     """
 
@@ -91,6 +92,7 @@
     work_s: float = 0.0
     lot: float = 0.0
     account: str = ""
+    repeated: bool = False
     steps: list[str] = dataclasses.field(default_factory=list, compare=False)
 
 
--- a/src/radishwind/entry/nested.py
+++ b/src/radishwind/entry/nested.py
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self._running = 0
+        self._repeated = 0
         self._mean = 0.0
         self._since = -math.inf
 
@@ -53,17 +54,24 @@
         """Requests that run there now."""
         return self._running
 
-    def began(self, now: float) -> None:
+    @property
+    def repeated_part(self) -> float:
+        """The part of them that were sent to a server before."""
+        return self._repeated / self._running if self._running else 0.0
+
+    def began(self, now: float, *, repeated: bool = False) -> None:
         """Takes that a run began (monotonic s)."""
         self._mean = self.mean(now)
         self._since = now
         self._running += 1
+        self._repeated += repeated
 
-    def ended(self, now: float) -> None:
+    def ended(self, now: float, *, repeated: bool = False) -> None:
         """Takes that a run ended (monotonic s)."""
         self._mean = self.mean(now)
         self._since = now
         self._running -= 1
+        self._repeated -= repeated
 
     def just_ended(self, now: float) -> bool:
         """Returns whether a run ended only just before."""
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -62,6 +62,7 @@
       lot: drawn with those that it belongs to; 0 for none.
       route: the route that took it; empty where services have none.
       account: the client account that asks; empty for none.
+      repeated: whether an attempt before came to a server, or may still.
     """
 
     attempt_id: str
@@ -79,6 +80,7 @@
     lot: float = 0.0
     route: str = ""
     account: str = ""
+    repeated: bool = False
 
 
 class AnswerInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -179,6 +181,7 @@
         round(call.lot, 3),
         call.route,
         call.account,
+        call.repeated,
     )
 
 
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -194,6 +194,7 @@
             lot=min(0.5, max(-0.5, info.lot)),
             route=info.route,
             account=info.account,
+            repeated=info.repeated,
         )
 
     def _aim(self, info: AttemptInfo) -> float:
--- a/src/radishwind/retries/shared.py
+++ b/src/radishwind/retries/shared.py
@@ -21,7 +21,7 @@
     from radishwind.entry.call import Call
 
 #: The part of what is allowed that is used; the rest covers what other nodes
-#: count otherwise, and calls that repeated runs make.
+#: count otherwise.
 USED_PART = 0.5
 
 #: The part of what is allowed that is kept for nested calls where a service
@@ -57,17 +57,17 @@
     def __init__(self, window_s: float) -> None:
         self._step_s = window_s / _STEPS
         self._steps: collections.deque[int] = collections.deque()
-        self._counts: collections.deque[int] = collections.deque()
+        self._counts: collections.deque[float] = collections.deque()
 
-    def add(self, now: float) -> None:
+    def add(self, now: float, count: float = 1) -> None:
         step = int(now / self._step_s)
         if self._steps and self._steps[-1] == step:
-            self._counts[-1] += 1
+            self._counts[-1] += count
             return
         self._steps.append(step)
-        self._counts.append(1)
+        self._counts.append(count)
 
-    def total(self, now: float) -> int:
+    def total(self, now: float) -> float:
         oldest = int(now / self._step_s) - _STEPS
         while self._steps and self._steps[0] < oldest:
             self._steps.popleft()
@@ -101,11 +101,21 @@
         self._repeats: dict[str, _Window] = {}
         self._nested: dict[str, _Window] = {}
 
-    def first(self, service: str, now: float, *, nested: bool = False) -> None:
-        """Counts a request for `service`."""
+    def first(self, service: str, now: float) -> None:
+        """Counts a caller's request for `service`."""
         self._window(self._requests, service).add(now)
-        if nested:
-            self._window(self._nested, service).add(now)
+
+    def nested(self, service: str, now: float, repeated: float) -> None:
+        """Counts a call of a run, which adds nothing to what is allowed.
+
+        Args:
+          service: that is called.
+          now: monotonic time (s).
+          repeated: how likely the run was a repeat, whose calls are repeats.
+        """
+        self._window(self._nested, service).add(now)
+        if repeated:
+            self._window(self._repeats, service).add(now, repeated)
 
     def spend(self, service: str, now: float, *, nested: bool = False) -> bool:
         """Takes one repeat; returns whether there was one left."""
@@ -131,11 +141,26 @@
 class SharedRetries(RetryPolicy):
     """Repeats within the shared budget; a refusal before any server is free."""
 
-    def __init__(self, budget: SharedBudget) -> None:
+    def __init__(
+        self,
+        budget: SharedBudget,
+        repeated_part: Callable[[], float] = float,
+    ) -> None:
+        """Wires the policy.
+
+        Args:
+          budget: that all nodes share.
+          repeated_part: returns the part of what runs at the server beside
+            that is a repeat; by default none is.
+        """
         self._budget = budget
+        self._repeated_part = repeated_part
 
     def first(self, call: "Call", now: float) -> None:
-        self._budget.first(call.service, now, nested=call.depth > 0)
+        if call.depth:
+            self._budget.nested(call.service, now, self._repeated_part())
+            return
+        self._budget.first(call.service, now)
 
     def again(
         self, call: "Call", outcome: Outcome, attempts: int, now: float
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -148,7 +148,7 @@
                 directory, lambda: emptied.names, settings.region_of
             ),
             chooser=self.chooser,
-            retries=SharedRetries(budget),
+            retries=SharedRetries(budget, lambda: target.runs.repeated_part),
             hedges=hedges if switches.hedges else NoHedges(),
             runner=CarefulRunner(forward) if switches.quarantine else forward,
             claims=NoClaims(),
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -219,10 +219,10 @@
         outcome: Outcome | None = None
         factor = self._pace().factor
         begun_with = self._admission.in_flight
-        self._runs.began(began)
+        self._runs.began(began, repeated=call.repeated)
 
         def ended() -> None:
-            self._runs.ended(self._clock.monotonic())
+            self._runs.ended(self._clock.monotonic(), repeated=call.repeated)
             if _ran_well(outcome):
                 took_s = self._clock.monotonic() - began
                 run.work_s = took_s / factor
