--- a/src/radishwind/sidecar/switches.py
+++ b/src/radishwind/sidecar/switches.py
@@ -41,6 +41,7 @@
       run_times: what a run takes there, its calls included, is learned, and
         nothing begins that would not end in time.
       ways: what the links between nodes add to a choice.
+      nested: calls of the server beside are told from callers' requests.
       foresight: what every target would answer late is refused at once.
     """
 
@@ -59,6 +60,7 @@
     siblings: bool = True
     run_times: bool = True
     ways: bool = True
+    nested: bool = True
     foresight: bool = True
 
 
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -12,6 +12,7 @@
 from radishwind.admission.urgent import OpenGate
 from radishwind.admission.urgent import UrgentAdmission
 from radishwind.core.clock import Clock
+from radishwind.entry.nested import RunsBeside
 from radishwind.http.sender import Sender
 from radishwind.membership.rumors import RumorBoard
 from radishwind.probing.health import HealthModel
@@ -101,6 +102,7 @@
             callers_come_at_once=not settings.first_start,
         )
         self.room = RoomLearner()
+        self.runs = RunsBeside()
         self.warmup = WarmupGate(clock, time.process_time())
         self._services: Mapping[str, ServiceInfo] = {}
         self._limits = AdmissionLimits()
@@ -131,6 +133,7 @@
             gate=self.warmup,
             run_times=RunTimes() if switches.run_times else None,
             link_kbps=link_kbps,
+            runs=self.runs,
         )
         self.keeper = PulseKeeper(
             clock=clock,
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -12,6 +12,7 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.entry.call import Call
+from radishwind.entry.nested import RunsBeside
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.sender import Sender
 from radishwind.http.types import Body
@@ -61,6 +62,7 @@
         in time; by default twice their work is left.
       link_kbps: returns what the link of the node has left (kbit/s); by
         default it isn't told.
+      runs: counts what runs there.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         gate: SendGate | None = None,
         run_times: RunTimes | None = None,
         link_kbps: Callable[[], int] | None = None,
+        runs: RunsBeside | None = None,
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -88,6 +91,7 @@
         self._gate = gate or OpenSendGate()
         self._run_times = run_times
         self._link_kbps = link_kbps or _untold
+        self._runs = runs or RunsBeside()
         self._service_s = 0.0
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._queue_wait_s = 0.0
@@ -175,6 +179,7 @@
             call.work_s,
             call.lot,
             *self._expected_run(call),
+            nested=call.depth > 0,
         )
         self._admission.offer(ticket, now)
         try:
@@ -220,8 +225,10 @@
         outcome: Outcome | None = None
         factor = self._pace().factor
         begun_with = self._admission.in_flight
+        self._runs.began(began, repeated=call.repeated)
 
         def ended() -> None:
+            self._runs.ended(self._clock.monotonic(), repeated=call.repeated)
             if _ran_well(outcome):
                 took_s = self._clock.monotonic() - began
                 run.work_s = took_s / factor
