Spare links where every target would be late anyway

Cause: once the weighed choice was expected past seven tenths of the time left, the soonest target was taken, also where that would be late as well. Change: the soonest is taken only while it is still in time. The forecast of an answer and what failures make a target dearer by are apart, as both parts need.

--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -129,14 +129,18 @@
             way = self._way(member, work, now)
             time_s = self._answer_s(member, now, work, way) + way.carry_s
             time_s *= 1 + COST_SPREAD * self._rng.random()
-            cost_s = time_s + way.weight_s
+            failed_s = self._failed_s(member.name, work, now)
+            cost_s = time_s + way.weight_s + failed_s
             if cost_s < least_s:
                 best, least_s, best_time_s = member, cost_s, time_s
-            if time_s < least_time_s:
-                soonest, least_time_s = member, time_s
+            if time_s + failed_s < least_time_s:
+                soonest, least_time_s = member, time_s + failed_s
         if best is None:
             return self._any_of(candidates, now)
-        if best_time_s > IN_TIME_PART * (aim - now):
+        left_s = aim - now
+        # Links are not spared at the price of being late; where all would be
+        # late, nothing is gained by what crosses.
+        if IN_TIME_PART * left_s < best_time_s and least_time_s <= left_s:
             return soonest
         return best
 
@@ -182,22 +186,22 @@
 
         It is the expected answer time, and more for a target that failed.
         """
-        answer_s = self._answer_s(member, now, work)
-        seen = self._seen.get(member.name)
-        if seen is None or not seen.failures or math.isinf(answer_s):
-            return answer_s
-        work_s = self._work_s.get(work, FIRST_WORK_S)
-        return answer_s + self._failure_s(seen, work_s, now)
-
-    def _answer_s(self, member: Member, now: float, work: str) -> float:
-        """Returns the expected answer time (s); infinite for one away."""
         way = self._way(member, work, now)
-        return self._answer_s(member, now, work, way)
+        answer_s = self._answer_s(member, now, work, way)
+        return answer_s + self._failed_s(member.name, work, now)
+
+    def _failed_s(self, name: str, work: str, now: float) -> float:
+        """Returns what the failures of a target make it dearer by (s)."""
+        seen = self._seen.get(name)
+        if seen is None or not seen.failures:
+            return 0.0
+        work_s = self._work_s.get(work, FIRST_WORK_S)
+        return self._failure_s(seen, work_s, now)
 
     def _answer_s(
         self, member: Member, now: float, work: str, way: Way
     ) -> float:
-        """Returns the same by the way to `member`, where it is known."""
+        """Returns the expected answer time (s); infinite for one away."""
         seen = self._seen.get(member.name)
         work_s = self._work_s.get(work, FIRST_WORK_S)
         hop_s = self._hop_s(member) + way.time_s
@@ -230,7 +234,8 @@
         return hop_s + cost_s
 
     def expected_s(self, member: Member, now: float, work: str) -> float:
-        answer_s = self._answer_s(member, now, work)
+        way = self._way(member, work, now)
+        answer_s = self._answer_s(member, now, work, way)
         return 0.0 if math.isinf(answer_s) else answer_s
 
     def usual_s(self, work: str) -> float:
