--- a/src/radishwind/recency/seeker.py
+++ b/src/radishwind/recency/seeker.py
@@ -26,8 +26,11 @@
 #: How often the gap between rounds in vain is doubled.
 _MOST_DOUBLINGS = 2
 
-#: A node in doubt looks again after at most this time (s), for who is there.
-_LOOK_S = 0.5
+#: Who is there is looked at again after this time (s).
+_LOOK_S = 1.0
+
+#: A decision is made anew after this time (s) at most.
+_STEP_S = 0.5
 
 #: The first in turn try the store again sooner than others where it failed.
 _EAGER_PLACES = 4
@@ -86,6 +89,7 @@
         self._ask_at = now
         self._vain_rounds = 0
         self._reading = False
+        self._has_read = False
         self._read_at = now + rng.random() * first_wait_s
 
     def step(self, now: float) -> Step:
@@ -93,11 +97,9 @@
         age_s = self._newest_age_s(now)
         if now - self._looked_at >= _LOOK_S:
             self._look(now)
-        read = self._is_turn(age_s) and not self._reading
-        if read and (now >= self._read_at or self._is_first_of_known(age_s)):
-            self._reading = True
-        else:
-            read = False
+        read = self._may_read(age_s, now)
+        if read:
+            self._reading, self._has_read = True, True
         ask = self._ask(age_s, now)
         return Step(ask, read, self._again_s(age_s, now))
 
@@ -142,10 +144,14 @@
     def _is_eager(self) -> bool:
         return self._around.place < _EAGER_PLACES or self._alone
 
-    def _is_first_of_known(self, age_s: float) -> bool:
-        """Whether this node is to begin where nobody has any proof yet."""
+    def _may_read(self, age_s: float, now: float) -> bool:
+        if self._reading or not self._is_turn(age_s):
+            return False
         around = self._around
-        return age_s == math.inf and around.place == 0 and bool(around.to_ask)
+        if not self._has_read and around.place == 0 and around.to_ask:
+            # The others ask this node, and wait for it.
+            return True
+        return now >= self._read_at
 
     def _is_turn(self, age_s: float) -> bool:
         turn_s = self._times.turn_s(self._around.place)
@@ -181,7 +187,7 @@
 
     def _again_s(self, age_s: float, now: float) -> float:
         """Returns when something else is due, at the latest (s)."""
-        waits = [_LOOK_S]
+        waits = [_STEP_S]
         if age_s < math.inf:
             turn_s = self._times.turn_s(self._around.place)
             waits += [
--- a/src/radishwind/recency/tests/test_seeker.py
+++ b/src/radishwind/recency/tests/test_seeker.py
@@ -167,3 +167,14 @@
         reads.append(node.step().read)
 
     assert reads == [True] + [False] * 9
+
+
+def test_a_first_reading_that_fails_is_put_off_too():
+    node = Node(0)
+    assert node.step().read
+
+    node.seeker.read_ended(False, node.now)
+
+    assert not node.step().read
+    node.now += 1.0
+    assert node.step().read
