--- a/src/radishwind/routing/tests/test_ways.py
+++ b/src/radishwind/routing/tests/test_ways.py
@@ -244,7 +244,7 @@
         assert max(answer_s) < AIM_S
 
 
-def choose_large(near_busy):
+def choose_large(near_busy, far_busy=0):
     chooser = FreshLoadChooser(
         random.Random(5),
         node_name="own",
@@ -257,7 +257,7 @@
     chooser.started("a", 0.0)
     chooser.finished("a", 0.0, 0.0, Done(Response(200)), done, LARGE)
     chooser.told("a", LoadReport(3, near_busy, 0, 100.0), 1, 1, 0.0)
-    chooser.told("b", LoadReport(3, 0, 0, 100.0), 1, 1, 0.0)
+    chooser.told("b", LoadReport(3, far_busy, 0, 100.0), 1, 1, 0.0)
     return chooser.choose((near, far), 0.0, work=LARGE, aim=AIM_S).name
 
 
@@ -266,6 +266,11 @@
     assert choose_large(near_busy=24) == "b"
 
 
+def test_a_large_answer_stays_where_it_would_be_late_everywhere():
+    """Load: both failure domains are asked for more than they can do."""
+    assert choose_large(near_busy=40, far_busy=38) == "a"
+
+
 def test_a_way_that_was_weighed_is_kept_for_a_moment_only():
     free_kbps = [LINK_KBPS]
     known = sizes()
