--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -252,3 +252,12 @@
     assert response.status == 503
     assert dict(response.headers)["Retry-After"] == "0.150"
     assert respond(Unknown(ResultCode.EXCHANGE_BROKEN, "x")).status == 502
+
+
+def test_bounds_of_quotas_are_read():
+    bounds = '"quota-window-s=4","quota-over=0.2","quota-slack=7"'
+    settings = read_settings(SETTINGS.replace('"flag=true"', bounds))
+
+    assert settings.quota_window_s == 4.0
+    assert settings.quota_over == 0.2
+    assert settings.quota_slack == 7.0
