--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -287,3 +287,12 @@
 
     assert large == [False, True]
     assert not any(route.large_answers for route in read_routes(ROUTES).routes)
+
+
+def test_bounds_of_quotas_are_read():
+    bounds = '"quota-window-s=4","quota-over=0.2","quota-slack=7"'
+    settings = read_settings(SETTINGS.replace('"flag=true"', bounds))
+
+    assert settings.quota_window_s == 4.0
+    assert settings.quota_over == 0.2
+    assert settings.quota_slack == 7.0
