Keep what is learned of targets in a module of its own

Change: reports, failures, starts and work go to TargetMemory; the chooser weighs. No decision changes. The forged load's test asks the memory in place of the chooser.

--- a/src/radishwind/routing/fresh.py
+++ b/src/radishwind/routing/fresh.py
@@ -11,48 +11,38 @@
 import math
 import random
 
-from radishwind.core.codes import ResultCode
 from radishwind.hedging.fresh import Forecast
-from radishwind.http.types import is_server_error
 from radishwind.membership.directory import Member
-from radishwind.outcomes.model import Done
-from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.chooser import TargetChooser
+from radishwind.routing.memory import TargetMemory
 from radishwind.routing.pace import begin_s
-from radishwind.routing.pace import PaceHabit
 from radishwind.routing.seen import SeenTarget
 from radishwind.routing.ways import FixedWays
 from radishwind.routing.ways import IN_TIME_PART
 from radishwind.routing.ways import NO_WAY
 from radishwind.routing.ways import Way
 from radishwind.routing.ways import WayCosts
-from radishwind.routing.weights import AWAY_S
 from radishwind.routing.weights import ChoiceWeights
-from radishwind.routing.weights import COLD_REST_S
 from radishwind.routing.weights import COST_SPREAD
-from radishwind.routing.weights import FAILURE_FADE_S
-from radishwind.routing.weights import FIRST_WORK_S
 from radishwind.routing.weights import FORWARDING_S
 from radishwind.routing.weights import FULL_FACTOR
 from radishwind.routing.weights import LATE_FACTOR
-from radishwind.routing.weights import LEAST_FAILED_S
 from radishwind.routing.weights import LEAST_REST
-from radishwind.routing.weights import LEAST_SLOWNESS
-from radishwind.routing.weights import MAX_DOUBLINGS
 from radishwind.routing.weights import MOST_FAR
 from radishwind.routing.weights import MOST_NEAR
-from radishwind.routing.weights import MOST_RATIO
-from radishwind.routing.weights import MOST_WORKS
 from radishwind.routing.weights import SILENT_FACTOR
 from radishwind.routing.weights import SILENT_S
 from radishwind.routing.weights import UNKNOWN_FACTOR
-from radishwind.routing.weights import WORK_WEIGHT
 
 
 class FreshLoadChooser(TargetChooser, Forecast):
-    """The least expected answer time by fresh reports."""
+    """The least expected answer time by fresh reports.
+
+    Attributes:
+      memory: what is known of targets.
+    """
 
     def __init__(
         self,
@@ -84,9 +74,7 @@
         self._node_name = node_name
         self._failure_domain = failure_domain
         self._own_load = own_load
-        self._seen: dict[str, SeenTarget] = {}
-        self._work_s: dict[str, float] = {}
-        self._habit = PaceHabit()
+        self.memory = TargetMemory(self._weights)
 
     def told(
         self,
@@ -96,21 +84,8 @@
         order: int,
         now: float,
     ) -> None:
-        """Takes what the node beside the target `name` tells of it.
-
-        Args:
-          name: the target.
-          report: its load.
-          start: names the start of that node.
-          order: grows with each report of that start.
-          now: monotonic time (s).
-        """
-        seen = self._known(name)
-        if start == seen.start and order <= seen.order:
-            return
-        seen.start = start
-        seen.order = order
-        self._report(seen, report, now)
+        """Takes what the node beside a target tells; see `TargetMemory`."""
+        self.memory.told(name, report, start, order, now)
 
     def choose(
         self,
@@ -129,7 +104,7 @@
             way = self._way(member, work, now)
             time_s = self._answer_s(member, now, work, way) + way.carry_s
             time_s *= 1 + COST_SPREAD * self._rng.random()
-            failed_s = self._failed_s(member.name, work, now)
+            failed_s = self.memory.failed_s(member.name, work, now)
             cost_s = time_s + way.weight_s + failed_s
             if cost_s < least_s:
                 best, least_s, best_time_s = member, cost_s, time_s
@@ -166,7 +141,7 @@
         """
         if name == self._node_name:
             return own.is_spent
-        seen = self._seen.get(name)
+        seen = self.memory.seen(name)
         return seen is not None and seen.cold_until > now
 
     def _drawn(self, candidates: list[Member]) -> list[Member]:
@@ -188,22 +163,14 @@
         """
         way = self._way(member, work, now)
         answer_s = self._answer_s(member, now, work, way)
-        return answer_s + self._failed_s(member.name, work, now)
-
-    def _failed_s(self, name: str, work: str, now: float) -> float:
-        """Returns what the failures of a target make it dearer by (s)."""
-        seen = self._seen.get(name)
-        if seen is None or not seen.failures:
-            return 0.0
-        work_s = self._work_s.get(work, FIRST_WORK_S)
-        return self._failure_s(seen, work_s, now)
+        return answer_s + self.memory.failed_s(member.name, work, now)
 
     def _answer_s(
         self, member: Member, now: float, work: str, way: Way
     ) -> float:
         """Returns the expected answer time (s); infinite for one away."""
-        seen = self._seen.get(member.name)
-        work_s = self._work_s.get(work, FIRST_WORK_S)
+        seen = self.memory.seen(member.name)
+        work_s = self.memory.work_s(work)
         hop_s = self._hop_s(member) + way.time_s
         if member.name == self._node_name:
             report, age_s, since = self._own_load(), 0.0, 0
@@ -226,11 +193,11 @@
         own_s = work_s * slowness * (1 + FULL_FACTOR * fill)
         own_s *= _coldness(report)
         ahead = max(0, busy + 1 - report.slots) / report.slots
-        cost_s = begin_s(own_s, report, age_s, self._habit)
-        queued_s = work_s * report.base * self._habit.mean
+        cost_s = begin_s(own_s, report, age_s, self.memory.habit)
+        queued_s = work_s * report.base * self.memory.habit.mean
         cost_s += ahead * max(report.service_ms / 1000, queued_s)
         if silent:
-            cost_s += SILENT_FACTOR * work_s * self._habit.mean
+            cost_s += SILENT_FACTOR * work_s * self.memory.habit.mean
         return hop_s + cost_s
 
     def expected_s(self, member: Member, now: float, work: str) -> float:
@@ -239,22 +206,22 @@
         return 0.0 if math.isinf(answer_s) else answer_s
 
     def usual_s(self, work: str) -> float:
-        return self.work_s(work) * self._habit.mean
+        return self.work_s(work) * self.memory.habit.mean
 
     def work_s(self, work: str) -> float:
         """Returns the usual run time of `work` (s); 0 where not known."""
-        return self._work_s.get(work, 0.0)
+        return self.memory.work_s(work, 0.0)
 
     def left_s(self, name: str, work: str, began: float, now: float) -> float:
-        seen = self._seen.get(name)
-        work_s = self._work_s.get(work, FIRST_WORK_S)
+        seen = self.memory.seen(name)
+        work_s = self.memory.work_s(work)
         expected = seen.expected.get(began) if seen else None
         if expected is None:
-            expected = began + work_s * self._habit.mean
+            expected = began + work_s * self.memory.habit.mean
         if now <= expected + LATE_FACTOR * work_s:
             return max(expected - now, LEAST_REST * work_s)
         # It began in a slow spell, or something it waits for did.
-        slow = began + work_s * self._habit.slow
+        slow = began + work_s * self.memory.habit.slow
         if now <= slow + work_s:
             return max(slow - now, work_s)
         return math.inf
@@ -262,7 +229,7 @@
     def inputs(self, member: Member, now: float, work: str = "") -> str:
         cost_ms = self.cost_s(member, now, work) * 1000
         way = self._told_way(member, work, now)
-        seen = self._seen.get(member.name)
+        seen = self.memory.seen(member.name)
         if member.name == self._node_name:
             report, age_s = self._own_load(), 0.0
         elif seen is None or seen.report is None:
@@ -277,17 +244,7 @@
         )
 
     def started(self, name: str, now: float, expected_s: float = 0.0) -> None:
-        seen = self._known(name)
-        if expected_s:
-            seen.expected[now] = now + expected_s
-        seen.since += 1
-        self._note_start(seen, now)
-
-    def _note_start(self, seen: SeenTarget, now: float) -> None:
-        """Counts a start at a cold target against what it said it takes."""
-        left = seen.report.starts_left if seen.report else None
-        if left is not None and seen.since >= left > 0:
-            seen.cold_until = max(seen.cold_until, seen.heard + COLD_REST_S)
+        self.memory.started(name, now, expected_s)
 
     def finished(
         self,
@@ -298,76 +255,24 @@
         load: LoadReport | None,
         work: str = "",
     ) -> None:
-        seen = self._known(name)
-        seen.forget_attempt(now - elapsed_s)
-        seen.since -= 1
-        if load is not None:
-            self._report(seen, load, now)
-        if isinstance(outcome, NotRun):
-            seen.away_until = now + AWAY_S.get(outcome.code, 0.0)
-        if _failed(outcome):
-            seen.failures += 1
-            seen.failed = now
-            return
-        if not isinstance(outcome, Done):
-            return
-        seen.failures = 0
-        if load is not None and load.work_ms:
-            self._learn(seen, work, load.work_ms / 1000)
-
-    def _known(self, name: str) -> SeenTarget:
-        seen = self._seen.get(name)
-        if seen is None:
-            seen = self._seen[name] = SeenTarget()
-        return seen
-
-    def _learn(self, seen: SeenTarget, work: str, done_s: float) -> None:
-        """Takes the work of one answer into the usual and the target's own."""
-        usual_s = self._work_s.get(work)
-        if usual_s is None:
-            self._work_s[work] = done_s
-            return
-        ratio = min(MOST_RATIO, done_s / max(1e-4, usual_s))
-        seen.slowness += self._weights.slowness * (ratio - seen.slowness)
-        seen.slowness = max(LEAST_SLOWNESS, seen.slowness)
-        self._work_s[work] = usual_s * (1 + WORK_WEIGHT * (ratio - 1))
-        if len(self._work_s) > MOST_WORKS:
-            del self._work_s[next(iter(self._work_s))]
-
-    def _report(self, seen: SeenTarget, report: LoadReport, now: float) -> None:
-        if seen.report is not None:
-            for_s = min(SILENT_S, now - seen.heard)
-            before = seen.report
-            self._habit.note(before.pace / max(0.01, before.base), for_s)
-        if report.spell_ms:
-            self._habit.period_s = report.spell_ms / 1000
-        seen.report = report
-        seen.heard = now
-        seen.since = 0
-        seen.cold_until = now + COLD_REST_S if report.is_spent else -math.inf
-
-    def _failure_s(self, seen: SeenTarget, work_s: float, now: float) -> float:
-        fade = math.exp((seen.failed - now) / FAILURE_FADE_S)
-        doubled: float = 2.0 ** min(seen.failures - 1, MAX_DOUBLINGS)
-        least_s = max(work_s, LEAST_FAILED_S)
-        return self._weights.failure_factor * doubled * least_s * fade
+        self.memory.finished(name, now, elapsed_s, outcome, load, work)
 
     def _unknown_s(
         self, seen: SeenTarget | None, work_s: float, now: float
     ) -> float:
         """Returns the cost of a target of whose load nothing is known (s)."""
-        cost_s = UNKNOWN_FACTOR * self._habit.unknown_s(work_s)
+        cost_s = UNKNOWN_FACTOR * self.memory.habit.unknown_s(work_s)
         if seen is None:
             return cost_s
         if seen.away_until > now:
             return math.inf
-        return cost_s + work_s * self._habit.mean * max(0, seen.since)
+        return cost_s + work_s * self.memory.habit.mean * max(0, seen.since)
 
     def _way(self, member: Member, work: str, now: float) -> Way:
         """Returns what the way to `member` adds."""
         if member.name == self._node_name:
             return NO_WAY
-        seen = self._seen.get(member.name)
+        seen = self.memory.seen(member.name)
         report = seen.report if seen else None
         free_kbps = report.link_kbps if report else 0
         return self._ways.way(member.failure_domain, free_kbps, work, now)
@@ -397,14 +302,3 @@
 
 def _always(member: Member) -> bool:
     return True
-
-
-def _failed(outcome: Outcome | None) -> bool:
-    """Returns whether an attempt tells of a target that does not do well."""
-    if outcome is None:
-        return False
-    if isinstance(outcome, NotRun):
-        return outcome.code is ResultCode.SERVER_SHED
-    if isinstance(outcome, Done):
-        return is_server_error(outcome.response.status)
-    return True
--- a/src/radishwind/sidecar/tests/test_forged.py
+++ b/src/radishwind/sidecar/tests/test_forged.py
@@ -197,7 +197,8 @@
         sender.here.datagram(sender.datagram(Channel.LOADS, data))
 
     def has_effect(self, here):
-        report = here.node._entry.chooser._known("b-1").report
+        seen = here.node._entry.chooser.memory.seen("b-1")
+        report = seen.report if seen is not None else None
         return report is not None and report.in_flight == 77
 
 
