Count only what callers surely sent towards repeats; take a rise of load for no calls

Cause: found in review. Change: requests that follow within half a second prove little anew; a route adds to the budget once it surely is callers'. A flag of the settings that is neither true nor false is refused. The window of repeats has a test of its own.

--- a/src/radishwind/entry/call.py
+++ b/src/radishwind/entry/call.py
@@ -76,6 +76,8 @@
       lot: drawn with those that it belongs to, -0.5 to 0.5; the lower go
         first where not all can be served. 0 where it belongs to no others.
       account: the client account that asks; empty for none.
+      is_callers: whether a caller surely sent it, and no server that runs
+        something.
       repeated: whether an attempt before came to a server, or may still.
       steps: what was tried and what came of it, for the log; grows.
     """
@@ -99,6 +101,7 @@
     work_s: float = 0.0
     lot: float = 0.0
     account: str = ""
+    is_callers: bool = True
     repeated: bool = False
     steps: list[str] = dataclasses.field(default_factory=list, compare=False)
 
--- a/src/radishwind/entry/nested.py
+++ b/src/radishwind/entry/nested.py
@@ -39,6 +39,10 @@
 #: Time over which the mean is taken (s).
 _MEAN_S = 1.0
 
+#: Requests of a route that come closer than this (s) count in part: a rise of
+#: load lasts as long as the mean lags, whatever comes in it.
+_APART_S = 0.5
+
 
 class RunsBeside:
     """Counts what the server beside runs, now and in the mean of late."""
@@ -99,6 +103,9 @@
         self._runs = runs
         self._learned = learned
         self._evidence: dict[str, float] = {}
+        # By route, when the last request came (monotonic s).
+        self._seen: dict[str, float] = {}
+        self._callers: set[str] = set()
 
     def came(self, route: str, now: float) -> bool:
         """Takes a request; returns whether it counts as a call of the server.
@@ -109,15 +116,35 @@
         """
         before = self._evidence.get(route, 0.0)
         step = self._step(now)
+        if self._runs.running:
+            # What follows soon is seen against the same mean, and proves
+            # little anew.
+            since_s = now - self._seen.get(route, -math.inf)
+            step *= min(1.0, since_s / _APART_S)
+        self._seen[route] = now
         after = max(-_MOST, min(_MOST, before + step))
         self._evidence[route] = after
         if len(self._evidence) > MOST_ROUTES:
-            del self._evidence[next(iter(self._evidence))]
+            oldest = next(iter(self._evidence))
+            del self._evidence[oldest], self._seen[oldest]
+            self._callers.discard(oldest)
+        if after <= -ENOUGH:
+            self._callers.add(route)
         is_nested = after >= ENOUGH
+        if is_nested:
+            self._callers.discard(route)
         if is_nested != (before >= ENOUGH):
             self._learned(route, is_nested)
         return is_nested and self._runs.running > 0
 
+    def is_callers(self, route: str) -> bool:
+        """Returns whether requests of `route` surely are callers' own.
+
+        Neither this nor that is known of a route at first, nor at a server
+        that was always busy.
+        """
+        return route in self._callers
+
     def _step(self, now: float) -> float:
         """Returns the logarithm of the likelihoods' ratio, bounded."""
         if not self._runs.running:
--- a/src/radishwind/entry/routed.py
+++ b/src/radishwind/entry/routed.py
@@ -168,6 +168,7 @@
             work_s=self._work_s(route.name),
             lot=lot,
             account=account.name if account else "",
+            is_callers=self._is_callers(route, account),
         )
 
     def _depth(self, route: Route, account: Account | None, now: float) -> int:
@@ -176,6 +177,12 @@
             return 0
         return int(self._nested.came(route.name, now))
 
+    def _is_callers(self, route: Route, account: Account | None) -> bool:
+        """Returns whether a caller surely sent a request of `route`."""
+        if self._nested is None or account is not None:
+            return True
+        return self._nested.is_callers(route.name)
+
     def _account(
         self, told: CallerFields, route: Route, now: float
     ) -> Account | None:
--- a/src/radishwind/entry/tests/test_nested.py
+++ b/src/radishwind/entry/tests/test_nested.py
@@ -79,6 +79,18 @@
     assert sum(read) <= 0.05 * len(read)
 
 
+@pytest.mark.parametrize(("before", "after"), [(5, 30), (5, 60), (12, 36)])
+@pytest.mark.parametrize("seed", range(5))
+def test_callers_who_fill_the_server_are_not_taken_for_it(seed, before, after):
+    """The mean lags behind a rise, and a full server takes nothing back."""
+    server = Server(seed)
+    server.play(before, 20.0)
+    counted = server.play(after, 20.0)
+
+    read = [nested for route, nested in counted if route == "read"]
+    assert sum(read) <= 0.05 * len(read)
+
+
 def test_calls_that_come_after_their_run_was_lost_prove_nothing():
     """One of two calls is refused at once; the run ends before the other."""
     server = Server()
@@ -124,3 +136,13 @@
         server.routes.came(str(i), 0.0)
 
     assert len(server.routes._evidence) == MOST_ROUTES
+
+
+def test_only_routes_that_callers_surely_use_are_theirs():
+    """What is unclear adds to no budget of repeats."""
+    server = Server()
+    assert not server.routes.is_callers("read")
+    server.play(5, 20.0)
+
+    assert server.routes.is_callers("read")
+    assert not server.routes.is_callers("called")
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -72,7 +72,7 @@
 def _settings(file: _File, metrics_port: int) -> PlacedSettings:
     texts = _texts(file.bounds)
     bounds = _numbers(texts)
-    strict = texts.get("strict-revoke") == "true"
+    strict = _flag(texts, "strict-revoke")
     return PlacedSettings(
         node=file.node,
         service=file.service,
@@ -105,6 +105,18 @@
     )
 
 
+def _flag(texts: dict[str, str], name: str) -> bool:
+    """Returns whether the bound `name` is true; false where it is missing.
+
+    Raises:
+      ValueError: it is neither; a rule is never off by a misspelt word.
+    """
+    text = texts.get(name, "false").lower()
+    if text not in ("true", "false"):
+        raise ValueError(f"bounds: expected {name} true or false, got {text!r}")
+    return text == "true"
+
+
 def _texts(lines: tuple[str, ...]) -> dict[str, str]:
     """Returns the bounds as they are written, by name."""
     found: dict[str, str] = {}
--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -289,6 +289,21 @@
     assert not any(route.large_answers for route in read_routes(ROUTES).routes)
 
 
+@pytest.mark.parametrize(
+    ("text", "revoke_s"), [("true", 5.0), ("True", 5.0), ("false", None)]
+)
+def test_strict_revocation_is_read(text, revoke_s):
+    bounds = f'"strict-revoke={text}","revoke-ms=5000"'
+    settings = read_settings(SETTINGS.replace('"flag=true"', bounds))
+
+    assert settings.revoke_s == revoke_s
+
+
+def test_a_misspelt_flag_is_refused():
+    with pytest.raises(PlatformMalformedError, match="strict-revoke"):
+        read_settings(SETTINGS.replace('"flag=true"', '"strict-revoke=yse"'))
+
+
 def test_bounds_of_quotas_are_read():
     bounds = '"quota-window-s=4","quota-over=0.2","quota-slack=7"'
     settings = read_settings(SETTINGS.replace('"flag=true"', bounds))
--- a/src/radishwind/retries/shared.py
+++ b/src/radishwind/retries/shared.py
@@ -159,8 +159,8 @@
     def first(self, call: "Call", now: float) -> None:
         if call.depth:
             self._budget.nested(call.service, now, self._repeated_part())
-            return
-        self._budget.first(call.service, now)
+        elif call.is_callers:
+            self._budget.first(call.service, now)
 
     def again(
         self, call: "Call", outcome: Outcome, attempts: int, now: float
--- a/src/radishwind/retries/tests/test_shared.py
+++ b/src/radishwind/retries/tests/test_shared.py
@@ -177,3 +177,71 @@
         after += 1
 
     assert (before, after) == (8, 3)
+
+
+@pytest.mark.parametrize("began", [0.05, 0.5, 0.95])
+def test_a_repeat_counts_for_the_whole_window(began):
+    budget = SharedBudget(0.0, 160.0, WINDOW_S, lambda: 10)
+    while budget.spend("s", began):
+        pass
+
+    assert not budget.spend("s", began + 0.999 * WINDOW_S)
+    assert budget.spend("s", began + 1.1 * WINDOW_S)
+
+
+def shed_by_both(known, seed, nodes, slack, share_of_all):
+    """Returns repeats at a called service that sheds, as its caller does.
+
+    Args:
+      known: whether nodes tell calls from callers' requests.
+      seed: of the draws.
+      nodes: how many there are.
+      slack: of the budget.
+      share_of_all: of the usual load.
+    """
+    rng = random.Random(seed)
+    policies = [
+        SharedRetries(SharedBudget(SHARE, slack, WINDOW_S, lambda: nodes))
+        for _ in range(nodes)
+    ]
+    budgets = [policy._budget for policy in policies]
+    caller_s, called_s = 198.0 * share_of_all, 78.0 * share_of_all
+    repeats, at = [], 0.0
+    while at < 30.0:
+        at += rng.expovariate(caller_s + called_s)
+        number = rng.randrange(nodes)
+        if rng.random() < called_s / (caller_s + called_s):
+            policies[number].first(make_call(service="called"), at)
+            while budgets[number].spend("called", at):
+                repeats.append(at)
+            continue
+        policies[number].first(make_call(service="caller"), at)
+        runs = [0.0]
+        while budgets[number].spend("caller", at):
+            runs.append(1.0)
+        for repeated in runs:
+            if rng.random() > 0.6:
+                continue
+            beside = rng.randrange(nodes)
+            call = make_call(service="called", is_callers=False)
+            if known:
+                budgets[beside].nested("called", at, repeated)
+            else:
+                policies[beside].first(call, at)
+            repeats += [at] * int(repeated)
+            while budgets[beside].spend("called", at, nested=known):
+                repeats.append(at)
+    return most_in_a_window(repeats), SHARE * called_s * WINDOW_S + slack
+
+
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize(
+    ("nodes", "slack", "share_of_all"), [(62, 164.0, 1.0), (21, 164.0, 0.33)]
+)
+def test_a_called_service_keeps_its_bound_where_both_shed(
+    known, nodes, slack, share_of_all
+):
+    """Load: a crest that every server of two services sheds."""
+    most, allowed = shed_by_both(known, 1, nodes, slack, share_of_all)
+
+    assert 0 < most <= allowed
