Lend nothing before the fleet is known

Cause: a node lent 0.7 s after its start whatever it knew.

Change: Fleet.found_at tells since when the other nodes are known: another one was heard of, or this node has entered itself into the contacts of the store and they name nobody else (an empty list alone proves nothing in a start of all). Nobody lends before; settling and the level of a new pool count from then. Nor is one let in unasked before, since all that know nobody add up.

Tests: a start may hear late of the others in the virtual net, also as a fault of the bound's property test.

Ruled out: proof by the first read without the own entry (two that start at once would both be alone). Left: a lone node that starts again while contacts of nodes gone for good stand in the store refuses accounts with a quota until those contacts are replaced; a cut can't be told from that.

--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -181,6 +181,10 @@
         known = len(self.gossip.table.members)
         return max(known, self._listing.size())
 
+    def is_alone(self) -> bool:
+        """Returns whether the store has told that no other node is there."""
+        return self._search.found_nobody
+
     def note_revision(self, revision: int) -> None:
         """Tells peers by and by which configuration is in force here."""
         self.gossip.revision = revision
--- a/src/radishwind/node/peer_search.py
+++ b/src/radishwind/node/peer_search.py
@@ -30,7 +30,12 @@
 
 
 class PeerSearch:
-    """Joins the first peers, and again where a node finds itself alone."""
+    """Joins the first peers, and again where a node finds itself alone.
+
+    Attributes:
+      found_nobody: whether the contacts in the store have once named this node
+        and nobody else; one that comes later finds it there.
+    """
 
     def __init__(
         self,
@@ -61,9 +66,11 @@
         self._finder = finder
         self._options = options
         self._start = start
+        self._own = Address.parse(gossip.own.address)
         self._gone_before: frozenset[Address] = frozenset()
         # The contacts of all failure domains, as read last.
         self._contacts: tuple[Address, ...] = ()
+        self.found_nobody = False
 
     async def run(self) -> None:
         """Looks for peers until cancelled."""
@@ -93,9 +100,19 @@
         if not self._is_contact():
             return True
         entered = await self._finder.enter()
-        if entered is Entered.WRITTEN:
-            return await self._read_and_join(newest=True)
-        return entered is Entered.STANDS
+        if entered is Entered.WRITTEN and not await self._read_and_join(
+            newest=True
+        ):
+            return False
+        if entered is Entered.FAILED:
+            return False
+        self._note_nobody()
+        return True
+
+    def _note_nobody(self) -> None:
+        if self._contacts or self._finder.contacts != (self._own,):
+            return
+        self.found_nobody = True
 
     async def _read_and_join(self, *, newest: bool = False) -> bool:
         contacts = await self._finder.read(newest=newest)
--- a/src/radishwind/node/tests/test_peer_search.py
+++ b/src/radishwind/node/tests/test_peer_search.py
@@ -20,6 +20,7 @@
 from radishwind.settings import NodeSettings
 from radishwind.standins.store import StoreStandin
 from radishwind.store import EtcdStore
+from radishwind.store import StoreUnavailableError
 
 STORE = Address("127.0.0.1", 2379)
 OPTIONS = DiscoveryOptions(spread_s=0.0, early_looks=0, contacts=2)
@@ -105,6 +106,47 @@
     assert set(fleet[2].joined) >= {"10.0.0.1:1", "10.0.0.1:2"}
 
 
+async def test_who_finds_no_contact_but_itself_is_alone(fleet):
+    first, second = fleet[:2]
+    assert not first.search.found_nobody
+
+    await first.search._look()
+    await second.search._look()
+
+    assert first.search.found_nobody
+    assert not second.search.found_nobody
+
+
+async def test_of_two_that_enter_at_once_one_at_most_is_alone(fleet):
+    first, second = fleet[:2]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(first.search._look)
+        tasks.start_soon(second.search._look)
+
+    assert not (first.search.found_nobody and second.search.found_nobody)
+
+
+@pytest.mark.parametrize("call", ["list", "transact", "get"])
+async def test_a_store_that_fails_proves_nobody_alone(fleet, monkeypatch, call):
+    async def fail(*args, **options):
+        raise StoreUnavailableError("away")
+
+    node = fleet[0]
+    monkeypatch.setattr(node.finder._store, call, fail)
+    if call == "get":
+        # A first write that lost its race reads once more.
+        monkeypatch.setattr(node.finder, "_listed", None)
+        monkeypatch.setattr(node.finder, "read", _nobody)
+
+    await node.search._look()
+
+    assert not node.search.found_nobody
+
+
+async def _nobody(*, newest=False):
+    return ()
+
+
 async def test_a_contact_that_stays_gone_is_replaced(fleet):
     for node in fleet[:3]:
         await node.search._look()
--- a/src/radishwind/quotas/borrower.py
+++ b/src/radishwind/quotas/borrower.py
@@ -267,6 +267,9 @@
         """Returns whether one that was not lent may be let in."""
         if not loan.confirmed or limit.unasked < 1:
             return False
+        if self._fleet.found_at(now) is None:
+            # How many others do the same can't be told.
+            return False
         teller, until = self._short.get(account, ("", now))
         if teller == loan.lender and now < until:
             return False
--- a/src/radishwind/quotas/fleet.py
+++ b/src/radishwind/quotas/fleet.py
@@ -1,5 +1,6 @@
 """Which node lends what: the nodes there are, ranked by hash an account."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import xxhash
@@ -19,8 +20,20 @@
       lost_at: when one was lost that did not say that it leaves (monotonic s).
     """
 
-    def __init__(self, own: str, now: float) -> None:
+    def __init__(
+        self, own: str, now: float, is_alone: Callable[[], bool]
+    ) -> None:
+        """Makes a fleet of one node that knows nobody yet.
+
+        Args:
+          own: the name of this node.
+          now: monotonic time (s).
+          is_alone: returns whether there is proof that no other node is there;
+            that none was heard of is no proof.
+        """
         self.own = own
+        self._is_alone = is_alone
+        self._found_at: float | None = None
         self.live: frozenset[str] = frozenset((own,))
         self.known = 1
         self.changed_at = now
@@ -32,6 +45,20 @@
         """The part of all nodes that is in touch with this one."""
         return len(self.live) / self.known
 
+    def found_at(self, now: float) -> float | None:
+        """Returns since when it is known who else there is (monotonic s).
+
+        Args:
+          now: monotonic time (s).
+
+        Returns:
+          When another node was heard of first, or it was proved that there is
+          none; `None` before.
+        """
+        if self._found_at is None and (self.known > 1 or self._is_alone()):
+            self._found_at = now
+        return self._found_at
+
     def follow(self, live: Iterable[str], known: int, now: float) -> None:
         """Takes the nodes there are.
 
@@ -43,6 +70,7 @@
         names = frozenset(live) or frozenset((self.own,))
         lost = max(0, known - len(names)) > self.known - len(self.live)
         self.known = max(known, len(names))
+        self.found_at(now)
         if names == self.live:
             return
         came, went = names - self.live, self.live - names
--- a/src/radishwind/quotas/lender.py
+++ b/src/radishwind/quotas/lender.py
@@ -21,8 +21,8 @@
 #: A node that stood still for longer may have been replaced meanwhile (s).
 STOOD_STILL_S = 1.0
 
-#: A node that just started lends nothing for so long (s): it doesn't know yet
-#: who else there is. Nor while others still come, up to the longer time.
+#: A node that just found the others lends nothing for so long (s): it may not
+#: know all yet. Nor while others still come, up to the longer time.
 SETTLES_S = 0.3
 SETTLED_BY_S = 0.7
 _COMING_S = 0.2
@@ -63,8 +63,7 @@
         self._log = PartLogger("quotas", clock)
         self._pools: dict[str, Pool] = {}
         now = clock.monotonic()
-        self._started_at = now
-        self._ready_at = now + SETTLES_S
+        self._ready_at = now
         self._ticked_at = now
         self._lent_before = 0
 
@@ -127,6 +126,7 @@
           What all nodes must hear.
         """
         self._notice_pause(now)
+        self._fleet.found_at(now)
         short: list[str] = []
         roomy: list[str] = []
         for account, pool in list(self._pools.items()):
@@ -162,28 +162,30 @@
         limit = self._limit_of(account)
         if limit is None or self._fleet.lender(account) != self._fleet.own:
             return None
-        if not self._is_ready(now):
+        found_at = self._fleet.found_at(now)
+        if found_at is None or not self._is_ready(found_at, now):
             # Each node may let in one unasked until it is answered.
             return None
         pool = self._pools.get(account)
         if pool is None:
-            pool = self._pools[account] = self._open(limit, now)
+            pool = self._pools[account] = self._open(limit, found_at, now)
         pool.limit = limit
         return pool
 
-    def _is_ready(self, now: float) -> bool:
-        if now < self._ready_at:
+    def _is_ready(self, found_at: float, now: float) -> bool:
+        if now < max(self._ready_at, found_at + SETTLES_S):
             return False
-        if now - self._started_at >= SETTLED_BY_S:
+        if now - found_at >= SETTLED_BY_S:
             return True
         return now - self._fleet.changed_at >= _COMING_S
 
-    def _open(self, limit: QuotaLimit, now: float) -> Pool:
+    def _open(self, limit: QuotaLimit, found_at: float, now: float) -> Pool:
         """Opens a pool: full if nobody else can have lent for long enough."""
         since = max(
             self._fleet.changed_at,
             self._fleet.lost_at + _BOTH_LEND_S,
             self._ready_at,
+            found_at + SETTLES_S,
         )
         share = self._fleet.share
         gained = max(0.0, now - since) * limit.rate_per_s
--- a/src/radishwind/quotas/tests/test_bound.py
+++ b/src/radishwind/quotas/tests/test_bound.py
@@ -15,7 +15,7 @@
 #: it takes callers again, so a window sees two faults.
 APART_S = 2.5
 
-FAULTS = ("none", "cut", "heal", "kill", "start", "restart", "freeze")
+FAULTS = ("none", "cut", "heal", "kill", "start", "restart", "late", "freeze")
 
 faults = st.lists(
     st.tuples(st.sampled_from(FAULTS), st.integers(1, 2**NODES - 2)),
@@ -59,6 +59,8 @@
             net.kill(name)
         elif kind == "start" or (kind == "restart" and net.nodes[name].alive):
             net.start(name)
+        elif kind == "late":
+            net.start(name, heard=(2.0, 5.0))
         elif kind == "freeze":
             net.freeze(name, 3.0)
 
--- a/src/radishwind/quotas/tests/test_fleets.py
+++ b/src/radishwind/quotas/tests/test_fleets.py
@@ -127,6 +127,35 @@
     assert net.worst("hot") <= 1
 
 
+@pytest.mark.parametrize("rate", [4.0, 40.0])
+@pytest.mark.parametrize("late_s", [1.5, 2.5, 5.0])
+@pytest.mark.parametrize("count", [1, 2, 4, 8, 12])
+def test_nodes_that_hear_late_of_the_others_keep_the_bound(count, late_s, rate):
+    net = hot_net(rate=rate)
+    net.run_until(8)
+    for name in tuple(net.nodes)[:count]:
+        net.start(name, heard=(late_s, late_s))
+    net.run_until(8 + late_s - 0.01)
+    late = [net.nodes[name] for name in tuple(net.nodes)[:count]]
+    assert not any(node.lender.lent for node in late)
+    net.run_until(25)
+    assert net.worst("hot") <= 1
+    heard = [t for t in net.admitted["hot"] if t > 8 + late_s + 3]
+    assert len(heard) > 0.8 * rate * (17 - late_s - 3)
+
+
+@pytest.mark.parametrize("count", [12, 58])
+def test_nodes_that_know_nobody_let_in_nothing_of_a_small_account(count):
+    net = hot_net(count=count, rate=0.1)
+    for name in net.nodes:
+        net.start(name, heard=(4.0, 4.0))
+    began = net.now
+    for _ in range(3):
+        assert not any(net.ask(name, "hot") for name in net.nodes)
+        net.run_until(net.now + 1.0)
+    assert not [t for t in net.admitted["hot"] if t >= began]
+
+
 def test_a_roll_of_all_keeps_the_bound_and_lends_on():
     net = hot_net()
     for turn, name in enumerate(tuple(net.nodes)):
--- a/src/radishwind/quotas/tests/test_lending.py
+++ b/src/radishwind/quotas/tests/test_lending.py
@@ -39,7 +39,7 @@
 
     def __init__(self):
         self.clock = ManualClock()
-        self.fleet = Fleet("own", 0.0)
+        self.fleet = Fleet("own", 0.0, lambda: True)
         self.lender = Lender(self.fleet, LIMITS.get, self.clock)
         for _ in range(40):
             self.pass_s(0.25)
@@ -123,12 +123,56 @@
 
 def test_a_node_that_just_started_answers_nothing_yet():
     clock = ManualClock()
-    lender = Lender(Fleet("own", 0.0), LIMITS.get, clock)
+    lender = Lender(Fleet("own", 0.0, lambda: True), LIMITS.get, clock)
     clock.advance(SETTLES_S - 0.01)
     ask = Ask("b", 1, 1, 0.0, (item(want=1),))
     assert not lender.answer(ask, clock.monotonic())[0].items
 
 
+def test_a_node_that_knows_only_itself_lends_nothing_before_it_is_sure():
+    clock, alone = ManualClock(), []
+    fleet = Fleet("own", 0.0, lambda: bool(alone))
+    lender = Lender(fleet, LIMITS.get, clock)
+
+    def lent(order):
+        ask = Ask("b", 1, order, 0.0, (item(want=99),))
+        return [g.limit for g in lender.answer(ask, clock.monotonic())[0].items]
+
+    for _ in range(40):
+        clock.advance(0.25)
+        lender.tick(clock.monotonic())
+    assert not lent(1)
+    alone.append(True)
+    lender.tick(clock.monotonic())
+    clock.advance(SETTLES_S - 0.01)
+    assert not lent(2)
+    clock.advance(0.02)
+    assert 0 < sum(lent(3)) <= LIMIT.opening + 0.02 * LIMIT.rate_per_s
+
+
+def test_who_heard_of_another_is_sure_also_after_it_is_lost():
+    fleet = Fleet("own", 0.0, lambda: False)
+    assert fleet.found_at(1.0) is None
+    fleet.follow(["own", "far"], 2, 2.0)
+    fleet.follow(["own"], 1, 3.0)
+    assert fleet.found_at(4.0) == 2.0
+
+
+def test_a_node_that_knows_only_itself_lets_in_none_unasked():
+    alone = []
+    fleet = Fleet("own", 0.0, lambda: bool(alone))
+    borrower = Borrower(
+        fleet,
+        LIMITS.get,
+        random.Random(1),
+        lambda ask: Grant("own", ask.start, ask.order, ask.sent_at, ()),
+        lambda: None,
+    )
+    assert borrower.take("a", 10.0) is not None
+    alone.append(True)
+    assert borrower.take("a", 11.0) is None
+
+
 def test_an_account_that_is_lent_elsewhere_is_not_answered():
     lending = Lending()
     now = lending.clock.monotonic()
@@ -151,7 +195,7 @@
     """A borrower, and the lender elsewhere as the test plays it."""
 
     def __init__(self, known=2, limits=None):
-        self.fleet = Fleet("own", 0.0)
+        self.fleet = Fleet("own", 0.0, lambda: True)
         self.fleet.follow(["far"], known, 0.0)
         self.now = 10.0
         self.borrower = Borrower(
--- a/src/radishwind/sidecar/quotas.py
+++ b/src/radishwind/sidecar/quotas.py
@@ -71,7 +71,9 @@
         self._woken = anyio.Event()
         self._stale = True
         self._addresses: dict[str, Address] = {}
-        self._fleet = Fleet(settings.node, clock.monotonic())
+        self._fleet = Fleet(
+            settings.node, clock.monotonic(), membership.is_alone
+        )
         self.lender = Lender(self._fleet, self._limits.of, clock)
         self.borrower = Borrower(
             self._fleet,
--- a/src/radishwind/sidecar/tests/test_quotas.py
+++ b/src/radishwind/sidecar/tests/test_quotas.py
@@ -58,7 +58,9 @@
             rng=rng,
             routes=self.routes,
             membership=types.SimpleNamespace(
-                gossip=self.gossip, unreachable=self.unreachable.append
+                gossip=self.gossip,
+                unreachable=self.unreachable.append,
+                is_alone=lambda: False,
             ),
             socket=self.socket,
         )
--- a/tests/support/quota_net.py
+++ b/tests/support/quota_net.py
@@ -32,7 +32,8 @@
         self.limits = net.limits
         self.frozen = False
         self.alive = True
-        self.fleet = Fleet(name, net.now)
+        self.hears_at = 0.0
+        self.fleet = Fleet(name, net.now, lambda: len(net.nodes) == 1)
         self.fleet.follow(members, len(members), net.now)
         self.lender = Lender(self.fleet, self.limit_of, net.clock)
         self.borrower = Borrower(
@@ -178,9 +179,16 @@
         self.nodes[name].alive = False
         self.notice(detect)
 
-    def start(self, name):
-        """Starts `name`; it knows itself only, then all hear of each other."""
-        self.nodes[name] = Node(self, name, [name])
+    def start(self, name, heard=(0.05, 0.3)):
+        """Starts `name`; it knows itself only, then all hear of each other.
+
+        Args:
+          name: the node.
+          heard: when it hears of the others, from and to (s).
+        """
+        node = self.nodes[name] = Node(self, name, [name])
+        node.hears_at = self.now + self.rng.uniform(*heard)
+        self.at(node.hears_at, lambda: self.look(node))
         self.notice((0.05, 0.3))
 
     def notice(self, detect):
@@ -189,6 +197,8 @@
             self.at(when, lambda node=node: self.look(node))
 
     def look(self, node):
+        if self.now < node.hears_at:
+            return
         live = [
             name
             for name, other in self.nodes.items()
