Compare with the store the version that was asked about

Cause: the comparison of unchecked routes awaited the store and then took the version in force by then. A newer one of the operator's that came meanwhile was above the store's answer, so that the node took it for forged and ended.

Change: the version is held before the question. Where the store's own came into force meanwhile nothing is left to compare; where a version that can't be the operator's was replaced, what replaced it is compared before the node signs.

--- a/src/radishwind/sidecar/tests/test_unchecked.py
+++ b/src/radishwind/sidecar/tests/test_unchecked.py
@@ -50,6 +50,7 @@
         self.value = b"7"
         self.away = False
         self.behind = False
+        self.meanwhile = None
         self.calls = 0
         self.forged = []
         self.task = UncheckedRoutes(
@@ -67,6 +68,8 @@
         await anyio.lowlevel.checkpoint()
         if self.away:
             raise StoreUnavailableError("away")
+        if self.meanwhile and not allow_stale:
+            self.meanwhile()
         if allow_stale and self.behind:
             return None
         return StoreEntry(key, self.value, 1, 1) if self.value else None
@@ -142,6 +145,38 @@
     assert not node.forged
 
 
+@pytest.mark.parametrize("source", ["store", "peer 10.0.0.3"])
+async def test_a_newer_version_that_comes_meanwhile_is_not_forged(node, source):
+    node.behind = True
+    node.meanwhile = lambda: node.adopt(9, source)
+    node.adopt(7, "peer 10.0.0.2")
+
+    node.keyring.learn(b"s" * 32, 1)
+    await settled()
+
+    assert node.calls == 2
+    assert not node.forged
+    assert node.keyring.signing is not None
+
+
+async def test_what_replaces_a_forged_version_meanwhile_is_compared(node):
+    def replaced():
+        node.meanwhile = None
+        node.adopt(9, "peer 10.0.0.3")
+
+    node.behind = True
+    node.meanwhile = replaced
+    node.adopt(8, "peer 10.6.6.6")
+    node.keyring.learn(b"s" * 32, 1)
+    await until(lambda: node.calls == 2)
+    assert not node.forged
+    assert node.keyring.signing is None
+    node.value = b"9"
+
+    await until(lambda: node.keyring.signing is not None)
+    assert not node.forged
+
+
 async def test_store_that_is_away_is_asked_again(node):
     node.away = True
     node.adopt(999, "peer 10.6.6.6")
--- a/src/radishwind/sidecar/unchecked.py
+++ b/src/radishwind/sidecar/unchecked.py
@@ -88,10 +88,12 @@
 
     async def _compare(self) -> None:
         """Asks the store; it may be away."""
+        # Newer versions may come into force while the store answers.
+        version = self._routes.version
         try:
             # What an old answer shows is the operator's too.
             stored = await self._stored_version(allow_stale=True)
-            if self._routes.version > stored:
+            if version > stored:
                 stored = await self._stored_version(allow_stale=False)
         except StoreError as exc:
             self._log.info("Routes uncompared.", reason=str(exc)[:120])
@@ -101,13 +103,19 @@
             self._settle()
             self._log.warning("Routes uncompared.", reason=str(exc)[:120])
             return
-        if self._routes.version <= stored:
+        if not self._unchecked:
+            # The store's own came into force.
+            return
+        if version <= stored:
             self._settle()
             return
+        if self._routes.version != version:
+            # What replaced it may be the operator's, and is compared itself.
+            return
         self._unchecked = False
         self._log.error(
             "The routes in force are none of the operator's.",
-            version=self._routes.version,
+            version=version,
             stored=stored,
             source=self._routes.source,
         )
