Compare content where an unchecked version is the store's

Cause: only numbers were compared, so that a made-up configuration under the operator's own number passed, and the node told it on once it signed.

Change: a version of the store's number must be written as the store's is.

Tests: two cases (answer new, old), seen failing before. An operator who writes the same number anew with other content makes nodes that took the former unchecked start anew.

--- a/src/radishwind/sidecar/tests/test_unchecked.py
+++ b/src/radishwind/sidecar/tests/test_unchecked.py
@@ -74,9 +74,9 @@
             return None
         return StoreEntry(key, self.value, 1, 1) if self.value else None
 
-    def adopt(self, version, source, accounts=ACCOUNTS):
+    def adopt(self, version, source, accounts=ACCOUNTS, raw=None):
         cfg = RouteConfig(version, (ROUTE,), {}, accounts=accounts)
-        self.routes.adopt(cfg, b"", source)
+        self.routes.adopt(cfg, raw or str(version).encode(), source)
         self.keyring.follow(bool(accounts), lenient=False)
 
 
@@ -113,6 +113,18 @@
     assert node.keyring.signing is None
 
 
+@pytest.mark.parametrize("behind", [False, True])
+async def test_other_content_of_the_stores_version_is_found_out(node, behind):
+    node.behind = behind
+    node.adopt(7, "peer 10.6.6.6", raw=b"07")
+
+    node.keyring.learn(b"s" * 32, 1)
+
+    await until(lambda: node.forged)
+    assert node.calls == 2
+    assert node.keyring.signing is None
+
+
 async def test_version_where_the_store_has_none_is_found_out(node):
     node.value = None
     node.adopt(1, "peer 10.6.6.6")
--- a/src/radishwind/sidecar/unchecked.py
+++ b/src/radishwind/sidecar/unchecked.py
@@ -89,12 +89,12 @@
     async def _compare(self) -> None:
         """Asks the store; it may be away."""
         # Newer versions may come into force while the store answers.
-        version = self._routes.version
+        version, raw = self._routes.version, self._routes.raw
         try:
             # What an old answer shows is the operator's too.
-            stored = await self._stored_version(allow_stale=True)
-            if version > stored:
-                stored = await self._stored_version(allow_stale=False)
+            stored, written = await self._stored(allow_stale=True)
+            if not _may_be(version, raw, stored, written):
+                stored, written = await self._stored(allow_stale=False)
         except StoreError as exc:
             self._log.info("Routes uncompared.", reason=str(exc)[:120])
             return
@@ -106,7 +106,7 @@
         if not self._unchecked:
             # The store's own came into force.
             return
-        if version <= stored:
+        if _may_be(version, raw, stored, written):
             self._settle()
             return
         if self._routes.version != version:
@@ -121,6 +121,23 @@
         )
         self._forged()
 
-    async def _stored_version(self, *, allow_stale: bool) -> int:
+    async def _stored(self, *, allow_stale: bool) -> tuple[int, bytes]:
+        """Returns the store's version, 0 for none, and how it is written."""
         entry = await self._store.get(self._key, allow_stale=allow_stale)
-        return self._decode(entry.value).version if entry else 0
+        if entry is None:
+            return 0, b""
+        return self._decode(entry.value).version, entry.value
+
+
+def _may_be(version: int, raw: bytes, stored: int, written: bytes) -> bool:
+    """Returns whether the operator may have made a version.
+
+    An older one than the store's goes as soon as that is heard of.
+
+    Args:
+      version: in force here.
+      raw: how it was written.
+      stored: the store's version.
+      written: how that is written.
+    """
+    return version < stored or (version == stored and raw == written)
