Space looks for a newer secret also after a rumor

Cause: once a rumor told of a newer record and the read of it failed, each refused datagram read the store again, so that forged ones drove calls of a store that was away.

Change: a rumor is followed at once, but after a read that failed looks are spaced as without one (the reviewer's patch).

--- a/src/radishwind/sidecar/secret.py
+++ b/src/radishwind/sidecar/secret.py
@@ -116,6 +116,7 @@
         self._doubts = Backoff(rng, _FIRST_DOUBT_S, _LONGEST_DOUBT_S)
         self._looks_again_at = 0.0
         self._heard = 0
+        self._unread = False
         self._due = anyio.Event()
         self._told = anyio.Event()
         board.subscribe(TOPIC, self._on_rumor)
@@ -139,11 +140,12 @@
 
     def _is_doubtful(self) -> bool:
         """Returns whether the record should be read, by now."""
-        if self._heard > self._keyring.revision:
-            return True
-        if not self._keyring.doubted:
+        rumored = self._heard > self._keyring.revision
+        if not rumored and not self._keyring.doubted:
             return False
         self._keyring.doubted = False
+        if rumored and not self._unread:
+            return True
         return self._clock.monotonic() >= self._looks_again_at
 
     def _wanted(self) -> None:
@@ -187,7 +189,9 @@
             entry = await self._store.get(KEY)
         except StoreError as exc:
             self._log.info("The secret is unread.", reason=str(exc)[:120])
+            self._unread = True
             return
+        self._unread = False
         # Else a rumor of a record that was removed would be followed for ever.
         self._heard = 0
         if entry is not None:
--- a/src/radishwind/sidecar/tests/test_secret.py
+++ b/src/radishwind/sidecar/tests/test_secret.py
@@ -368,3 +368,43 @@
     await settled()
 
     assert store.calls == []
+
+
+async def test_looks_are_spaced_while_the_store_is_away(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: not node.keyring.lacks)
+    store.away = True
+    before = len(store.calls)
+
+    store.replace(msgspec.json.encode(SecretRecord(b"n" * SECRET_BYTES)))
+    for handler in board.handlers:
+        handler("record", msgspec.json.encode(store.revision))
+    await settled()
+    assert len(store.calls) == before + 1
+    for _ in range(50):
+        node.keyring.doubt()
+        await settled()
+    assert len(store.calls) == before + 1
+
+    store.away = False
+    node.clock.advance(secret._LONGEST_DOUBT_S)
+    node.keyring.doubt()
+    await until(lambda: node.keyring.signing == b"n" * SECRET_BYTES)
+    assert len(store.calls) == before + 2
+
+
+async def test_a_rumor_is_followed_at_once_after_doubts(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: not node.keyring.lacks)
+    node.keyring.doubt()
+    await settled()
+
+    store.replace(msgspec.json.encode(SecretRecord(b"n" * SECRET_BYTES)))
+    for handler in board.handlers:
+        handler("record", msgspec.json.encode(store.revision))
+
+    await until(lambda: node.keyring.signing == b"n" * SECRET_BYTES)
