Forget what was lent of an account that lost its quota

Cause: a borrower whose account lost its quota kept the loan, found it due for ever and asked a lender that answers nothing for it.

Change: tick drops such loans (the reviewer's patch).

--- a/src/radishwind/quotas/borrower.py
+++ b/src/radishwind/quotas/borrower.py
@@ -187,6 +187,10 @@
     def tick(self, now: float) -> None:
         """Asks again, gives up what isn't used, and forgets what is idle."""
         for account, loan in list(self._loans.items()):
+            if self._limit_of(account) is None:
+                # Nobody lends it any more, so nobody would answer.
+                del self._loans[account]
+                continue
             self._follow_lender(account, loan)
             if self._is_idle(loan, now):
                 del self._loans[account]
--- a/src/radishwind/quotas/tests/test_fleets.py
+++ b/src/radishwind/quotas/tests/test_fleets.py
@@ -221,6 +221,20 @@
     assert all(not node.lender.accounts for node in net.nodes.values())
 
 
+def test_nobody_is_asked_for_an_account_that_lost_its_quota():
+    net = hot_net()
+    other = Account("calm", (), None, 40.0, 40.0)
+    net.run_until(10)
+    assert any(node.borrower.accounts for node in net.nodes.values())
+    for node in net.nodes.values():
+        _take(node, net.limits_of([other]))
+    net.run_until(11)
+    assert not any(node.borrower.accounts for node in net.nodes.values())
+    sent = net.sent
+    net.run_until(60)
+    assert net.sent == sent
+
+
 def test_one_with_a_quarter_of_all_requests_is_hardly_refused():
     accounts = [Account("big", (), None, 160.0, 160.0)]
     accounts += [Account(f"s{i}", (), None, 4.0, 4.0) for i in range(60)]
