Send an attempt anew only where it plainly did not run

Cause: a refusal that told how to sign was followed by a second sending whatever its outcome was. A replayed attempt is answered Unknown, as the first one may have run, and was told how to sign all the same; an unsafe one could run twice.

--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -259,6 +259,12 @@
     return AttemptResult(outcome, info.load)
 
 
+def says_not_run(response: Response, attempt_id: str) -> bool:
+    """Returns whether this attempt plainly has not run."""
+    info = _read_answer(response, attempt_id)
+    return info is not None and info.outcome == _NOT_RUN
+
+
 def read_attempt(field: str) -> AttemptInfo:
     """Returns what `ATTEMPT_FIELD` tells.
 
--- a/src/radishwind/peers/forward.py
+++ b/src/radishwind/peers/forward.py
@@ -19,6 +19,7 @@
 from radishwind.outcomes import Unknown
 from radishwind.peers.attempts import forwarded
 from radishwind.peers.attempts import read_result
+from radishwind.peers.attempts import says_not_run
 from radishwind.peers.client import CONNECT_TIMEOUT_S
 from radishwind.peers.signing import RequestSigner
 from radishwind.peers.traffic import PeerTraffic
@@ -65,7 +66,7 @@
         if member.name == self._node_name:
             return self._sized(call, await self._target.run(call))
         answer = await self._forward(call, member, attempt_id)
-        if self._may_sign_anew(call, member, answer):
+        if self._may_sign_anew(call, member, attempt_id, answer):
             answer = await self._forward(call, member, attempt_id)
         if isinstance(answer, Response):
             self._traffic.answer(member, call, answer)
@@ -78,14 +79,21 @@
         return result
 
     def _may_sign_anew(
-        self, call: Call, member: Member, answer: Response | NotRun | Unknown
+        self,
+        call: Call,
+        member: Member,
+        attempt_id: str,
+        answer: Response | NotRun | Unknown,
     ) -> bool:
         """Returns whether the node there only asks for another signature.
 
-        A body that is streamed can't be sent twice.
+        What may have run isn't sent again, and a body that is streamed can't
+        be.
         """
         if self._signer is None or not isinstance(answer, Response):
             return False
+        if not says_not_run(answer, attempt_id):
+            return False
         if not self._signer.may_sign_anew(member.address, answer):
             return False
         return isinstance(call.request.body, bytes)
--- a/src/radishwind/peers/listener.py
+++ b/src/radishwind/peers/listener.py
@@ -279,8 +279,9 @@
         self._note_refused(exc.code, "attempt", request)
         outcome: Outcome = NotRun(exc.code, exc.args[0], _RETRY_S)
         if isinstance(exc, PeerReplayedError):
-            # The first one may have run.
+            # The first one may have run, so that none may be sent anew.
             outcome = Unknown(exc.code, exc.args[0])
+            return with_answer(info.attempt_id, outcome, None)
         refusal = with_answer(info.attempt_id, outcome, None)
         return self._telling_how_to_sign(refusal)
 
--- a/src/radishwind/peers/tests/test_security.py
+++ b/src/radishwind/peers/tests/test_security.py
@@ -18,12 +18,14 @@
 from radishwind.membership import Member
 from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
+from radishwind.outcomes import Unknown
 from radishwind.peers import ForwardRunner
 from radishwind.peers import HttpPeerClient
 from radishwind.peers import PeerError
 from radishwind.peers import PeerListener
 from radishwind.peers import PeerSigner
 from radishwind.peers import PeerVerifier
+from radishwind.peers.attempts import with_answer
 from radishwind.peers.security import AUTH_FIELD
 from radishwind.peers.security import NonceMemory
 from radishwind.peers.security import PeerRefusedError
@@ -31,6 +33,7 @@
 from radishwind.peers.security import PeerStaleError
 from radishwind.peers.security import WINDOW_FUTURE_S
 from radishwind.peers.security import WINDOW_PAST_S
+from radishwind.peers.signing import RequestSigner
 
 OLD = b"0123456789abcdef"
 NEW = b"fedcba9876543210"
@@ -265,6 +268,39 @@
     assert hints == ["prenota-2"]
 
 
+class EagerSigner(RequestSigner):
+    """Would send whatever is answered once more."""
+
+    def sign(self, to, method, path, covered):
+        return None
+
+    def may_sign_anew(self, to, answer):
+        return True
+
+
+@pytest.mark.parametrize(
+    ("answered", "sent"),
+    [
+        (with_answer("a", NotRun(ResultCode.PEER_STALE, ""), None), 2),
+        (with_answer("a", Unknown(ResultCode.PEER_REPLAYED, ""), None), 1),
+        (with_answer("a", Done(Response(401)), None), 1),
+        (with_answer("b", NotRun(ResultCode.PEER_STALE, ""), None), 1),
+        (Response(401), 1),
+    ],
+)
+async def test_only_what_did_not_run_is_signed_and_sent_anew(answered, sent):
+    peers = Peers()
+
+    async def answer(request):
+        return answered
+
+    peers.sender.handlers[HERE] = answer
+
+    await peers.runner(EagerSigner()).run(booking(), MEMBER, "a")
+
+    assert len(peers.sender.sent) == sent
+
+
 @pytest.mark.parametrize(
     ("later_s", "error"),
     [
--- a/src/radishwind/sidecar/tests/test_forged.py
+++ b/src/radishwind/sidecar/tests/test_forged.py
@@ -31,6 +31,7 @@
 from radishwind.peers.datagrams import Channel
 from radishwind.peers.fleet_security import FleetDatagrams
 from radishwind.peers.fleet_security import FleetSigner
+from radishwind.peers.fleet_security import START_FIELD
 from radishwind.peers.fleet_security import Starts
 from radishwind.peers.keyring import Keyring
 from radishwind.peers.signing import AUTH_FIELD
@@ -183,7 +184,7 @@
             (ATTEMPT_FIELD, msgspec.json.encode(sent).decode()),
             *self.signed(path, msgspec.json.encode(signed)),
         )
-        answer = await self.here.request(path, b"", fields)
+        self.answer = answer = await self.here.request(path, b"", fields)
         field = header(answer.headers, ANSWER_FIELD.lower())
         return msgspec.json.decode(field)[2]
 
@@ -397,6 +398,14 @@
     sender.signer._number = 0
 
     assert await sender.forward() == ResultCode.PEER_REPLAYED
+    assert header(sender.answer.headers, START_FIELD.lower()) is None
+
+
+async def test_forward_that_did_not_run_is_told_how_to_sign(here):
+    sender = Sender(here, FOREIGN)
+
+    assert await sender.forward() == ResultCode.PEER_UNAUTHENTICATED
+    assert header(sender.answer.headers, START_FIELD.lower()) is not None
 
 
 async def test_unsigned_forward_without_account_needs_a_public_route(here):
