Drop datagrams of quotas while no account has one

Cause: a node without quotas answered questions of others, and took each for a sign that it had stood still, as nothing ticks its lender then.

Change: the channel drops what comes while no account has a quota here.

Tests: three datagrams, seen failing before; a question after quotas came is answered. All of test_quotas.py and test_forged.py pass.

--- a/src/radishwind/sidecar/quota_channel.py
+++ b/src/radishwind/sidecar/quota_channel.py
@@ -33,6 +33,7 @@
         borrower: Borrower,
         address_of: Callable[[str], Address | None],
         others: Callable[[], Iterable[Address]],
+        in_use: Callable[[], bool],
     ) -> None:
         """Wires the channel.
 
@@ -43,6 +44,7 @@
           borrower: asks them.
           address_of: returns where a node is reached, if it is known.
           others: returns where all other nodes are reached.
+          in_use: returns whether any account has a quota here.
         """
         self._socket = socket
         self._clock = clock
@@ -50,6 +52,7 @@
         self._borrower = borrower
         self._address_of = address_of
         self._others = others
+        self._in_use = in_use
         self.sent = 0
         self.bytes_sent = 0
         socket.add(Channel.QUOTAS, self._received)
@@ -81,6 +84,9 @@
             self._send(told, tuple(self._others()))
 
     def _received(self, data: bytes, sender: Address) -> bool:
+        if not self._in_use():
+            # Others may have a newer version, or older; they ask again.
+            return True
         message = decode(data)
         if message is None:
             return False
--- a/src/radishwind/sidecar/quotas.py
+++ b/src/radishwind/sidecar/quotas.py
@@ -89,6 +89,7 @@
             self.borrower,
             self._addresses.get,
             lambda: [self._addresses[n] for n in self._others()],
+            lambda: self._limits.any,
         )
         membership.gossip.table.listen(self._changed)
         routes.listen(lambda cfg: self._woken.set())
--- a/src/radishwind/sidecar/tests/test_quotas.py
+++ b/src/radishwind/sidecar/tests/test_quotas.py
@@ -17,6 +17,9 @@
 from radishwind.membership.gossip import Gossip
 from radishwind.membership.options import GossipOptions
 from radishwind.peers.datagrams import PeerSocket
+from radishwind.quotas.messages import Ask
+from radishwind.quotas.messages import AskItem
+from radishwind.quotas.messages import encode
 from radishwind.routes.in_force import RoutesInForce
 from radishwind.routes.model import RouteConfig
 from radishwind.sidecar.quotas import QuotaSharing
@@ -34,6 +37,9 @@
         return Address("127.0.0.1", held.getsockname()[1])
 
 
+ASK = encode(Ask("n2", 1, 1, 0.0, (AskItem("a", 1, 0, 0, 0, 0, 1, False),)))
+
+
 class Node:
     """The quotas of one node, its membership told by the test."""
 
@@ -163,6 +169,26 @@
     return (fact.name, fact.service, fact.failure_domain, fact.address)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "data", [ASK, b"\x93\x01", b""], ids=["question", "cut short", "empty"]
+)
+async def test_without_quotas_what_others_send_has_no_effect(data):
+    async with Pair([Account("a", ())]) as pair:
+        node, other = pair.nodes.values()
+        lender = node.sharing.lender
+        paused = []
+        lender._notice_pause = paused.append
+
+        assert node.sharing.channel._received(data, other.address)
+
+        assert not node.sharing.channel.sent
+        assert not paused
+        node.adopt(2, [Account("a", (), None, 50.0, 50.0)])
+        node.sharing.channel._received(ASK, other.address)
+        assert node.sharing.channel.sent == 1
+
+
 @pytest.mark.anyio
 async def test_without_quotas_nothing_is_sent_until_one_comes():
     async with Pair([Account("a", ())]) as pair:
