Show the secret in no repr of its record

Cause: the repr of SecretRecord held the secret, so that a line which shows the record would tell it.

Change: its repr tells the type only.

Tests: the record's repr in four forms, base64 among them; seen failing before. The test of lines and fields looks for base64 forms of both secrets too; it passed before as well. StoreEntry still shows the value that it holds.

--- a/src/radishwind/peers/tests/test_fleet_security.py
+++ b/src/radishwind/peers/tests/test_fleet_security.py
@@ -1,5 +1,7 @@
 """A message counts once, by the secret, at the process it is meant for."""
 
+import base64
+
 import pytest
 
 from radishwind.core import ManualClock
@@ -25,6 +27,8 @@
 ELSEWHERE = Address("10.0.0.3", 7600)
 PLAIN = bytes((Channel.LOADS,)) + b"a load"
 
+URL_SAFE = str.maketrans("+/", "-_")
+
 
 class Node:
     """What signs and checks at one process."""
@@ -333,3 +337,9 @@
     assert NEW.hex() not in text
     assert "oooo" not in text
     assert "nnnn" not in text
+    for held in (OLD, NEW):
+        for skipped in range(3):
+            # However it lies in what was encoded; the ends depend on that.
+            plain = base64.b64encode(held[skipped:24]).decode()
+            assert plain[:24] not in text
+            assert plain[:24].translate(URL_SAFE) not in text
--- a/src/radishwind/sidecar/secret.py
+++ b/src/radishwind/sidecar/secret.py
@@ -65,6 +65,10 @@
 
     secret: bytes
 
+    def __repr__(self) -> str:
+        # What is shown may be logged.
+        return "SecretRecord(...)"
+
 
 def read_record(value: bytes) -> SecretRecord | None:
     """Returns the record in `value`; `None` where there is no good one."""
--- a/src/radishwind/sidecar/tests/test_secret.py
+++ b/src/radishwind/sidecar/tests/test_secret.py
@@ -1,5 +1,6 @@
 """The secret of the fleet is made once, and read once a start."""
 
+import base64
 import random
 
 import anyio
@@ -235,6 +236,22 @@
     assert store.calls == []
 
 
+def test_the_record_shows_its_secret_to_no_line():
+    held = bytes(range(200, 200 + SECRET_BYTES))
+    record = SecretRecord(held)
+    shown = f"{record} {record!r} {[record]}"
+
+    assert "SecretRecord" in shown
+    for form in (
+        repr(held)[2:-1],
+        held.hex(),
+        base64.b64encode(held).decode(),
+        base64.urlsafe_b64encode(held).decode(),
+    ):
+        assert form[:12] not in shown
+    assert read_record(msgspec.json.encode(record)) == record
+
+
 def test_the_record_counts_as_no_contact():
     value = msgspec.json.encode(SecretRecord(b"s" * SECRET_BYTES))
 
