--- a/src/radishwind/quotas/borrower.py
+++ b/src/radishwind/quotas/borrower.py
@@ -187,6 +187,10 @@
     def tick(self, now: float) -> None:
         """Asks again, gives up what isn't used, and forgets what is idle."""
         for account, loan in list(self._loans.items()):
+            if self._limit_of(account) is None:
+                # Nobody lends it any more, so nobody would answer.
+                del self._loans[account]
+                continue
             self._follow_lender(account, loan)
             if self._is_idle(loan, now):
                 del self._loans[account]
@@ -267,6 +271,9 @@
         """Returns whether one that was not lent may be let in."""
         if not loan.confirmed or limit.unasked < 1:
             return False
+        if self._fleet.found_at(now) is None:
+            # How many others do the same can't be told.
+            return False
         teller, until = self._short.get(account, ("", now))
         if teller == loan.lender and now < until:
             return False
--- a/src/radishwind/sidecar/quotas.py
+++ b/src/radishwind/sidecar/quotas.py
@@ -71,7 +71,9 @@
         self._woken = anyio.Event()
         self._stale = True
         self._addresses: dict[str, Address] = {}
-        self._fleet = Fleet(settings.node, clock.monotonic())
+        self._fleet = Fleet(
+            settings.node, clock.monotonic(), membership.is_alone
+        )
         self.lender = Lender(self._fleet, self._limits.of, clock)
         self.borrower = Borrower(
             self._fleet,
@@ -87,6 +89,7 @@
             self.borrower,
             self._addresses.get,
             lambda: [self._addresses[n] for n in self._others()],
+            lambda: self._limits.any,
         )
         membership.gossip.table.listen(self._changed)
         routes.listen(lambda cfg: self._woken.set())
--- a/src/radishwind/sidecar/tests/test_secret.py
+++ b/src/radishwind/sidecar/tests/test_secret.py
@@ -1,5 +1,6 @@
 """The secret of the fleet is made once, and read once a start."""
 
+import base64
 import random
 
 import anyio
@@ -235,6 +236,22 @@
     assert store.calls == []
 
 
+def test_the_record_shows_its_secret_to_no_line():
+    held = bytes(range(200, 200 + SECRET_BYTES))
+    record = SecretRecord(held)
+    shown = f"{record} {record!r} {[record]}"
+
+    assert "SecretRecord" in shown
+    for form in (
+        repr(held)[2:-1],
+        held.hex(),
+        base64.b64encode(held).decode(),
+        base64.urlsafe_b64encode(held).decode(),
+    ):
+        assert form[:12] not in shown
+    assert read_record(msgspec.json.encode(record)) == record
+
+
 def test_the_record_counts_as_no_contact():
     value = msgspec.json.encode(SecretRecord(b"s" * SECRET_BYTES))
 
@@ -368,3 +385,43 @@
     await settled()
 
     assert store.calls == []
+
+
+async def test_looks_are_spaced_while_the_store_is_away(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: not node.keyring.lacks)
+    store.away = True
+    before = len(store.calls)
+
+    store.replace(msgspec.json.encode(SecretRecord(b"n" * SECRET_BYTES)))
+    for handler in board.handlers:
+        handler("record", msgspec.json.encode(store.revision))
+    await settled()
+    assert len(store.calls) == before + 1
+    for _ in range(50):
+        node.keyring.doubt()
+        await settled()
+    assert len(store.calls) == before + 1
+
+    store.away = False
+    node.clock.advance(secret._LONGEST_DOUBT_S)
+    node.keyring.doubt()
+    await until(lambda: node.keyring.signing == b"n" * SECRET_BYTES)
+    assert len(store.calls) == before + 2
+
+
+async def test_a_rumor_is_followed_at_once_after_doubts(store, board, running):
+    node = Node(store, board)
+    node.keyring.follow(True, lenient=False)
+    running(node)
+    await until(lambda: not node.keyring.lacks)
+    node.keyring.doubt()
+    await settled()
+
+    store.replace(msgspec.json.encode(SecretRecord(b"n" * SECRET_BYTES)))
+    for handler in board.handlers:
+        handler("record", msgspec.json.encode(store.revision))
+
+    await until(lambda: node.keyring.signing == b"n" * SECRET_BYTES)
--- a/src/radishwind/sidecar/tests/test_unchecked.py
+++ b/src/radishwind/sidecar/tests/test_unchecked.py
@@ -50,6 +50,7 @@
         self.value = b"7"
         self.away = False
         self.behind = False
+        self.meanwhile = None
         self.calls = 0
         self.forged = []
         self.task = UncheckedRoutes(
@@ -67,13 +68,15 @@
         await anyio.lowlevel.checkpoint()
         if self.away:
             raise StoreUnavailableError("away")
+        if self.meanwhile and not allow_stale:
+            self.meanwhile()
         if allow_stale and self.behind:
             return None
         return StoreEntry(key, self.value, 1, 1) if self.value else None
 
-    def adopt(self, version, source, accounts=ACCOUNTS):
+    def adopt(self, version, source, accounts=ACCOUNTS, raw=None):
         cfg = RouteConfig(version, (ROUTE,), {}, accounts=accounts)
-        self.routes.adopt(cfg, b"", source)
+        self.routes.adopt(cfg, raw or str(version).encode(), source)
         self.keyring.follow(bool(accounts), lenient=False)
 
 
@@ -110,6 +113,18 @@
     assert node.keyring.signing is None
 
 
+@pytest.mark.parametrize("behind", [False, True])
+async def test_other_content_of_the_stores_version_is_found_out(node, behind):
+    node.behind = behind
+    node.adopt(7, "peer 10.6.6.6", raw=b"07")
+
+    node.keyring.learn(b"s" * 32, 1)
+
+    await until(lambda: node.forged)
+    assert node.calls == 2
+    assert node.keyring.signing is None
+
+
 async def test_version_where_the_store_has_none_is_found_out(node):
     node.value = None
     node.adopt(1, "peer 10.6.6.6")
@@ -142,6 +157,38 @@
     assert not node.forged
 
 
+@pytest.mark.parametrize("source", ["store", "peer 10.0.0.3"])
+async def test_a_newer_version_that_comes_meanwhile_is_not_forged(node, source):
+    node.behind = True
+    node.meanwhile = lambda: node.adopt(9, source)
+    node.adopt(7, "peer 10.0.0.2")
+
+    node.keyring.learn(b"s" * 32, 1)
+    await settled()
+
+    assert node.calls == 2
+    assert not node.forged
+    assert node.keyring.signing is not None
+
+
+async def test_what_replaces_a_forged_version_meanwhile_is_compared(node):
+    def replaced():
+        node.meanwhile = None
+        node.adopt(9, "peer 10.0.0.3")
+
+    node.behind = True
+    node.meanwhile = replaced
+    node.adopt(8, "peer 10.6.6.6")
+    node.keyring.learn(b"s" * 32, 1)
+    await until(lambda: node.calls == 2)
+    assert not node.forged
+    assert node.keyring.signing is None
+    node.value = b"9"
+
+    await until(lambda: node.keyring.signing is not None)
+    assert not node.forged
+
+
 async def test_store_that_is_away_is_asked_again(node):
     node.away = True
     node.adopt(999, "peer 10.6.6.6")
