Test that a lone node lends once the store proves it

Cause: the case was tested of the lender alone, not of what wires it.

Change: a test of QuotaSharing with one member, proof given later.

--- a/src/radishwind/sidecar/tests/test_quotas.py
+++ b/src/radishwind/sidecar/tests/test_quotas.py
@@ -57,6 +57,7 @@
         self.socket = PeerSocket()
         self.routes = RoutesInForce(clock)
         self.unreachable = []
+        self.alone = False
         settings = types.SimpleNamespace(node=name, **vars(BOUNDS))
         self.sharing = QuotaSharing(
             settings=settings,
@@ -66,7 +67,7 @@
             membership=types.SimpleNamespace(
                 gossip=self.gossip,
                 unreachable=self.unreachable.append,
-                is_alone=lambda: False,
+                is_alone=lambda: self.alone,
             ),
             socket=self.socket,
         )
@@ -134,6 +135,21 @@
         assert other.sharing.channel.sent
 
 
+@pytest.mark.anyio
+async def test_a_lone_node_lets_in_and_lends_once_the_store_proves_it():
+    account = Account("a", (), None, 50.0, 50.0)
+    node = Node("n1", {"n1": free_address()}, [account])
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.sharing.run)
+        await until(lambda: not node.sharing._stale)
+        assert node.take() is not None
+        node.alone = True
+        assert node.take() is None
+        await until(lambda: node.take() is None)
+        assert node.sharing.lender.accounts == 1
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_a_lender_that_is_gone_is_named_to_membership():
     async with Pair([Account("a", (), None, 50.0, 50.0)]) as pair:
