Count the members that a forged datagram would add, not who is alive

Nothing forged was taken. Change: members in any state are counted, and the forged name is in no log line: as strict on what the test is about, and no longer on how fast the machine is.

--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -121,6 +121,9 @@
     assert await refused(target) == before + 1
 
 
+_MEMBERS = "radishwind_members{"
+
+
 async def test_forged_datagram_changes_nothing_and_is_counted(fleet):
     target = fleet.instances["a-1"]
     fact = MemberFact("z-9", "library", "b", "127.0.9.99:1", 9)
@@ -136,8 +139,10 @@
 
         await until(is_counted)
 
-    alive = 'radishwind_members{state="alive"} 3'
-    assert alive in [x.removesuffix(".0") for x in await metrics(target)]
+    # Whatever is believed of them: a node that is slow may be suspected.
+    told = [x for x in await metrics(target) if x.startswith(_MEMBERS)]
+    assert sum(float(line.rpartition(" ")[2]) for line in told) == 3
+    assert "z-9" not in target.log_path.read_text()
 
 
 async def test_nodes_that_run_need_no_store(fleet):
