--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -38,6 +38,8 @@
 ACCOUNTS = [{"name": "ward-7", "api-keys": ["k-7"]}]
 WITHIN_S = 20.0
 
+_MEMBERS = "radishwind_members{"
+
 
 @pytest.fixture
 def anyio_backend():
@@ -121,9 +123,6 @@
     assert await refused(target) == before + 1
 
 
-_MEMBERS = "radishwind_members{"
-
-
 async def test_forged_datagram_changes_nothing_and_is_counted(fleet):
     target = fleet.instances["a-1"]
     fact = MemberFact("z-9", "library", "b", "127.0.9.99:1", 9)
