Read the stated limit and the leaving mark of servers, and show the limit

The hypotheses of the server limit incident could not be told apart: no log line or metric named the limit, and what was sent to a server was counted only by the outcome of attempts, without health checks.

Responses are now decoded with both fields. Nothing is limited yet.

--- a/src/radishwind/platform/header_fields.py
+++ b/src/radishwind/platform/header_fields.py
@@ -26,6 +26,13 @@
 #: The warm-up time left of the backend server (ms); in health responses.
 WARMUP = "Warmup-Ms"
 
+#: The requests per second that a backend server in need accepts from all nodes
+#: together, for as long as its responses state it.
+LIMIT = "Server-Limit"
+
+#: Marks the responses of a backend server that is leaving.
+LEAVING = "Server-Leaving"
+
 #: The incarnation of the responding backend server.
 SERVER_INCARNATION = "Instance-Id"
 
--- a/src/radishwind/platform/platform_dialect.py
+++ b/src/radishwind/platform/platform_dialect.py
@@ -5,6 +5,8 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.platform.header_fields import EXPECTED_INCARNATION
+from radishwind.platform.header_fields import LEAVING
+from radishwind.platform.header_fields import LIMIT
 from radishwind.platform.header_fields import LOAD
 from radishwind.platform.header_fields import NODE_ONLY_FIELDS
 from radishwind.platform.header_fields import NOT_EXECUTED
@@ -25,6 +27,12 @@
 #: Larger values in a load report are treated as malformed.
 _MAX_LOAD_VALUE = 1e6
 
+#: Larger request limits (requests/s) are treated as malformed.
+_MAX_LIMIT_PER_S = 1e6
+
+#: The value of the field by which a server states that it is leaving.
+_IS_LEAVING = "1"
+
 
 class PlatformDialect(ServerDialect):
     """Encodes requests to backend servers and parses their responses."""
@@ -71,10 +79,14 @@
             is_other_incarnation=_is_other_incarnation(response),
             is_authentic=not is_encoded and not is_unsigned,
             load=_parse_load(fields.get(LOAD.lower())),
+            states_limit=LIMIT.lower() in fields,
+            limit_per_s=_parse_limit(fields.get(LIMIT.lower())),
+            is_leaving=fields.get(LEAVING.lower()) == _IS_LEAVING,
             headers=tuple(forwarded),
         )
 
     def parse_health_response(self, response: Response) -> ResponseMetadata:
+        limit = get_header(response.headers, LIMIT.lower())
         return ResponseMetadata(
             incarnation=get_header(response.headers, SERVER_INCARNATION.lower())
             or "",
@@ -82,6 +94,10 @@
             warmup_left_s=_parse_warmup_left(
                 get_header(response.headers, WARMUP.lower())
             ),
+            states_limit=limit is not None,
+            limit_per_s=_parse_limit(limit),
+            is_leaving=get_header(response.headers, LEAVING.lower())
+            == _IS_LEAVING,
         )
 
 
@@ -113,6 +129,17 @@
     return left_ms / 1000 if 0 <= left_ms <= MAX_WARMUP_MS else None
 
 
+def _parse_limit(text: str | None) -> float | None:
+    """Returns the request limit (1/s); `None` if missing or malformed."""
+    if not text:
+        return None
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s <= _MAX_LIMIT_PER_S else None
+
+
 def _parse_load(text: str | None) -> ServerLoad | None:
     """Returns the load report in `text`; `None` if missing or malformed."""
     if not text:
--- a/src/radishwind/platform/tests/test_decoding.py
+++ b/src/radishwind/platform/tests/test_decoding.py
@@ -338,3 +338,41 @@
     assert settings.quota_window_s == 4.0
     assert settings.quota_over == 0.2
     assert settings.quota_slack == 7.0
+
+
+@pytest.mark.parametrize(
+    ("text", "per_s"),
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        ("0", 0.0),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("two", None),
+    ],
+)
+def test_decodes_server_limit_of_any_response(text, per_s):
+    response = Response(200, (("server-limit", text),))
+
+    health = PlatformDialect().parse_health_response(response)
+    answer = PlatformDialect().parse_response(make_call(), response)
+
+    assert [health.limit_per_s, answer.limit_per_s] == [per_s, per_s]
+    assert health.states_limit
+    assert answer.states_limit
+
+
+@pytest.mark.parametrize(
+    ("fields", "is_leaving"),
+    [((("Server-Leaving", "1"),), True), ((("Server-Leaving", "0"),), False)],
+)
+def test_decodes_whether_a_server_is_leaving(fields, is_leaving):
+    response = Response(200, fields)
+
+    health = PlatformDialect().parse_health_response(response)
+    answer = PlatformDialect().parse_response(make_call(), response)
+
+    assert [health.is_leaving, answer.is_leaving] == [is_leaving, is_leaving]
+    assert not health.states_limit
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -83,6 +83,23 @@
         "Health checks sent to the server beside.",
         lambda: {"": target.load_monitor.checks_sent},
     )
+    metrics.add_counter(
+        "radishwind_target_sent_total",
+        "Requests and health checks sent to the server beside.",
+        lambda: {
+            'kind="request"': target.exchange.sent_count,
+            'kind="check"': target.load_monitor.checks_sent,
+        },
+    )
+    metrics.add_gauge(
+        "radishwind_target_limit_per_second",
+        "The request limit that the server beside states; none without one.",
+        lambda: (
+            {}
+            if target.stated_limit.per_s is None
+            else {"": target.stated_limit.per_s}
+        ),
+    )
     metrics.add_gauge(
         "radishwind_target_requests",
         "Requests at the server beside and waiting for it.",
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -34,6 +34,7 @@
 from radishwind.target.registered_server import RegisteredServer
 from radishwind.target.registered_server import Registration
 from radishwind.target.run_time_estimator import RunTimeEstimator
+from radishwind.target.stated_limit import StatedLimit
 from radishwind.target.verifying_exchange import VerifyingExchange
 from radishwind.target.warmup_limiter import WarmupLimit
 from radishwind.target.warmup_limiter import WarmupLimiter
@@ -60,6 +61,8 @@
       concurrency_estimator: learns the best number of concurrent requests.
       local_concurrency: counts the requests running at the server.
       warmup_limiter: limits the requests to a cold server.
+      stated_limit: the request limit that the server states.
+      exchange: sends requests to the server.
       admission: queues requests and starts them when a slot is free.
       pipeline: runs attempts at the server.
       load_poller: the task that polls the server's load.
@@ -116,6 +119,7 @@
         self.concurrency_estimator = ConcurrencyEstimator()
         self.local_concurrency = LocalConcurrency()
         self.warmup_limiter = WarmupLimiter(clock, time.process_time())
+        self.stated_limit = StatedLimit(clock)
         self._services: Mapping[str, ServiceInfo] = {}
         self._limits = AdmissionLimits()
         self.admission = DeadlineAdmission(
@@ -131,13 +135,14 @@
         recorder = _ReachabilityRecorder(
             clock, HealthEstimator(), self.quarantine, self.server
         )
-        exchange = VerifyingExchange(
+        self.exchange = VerifyingExchange(
             clock=clock,
             sender=sender,
             dialect=dialect,
             recorder=recorder,
             monitor=self.load_monitor,
             on_replaced=self._on_server_replaced,
+            on_response=self._on_response,
         )
         self.pipeline = TargetPipeline(
             clock=clock,
@@ -145,7 +150,7 @@
             sender=sender,
             server=self.server,
             recorder=recorder,
-            exchange=exchange,
+            exchange=self.exchange,
             pace=self.load_monitor.current_pace,
             on_run=self._on_run,
             send_limiter=self.warmup_limiter,
@@ -181,6 +186,7 @@
             self.concurrency_estimator.reset()
             self.quarantine.set_service(self.server.service)
             self._configure_service()
+            self.stated_limit.reset()
             self.warmup_limiter.record_start(registration.warmup_left_s)
         elif registration.incarnation == self.server.incarnation:
             self.warmup_limiter.record_heartbeat(registration.warmup_left_s)
@@ -257,6 +263,14 @@
           is_ok: whether the check succeeded.
           sent_at: when the check was sent (s, of the clock).
         """
+        self._update_server(response, is_ok, sent_at)
+        if self._is_of_current_process(response):
+            self.stated_limit.record_check(response, sent_at)
+
+    def _update_server(
+        self, response: ResponseMetadata, is_ok: bool, sent_at: float
+    ) -> None:
+        """Updates the warm-up and the registration by a health response."""
         if self.server.is_down:
             self.warmup_limiter.mark_unknown(sent_at)
         self.server.mark_reachable()
@@ -283,9 +297,27 @@
         if response.warmup_left_s is None:
             self.warmup_limiter.mark_unknown(sent_at)
 
+    def _is_of_current_process(self, response: ResponseMetadata) -> bool:
+        """Returns whether the current process sent a health response.
+
+        One that states no incarnation is taken to come from it.
+        """
+        return response.incarnation in ("", self.server.incarnation)
+
+    def _on_response(
+        self, response: ResponseMetadata, sent_at: float, is_success: bool
+    ) -> None:
+        """Handles what the response to a request states of the server."""
+        if response.is_other_incarnation:
+            return
+        self.stated_limit.record_response(
+            response, sent_at, is_success=is_success
+        )
+
     def _on_server_replaced(self, expected: str, incarnation: str) -> None:
         """Handles that `incarnation` answered instead of `expected`."""
         self.server.record_answering_incarnation(expected, incarnation)
+        self.stated_limit.reset()
         self.warmup_limiter.mark_unknown(self._clock.monotonic())
 
     def _on_run(self, run: CompletedRun) -> None:
--- a/src/radishwind/target/dialect.py
+++ b/src/radishwind/target/dialect.py
@@ -40,6 +40,11 @@
       load: the server's load; `None` if not stated.
       warmup_left_s: remaining warm-up time of the server (s); `None` if not
         stated.
+      states_limit: whether it states a request limit of the server, readable or
+        not.
+      limit_per_s: that limit, for all nodes together (requests/s); `None` if
+        not stated or malformed.
+      is_leaving: whether the server states that it is leaving.
       headers: the fields to forward to the caller.
     """
 
@@ -50,6 +55,9 @@
     is_authentic: bool = True
     load: ServerLoad | None = None
     warmup_left_s: float | None = None
+    states_limit: bool = False
+    limit_per_s: float | None = None
+    is_leaving: bool = False
     headers: Headers = ()
 
 
--- a/src/radishwind/target/verifying_exchange.py
+++ b/src/radishwind/target/verifying_exchange.py
@@ -55,6 +55,7 @@
 
     Attributes:
       buffer_budget: memory budget of all buffered responses.
+      sent_count: requests sent so far.
     """
 
     def __init__(
@@ -66,6 +67,8 @@
         recorder: ExchangeRecorder,
         monitor: LoadMonitor,
         on_replaced: Callable[[str, str], None],
+        on_response: Callable[[ResponseMetadata, float, bool], None]
+        | None = None,
     ) -> None:
         """Creates an exchange.
 
@@ -77,6 +80,9 @@
           monitor: receives the load that responses report.
           on_replaced: called with the incarnation addressed and the one that
             answered.
+          on_response: called with what a verified response states, when its
+            request was sent (monotonic s), and whether the request was run
+            successfully.
         """
         self._clock = clock
         self._sender = sender
@@ -84,13 +90,17 @@
         self._recorder = recorder
         self._monitor = monitor
         self._on_replaced = on_replaced
+        self._on_response = on_response or _ignore_response
+        self.sent_count = 0
         self.buffer_budget = BufferBudget()
 
     async def send(
         self, call: Call, view: ServerView, is_alone: bool
     ) -> Outcome:
         self._monitor.record_request()
-        left_s = call.deadline - self._clock.monotonic()
+        self.sent_count += 1
+        sent_at = self._clock.monotonic()
+        left_s = call.deadline - sent_at
         request = self._dialect.build_request(call, view.instance, left_s)
         try:
             with TimeLimit(left_s):
@@ -112,7 +122,7 @@
                 ResultCode.EXCHANGE_TIMEOUT,
                 "The server did not respond in time.",
             )
-        return self._verify(call, view, response, body, is_alone)
+        return self._verify(call, view, response, body, is_alone, sent_at)
 
     def wrap_stream(
         self,
@@ -142,6 +152,7 @@
         response: Response,
         body: Body,
         is_alone: bool,
+        sent_at: float,
     ) -> Outcome:
         metadata = self._dialect.parse_response(call, response)
         if not metadata.matches_request or not metadata.is_authentic:
@@ -153,6 +164,8 @@
             )
         if metadata.load is not None:
             self._monitor.record_load(metadata.load)
+        is_success = not metadata.is_not_run and 200 <= response.status < 300
+        self._on_response(metadata, sent_at, is_success)
         if metadata.is_not_run:
             abort_body(body)
             return self._not_run(metadata, view)
@@ -207,3 +220,9 @@
                     f"{MAX_BUFFERED_BYTES} bytes, got more"
                 )
         return b"".join(chunks)
+
+
+def _ignore_response(
+    response: ResponseMetadata, sent_at: float, is_success: bool
+) -> None:
+    """The default for `on_response`."""
