--- a/src/radishwind/experiment/report.py
+++ b/src/radishwind/experiment/report.py
@@ -84,11 +84,14 @@
       records: all requests of external callers.
       runs: number of requests that backend servers started to run.
       cold_crashes: number of crashes of cold servers by overload.
+      limit_excess: most requests beyond those allowed that a server got in a
+        window while it stated a limit.
     """
 
     records: tuple[RequestRecord, ...]
     runs: int
     cold_crashes: int = 0
+    limit_excess: float = 0.0
 
     @property
     def credit(self) -> float:
@@ -145,6 +148,8 @@
         + f"{row.p50_s * 1000:>9.0f}{row.p99_s * 1000:>9.0f}"
         for row in report.kind_summaries()
     ]
+    if report.limit_excess:
+        lines.append(f"limit exceeded by {report.limit_excess:.1f} requests")
     lines.append("from second  credit")
     lines += [f"{at:>11.0f}{credit:>8.3f}" for at, credit in report.windows()]
     return "\n".join(lines) + "\n"
--- a/src/radishwind/experiment/scenario.py
+++ b/src/radishwind/experiment/scenario.py
@@ -156,6 +156,28 @@
     share: _Share = 0.2
 
 
+class LimitedServers(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="limited"
+):
+    """Some servers of a service state a request limit for `for_s`.
+
+    Attributes:
+      at: start (s).
+      for_s: duration (s).
+      service: the service.
+      per_s: limit of each of these servers (requests/s).
+      share: fraction of the servers of the service.
+      in_health_responses: whether their health responses state it too.
+    """
+
+    at: _Seconds
+    for_s: _Seconds
+    service: str
+    per_s: _Seconds
+    share: _Share = 0.4
+    in_health_responses: bool = True
+
+
 class PowerLoss(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="power-loss"
 ):
@@ -176,7 +198,7 @@
     domain: str
 
 
-Event = Burst | SlowServers | PowerLoss | DomainEvacuation
+Event = Burst | SlowServers | LimitedServers | PowerLoss | DomainEvacuation
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/radishwind/experiment/simulated_server.py
+++ b/src/radishwind/experiment/simulated_server.py
@@ -22,6 +22,9 @@
 from radishwind.platform.simulated_endpoints import build_refusal
 from radishwind.platform.simulated_endpoints import build_simulated_response
 from radishwind.platform.simulated_endpoints import decode_simulated_request
+from radishwind.platform.simulated_endpoints import NO_NOTICES
+from radishwind.platform.simulated_endpoints import SimulatedNotices
+from radishwind.standins.limit_meter import LimitMeter
 from radishwind.target.dialect import ServerLoad
 
 HEALTH_PATH = "/health"
@@ -73,6 +76,9 @@
     Attributes:
       started_runs: number of requests that started to run.
       hidden_slowdown: factor on run times that its load does not show.
+      limit_meter: the request limit that it states, and how it is kept.
+      has_notices_in_health_responses: whether its health responses state the
+        limit too.
       on_cold_crash: called when it is overloaded while cold.
     """
 
@@ -88,6 +94,8 @@
         self.name = name
         self.started_runs = 0
         self.hidden_slowdown = 1.0
+        self.limit_meter = LimitMeter()
+        self.has_notices_in_health_responses = True
         self.on_cold_crash: Callable[[], None] = _ignore_crash
         self._arrivals: collections.deque[float] = collections.deque()
         self._model = model
@@ -114,11 +122,15 @@
         """Handles a request or a health check."""
         if request.path == HEALTH_PATH:
             return build_health_response(
-                self.name, self._load(), self.warmup_left_s()
+                self.name,
+                self._load(),
+                self.warmup_left_s(),
+                self._notices(in_health_response=True),
             )
+        self.limit_meter.record_arrival(self._clock.monotonic())
         self._check_cold_overload()
         if self._waiting >= self._model.queue:
-            return build_refusal(self._load())
+            return build_refusal(self._load(), self._notices())
         self._waiting += 1
         try:
             await self._slots.acquire()
@@ -143,9 +155,14 @@
                 succeeded = await self._call(kind, left_s)
         status = 504 if limit.cancelled_caught else 200 if succeeded else 500
         return build_simulated_response(
-            simulated, status, self.name, self._load()
+            simulated, status, self.name, self._load(), self._notices()
         )
 
+    def _notices(self, *, in_health_response: bool = False) -> SimulatedNotices:
+        if in_health_response and not self.has_notices_in_health_responses:
+            return NO_NOTICES
+        return SimulatedNotices(self.limit_meter.per_s)
+
     async def _call(self, kind: RequestKind, left_s: float) -> bool:
         if kind.calls is None or self._rng.random() >= kind.calls_share:
             return True
--- a/src/radishwind/experiment/simulation.py
+++ b/src/radishwind/experiment/simulation.py
@@ -12,6 +12,7 @@
 from radishwind.experiment.scenario import Burst
 from radishwind.experiment.scenario import DomainEvacuation
 from radishwind.experiment.scenario import Event
+from radishwind.experiment.scenario import LimitedServers
 from radishwind.experiment.scenario import RequestKind
 from radishwind.experiment.scenario import Scenario
 from radishwind.experiment.scenario import ServiceModel
@@ -41,6 +42,7 @@
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.switches import ALL_ON
 from radishwind.sidecar.switches import Switches
+from radishwind.standins.limit_meter import LimitMeter
 from radishwind.target.registered_server import Registration
 
 #: One-way delay within an instance (s).
@@ -86,6 +88,7 @@
         self._rate_factor = 1.0
         self._runs = 0
         self._cold_crashes = 0
+        self._limit_meters: list[LimitMeter] = []
         self._revisions = itertools.count(1)
         self._evacuated = EvacuatedDomains()
         self._names = itertools.count(1)
@@ -110,7 +113,12 @@
             for instance in self._instances:
                 self._stop(instance)
             tasks.cancel_scope.cancel()
-        return Report(tuple(callers.records), self._runs, self._cold_crashes)
+        return Report(
+            tuple(callers.records),
+            self._runs,
+            self._cold_crashes,
+            max((x.excess for x in self._limit_meters), default=0.0),
+        )
 
     async def _generate_arrivals(
         self, kind: RequestKind, callers: SimulatedCallers, load_start: float
@@ -155,12 +163,10 @@
             self._rate_factor /= event.x
             return
         if isinstance(event, DomainEvacuation):
-            self._set_evacuated(event.domain, evacuated=True)
-            await anyio.sleep(event.for_s)
-            for instance in self._instances:
-                if instance.settings.failure_domain == event.domain:
-                    instance.restart_warmup()
-            self._set_evacuated(event.domain, evacuated=False)
+            await self._evacuate(event)
+            return
+        if isinstance(event, LimitedServers):
+            await self._limit_servers(event)
             return
         count = max(1, round(event.share * len(self._instances)))
         affected = self._rng.sample(self._instances, count)
@@ -178,6 +184,31 @@
         for instance in affected:
             self._start_instance(instance)
 
+    async def _evacuate(self, event: DomainEvacuation) -> None:
+        """Evacuates a failure domain for a while; its servers end cold."""
+        self._set_evacuated(event.domain, evacuated=True)
+        await anyio.sleep(event.for_s)
+        for instance in self._instances:
+            if instance.settings.failure_domain == event.domain:
+                instance.restart_warmup()
+        self._set_evacuated(event.domain, evacuated=False)
+
+    async def _limit_servers(self, event: LimitedServers) -> None:
+        """Lets some servers of a service state a limit for a while."""
+        servers = [
+            x.server
+            for x in self._instances
+            if x.server is not None and x.settings.service == event.service
+        ]
+        count = max(1, round(event.share * len(servers)))
+        limited = self._rng.sample(servers, count)
+        for server in limited:
+            server.has_notices_in_health_responses = event.in_health_responses
+            server.limit_meter.set_limit(event.per_s, self._clock.monotonic())
+        await anyio.sleep(event.for_s)
+        for server in limited:
+            server.limit_meter.set_limit(None, self._clock.monotonic())
+
     def _set_evacuated(self, domain: str, *, evacuated: bool) -> None:
         """Marks `domain` as evacuated, or not, at all running nodes."""
         self._evacuated = self._evacuated.with_change(
@@ -225,6 +256,7 @@
             instance, node, server
         )
         instance.server = server
+        self._limit_meters.append(server.limit_meter)
         self._network.listen(settings.server, server.handle)
         self._tasks.start_soon(self._send_heartbeats, instance, node, server)
 
--- a/src/radishwind/platform/simulated_endpoints.py
+++ b/src/radishwind/platform/simulated_endpoints.py
@@ -7,8 +7,11 @@
 import dataclasses
 
 from radishwind.http.types import get_header
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.platform.header_fields import LEAVING
+from radishwind.platform.header_fields import LIMIT
 from radishwind.platform.header_fields import LOAD
 from radishwind.platform.header_fields import NOT_EXECUTED
 from radishwind.platform.header_fields import REQUEST_ID
@@ -57,29 +60,70 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SimulatedNotices:
+    """What a backend server states in each of its responses.
+
+    Attributes:
+      limit_per_s: its request limit (requests/s); `None` for none.
+      is_leaving: whether it is leaving.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+    def fields(self) -> Headers:
+        """Returns the header fields."""
+        fields: Headers = ()
+        if self.limit_per_s is not None:
+            fields += ((LIMIT, f"{self.limit_per_s:g}"),)
+        if self.is_leaving:
+            fields += ((LEAVING, "1"),)
+        return fields
+
+
+#: The notices of a server that is not limited and not leaving.
+NO_NOTICES = SimulatedNotices()
+
+
 def build_simulated_response(
-    request: SimulatedRequest, status: int, incarnation: str, load: ServerLoad
+    request: SimulatedRequest,
+    status: int,
+    incarnation: str,
+    load: ServerLoad,
+    notices: SimulatedNotices = NO_NOTICES,
 ) -> Response:
     """Returns a backend server's response to a request that it ran."""
-    fields = [(REQUEST_ID, request.request_id), _load_field(load)]
+    fields = [
+        (REQUEST_ID, request.request_id),
+        _load_field(load),
+        *notices.fields(),
+    ]
     if status == 200:
         fields.append((SIGNATURE, f"{incarnation}.{request.request_id}"))
     return Response(status, tuple(fields), b"done", 4)
 
 
-def build_refusal(load: ServerLoad) -> Response:
+def build_refusal(
+    load: ServerLoad, notices: SimulatedNotices = NO_NOTICES
+) -> Response:
     """Returns a backend server's refusal of a request that it did not run."""
-    return Response(503, ((NOT_EXECUTED, "1"), _load_field(load)), b"", 0)
+    fields = ((NOT_EXECUTED, "1"), _load_field(load), *notices.fields())
+    return Response(503, fields, b"", 0)
 
 
 def build_health_response(
-    incarnation: str, load: ServerLoad, warmup_left_s: float = 0.0
+    incarnation: str,
+    load: ServerLoad,
+    warmup_left_s: float = 0.0,
+    notices: SimulatedNotices = NO_NOTICES,
 ) -> Response:
     """Returns a backend server's response to a health check."""
     fields = (
         (SERVER_INCARNATION, incarnation),
         (WARMUP, str(round(warmup_left_s * 1000))),
         _load_field(load),
+        *notices.fields(),
     )
     return Response(200, fields, b"", 0)
 
--- a/src/radishwind/sidecar/tests/test_link_side.py
+++ b/src/radishwind/sidecar/tests/test_link_side.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+from tests.support.local_server import settings
 
 from radishwind.core import ManualClock
 from radishwind.http.types import Address
@@ -13,7 +14,6 @@
 from radishwind.routing.path_costs import FixedPathCosts
 from radishwind.routing.route_sizes import DEFAULT_LARGE_BYTES
 from radishwind.sidecar.link_side import LinkSide
-from radishwind.sidecar.tests.test_target_side import settings
 
 REMOTE = Member("f", "s", "b", Address("10.0.0.2", 80))
 
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -89,6 +89,9 @@
       health: empty, `bad` (always reports unhealthy) or `good` (always reports
         healthy).
       slow: a factor on every service time.
+      limit_per_s: the request limit that responses state (requests/s); `None`
+        for none.
+      health_notices: whether health responses state it too.
     """
 
     answer: str = ""
@@ -97,6 +100,8 @@
     shed: float = 0.0
     health: str = ""
     slow: float = 1.0
+    limit_per_s: float | None = None
+    health_notices: bool = True
 
 
 class PlatformServerStandin:
@@ -106,11 +111,14 @@
       options: the behavior of the server.
       incarnation: the ID of the incarnation.
       started_at_ms: the start of the incarnation (ms since the epoch, UTC).
-      faults: the faults in force.
       runs: the number of runs started, by request ID.
       accounts: the client account of each request, by request ID; empty for
         none.
+      arrivals: the ID of each request and when it arrived (monotonic s).
+      limits: each request limit stated, and since when (monotonic s); `None`
+        for none.
       draining: whether heartbeats and health checks report it as draining.
+      leaving: whether all responses report it as leaving.
       leave_acknowledged_at: when the node acknowledged the planned leave
         (monotonic s), set by the caller that makes it leave; `None` before.
       last_run_started_at: when the last run started (monotonic s); 0 before
@@ -123,7 +131,9 @@
         self.options = options
         self._rng = rng
         self._clock = clock
-        self.faults = ServerFaults()
+        self.arrivals: list[tuple[str, float]] = []
+        self.limits: list[tuple[float | None, float]] = []
+        self._faults = ServerFaults()
         self._slots = asyncio.Semaphore(options.slots)
         self._in_flight = 0
         self._queued = 0
@@ -137,6 +147,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.accounts: dict[str, str] = {}
         self.draining = False
+        self.leaving = False
         self.leave_acknowledged_at: float | None = None
         self.last_run_started_at = 0.0
 
@@ -145,6 +156,17 @@
         """The service that the server provides."""
         return self.options.service
 
+    @property
+    def faults(self) -> ServerFaults:
+        """The faults in force."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults: ServerFaults) -> None:
+        if faults.limit_per_s != self._faults.limit_per_s:
+            self.limits.append((faults.limit_per_s, self._clock.monotonic()))
+        self._faults = faults
+
     def make_application(self) -> web.Application:
         """Returns an aiohttp application that serves the requests."""
         app = web.Application()
@@ -214,6 +236,15 @@
             self._pace_by_spell = {spell: options.slow_pace if is_slow else 1.0}
         return self._pace_by_spell[spell] * self.faults.slow
 
+    def _notices(self) -> dict[str, str]:
+        """Returns the fields by which responses state limit and leave."""
+        fields = {}
+        if self.faults.limit_per_s is not None:
+            fields["Server-Limit"] = f"{self.faults.limit_per_s:g}"
+        if self.leaving:
+            fields["Server-Leaving"] = "1"
+        return fields
+
     def _load_header(self) -> dict[str, str]:
         load = (
             self._in_flight,
@@ -228,6 +259,8 @@
         if self.faults.health == "good":
             is_unhealthy = False
         headers = {"Instance-Id": self.incarnation, **self._load_header()}
+        if self.faults.health_notices:
+            headers.update(self._notices())
         return web.Response(
             status=503 if is_unhealthy else 200, headers=headers
         )
@@ -247,9 +280,16 @@
         if expected != self.incarnation:
             headers = {"Instance-Id": self.incarnation}
             return web.Response(status=421, headers=headers)
+        self.arrivals.append(
+            (request.headers.get("Attempt-Id", ""), self._clock.monotonic())
+        )
         is_full = self._queued >= self.options.queue
         if is_full or self._rng.random() < self.faults.shed:
-            headers = {"Not-Executed": "1", **self._load_header()}
+            headers = {
+                "Not-Executed": "1",
+                **self._load_header(),
+                **self._notices(),
+            }
             return web.Response(status=503, headers=headers)
         await request.read()
         self._queued += 1
@@ -285,7 +325,11 @@
         return self._make_response(request_id, 200)
 
     def _make_response(self, request_id: str, status: int) -> web.Response:
-        headers = {"Attempt-Id": request_id, **self._load_header()}
+        headers = {
+            "Attempt-Id": request_id,
+            **self._load_header(),
+            **self._notices(),
+        }
         if status == 200:
             headers["Response-Signature"] = f"{self.incarnation}.{request_id}"
         body = b"done %s" % request_id.encode()
@@ -309,7 +353,9 @@
         assert transport is not None
         if fault != "lost":
             transport.write(
-                _encode_faulty_response(request_id, self.incarnation, fault)
+                _encode_faulty_response(
+                    request_id, self.incarnation, fault, self._notices()
+                )
             )  # type: ignore[attr-defined]
             await asyncio.sleep(0.01)
         if fault in ("unframed", "cut", "extra"):
@@ -327,13 +373,14 @@
 
 
 def _encode_faulty_response(
-    request_id: str, incarnation: str, fault: str
+    request_id: str, incarnation: str, fault: str, notices: dict[str, str]
 ) -> bytes:
     """Returns the bytes of a response with the fault `fault`."""
     body = f"done {request_id}".encode()
+    stated = "".join(f"{name}: {value}\r\n" for name, value in notices.items())
     head = (
         f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\n"
-        f"Response-Signature: {incarnation}.{request_id}\r\n"
+        f"Response-Signature: {incarnation}.{request_id}\r\n{stated}"
     ).encode()
     length = b"Content-Length: %d\r\n\r\n" % len(body)
     if fault == "unframed":
