Enforce the request limit that a server states, beside its warm-up

What callers saw: nothing; a server in need of 2 requests/s got 49 in 4 s where 17 are allowed.

Beside that, health checks were never counted as load: an early learner sends up to 20 a second, which alone is more than most limits.

The warm-up limiter is split into `WindowLimiter`, which records what was sent, and causes that state windows: the warm-up as before, and the stated limit. Its node is the only sender, so its count is exact for all nodes. Requests get the limit in any 2 s; requests and checks together stay under the bound in any 4.1 s, and checks come each 1.5 s while there is a limit. One request is left to lower priorities, so that they are not starved.

The test counts what was sent after the first response that states the limit, as the rule does; counted from 1 s before, no limiter could pass it, since those requests are already there.

--- a/src/radishwind/experiment/simulated_server.py
+++ b/src/radishwind/experiment/simulated_server.py
@@ -161,6 +161,7 @@
     def _notices(self, *, in_health_response: bool = False) -> SimulatedNotices:
         if in_health_response and not self.has_notices_in_health_responses:
             return NO_NOTICES
+        self.limit_meter.record_statement()
         return SimulatedNotices(self.limit_meter.per_s)
 
     async def _call(self, kind: RequestKind, left_s: float) -> bool:
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -121,7 +121,7 @@
     metrics.add_gauge(
         "radishwind_target_cold",
         "1 while the server beside is cold and bounded, else 0.",
-        lambda: {"": int(target.warmup_limiter.is_cold)},
+        lambda: {"": int(target.warmup.is_cold)},
     )
     metrics.add_gauge(
         "radishwind_load_age_seconds",
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -34,10 +34,11 @@
 from radishwind.target.registered_server import RegisteredServer
 from radishwind.target.registered_server import Registration
 from radishwind.target.run_time_estimator import RunTimeEstimator
+from radishwind.target.send_limiter import WindowLimiter
 from radishwind.target.stated_limit import StatedLimit
 from radishwind.target.verifying_exchange import VerifyingExchange
-from radishwind.target.warmup_limiter import WarmupLimit
-from radishwind.target.warmup_limiter import WarmupLimiter
+from radishwind.target.warmup import Warmup
+from radishwind.target.warmup import WarmupLimit
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Longest queue of a target: more requests than arrive before the deadline of
@@ -60,8 +61,9 @@
       load_monitor: the latest load report of the server, and its pace.
       concurrency_estimator: learns the best number of concurrent requests.
       local_concurrency: counts the requests running at the server.
-      warmup_limiter: limits the requests to a cold server.
+      warmup: the warm-up of the server, which limits its requests.
       stated_limit: the request limit that the server states.
+      send_limiter: limits the requests to the server.
       exchange: sends requests to the server.
       admission: queues requests and starts them when a slot is free.
       pipeline: runs attempts at the server.
@@ -111,15 +113,19 @@
             clock=clock,
             rumor_bus=rumor_bus,
         )
+        self.stated_limit = StatedLimit(clock)
         self.load_monitor = LoadMonitor(
             clock,
             is_early_learner,
             callers_come_at_once=not settings.first_start,
+            is_limited=lambda: self.stated_limit.per_s is not None,
         )
         self.concurrency_estimator = ConcurrencyEstimator()
         self.local_concurrency = LocalConcurrency()
-        self.warmup_limiter = WarmupLimiter(clock, time.process_time())
-        self.stated_limit = StatedLimit(clock)
+        self.warmup = Warmup(clock, time.process_time())
+        self.send_limiter = WindowLimiter(
+            clock, (self.warmup, self.stated_limit)
+        )
         self._services: Mapping[str, ServiceInfo] = {}
         self._limits = AdmissionLimits()
         self.admission = DeadlineAdmission(
@@ -153,7 +159,7 @@
             exchange=self.exchange,
             pace=self.load_monitor.current_pace,
             on_run=self._on_run,
-            send_limiter=self.warmup_limiter,
+            send_limiter=self.send_limiter,
             run_times=RunTimeEstimator() if switches.run_times else None,
             link_free_kbps=link_free_kbps,
             concurrency=self.local_concurrency,
@@ -164,6 +170,7 @@
             dialect=dialect,
             monitor=self.load_monitor,
             view=self._view,
+            on_sent=self.send_limiter.record_check_sent,
             on_response=self._on_health_response,
             on_unreachable=recorder.record_connect_failure,
         )
@@ -187,9 +194,9 @@
             self.quarantine.set_service(self.server.service)
             self._configure_service()
             self.stated_limit.reset()
-            self.warmup_limiter.record_start(registration.warmup_left_s)
+            self.warmup.record_start(registration.warmup_left_s)
         elif registration.incarnation == self.server.incarnation:
-            self.warmup_limiter.record_heartbeat(registration.warmup_left_s)
+            self.warmup.record_heartbeat(registration.warmup_left_s)
         self._update_limits()
         return changed
 
@@ -214,7 +221,7 @@
         if self.server.is_domain_evacuated and refusal is not None:
             self.admission.refuse_all(refusal)
         if was_evacuated and not self.server.is_domain_evacuated:
-            self.warmup_limiter.mark_unknown(self._clock.monotonic())
+            self.warmup.mark_unknown(self._clock.monotonic())
 
     def _configure_service(self) -> None:
         """Applies the configuration of the server's service."""
@@ -223,7 +230,7 @@
             return
         self._connections = info.connections
         self.server.set_health_path(info.health_path)
-        self.warmup_limiter.configure(self._warmup_limit(info))
+        self.warmup.configure(self._warmup_limit(info))
 
     def _warmup_limit(self, info: ServiceInfo) -> WarmupLimit | None:
         if info.warmup_rate_per_s is None:
@@ -272,10 +279,10 @@
     ) -> None:
         """Updates the warm-up and the registration by a health response."""
         if self.server.is_down:
-            self.warmup_limiter.mark_unknown(sent_at)
+            self.warmup.mark_unknown(sent_at)
         self.server.mark_reachable()
         if response.warmup_left_s is not None:
-            self.warmup_limiter.record_check(response.warmup_left_s, sent_at)
+            self.warmup.record_check(response.warmup_left_s, sent_at)
         if not is_ok or not response.incarnation:
             return
         if self.server.incarnation or self.server.has_ended(
@@ -295,7 +302,7 @@
             )
         )
         if response.warmup_left_s is None:
-            self.warmup_limiter.mark_unknown(sent_at)
+            self.warmup.mark_unknown(sent_at)
 
     def _is_of_current_process(self, response: ResponseMetadata) -> bool:
         """Returns whether the current process sent a health response.
@@ -318,7 +325,7 @@
         """Handles that `incarnation` answered instead of `expected`."""
         self.server.record_answering_incarnation(expected, incarnation)
         self.stated_limit.reset()
-        self.warmup_limiter.mark_unknown(self._clock.monotonic())
+        self.warmup.mark_unknown(self._clock.monotonic())
 
     def _on_run(self, run: CompletedRun) -> None:
         """Updates the best number of concurrent requests by a run."""
--- a/src/radishwind/target/load_monitor.py
+++ b/src/radishwind/target/load_monitor.py
@@ -47,6 +47,10 @@
 #: power loss, each 0.1 s of waiting is lost on every instance at once.
 INITIAL_CHECK_INTERVAL_S = 0.05
 
+#: Interval of the checks while the server limits its requests (s): they count
+#: towards the limit, but are needed to learn that it ended.
+LIMITED_CHECK_INTERVAL_S = 1.5
+
 #: Half-life with which an old pace decays to the mean pace (s).
 PACE_HALF_LIFE_S = 0.25
 
@@ -68,6 +72,7 @@
         clock: Clock,
         learns_for_others: Callable[[], bool] | None = None,
         callers_come_at_once: bool = True,
+        is_limited: Callable[[], bool] | None = None,
     ) -> None:
         """Creates a monitor of a server of which nothing is known.
 
@@ -83,10 +88,13 @@
             about 300 checks. A server that joins a system in use has to be
             checked, though, since servers of known pace would always be
             preferred to it.
+          is_limited: returns whether the server limits its requests; by default
+            it doesn't.
         """
         self._clock = clock
         self._has_callers = callers_come_at_once
         self._learns_for_others = learns_for_others or _always
+        self._is_limited = is_limited or _never
         self.load: ServerLoad | None = None
         self.last_reported = -IDLE_REPORT_AGE_S
         self.checks_sent = 0
@@ -235,6 +243,8 @@
         now = self._clock.monotonic()
         if self._is_check_deferred():
             return IDLE_REPORT_AGE_S
+        if self._is_limited():
+            return max(0.0, self._last_check + LIMITED_CHECK_INTERVAL_S - now)
         if self.change_grid.interval_s:
             if now - self._last_used < FORGET_UNUSED_S:
                 return self._next_grid_check_s(now)
@@ -282,3 +292,7 @@
 
 def _always() -> bool:
     return True
+
+
+def _never() -> bool:
+    return False
--- a/src/radishwind/target/load_poller.py
+++ b/src/radishwind/target/load_poller.py
@@ -31,6 +31,7 @@
         dialect: ServerDialect,
         monitor: LoadMonitor,
         view: Callable[[], ServerView | None],
+        on_sent: Callable[[], None],
         on_response: Callable[[ResponseMetadata, bool, float], None],
         on_unreachable: Callable[[], None],
     ) -> None:
@@ -42,6 +43,7 @@
           dialect: builds them and parses the responses.
           monitor: decides when a check is due and receives the load.
           view: returns the server; `None` if none is to be checked.
+          on_sent: called with each check that is sent.
           on_response: called with what the response to a check states, whether
             its status is a success, and when the check was sent (monotonic s).
           on_unreachable: called when the server accepts no connection.
@@ -51,6 +53,7 @@
         self._dialect = dialect
         self._monitor = monitor
         self._view = view
+        self._on_sent = on_sent
         self._on_response = on_response
         self._on_unreachable = on_unreachable
 
@@ -86,6 +89,7 @@
     async def send_check(self, view: ServerView) -> None:
         """Sends one health check; a failed one also delays the next."""
         self._monitor.checks_sent += 1
+        self._on_sent()
         began = self._clock.monotonic()
         try:
             with TimeLimit(CHECK_TIMEOUT_S):
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -30,9 +30,9 @@
 from radishwind.target.run_time_estimator import RunTimeEstimate
 from radishwind.target.run_time_estimator import RunTimeEstimator
 from radishwind.target.run_time_estimator import UNKNOWN_RUN_TIME
+from radishwind.target.send_limiter import NoSendLimiter
+from radishwind.target.send_limiter import SendLimiter
 from radishwind.target.server_exchange import ServerExchange
-from radishwind.target.warmup_limiter import NoSendLimiter
-from radishwind.target.warmup_limiter import SendLimiter
 
 #: Weight of the newest run in the mean service time.
 _SMOOTHING = 0.1
--- a/src/radishwind/target/tests/test_warmup_limiter.py
+++ b/src/radishwind/target/tests/test_warmup.py
@@ -10,10 +10,11 @@
 
 from radishwind.core import ManualClock
 from radishwind.core.codes import ResultCode
-from radishwind.target.warmup_limiter import MAX_TRACKED
-from radishwind.target.warmup_limiter import WarmupLimit
-from radishwind.target.warmup_limiter import WarmupLimiter
-from radishwind.target.warmup_limiter import WINDOW_S
+from radishwind.target.send_limiter import MAX_TRACKED
+from radishwind.target.send_limiter import WindowLimiter
+from radishwind.target.warmup import Warmup
+from radishwind.target.warmup import WarmupLimit
+from radishwind.target.warmup import WINDOW_S
 from radishwind.telemetry import part_logger
 
 LIMIT = WarmupLimit(
@@ -25,6 +26,17 @@
     return make_call(priority=priority)
 
 
+class WarmupLimiter(WindowLimiter):
+    """A limiter whose only cause is the warm-up, whose methods it has too."""
+
+    def __init__(self, clock, running_s):
+        self.warmup = Warmup(clock, running_s)
+        super().__init__(clock, (self.warmup,))
+
+    def __getattr__(self, name):
+        return getattr(self.warmup, name)
+
+
 def make_limiter(clock, limit=LIMIT, running_s=WINDOW_S):
     limiter = WarmupLimiter(clock, running_s)
     limiter.configure(limit)
--- a/tests/support/local_server.py
+++ b/tests/support/local_server.py
@@ -17,7 +17,7 @@
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.target.registered_server import Registration
-from radishwind.target.warmup_limiter import WINDOW_S
+from radishwind.target.warmup import WINDOW_S
 from tests.support.calls import make_call
 from tests.support.in_process_sender import InProcessSender
 
