Keep load off a server with a stated limit before it refuses

What callers would see: an idle server at its limit is the cheapest target, so each node sends its next request there and is refused, at the cost of a hop; and where all servers are limited, the caller is told to come back in a second, whatever the limits allow.

The load report gains the stated limit and the time until it allows a request, at its end, so that earlier versions ignore both. A change of the limit is reported at once. Nodes keep to twice their equal share at varied times, send no hedges to a limited server, and refuse with the time of the first free place if all are exhausted. A node beside a server that runs an earlier version passes the limit on in the response only; its callers' nodes then keep to their equal share.

Ten nodes that offer far more than the 2 requests/s of one server make less than 4.8 attempts a second there (test).

--- a/src/radishwind/entry/call_executor.py
+++ b/src/radishwind/entry/call_executor.py
@@ -81,7 +81,7 @@
         while True:
             member = self._choose(history)
             if member is None:
-                return last or self._placement.refusal(call)
+                return last or self._refusal(call)
             shed = self._shedder.refusal(call, member, self._clock.monotonic())
             if shed is not None:
                 return combine_outcomes(last, shed)
@@ -100,6 +100,12 @@
             ):
                 return last
 
+    def _refusal(self, call: Call) -> NotRun:
+        """Returns the outcome of a call for which there is no target."""
+        members = self._placement.candidates(call)
+        refusal = self._chooser.refusal(members, self._clock.monotonic())
+        return refusal or self._placement.refusal(call)
+
     def _choose(self, history: "_AttemptHistory") -> Member | None:
         """Returns a target that the call has not tried, if there is one."""
         members = self._placement.candidates(history.call)
@@ -156,8 +162,10 @@
             or history.reached >= history.call.max_server_attempts
         ):
             return
-        if not self._hedges.is_worthwhile(
-            history.call, history.running, member, now
+        if self._chooser.is_limited(member.name) or (
+            not self._hedges.is_worthwhile(
+                history.call, history.running, member, now
+            )
         ):
             recheck_s = self._hedges.recheck_s(history.call) or delay_s
             self._schedule_hedge(history, race, recheck_s)
--- a/src/radishwind/loads/load_message.py
+++ b/src/radishwind/loads/load_message.py
@@ -28,7 +28,12 @@
 #: Fields of a report that are sent in whole milliseconds.
 _ROUNDED_MS_INDEXES = frozenset(
     LoadReport.__struct_fields__.index(name)
-    for name in ("service_ms", "pace_interval_ms", "pace_interval_left_ms")
+    for name in (
+        "service_ms",
+        "pace_interval_ms",
+        "pace_interval_left_ms",
+        "limit_wait_ms",
+    )
 )
 
 #: Values of the fields that are missing at the end of an array.
--- a/src/radishwind/loads/report_scheduler.py
+++ b/src/radishwind/loads/report_scheduler.py
@@ -10,7 +10,7 @@
 REPORT_INTERVAL_S = 1.0
 
 #: Shortest time between reports (s). Not applied if the target starts
-#: leaving or its slots change.
+#: leaving, or if its slots or the limit that its server states change.
 MIN_LOCAL_GAP_S = 0.02
 
 #: The same for other failure domains (s), where traffic is charged.
@@ -67,6 +67,8 @@
             return True
         if report.leaving != before.leaving or report.slots != before.slots:
             return True
+        if report.limit_per_s != before.limit_per_s:
+            return True
         if now - self._sent_at < min_gap_s:
             return False
         return _is_significant_change(report, before)
--- a/src/radishwind/loads/tests/test_load_message.py
+++ b/src/radishwind/loads/tests/test_load_message.py
@@ -26,7 +26,9 @@
     pace_interval_ms=st.floats(0, 1e5),
     pace_interval_left_ms=st.floats(0, 1e5),
     normal_run_ms=st.floats(0, 1e5),
-    warmup_requests_left=st.none() | st.integers(0, 100),
+    requests_left=st.none() | st.integers(0, 100),
+    limit_per_s=st.none() | st.integers(0, 100).map(float),
+    limit_wait_ms=st.integers(0, 5000).map(float),
     link_free_kbps=st.integers(0, 10**9),
 )
 
--- a/src/radishwind/peers/forward_runner.py
+++ b/src/radishwind/peers/forward_runner.py
@@ -12,9 +12,11 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Member
+from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
 from radishwind.peers.attempts import build_attempt_request
@@ -35,6 +37,9 @@
 #: Called with the name of a target whose node cannot be connected to.
 UnreachableCallback: TypeAlias = Callable[[str], None]
 
+#: Called with the name of a target and the header fields of its response.
+ResponseCallback: TypeAlias = Callable[[str, Headers], None]
+
 
 class ForwardRunner(AttemptRunner):
     """Runs attempts at the local target, or forwards them to its node."""
@@ -50,6 +55,7 @@
         on_unreachable: UnreachableCallback | None = None,
         traffic: PeerTraffic | None = None,
         sizes: RouteSizes | None = None,
+        on_unreported_limit: ResponseCallback | None = None,
     ) -> None:
         """Creates the runner.
 
@@ -62,6 +68,8 @@
           on_unreachable: called if the node of a target cannot be connected to.
           traffic: counts messages and bytes sent to other nodes.
           sizes: learns the body sizes by route.
+          on_unreported_limit: called with each response whose load report
+            states no limit of the server.
         """
         self._node_name = node_name
         self._clock = clock
@@ -71,6 +79,7 @@
         self._on_unreachable = on_unreachable
         self._traffic = traffic or PeerTraffic()
         self._sizes = sizes or RouteSizes()
+        self._on_unreported_limit = on_unreported_limit
 
     async def run(
         self, call: Call, member: Member, attempt_id: str
@@ -82,11 +91,22 @@
             response = await self._forward(call, member, attempt_id)
         if isinstance(response, Response):
             self._traffic.record_answer(member, call, response)
-            return self._learn_sizes(
-                call, parse_attempt_result(response, attempt_id)
-            )
+            result = parse_attempt_result(response, attempt_id)
+            self._check_limit(member, result)
+            return self._learn_sizes(call, result)
         return AttemptResult(response)
 
+    def _check_limit(self, member: Member, result: AttemptResult) -> None:
+        """Passes on a response if its load report states no limit."""
+        if self._on_unreported_limit is None:
+            return
+        if result.load is not None and result.load.limit_per_s is not None:
+            return
+        if isinstance(result.outcome, Done):
+            self._on_unreported_limit(
+                member.name, result.outcome.response.headers
+            )
+
     def _learn_sizes(self, call: Call, result: AttemptResult) -> AttemptResult:
         """Updates the body sizes of the route; returns `result` unchanged."""
         self._sizes.learn_from(call, result.outcome)
--- a/src/radishwind/platform/__init__.py
+++ b/src/radishwind/platform/__init__.py
@@ -12,6 +12,7 @@
 from radishwind.platform.caller_fields import parse_host
 from radishwind.platform.heartbeats import decode_heartbeat
 from radishwind.platform.heartbeats import Heartbeat
+from radishwind.platform.platform_dialect import get_stated_limit
 from radishwind.platform.platform_dialect import PlatformDialect
 from radishwind.platform.platform_store import PlatformStore
 from radishwind.platform.routes import decode_routes
@@ -26,5 +27,6 @@
     "decode_routes",
     "decode_settings",
     "get_account_fields",
+    "get_stated_limit",
     "parse_host",
 ]
--- a/src/radishwind/platform/platform_dialect.py
+++ b/src/radishwind/platform/platform_dialect.py
@@ -2,6 +2,7 @@
 
 from radishwind.entry.call import Call
 from radishwind.http.types import get_header
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.platform.header_fields import EXPECTED_INCARNATION
@@ -101,6 +102,11 @@
         )
 
 
+def get_stated_limit(headers: Headers) -> float | None:
+    """Returns the request limit in a response (1/s); `None` if none is."""
+    return _parse_limit(get_header(headers, LIMIT.lower()))
+
+
 def _matches_request(
     call: Call, fields: dict[str, str], is_not_run: bool
 ) -> bool:
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from radishwind.membership.directory import Member
+from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
 
 
@@ -33,10 +34,13 @@
       pace_interval_left_ms: time until the next such moment (ms).
       normal_run_ms: run time of the attempt that this report answers, scaled
         to the normal pace (ms); 0 without such an attempt or if it didn't run.
-      warmup_requests_left: requests that a server in slow start may still be
-        sent now; `None` if not limited.
+      requests_left: requests that a server with a limit, such as in slow
+        start, may still be sent now; `None` if not limited.
       link_free_kbps: free capacity of the node's link (kbit/s); 0 if not
         known.
+      limit_per_s: limit that the server itself states (requests/s); `None` if
+        it states none.
+      limit_wait_ms: time until that limit allows a request (ms).
     """
 
     slots: int
@@ -50,16 +54,15 @@
     pace_interval_ms: float = 0.0
     pace_interval_left_ms: float = 0.0
     normal_run_ms: float = 0.0
-    warmup_requests_left: int | None = None
+    requests_left: int | None = None
     link_free_kbps: int = 0
+    limit_per_s: float | None = None
+    limit_wait_ms: float = 0.0
 
     @property
-    def is_warmup_exhausted(self) -> bool:
-        """Whether a server in slow start accepts no further requests now."""
-        return (
-            self.warmup_requests_left is not None
-            and self.warmup_requests_left <= 0
-        )
+    def is_limit_reached(self) -> bool:
+        """Whether the limit of the server allows no further requests now."""
+        return self.requests_left is not None and self.requests_left <= 0
 
 
 class TargetChooser(abc.ABC):
@@ -89,6 +92,22 @@
             (monotonic s).
         """
 
+    def is_limited(self, name: str) -> bool:
+        """Returns whether the server of the target `name` states a limit.
+
+        Such a server should get no requests that are of little use.
+        """
+        return False
+
+    def refusal(self, members: Sequence[Member], now: float) -> NotRun | None:
+        """Returns why none of `members` was chosen; `None` if not known.
+
+        Args:
+          members: the candidates.
+          now: monotonic time (s).
+        """
+        return None
+
     def describe_cost(self, member: Member, now: float, route: str = "") -> str:
         """Returns the components of the cost of `member` as text for logs."""
         return ""
--- a/src/radishwind/routing/cost_weights.py
+++ b/src/radishwind/routing/cost_weights.py
@@ -58,13 +58,28 @@
     ResultCode.SERVER_UNANNOUNCED: 0.5,
     ResultCode.SERVER_DOWN: 0.3,
     ResultCode.SERVER_COLD: 0.1,
+    ResultCode.SERVER_LIMITED: 0.1,
     ResultCode.DOMAIN_EMPTIED: 2.0,
 }
 
-#: Time for which a target in slow start that accepts no more requests is
-#: excluded (s). Its limit counts the requests of the last second, so that it
-#: accepts one again soon.
-WARMUP_PAUSE_S = 0.1
+#: Time for which a target with an exhausted limit is excluded if its report
+#: doesn't tell when it accepts a request (s). The limit of a server in slow
+#: start counts the requests of the last second, so that it accepts one soon.
+LIMIT_PAUSE_S = 0.1
+
+#: Multiple of its equal share of a stated limit that a node may use, since not
+#: all nodes have callers at the same time.
+LIMIT_SHARE_FACTOR = 2.0
+
+#: Lower bound of the Retry-After if the limits of all servers are reached (s).
+MIN_RETRY_AFTER_S = 0.05
+
+#: Lowest limit assumed for that (requests/s).
+MIN_LIMIT_PER_S = 0.2
+
+#: The time between two attempts at a limited server is varied by this fraction,
+#: so that nodes don't try at the same moment.
+LIMIT_JITTER = 0.5
 
 #: Candidates evaluated at most, in the own failure domain and in others. Of
 #: more candidates, this many are sampled. Evaluating one took 19 us in a
--- a/src/radishwind/routing/fresh_load_chooser.py
+++ b/src/radishwind/routing/fresh_load_chooser.py
@@ -11,8 +11,10 @@
 import math
 import random
 
+from radishwind.core.codes import ResultCode
 from radishwind.hedging.forecast import LatencyForecast
 from radishwind.membership.directory import Member
+from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
 from radishwind.routing.chooser import LoadReport
 from radishwind.routing.chooser import TargetChooser
@@ -24,6 +26,7 @@
 from radishwind.routing.cost_weights import MAX_LOCAL_CANDIDATES
 from radishwind.routing.cost_weights import MAX_REMOTE_CANDIDATES
 from radishwind.routing.cost_weights import MIN_REMAINING_FRACTION
+from radishwind.routing.cost_weights import MIN_RETRY_AFTER_S
 from radishwind.routing.cost_weights import MISSING_REPORT_FACTOR
 from radishwind.routing.cost_weights import REPORT_TIMEOUT_S
 from radishwind.routing.cost_weights import UNKNOWN_LOAD_FACTOR
@@ -54,6 +57,7 @@
         reports_unsolicited: Callable[[Member], bool] | None = None,
         weights: CostWeights | None = None,
         path_costs: PathCostModel | None = None,
+        node_count: Callable[[], int] | None = None,
     ) -> None:
         """Creates a chooser without any statistics.
 
@@ -67,6 +71,8 @@
             do.
           weights: weights of the cost.
           path_costs: costs of network paths; by default, fixed ones.
+          node_count: returns how many nodes share the limit of a server; by
+            default one.
         """
         self._weights = weights or CostWeights()
         self._path_costs = path_costs or FixedPathCosts(
@@ -77,7 +83,9 @@
         self._node_name = node_name
         self._failure_domain = failure_domain
         self._own_load = own_load
-        self.statistics = TargetStatistics(self._weights)
+        self.statistics = TargetStatistics(
+            self._weights, rng, node_count or _single_node
+        )
 
     def receive_report(
         self,
@@ -134,22 +142,20 @@
     ) -> Member | None:
         """Returns a target to try if all are excluded; `None` if none may be.
 
-        A target that was leaving or down may have recovered. One in slow start
+        A target that was leaving or down may have recovered. One with a limit
         has reported when it accepts more, so that a request before that would
-        only cost time.
+        only cost time; until then its share per node need not be kept.
         """
         own = self._own_load()
         eligible = [
             m
             for m in candidates
-            if not self._is_warmup_exhausted(m.name, now, own)
+            if not self._is_limit_reached(m.name, now, own)
         ]
         return self._rng.choice(eligible) if eligible else None
 
-    def _is_warmup_exhausted(
-        self, name: str, now: float, own: LoadReport
-    ) -> bool:
-        """Returns whether a target in slow start accepts no further requests.
+    def _is_limit_reached(self, name: str, now: float, own: LoadReport) -> bool:
+        """Returns whether the limit of a server allows no further requests.
 
         Args:
           name: name of the target.
@@ -157,9 +163,9 @@
           own: load of the own target; used if `name` is that target.
         """
         if name == self._node_name:
-            return own.is_warmup_exhausted
+            return own.is_limit_reached
         record = self.statistics.record(name)
-        return record is not None and record.warmup_paused_until > now
+        return record is not None and record.limit_paused_until > now
 
     def _sample_candidates(self, candidates: list[Member]) -> list[Member]:
         """Samples the candidates, with preference for local ones."""
@@ -208,7 +214,9 @@
             return math.inf
         if report.leaving or not report.slots:
             return math.inf
-        if self._is_warmup_exhausted(member.name, now, report):
+        if self._is_limit_reached(member.name, now, report):
+            return math.inf
+        if record is not None and record.share_paused_until > now:
             return math.inf
         slowness = record.slowness if record else 1.0
         requests = max(
@@ -256,6 +264,37 @@
             return max(slow_end - now, run_s)
         return math.inf
 
+    def record_unenforced_limit(
+        self, name: str, limit_per_s: float, now: float
+    ) -> None:
+        """Records a limit that only responses state, not the load reports.
+
+        Args:
+          name: name of the target, whose node runs an earlier version.
+          limit_per_s: the limit (requests/s).
+          now: monotonic time (s).
+        """
+        self.statistics.record_unenforced_limit(name, limit_per_s, now)
+
+    def is_limited(self, name: str) -> bool:
+        record = self.statistics.record(name)
+        report = record.report if record else None
+        return report is not None and report.limit_per_s is not None
+
+    def refusal(self, members: Sequence[Member], now: float) -> NotRun | None:
+        opens_at = [
+            record.limit_paused_until
+            for record in (self.statistics.record(m.name) for m in members)
+            if record is not None and record.limit_paused_until > now
+        ]
+        if not opens_at or not any(self.is_limited(m.name) for m in members):
+            return None
+        return NotRun(
+            ResultCode.SERVER_LIMITED,
+            "All servers have got as many requests as they state to accept.",
+            round(max(MIN_RETRY_AFTER_S, min(opens_at) - now), 3),
+        )
+
     def describe_cost(self, member: Member, now: float, route: str = "") -> str:
         cost_ms = self.cost_s(member, now, route) * 1000
         path = self._describe_path(member, route, now)
@@ -344,3 +383,7 @@
 
 def _reports_to_all(member: Member) -> bool:
     return True
+
+
+def _single_node() -> int:
+    return 1
--- a/src/radishwind/routing/target_record.py
+++ b/src/radishwind/routing/target_record.py
@@ -27,8 +27,10 @@
       last_failure: when the last one occurred (monotonic s).
       excluded_until: the target accepts no requests before this time
         (monotonic s).
-      warmup_paused_until: the target is in slow start and accepts no further
-        requests before this time (monotonic s).
+      limit_paused_until: the limit of the server allows no further requests
+        before this time (monotonic s).
+      share_paused_until: this node has used its share of that limit until this
+        time (monotonic s).
     """
 
     report: LoadReport | None = None
@@ -41,7 +43,8 @@
     failures: int = 0
     last_failure: float = -math.inf
     excluded_until: float = -math.inf
-    warmup_paused_until: float = -math.inf
+    limit_paused_until: float = -math.inf
+    share_paused_until: float = -math.inf
 
     def discard_attempt(self, started: float) -> None:
         """Discards the attempt that started at `started` (monotonic s)."""
--- a/src/radishwind/routing/target_statistics.py
+++ b/src/radishwind/routing/target_statistics.py
@@ -1,6 +1,8 @@
 """Statistics of targets: load reports, failures, attempts and run times."""
 
+from collections.abc import Callable
 import math
+import random
 
 from radishwind.core.codes import ResultCode
 from radishwind.http.types import is_server_error
@@ -12,14 +14,17 @@
 from radishwind.routing.cost_weights import DEFAULT_RUN_S
 from radishwind.routing.cost_weights import EXCLUSION_S
 from radishwind.routing.cost_weights import FAILURE_DECAY_S
+from radishwind.routing.cost_weights import LIMIT_JITTER
+from radishwind.routing.cost_weights import LIMIT_PAUSE_S
+from radishwind.routing.cost_weights import LIMIT_SHARE_FACTOR
 from radishwind.routing.cost_weights import MAX_DOUBLINGS
 from radishwind.routing.cost_weights import MAX_ROUTES
 from radishwind.routing.cost_weights import MAX_RUN_TIME_RATIO
 from radishwind.routing.cost_weights import MIN_FAILURE_RUN_S
+from radishwind.routing.cost_weights import MIN_LIMIT_PER_S
 from radishwind.routing.cost_weights import MIN_SLOWNESS
 from radishwind.routing.cost_weights import REPORT_TIMEOUT_S
 from radishwind.routing.cost_weights import RUN_TIME_WEIGHT
-from radishwind.routing.cost_weights import WARMUP_PAUSE_S
 from radishwind.routing.pace_statistics import PaceStatistics
 from radishwind.routing.target_record import TargetRecord
 
@@ -31,13 +36,22 @@
       pace: statistics of the pace of targets.
     """
 
-    def __init__(self, weights: CostWeights) -> None:
+    def __init__(
+        self,
+        weights: CostWeights,
+        rng: random.Random,
+        node_count: Callable[[], int],
+    ) -> None:
         """Creates empty statistics.
 
         Args:
           weights: weights of samples and failures.
+          rng: varies the times between attempts at limited servers.
+          node_count: returns how many nodes share the limit of a server.
         """
         self._weights = weights
+        self._rng = rng
+        self._node_count = node_count
         self._records: dict[str, TargetRecord] = {}
         self._run_s: dict[str, float] = {}
         self.pace = PaceStatistics()
@@ -103,22 +117,46 @@
         if expected_s:
             record.expected_ends[now] = now + expected_s
         record.attempts_since_report += 1
-        self._count_warmup_start(record, now)
+        self._count_start(record, now)
 
-    def _count_warmup_start(self, record: TargetRecord, now: float) -> None:
-        """Counts a request against the limit of a target in slow start."""
-        requests_left = (
-            record.report.warmup_requests_left if record.report else None
-        )
-        if (
-            requests_left is not None
-            and record.attempts_since_report >= requests_left > 0
-        ):
-            record.warmup_paused_until = max(
-                record.warmup_paused_until,
-                record.report_received + WARMUP_PAUSE_S,
+    def _count_start(self, record: TargetRecord, now: float) -> None:
+        """Counts a request against the limit of a server."""
+        report = record.report
+        if report is None or report.requests_left is None:
+            return
+        if record.attempts_since_report >= report.requests_left > 0:
+            record.limit_paused_until = max(
+                record.limit_paused_until,
+                record.report_received + LIMIT_PAUSE_S,
+            )
+        if report.limit_per_s is not None:
+            record.share_paused_until = now + self._share_interval_s(
+                LIMIT_SHARE_FACTOR * report.limit_per_s
             )
 
+    def _share_interval_s(self, limit_per_s: float) -> float:
+        """Returns a random time between two attempts of this node (s).
+
+        With it, the nodes together make about `limit_per_s` attempts a second.
+        """
+        mean_s = self._node_count() / max(MIN_LIMIT_PER_S, limit_per_s)
+        return mean_s * self._rng.uniform(1 - LIMIT_JITTER, 1 + LIMIT_JITTER)
+
+    def record_unenforced_limit(
+        self, name: str, limit_per_s: float, now: float
+    ) -> None:
+        """Records a limit that the node beside the server does not enforce.
+
+        Args:
+          name: name of the target.
+          limit_per_s: the limit (requests/s).
+          now: monotonic time (s).
+        """
+        record = self._get_or_create(name)
+        record.excluded_until = max(
+            record.excluded_until, now + self._share_interval_s(limit_per_s)
+        )
+
     def attempt_finished(
         self,
         name: str,
@@ -181,6 +219,9 @@
     def _apply_report(
         self, record: TargetRecord, report: LoadReport, now: float
     ) -> None:
+        was_unlimited = (
+            record.report is None or record.report.limit_per_s is None
+        )
         if record.report is not None:
             duration_s = min(REPORT_TIMEOUT_S, now - record.report_received)
             before = record.report
@@ -192,9 +233,17 @@
         record.report = report
         record.report_received = now
         record.attempts_since_report = 0
-        record.warmup_paused_until = (
-            now + WARMUP_PAUSE_S if report.is_warmup_exhausted else -math.inf
-        )
+        record.limit_paused_until = -math.inf
+        if report.is_limit_reached:
+            pause_s = report.limit_wait_ms / 1000 or LIMIT_PAUSE_S
+            record.limit_paused_until = now + pause_s
+        if report.limit_per_s is None:
+            record.share_paused_until = -math.inf
+        elif was_unlimited:
+            # The nodes that learn of the limit at once don't try at once.
+            record.share_paused_until = now + self._rng.random() * (
+                self._share_interval_s(LIMIT_SHARE_FACTOR * report.limit_per_s)
+            )
 
     def _decayed_failure_s(
         self, record: TargetRecord, run_s: float, now: float
--- a/src/radishwind/routing/tests/test_fresh_load_chooser.py
+++ b/src/radishwind/routing/tests/test_fresh_load_chooser.py
@@ -246,7 +246,7 @@
 
 
 def test_target_with_exhausted_warmup_is_excluded(setup):
-    setup.send_report("x", report(warmup_requests_left=0))
+    setup.send_report("x", report(requests_left=0))
     setup.send_report("y", report(in_flight=6))
 
     assert setup.choose(member("x"), member("y")) == "y"
@@ -255,14 +255,14 @@
 
 def test_none_is_chosen_if_warmup_of_all_is_exhausted(setup):
     for name in "xy":
-        setup.send_report(name, report(warmup_requests_left=0))
+        setup.send_report(name, report(requests_left=0))
 
     assert setup.choose(member("x"), member("y")) is None
     assert setup.choose(member("x"), member("y"), now=0.2) is not None
 
 
 def test_own_attempts_count_against_the_warmup_limit(setup):
-    setup.send_report("x", report(warmup_requests_left=2))
+    setup.send_report("x", report(requests_left=2))
     for _ in range(2):
         assert setup.choose(member("x")) == "x"
         setup.chooser.attempt_started("x", 0.0)
@@ -271,7 +271,72 @@
 
 
 def test_leaving_target_is_tried_if_no_other_is_eligible(setup):
-    setup.send_report("x", report(warmup_requests_left=0))
+    setup.send_report("x", report(requests_left=0))
     setup.send_report("y", report(leaving=True))
 
     assert setup.choose(member("x"), member("y")) == "y"
+
+
+def test_nodes_share_a_stated_limit_before_the_server_refuses():
+    """Ten nodes offer far more than the 2 requests/s of one server."""
+    fleet = [ChooserFixture(node_count=lambda: 10) for _ in range(10)]
+    for number, setup in enumerate(fleet):
+        setup.chooser._rng.seed(number)
+        setup.send_report("x", report(limit_per_s=2.0, requests_left=4))
+        setup.send_report("y", report(in_flight=6))
+    chosen = 0
+    for step in range(400):
+        now = step * 0.05
+        for setup in fleet:
+            if setup.choose(member("x"), member("y"), now=now) == "x":
+                setup.chooser.attempt_started("x", now)
+                chosen += 1
+
+    assert 20 <= chosen <= 20 * 2.0 * 2.0 * 1.2
+
+
+def test_limited_server_is_used_beyond_the_share_if_no_other_is_eligible(
+    setup,
+):
+    setup.send_report("x", report(limit_per_s=2.0, requests_left=4))
+
+    for _ in range(4):
+        assert setup.choose(member("x")) == "x"
+        setup.chooser.attempt_started("x", 0.0)
+
+    assert setup.choose(member("x")) is None
+
+
+def test_refusal_states_when_the_first_limit_allows_a_request(setup):
+    for name, wait_ms in (("x", 700.0), ("y", 400.0)):
+        load = report(limit_per_s=2.0, requests_left=0, limit_wait_ms=wait_ms)
+        setup.send_report(name, load)
+    members = (member("x"), member("y"))
+
+    assert setup.choose(*members) is None
+    refusal = setup.chooser.refusal(members, 0.1)
+    assert refusal.code is ResultCode.SERVER_LIMITED
+    assert refusal.retry_after_s == pytest.approx(0.3)
+    assert setup.choose(*members, now=0.5) == "y"
+
+
+def test_limit_that_ended_is_not_kept(setup):
+    setup.send_report(
+        "x", report(limit_per_s=0.1, requests_left=0, limit_wait_ms=9000.0)
+    )
+    setup.send_report("x", report(), now=0.5)
+
+    assert setup.choose(member("x"), now=0.5) == "x"
+    assert not setup.chooser.is_limited("x")
+
+
+def test_node_holds_off_a_server_whose_node_does_not_enforce_its_limit():
+    setup = ChooserFixture(node_count=lambda: 10)
+    setup.send_report("x", report())
+    setup.send_report("y", report(in_flight=6))
+
+    setup.chooser.record_unenforced_limit("x", 2.0, 0.0)
+    setup.send_report("x", report(), now=1.0)
+
+    assert setup.choose(member("x"), member("y"), now=2.4) == "y"
+    assert setup.choose(member("x"), member("y"), now=7.6) == "x"
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -33,6 +33,7 @@
 from radishwind.peers.signing import RequestSigner
 from radishwind.platform import add_account_field
 from radishwind.platform import decode_caller_fields
+from radishwind.platform import get_stated_limit
 from radishwind.platform.responses import caller_response
 from radishwind.quarantine.isolating_runner import IsolatingRunner
 from radishwind.quotas import QuotaGate
@@ -112,6 +113,7 @@
             fixed.
         """
         self._service = service
+        self._clock = clock
         self._log = PartLogger("entry", clock)
         self.keys = KeyAuthenticator(lambda: routes.accounts, freshness)
         weights = cost_weights_for(switches)
@@ -127,6 +129,7 @@
                 if links is not None and switches.ways
                 else None
             ),
+            node_count=node_count,
         )
         self.classifier = RoutedClassifier(
             clock=clock,
@@ -161,6 +164,7 @@
             on_unreachable=on_unreachable,
             traffic=links.traffic if links else None,
             sizes=links.sizes if links else None,
+            on_unreported_limit=self._on_unreported_limit,
         )
         hedges: HedgePolicy = ForecastHedgePolicy(budget, self.chooser)
         self.pipeline = EntryPipeline(
@@ -201,6 +205,20 @@
             route=route,
         )
 
+    def _on_unreported_limit(self, target: str, headers: Headers) -> None:
+        """Keeps the limit that a response states if no load report does."""
+        limit_per_s = get_stated_limit(headers)
+        if limit_per_s is None:
+            return
+        self._log.info(
+            "A node does not enforce the limit of its server.",
+            target=target,
+            limit_per_s=limit_per_s,
+        )
+        self.chooser.record_unenforced_limit(
+            target, limit_per_s, self._clock.monotonic()
+        )
+
     def _decode_caller_fields(self, headers: Headers) -> CallerFields:
         return decode_caller_fields(
             headers, self._service(), accounts=self.keys.has_accounts
--- a/src/radishwind/sidecar/tests/test_target_side.py
+++ b/src/radishwind/sidecar/tests/test_target_side.py
@@ -115,7 +115,7 @@
     local.send_heartbeat(warmup_left_s=3.0)
 
     assert set(await local.burst(60)) == {None}
-    assert local.target.pipeline.load_report().warmup_requests_left is None
+    assert local.target.pipeline.load_report().requests_left is None
 
 
 async def test_load_report_states_remaining_requests_of_cold_server():
@@ -123,7 +123,7 @@
     local.send_heartbeat(warmup_left_s=3.0)
     await local.burst(MAX_COLD - 2)
 
-    assert local.target.pipeline.load_report().warmup_requests_left == 2
+    assert local.target.pipeline.load_report().requests_left == 2
 
 
 async def test_new_warmup_limit_applies_at_once():
--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -130,6 +130,10 @@
         """
         warm_fraction = self._server.warm_fraction(self._clock.monotonic())
         pace = self._pace()
+        limit_per_s = self._send_limiter.stated_per_s
+        limit_wait_ms = 0.0
+        if limit_per_s is not None:
+            limit_wait_ms = round(self._send_limiter.wait_s() * 1000, 1)
         return LoadReport(
             slots=self._admission.slots,
             in_flight=self._admission.in_flight,
@@ -143,8 +147,10 @@
             base_pace=round(pace.base_factor, 2),
             pace_interval_ms=round(pace.interval_s * 1000, 1),
             pace_interval_left_ms=round(pace.interval_left_s * 1000, 1),
-            warmup_requests_left=self._send_limiter.remaining(),
+            requests_left=self._send_limiter.remaining(),
             link_free_kbps=self._link_free_kbps(),
+            limit_per_s=limit_per_s,
+            limit_wait_ms=limit_wait_ms,
         )
 
     def outcome_counts(self) -> dict[str, float]:
--- a/src/radishwind/target/send_limiter.py
+++ b/src/radishwind/target/send_limiter.py
@@ -66,6 +66,11 @@
     def windows(self, now: float) -> Sequence[SendWindow]:
         """Returns the windows in force at `now`; empty for no limit."""
 
+    @property
+    def stated_per_s(self) -> float | None:
+        """The limit if the server itself states it (requests/s)."""
+        return None
+
 
 class SendLimiter(abc.ABC):
     """Decides whether the backend server may be sent one more request."""
@@ -90,6 +95,11 @@
     def remaining(self) -> int | None:
         """Returns how many requests may be sent now; `None` if unlimited."""
 
+    @property
+    @abc.abstractmethod
+    def stated_per_s(self) -> float | None:
+        """The limit that the server states (requests/s); `None` for none."""
+
     @abc.abstractmethod
     def wait_s(self) -> float:
         """Returns the time until a request may be sent (s); 0 if it is now."""
@@ -107,6 +117,10 @@
     def remaining(self) -> int | None:
         return None
 
+    @property
+    def stated_per_s(self) -> float | None:
+        return None
+
     def wait_s(self) -> float:
         return 0.0
 
@@ -179,6 +193,11 @@
             default=None,
         )
 
+    @property
+    def stated_per_s(self) -> float | None:
+        stated = [cause.stated_per_s for cause in self._causes]
+        return min((x for x in stated if x is not None), default=None)
+
     def wait_s(self) -> float:
         now = self._clock.monotonic()
         return max(
--- a/src/radishwind/target/stated_limit.py
+++ b/src/radishwind/target/stated_limit.py
@@ -65,6 +65,10 @@
         """The limit (requests/s); `None` if there is none."""
         return self._per_s
 
+    @property
+    def stated_per_s(self) -> float | None:
+        return self._per_s
+
     def windows(self, now: float) -> Sequence[SendWindow]:
         if self._per_s is None:
             return ()
