Stop new work at a server whose responses state that it is leaving

Cause: the same as of the stated limit, a field of responses that nobody read. A server that deregisters late or whose heartbeats fail went on getting requests.

A verified response or health response with the field marks the server process as leaving for good, announces the record to the other nodes and persists it, so that a restarted node knows it. Responses to requests sent before the current process was accepted say nothing about it, for the limit too. Nodes that forward a response act on both fields themselves where the load report shows that the other node does not.

A health response that states leaving does not register a server.

--- a/src/radishwind/peers/forward_runner.py
+++ b/src/radishwind/peers/forward_runner.py
@@ -25,6 +25,7 @@
 from radishwind.peers.peer_client import CONNECT_TIMEOUT_S
 from radishwind.peers.peer_traffic import PeerTraffic
 from radishwind.peers.signing import RequestSigner
+from radishwind.routing.chooser import LoadReport
 from radishwind.routing.route_sizes import RouteSizes
 from radishwind.target.pipeline import TargetPipeline
 
@@ -37,8 +38,9 @@
 #: Called with the name of a target whose node cannot be connected to.
 UnreachableCallback: TypeAlias = Callable[[str], None]
 
-#: Called with the name of a target and the header fields of its response.
-ResponseCallback: TypeAlias = Callable[[str, Headers], None]
+#: Called with the name of a target, the header fields of its response, and the
+#: load report that came with it.
+ResponseCallback: TypeAlias = Callable[[str, Headers, LoadReport | None], None]
 
 
 class ForwardRunner(AttemptRunner):
@@ -55,7 +57,7 @@
         on_unreachable: UnreachableCallback | None = None,
         traffic: PeerTraffic | None = None,
         sizes: RouteSizes | None = None,
-        on_unreported_limit: ResponseCallback | None = None,
+        on_response: ResponseCallback | None = None,
     ) -> None:
         """Creates the runner.
 
@@ -68,8 +70,7 @@
           on_unreachable: called if the node of a target cannot be connected to.
           traffic: counts messages and bytes sent to other nodes.
           sizes: learns the body sizes by route.
-          on_unreported_limit: called with each response whose load report
-            states no limit of the server.
+          on_response: called with each response of a server at another node.
         """
         self._node_name = node_name
         self._clock = clock
@@ -79,7 +80,7 @@
         self._on_unreachable = on_unreachable
         self._traffic = traffic or PeerTraffic()
         self._sizes = sizes or RouteSizes()
-        self._on_unreported_limit = on_unreported_limit
+        self._on_response = on_response
 
     async def run(
         self, call: Call, member: Member, attempt_id: str
@@ -92,20 +93,15 @@
         if isinstance(response, Response):
             self._traffic.record_answer(member, call, response)
             result = parse_attempt_result(response, attempt_id)
-            self._check_limit(member, result)
+            self._notify_response(member, result)
             return self._learn_sizes(call, result)
         return AttemptResult(response)
 
-    def _check_limit(self, member: Member, result: AttemptResult) -> None:
-        """Passes on a response if its load report states no limit."""
-        if self._on_unreported_limit is None:
+    def _notify_response(self, member: Member, result: AttemptResult) -> None:
+        if self._on_response is None or not isinstance(result.outcome, Done):
             return
-        if result.load is not None and result.load.limit_per_s is not None:
-            return
-        if isinstance(result.outcome, Done):
-            self._on_unreported_limit(
-                member.name, result.outcome.response.headers
-            )
+        headers = result.outcome.response.headers
+        self._on_response(member.name, headers, result.load)
 
     def _learn_sizes(self, call: Call, result: AttemptResult) -> AttemptResult:
         """Updates the body sizes of the route; returns `result` unchanged."""
--- a/src/radishwind/peers/tests/test_forward_runner.py
+++ b/src/radishwind/peers/tests/test_forward_runner.py
@@ -19,22 +19,13 @@
 FIELD = ("Limit", "2")
 
 
-@pytest.mark.parametrize(
-    ("load", "expected"),
-    [
-        (LoadReport(6, 0, 0, 0.0), [("other", (FIELD,))]),
-        (LoadReport(6, 0, 0, 0.0, limit_per_s=2.0), []),
-    ],
-)
-async def test_limit_is_not_missed_if_an_earlier_version_does_not_report_it(
-    load, expected
-):
+async def test_fields_of_a_forwarded_response_are_passed_on_with_its_load():
     sender = InProcessSender()
+    load = LoadReport(6, 0, 0, 0.0)
 
     async def answer(request):
-        return build_attempt_response(
-            "1.1", Done(Response(200, (FIELD,), b"ok", 2)), load
-        )
+        outcome = Done(Response(200, (FIELD,), b"ok", 2))
+        return build_attempt_response("1.1", outcome, load)
 
     sender.handlers[NODE.address] = answer
     seen = []
@@ -43,10 +34,10 @@
         clock=ManualClock(),
         target=None,
         sender=sender,
-        on_unreported_limit=lambda name, fields: seen.append((name, fields)),
+        on_response=lambda *response: seen.append(response),
     )
 
     result = await runner.run(make_call(), NODE, "1.1")
 
     assert isinstance(result.outcome, Done)
-    assert seen == expected
+    assert seen == [("other", (FIELD,), load)]
--- a/src/radishwind/platform/__init__.py
+++ b/src/radishwind/platform/__init__.py
@@ -14,6 +14,7 @@
 from radishwind.platform.heartbeats import Heartbeat
 from radishwind.platform.platform_dialect import get_stated_limit
 from radishwind.platform.platform_dialect import PlatformDialect
+from radishwind.platform.platform_dialect import states_leaving
 from radishwind.platform.platform_store import PlatformStore
 from radishwind.platform.routes import decode_routes
 
@@ -29,4 +30,5 @@
     "get_account_fields",
     "get_stated_limit",
     "parse_host",
+    "states_leaving",
 ]
--- a/src/radishwind/platform/platform_dialect.py
+++ b/src/radishwind/platform/platform_dialect.py
@@ -97,8 +97,7 @@
             ),
             states_limit=limit is not None,
             limit_per_s=_parse_limit(limit),
-            is_leaving=get_header(response.headers, LEAVING.lower())
-            == _IS_LEAVING,
+            is_leaving=states_leaving(response.headers),
         )
 
 
@@ -107,6 +106,11 @@
     return _parse_limit(get_header(headers, LIMIT.lower()))
 
 
+def states_leaving(headers: Headers) -> bool:
+    """Returns whether a response states that its server is leaving."""
+    return get_header(headers, LEAVING.lower()) == _IS_LEAVING
+
+
 def _matches_request(
     call: Call, fields: dict[str, str], is_not_run: bool
 ) -> bool:
--- a/src/radishwind/routing/fresh_load_chooser.py
+++ b/src/radishwind/routing/fresh_load_chooser.py
@@ -276,6 +276,15 @@
         """
         self.statistics.record_unenforced_limit(name, limit_per_s, now)
 
+    def exclude(self, name: str, until: float) -> None:
+        """Excludes a target unless no other is eligible.
+
+        Args:
+          name: name of the target.
+          until: end of the exclusion (monotonic s).
+        """
+        self.statistics.exclude(name, until)
+
     def is_limited(self, name: str) -> bool:
         record = self.statistics.record(name)
         report = record.report if record else None
--- a/src/radishwind/routing/target_statistics.py
+++ b/src/radishwind/routing/target_statistics.py
@@ -152,10 +152,17 @@
           limit_per_s: the limit (requests/s).
           now: monotonic time (s).
         """
+        self.exclude(name, now + self._share_interval_s(limit_per_s))
+
+    def exclude(self, name: str, until: float) -> None:
+        """Excludes a target unless no other is eligible.
+
+        Args:
+          name: name of the target.
+          until: end of the exclusion (monotonic s).
+        """
         record = self._get_or_create(name)
-        record.excluded_until = max(
-            record.excluded_until, now + self._share_interval_s(limit_per_s)
-        )
+        record.excluded_until = max(record.excluded_until, until)
 
     def attempt_finished(
         self,
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -159,6 +159,9 @@
             rumor_bus=self._membership.rumor_bus,
             on_ready_changed=self._on_ready_changed,
             is_early_learner=lambda: self._control.is_early_learner(),
+            on_stated_leaving=lambda process: self._control.announce_leaving(
+                process
+            ),
             switches=self._switches,
             link_free_kbps=self._links.meter.free_kbps,
         )
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -32,6 +32,7 @@
 from radishwind.store.base import Store
 from radishwind.target.leaving_records import CONTROL_NAME as LEAVING_CONTROL
 from radishwind.target.leaving_records import LeavingRecords
+from radishwind.target.server_process import ServerProcess
 
 
 class ControlSide:
@@ -152,8 +153,13 @@
         tasks.start_soon(self._feed.run)
         self._recency.start(tasks, self._feed)
         tasks.start_soon(self._records_loader.run)
+        tasks.start_soon(self._records.run)
         tasks.start_soon(self._profile.run)
 
+    def announce_leaving(self, process: ServerProcess) -> None:
+        """Announces that a process of the local server is leaving."""
+        self._records.announce(process)
+
     def apply_settings(self, settings: PlacedSettings) -> None:
         """Applies changed settings."""
         self._settings = settings
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -33,7 +33,6 @@
 from radishwind.peers.signing import RequestSigner
 from radishwind.platform import add_account_field
 from radishwind.platform import decode_caller_fields
-from radishwind.platform import get_stated_limit
 from radishwind.platform.responses import caller_response
 from radishwind.quarantine.isolating_runner import IsolatingRunner
 from radishwind.quotas import QuotaGate
@@ -51,6 +50,7 @@
 from radishwind.sidecar.options import RETRY_AFTER_SPREAD
 from radishwind.sidecar.switches import Switches
 from radishwind.sidecar.target_side import SidecarTarget
+from radishwind.sidecar.unreported_notices import UnreportedNotices
 from radishwind.telemetry.part_logger import PartLogger
 
 
@@ -113,7 +113,6 @@
             fixed.
         """
         self._service = service
-        self._clock = clock
         self._log = PartLogger("entry", clock)
         self.keys = KeyAuthenticator(lambda: routes.accounts, freshness)
         weights = cost_weights_for(switches)
@@ -149,6 +148,7 @@
                 else None
             ),
         )
+        self._unreported = UnreportedNotices(self.chooser, clock)
         budget = FleetRetryBudget(
             settings.retry_share,
             settings.retry_slack,
@@ -164,7 +164,7 @@
             on_unreachable=on_unreachable,
             traffic=links.traffic if links else None,
             sizes=links.sizes if links else None,
-            on_unreported_limit=self._on_unreported_limit,
+            on_response=self._unreported.check,
         )
         hedges: HedgePolicy = ForecastHedgePolicy(budget, self.chooser)
         self.pipeline = EntryPipeline(
@@ -205,20 +205,6 @@
             route=route,
         )
 
-    def _on_unreported_limit(self, target: str, headers: Headers) -> None:
-        """Keeps the limit that a response states if no load report does."""
-        limit_per_s = get_stated_limit(headers)
-        if limit_per_s is None:
-            return
-        self._log.info(
-            "A node does not enforce the limit of its server.",
-            target=target,
-            limit_per_s=limit_per_s,
-        )
-        self.chooser.record_unenforced_limit(
-            target, limit_per_s, self._clock.monotonic()
-        )
-
     def _decode_caller_fields(self, headers: Headers) -> CallerFields:
         return decode_caller_fields(
             headers, self._service(), accounts=self.keys.has_accounts
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -26,6 +26,7 @@
 from radishwind.target.backend_server import ServerView
 from radishwind.target.dialect import ResponseMetadata
 from radishwind.target.dialect import ServerDialect
+from radishwind.target.dialect import VerifiedResponse
 from radishwind.target.exchange_recorder import ExchangeRecorder
 from radishwind.target.load_monitor import LoadMonitor
 from radishwind.target.load_poller import LoadPoller
@@ -35,6 +36,7 @@
 from radishwind.target.registered_server import Registration
 from radishwind.target.run_time_estimator import RunTimeEstimator
 from radishwind.target.send_limiter import WindowLimiter
+from radishwind.target.server_process import ServerProcess
 from radishwind.target.stated_limit import StatedLimit
 from radishwind.target.verifying_exchange import VerifyingExchange
 from radishwind.target.warmup import Warmup
@@ -80,6 +82,7 @@
         rumor_bus: RumorBus,
         on_ready_changed: Callable[[bool], None],
         is_early_learner: Callable[[], bool],
+        on_stated_leaving: Callable[[ServerProcess], None] | None = None,
         switches: Switches = ALL_ON,
         link_free_kbps: Callable[[], int] | None = None,
     ) -> None:
@@ -94,10 +97,13 @@
           on_ready_changed: called with whether the server accepts new work.
           is_early_learner: returns whether this node measures the server before
             it gets requests, for all nodes of the service.
+          on_stated_leaving: called with a process of the server that states
+            in a response that it is leaving.
           switches: the mechanisms in use.
           link_free_kbps: returns the free capacity of the node's link (kbit/s).
         """
         self._switches = switches
+        self._on_stated_leaving = on_stated_leaving or _ignore_process
         self._clock = clock
         self._connections = DEFAULT_SLOTS
         self.server = RegisteredServer(
@@ -271,8 +277,12 @@
           sent_at: when the check was sent (s, of the clock).
         """
         self._update_server(response, is_ok, sent_at)
-        if self._is_of_current_process(response):
-            self.stated_limit.record_check(response, sent_at)
+        incarnation = response.incarnation or self.server.incarnation
+        if not self.server.is_from_current(incarnation, sent_at):
+            return
+        self.stated_limit.record_check(response, sent_at)
+        if response.is_leaving:
+            self._record_leaving()
 
     def _update_server(
         self, response: ResponseMetadata, is_ok: bool, sent_at: float
@@ -283,7 +293,7 @@
         self.server.mark_reachable()
         if response.warmup_left_s is not None:
             self.warmup.record_check(response.warmup_left_s, sent_at)
-        if not is_ok or not response.incarnation:
+        if not is_ok or response.is_leaving or not response.incarnation:
             return
         if self.server.incarnation or self.server.has_ended(
             response.incarnation
@@ -304,22 +314,26 @@
         if response.warmup_left_s is None:
             self.warmup.mark_unknown(sent_at)
 
-    def _is_of_current_process(self, response: ResponseMetadata) -> bool:
-        """Returns whether the current process sent a health response.
-
-        One that states no incarnation is taken to come from it.
-        """
-        return response.incarnation in ("", self.server.incarnation)
-
-    def _on_response(
-        self, response: ResponseMetadata, sent_at: float, is_success: bool
-    ) -> None:
+    def _on_response(self, response: VerifiedResponse) -> None:
         """Handles what the response to a request states of the server."""
-        if response.is_other_incarnation:
+        metadata = response.metadata
+        if metadata.is_other_incarnation:
+            return
+        if not self.server.is_from_current(
+            response.incarnation, response.sent_at
+        ):
             return
         self.stated_limit.record_response(
-            response, sent_at, is_success=is_success
+            metadata, response.sent_at, is_success=response.is_success
         )
+        if metadata.is_leaving:
+            self._record_leaving()
+
+    def _record_leaving(self) -> None:
+        """Stops new work at a server that states that it is leaving."""
+        process = self.server.process
+        if self.server.mark_leaving(process):
+            self._on_stated_leaving(process)
 
     def _on_server_replaced(self, expected: str, incarnation: str) -> None:
         """Handles that `incarnation` answered instead of `expected`."""
@@ -378,3 +392,7 @@
     def record_connect_failure(self) -> None:
         super().record_connect_failure()
         self._server.mark_unreachable()
+
+
+def _ignore_process(process: ServerProcess) -> None:
+    """The default for `on_stated_leaving`."""
--- a/src/radishwind/target/dialect.py
+++ b/src/radishwind/target/dialect.py
@@ -61,6 +61,22 @@
     headers: Headers = ()
 
 
+class VerifiedResponse(msgspec.Struct, frozen=True):
+    """The server's own response to a request.
+
+    Attributes:
+      metadata: what its header fields state.
+      incarnation: the incarnation that the request was sent to.
+      sent_at: when the request was sent (monotonic s).
+      is_success: whether the server ran the request successfully.
+    """
+
+    metadata: ResponseMetadata
+    incarnation: str
+    sent_at: float
+    is_success: bool
+
+
 class ServerDialect(abc.ABC):
     """Builds requests for the server and parses its responses."""
 
--- a/src/radishwind/target/leaving_records.py
+++ b/src/radishwind/target/leaving_records.py
@@ -5,6 +5,7 @@
 record is persisted by the store or by two peers before it is acknowledged.
 """
 
+import collections
 from collections.abc import Callable
 import random
 
@@ -42,6 +43,14 @@
 #: Peers asked to hold it.
 _PEERS_ASKED = 4
 
+#: Timeout of persisting an announced record, and the delay before the next try
+#: (s).
+_PERSIST_S = 0.8
+_RETRY_DELAY_S = 0.5
+
+#: Announced records waiting to be persisted; the oldest is dropped first.
+_MAX_UNPERSISTED = 16
+
 #: The response of a peer that holds the record.
 _ACKNOWLEDGED = b"{}"
 
@@ -86,6 +95,10 @@
         self._on_leaving = on_leaving
         self._log = PartLogger("leaving", clock)
         self._persisted: set[str] = set()
+        self._unpersisted: collections.deque[ServerProcess] = collections.deque(
+            maxlen=_MAX_UNPERSISTED
+        )
+        self._announced = anyio.Event()
         rumor_bus.subscribe(TOPIC, self._on_rumor)
 
     async def load(self) -> bool:
@@ -103,6 +116,27 @@
             )
         return True
 
+    def announce(self, process: ServerProcess) -> None:
+        """Publishes the record of a process; `run` persists it.
+
+        Args:
+          process: the process that is leaving.
+        """
+        self._publish(process.key)
+        self._unpersisted.append(process)
+        self._announced.set()
+
+    async def run(self) -> None:
+        """Persists the announced records until cancelled."""
+        while True:
+            await self._announced.wait()
+            self._announced = anyio.Event()
+            while self._unpersisted:
+                process = self._unpersisted.popleft()
+                if not await self.persist(process, _PERSIST_S):
+                    self._unpersisted.appendleft(process)
+                    await anyio.sleep(_RETRY_DELAY_S)
+
     async def persist(self, process: ServerProcess, within_s: float) -> bool:
         """Persists the record of a process; returns whether that succeeded.
 
--- a/src/radishwind/target/registered_server.py
+++ b/src/radishwind/target/registered_server.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import math
 
 import msgspec
 
@@ -107,6 +108,8 @@
         self._ended: dict[ServerProcess, None] = {}
         # Number of processes accepted so far; a change shows a new one.
         self.process_count = 0
+        # When the current process was accepted (monotonic s).
+        self._accepted_at = -math.inf
         self.service = service
         self.slots = 0
 
@@ -139,6 +142,17 @@
         """The current process; without an incarnation if there is none."""
         return self._process
 
+    def is_from_current(self, incarnation: str, sent_at: float) -> bool:
+        """Returns whether the current process answered a request.
+
+        An earlier process may have had the same incarnation.
+
+        Args:
+          incarnation: the incarnation that answered.
+          sent_at: when the request was sent (monotonic s).
+        """
+        return incarnation == self.incarnation and sent_at >= self._accepted_at
+
     def register(self, heartbeat: Registration) -> bool:
         """Accepts a heartbeat; returns whether the state changed."""
         if heartbeat.is_leaving:
@@ -358,7 +372,7 @@
     def _start_process(self, process: ServerProcess, sequence: int) -> None:
         self._process = process
         self._sequence = sequence
-        self._last_heartbeat = self._clock.monotonic()
+        self._last_heartbeat = self._accepted_at = self._clock.monotonic()
         self.process_count += 1
 
     def _apply(self, heartbeat: Registration) -> None:
--- a/src/radishwind/target/tests/test_leaving_records.py
+++ b/src/radishwind/target/tests/test_leaving_records.py
@@ -2,6 +2,7 @@
 
 import random
 
+import anyio
 import pytest
 
 from radishwind.core import ManualClock
@@ -99,3 +100,19 @@
     response = await records(Network(), RecordingRumorBus(), 0).handle(request)
 
     assert response.status == 400
+
+
+async def test_announced_record_is_persisted_once_peers_confirm_it():
+    network, bus = Network(), RecordingRumorBus()
+    own = records(network, bus, 2)
+    own.announce(PROCESS)
+    assert bus.published == [PROCESS.key]
+    held = [RecordingRumorBus() for _ in range(2)]
+    for port, rumor_bus in enumerate(held):
+        network.peers[port] = records(network, rumor_bus, 0)
+
+    with anyio.move_on_after(0.2):
+        await own.run()
+
+    assert [bus.published for bus in held] == [[PROCESS.key]] * 2
+    assert await own.persist(PROCESS, 0.0)
--- a/src/radishwind/target/verifying_exchange.py
+++ b/src/radishwind/target/verifying_exchange.py
@@ -30,6 +30,7 @@
 from radishwind.target.buffered_body import BufferedBody
 from radishwind.target.dialect import ResponseMetadata
 from radishwind.target.dialect import ServerDialect
+from radishwind.target.dialect import VerifiedResponse
 from radishwind.target.exchange_base import Exchange
 from radishwind.target.exchange_recorder import ExchangeRecorder
 from radishwind.target.load_monitor import LoadMonitor
@@ -67,8 +68,7 @@
         recorder: ExchangeRecorder,
         monitor: LoadMonitor,
         on_replaced: Callable[[str, str], None],
-        on_response: Callable[[ResponseMetadata, float, bool], None]
-        | None = None,
+        on_response: Callable[[VerifiedResponse], None] | None = None,
     ) -> None:
         """Creates an exchange.
 
@@ -80,9 +80,7 @@
           monitor: receives the load that responses report.
           on_replaced: called with the incarnation addressed and the one that
             answered.
-          on_response: called with what a verified response states, when its
-            request was sent (monotonic s), and whether the request was run
-            successfully.
+          on_response: called with each verified response.
         """
         self._clock = clock
         self._sender = sender
@@ -165,7 +163,9 @@
         if metadata.load is not None:
             self._monitor.record_load(metadata.load)
         is_success = not metadata.is_not_run and 200 <= response.status < 300
-        self._on_response(metadata, sent_at, is_success)
+        self._on_response(
+            VerifiedResponse(metadata, view.instance, sent_at, is_success)
+        )
         if metadata.is_not_run:
             abort_body(body)
             return self._not_run(metadata, view)
@@ -222,7 +222,5 @@
         return b"".join(chunks)
 
 
-def _ignore_response(
-    response: ResponseMetadata, sent_at: float, is_success: bool
-) -> None:
+def _ignore_response(response: VerifiedResponse) -> None:
     """The default for `on_response`."""
