Restore the stated limit of a server after its node was killed

What callers would see: a node beside a limited server that restarts sends at full rate until the first response with the limit, up to all slots at once, after its previous process used the limit.

--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -28,6 +28,7 @@
 from radishwind.target.dialect import ServerDialect
 from radishwind.target.dialect import VerifiedResponse
 from radishwind.target.exchange_recorder import ExchangeRecorder
+from radishwind.target.limit_records import LimitRecords
 from radishwind.target.load_monitor import LoadMonitor
 from radishwind.target.load_poller import LoadPoller
 from radishwind.target.pace_gate import PaceGate
@@ -184,6 +185,13 @@
         self._recorder = recorder
         self._log = PartLogger("target", clock)
         self._settings = settings
+        self._limit_records = LimitRecords(
+            node_name=settings.node,
+            clock=clock,
+            rumor_bus=rumor_bus,
+            process=lambda: self.server.process,
+            on_restored=self.stated_limit.restore,
+        )
 
     def register(self, registration: Registration) -> bool:
         """Accepts the registration of the server in a heartbeat.
@@ -200,6 +208,7 @@
             self.quarantine.set_service(self.server.service)
             self._configure_service()
             self.stated_limit.reset()
+            self._limit_records.restore()
             self.warmup.record_start(registration.warmup_left_s)
         elif registration.incarnation == self.server.incarnation:
             self.warmup.record_heartbeat(registration.warmup_left_s)
@@ -281,6 +290,7 @@
         if not self.server.is_from_current(incarnation, sent_at):
             return
         self.stated_limit.record_check(response, sent_at)
+        self._limit_records.update(self.stated_limit.per_s)
         if response.is_leaving:
             self._record_leaving()
 
@@ -326,6 +336,7 @@
         self.stated_limit.record_response(
             metadata, response.sent_at, is_success=response.is_success
         )
+        self._limit_records.update(self.stated_limit.per_s)
         if metadata.is_leaving:
             self._record_leaving()
 
--- a/src/radishwind/target/stated_limit.py
+++ b/src/radishwind/target/stated_limit.py
@@ -101,7 +101,7 @@
     def reset(self) -> None:
         """Forgets the limit of the previous process of the server."""
         self._per_s = None
-        self._is_known = True
+        self._is_known = False
         self._is_restored = False
         self._last_stated = -math.inf
         self._is_in_health_responses = False
