Limit and drain servers by their responses in the soak

The soak had no server that states a limit, and a leaving server always announced that to its node. A fourth series of faults limits servers to 0 to 2.5 requests/s for 4 to 7 s, half of them in health responses too; one leave in five is stated in responses only. The checks follow the users' rules: by the node that a caller sent a request to, from when it passed on a response with the notice, unless it was restarted, paused or cut since.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,7 @@
 from radishwind.standins.platform_fleet import HOST
 from radishwind.standins.platform_fleet import Instance
 from tests.soak.account_keys import AccountKeys
+from tests.soak.server_notices import ServerNotices
 
 #: Response statuses that guarantee that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -25,6 +26,7 @@
       not_run: IDs of the requests that were reported as not run.
       violations: guarantees that a response violated by itself.
       statuses: number of responses by status; 0 stands for no response.
+      notices: what responses stated of servers.
     """
 
     accounts: AccountKeys | None = None
@@ -33,6 +35,7 @@
     statuses: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )
+    notices: ServerNotices = dataclasses.field(default_factory=ServerNotices)
 
 
 async def send_load(
@@ -89,6 +92,8 @@
         headers["Authorization"] = results.accounts.authorize(
             request_id, account
         )
+    loop = asyncio.get_running_loop()
+    results.notices.record_request(request_id, instance.place.name, loop.time())
     # aiohttp retries requests with idempotent methods by itself, so use POST.
     method = "POST"
     url = f"http://{instance.caller_address}/{service}/x"
@@ -97,6 +102,9 @@
         async with session.request(method, url, headers=headers) as response:
             body = await response.read()
             status = response.status
+            results.notices.record_response(
+                instance.place.name, response.headers, loop.time()
+            )
             _check_response(results, request_id, response, body)
     except (aiohttp.ClientError, TimeoutError):
         # Without a response nothing is guaranteed; `statuses` counts it as 0.
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import pathlib
 import random
 import signal
@@ -17,6 +18,7 @@
 from radishwind.standins.platform_server import ServerOptions
 from tests.soak.account_keys import AccountKeys
 from tests.soak.loopback_proxy import LoopbackProxy
+from tests.soak.server_notices import ServerNotices
 
 PLACES = tuple(
     Place(f"{domain}-{number}", f"127.0.{host}.{number}", domain, service)
@@ -28,6 +30,14 @@
 _KILLED_EXIT_CODE = -signal.SIGKILL
 
 
+class LeaveAnnouncement(enum.Enum):
+    """How a server announces that it leaves, beside its responses."""
+
+    HEARTBEAT = "heartbeat"
+    DEREGISTRATION = "deregistration"
+    RESPONSES_ONLY = "responses only"
+
+
 @dataclasses.dataclass(slots=True)
 class InstanceLinks:
     """The proxies in the links of one instance.
@@ -63,9 +73,11 @@
         self,
         folder: pathlib.Path,
         rng: random.Random,
+        notices: ServerNotices,
         accounts: AccountKeys | None = None,
     ) -> None:
         self.rng = rng
+        self._notices = notices
         self.accounts = accounts
         bounds = accounts.bounds if accounts else ()
         self.fleet = Fleet(list(PLACES), folder, self._insert_proxies, bounds)
@@ -137,37 +149,52 @@
         self.servers.append(instance.server)
 
     async def restart_server_gracefully(
-        self, instance: Instance, *, announces_draining: bool
+        self, instance: Instance, announcement: LeaveAnnouncement
     ) -> None:
         """Stops the server of `instance` gracefully and starts a new one.
 
-        The server announces its leave by a heartbeat that says it is draining
-        or by deregistration, and stops some seconds later.
+        The server states in all its responses that it is leaving, announces
+        that as chosen, and stops some seconds later.
         """
         server = instance.server
         assert server is not None
-        server.draining = announces_draining
+        server.leaving = True
+        server.draining = announcement is LeaveAnnouncement.HEARTBEAT
+        if announcement is not LeaveAnnouncement.RESPONSES_ONLY:
+            await self._announce_leave(server, announcement)
+            instance.stop_heartbeats()
+        await asyncio.sleep(2.0 + 2.0 * self.rng.random())
+        await instance.crash_server()
+        await asyncio.sleep(0.5)
+        await self.restart_server(instance)
+
+    async def _announce_leave(
+        self, server: PlatformServerStandin, announcement: LeaveAnnouncement
+    ) -> None:
+        """Announces the leave until the node acknowledges it, ten times."""
+        send_notice = (
+            server.send_heartbeat
+            if announcement is LeaveAnnouncement.HEARTBEAT
+            else server.deregister
+        )
         async with aiohttp.ClientSession() as session:
             for _ in range(10):
-                send_notice = (
-                    server.send_heartbeat
-                    if announces_draining
-                    else server.deregister
-                )
                 if await send_notice(session):
                     server.leave_acknowledged_at = (
                         asyncio.get_running_loop().time()
                     )
-                    break
+                    return
                 await asyncio.sleep(0.3)
-        instance.stop_heartbeats()
-        await asyncio.sleep(2.0 + 2.0 * self.rng.random())
-        await instance.crash_server()
-        await asyncio.sleep(0.5)
-        await self.restart_server(instance)
+
+    def record_disturbance(self, instance: Instance) -> None:
+        """Records that `instance` was restarted, paused or cut off."""
+        self._notices.record_disturbance(
+            instance.place.name, asyncio.get_running_loop().time()
+        )
 
     async def restart_node(self, instance: Instance, stop_signal: int) -> None:
         """Ends the node of `instance` by a signal and starts it again."""
+        self.record_disturbance(instance)
         instance.signal_node(signal.Signals(stop_signal))
         exit_code = await instance.node_ended()
         # Until the interpreter runs our code, a signal has its default action.
@@ -183,6 +210,7 @@
             )
         await asyncio.sleep(self.rng.random())
         await instance.start_node()
+        self.record_disturbance(instance)
 
     async def close(self) -> None:
         for links in self.links.values():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,9 +11,10 @@
 from radishwind.standins.platform_server import ServerFaults
 from radishwind.standins.platform_store import StoreFaults
 from tests.soak.deployment import Deployment
+from tests.soak.deployment import LeaveAnnouncement
 from tests.soak.loopback_proxy import LinkMode
 
-#: Number of concurrent series of faults.
+#: Number of concurrent series of faults, beside one of limited servers.
 SERIES_COUNT = 3
 
 _RESPONSE_FAULTS = ("reset", "cut", "unframed-reset", "extra", "other", "lost")
@@ -28,15 +29,21 @@
         async with asyncio.timeout(length_s), asyncio.TaskGroup() as tasks:
             for number in range(SERIES_COUNT):
                 rng = random.Random(seed * 100 + number)
-                tasks.create_task(_inject_series(deployment, rng))
+                tasks.create_task(_inject_series(deployment, rng, _FAULTS))
+            rng = random.Random(seed * 100 + SERIES_COUNT)
+            tasks.create_task(_inject_series(deployment, rng, (limit_server,)))
     except TimeoutError:
         pass
     await _clear_faults(deployment)
 
 
-async def _inject_series(deployment: Deployment, rng: random.Random) -> None:
+async def _inject_series(
+    deployment: Deployment,
+    rng: random.Random,
+    faults: tuple[_FaultInjector, ...],
+) -> None:
     while True:
-        fault = rng.choice(_FAULTS)
+        fault = rng.choice(faults)
         started_at = asyncio.get_running_loop().time()
         description = await asyncio.shield(
             asyncio.ensure_future(fault(deployment, rng))
@@ -115,9 +122,11 @@
 
 async def pause_node(deployment: Deployment, rng: random.Random) -> str:
     async def pause(instance: Instance) -> None:
+        deployment.record_disturbance(instance)
         instance.signal_node(signal.SIGSTOP)
         await asyncio.sleep(0.2 + 1.5 * rng.random())
         instance.signal_node(signal.SIGCONT)
+        deployment.record_disturbance(instance)
 
     return await _inject_exclusively(deployment, rng, pause)
 
@@ -139,14 +148,32 @@
 
 
 async def drain_server(deployment: Deployment, rng: random.Random) -> str:
-    announces_draining = rng.random() < 0.6
+    draw = rng.random()
+    announcement = LeaveAnnouncement.RESPONSES_ONLY
+    if draw < 0.6:
+        announcement = LeaveAnnouncement.HEARTBEAT
+    elif draw < 0.8:
+        announcement = LeaveAnnouncement.DEREGISTRATION
     return await _inject_exclusively(
         deployment,
         rng,
-        lambda i: deployment.restart_server_gracefully(
-            i, announces_draining=announces_draining
-        ),
+        lambda i: deployment.restart_server_gracefully(i, announcement),
+    )
+
+
+async def limit_server(deployment: Deployment, rng: random.Random) -> str:
+    instance = rng.choice(deployment.instances())
+    server = instance.server
+    faults = ServerFaults(
+        limit_per_s=rng.choice((0.0, 0.4, 1.0, 2.5)),
+        health_notices=rng.random() < 0.5,
     )
+    if server is not None:
+        server.faults = faults
+        await asyncio.sleep(4 + 3 * rng.random())
+        if server.faults is faults:
+            server.faults = ServerFaults()
+    return f"{instance.place.name} {faults.limit_per_s}"
 
 
 async def spoil_server(deployment: Deployment, rng: random.Random) -> str:
@@ -192,8 +219,11 @@
     name = rng.choice(sorted(deployment.links))
     proxy = rng.choice(deployment.links[name].all())
     proxy.mode = mode = rng.choice(list(LinkMode)[1:])
+    instance = deployment.fleet.instances[name]
+    deployment.record_disturbance(instance)
     await asyncio.sleep(0.3 + 2 * rng.random())
     proxy.mode = LinkMode.OPEN
+    deployment.record_disturbance(instance)
     return f"{name} {mode.value}"
 
 
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -45,8 +45,8 @@
     rng = random.Random(seed)
     # Odd seeds run without accounts, so that nodes without them are covered.
     accounts = None if seed % 2 else AccountKeys(rng)
-    deployment = Deployment(folder, rng, accounts)
     results = CallerResults(accounts)
+    deployment = Deployment(folder, rng, results.notices, accounts)
     async with deployment.fleet:
         await deployment.start(seed)
         stop = asyncio.Event()
@@ -120,6 +120,7 @@
             violations.append(f"{request_id}: told not run, ran {count} times")
     if deployment.accounts is not None:
         violations += deployment.accounts.find_violations(deployment.servers)
+    violations += results.notices.find_violations(deployment.servers)
     return violations + _find_duplicate_runs(deployment)
 
 
