Gather the handling of server notices in one module

No change of behavior but the name of the rumor's topic. Tests of target, sidecar, peers and routing: all pass.

--- a/src/radishwind/routing/fresh_load_chooser.py
+++ b/src/radishwind/routing/fresh_load_chooser.py
@@ -264,44 +264,17 @@
             return max(slow_end - now, run_s)
         return math.inf
 
-    def record_unenforced_limit(
-        self, name: str, limit_per_s: float, now: float
-    ) -> None:
-        """Records a limit that only responses state, not the load reports.
-
-        Args:
-          name: name of the target, whose node runs an earlier version.
-          limit_per_s: the limit (requests/s).
-          now: monotonic time (s).
-        """
-        self.statistics.record_unenforced_limit(name, limit_per_s, now)
-
-    def exclude(self, name: str, until: float) -> None:
-        """Excludes a target unless no other is eligible.
-
-        Args:
-          name: name of the target.
-          until: end of the exclusion (monotonic s).
-        """
-        self.statistics.exclude(name, until)
-
     def is_limited(self, name: str) -> bool:
-        record = self.statistics.record(name)
-        report = record.report if record else None
-        return report is not None and report.limit_per_s is not None
+        return self.statistics.is_limited(name)
 
     def refusal(self, members: Sequence[Member], now: float) -> NotRun | None:
-        opens_at = [
-            record.limit_paused_until
-            for record in (self.statistics.record(m.name) for m in members)
-            if record is not None and record.limit_paused_until > now
-        ]
-        if not opens_at or not any(self.is_limited(m.name) for m in members):
+        wait_s = self.statistics.limit_wait_s([m.name for m in members], now)
+        if wait_s is None:
             return None
         return NotRun(
             ResultCode.SERVER_LIMITED,
             "All servers have got as many requests as they state to accept.",
-            round(max(MIN_RETRY_AFTER_S, min(opens_at) - now), 3),
+            round(max(MIN_RETRY_AFTER_S, wait_s), 3),
         )
 
     def describe_cost(self, member: Member, now: float, route: str = "") -> str:
--- a/src/radishwind/routing/target_statistics.py
+++ b/src/radishwind/routing/target_statistics.py
@@ -1,6 +1,7 @@
 """Statistics of targets: load reports, failures, attempts and run times."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 import random
 
@@ -154,6 +155,30 @@
         """
         self.exclude(name, now + self._share_interval_s(limit_per_s))
 
+    def is_limited(self, name: str) -> bool:
+        """Returns whether the server of the target `name` states a limit."""
+        record = self._records.get(name)
+        if record is None or record.report is None:
+            return False
+        return record.report.limit_per_s is not None
+
+    def limit_wait_s(self, names: Iterable[str], now: float) -> float | None:
+        """Returns when the first of several limits allows a request.
+
+        Args:
+          names: names of the targets.
+          now: monotonic time (s).
+
+        Returns:
+          The time until then (s); `None` if none of these limits is reached, or
+          if no server states one.
+        """
+        limited = [name for name in names if self.is_limited(name)]
+        waits_s = [
+            self._records[name].limit_paused_until - now for name in limited
+        ]
+        return min((wait for wait in waits_s if wait > 0), default=None)
+
     def exclude(self, name: str, until: float) -> None:
         """Excludes a target unless no other is eligible.
 
--- a/src/radishwind/routing/tests/test_fresh_load_chooser.py
+++ b/src/radishwind/routing/tests/test_fresh_load_chooser.py
@@ -335,7 +335,7 @@
     setup.send_report("x", report())
     setup.send_report("y", report(in_flight=6))
 
-    setup.chooser.record_unenforced_limit("x", 2.0, 0.0)
+    setup.chooser.statistics.record_unenforced_limit("x", 2.0, 0.0)
     setup.send_report("x", report(), now=1.0)
 
     assert setup.choose(member("x"), member("y"), now=2.4) == "y"
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -148,7 +148,7 @@
                 else None
             ),
         )
-        self._unreported = UnreportedNotices(self.chooser, clock)
+        self._unreported = UnreportedNotices(self.chooser.statistics, clock)
         budget = FleetRetryBudget(
             settings.retry_share,
             settings.retry_slack,
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -26,9 +26,7 @@
 from radishwind.target.backend_server import ServerView
 from radishwind.target.dialect import ResponseMetadata
 from radishwind.target.dialect import ServerDialect
-from radishwind.target.dialect import VerifiedResponse
 from radishwind.target.exchange_recorder import ExchangeRecorder
-from radishwind.target.limit_records import LimitRecords
 from radishwind.target.load_monitor import LoadMonitor
 from radishwind.target.load_poller import LoadPoller
 from radishwind.target.pace_gate import PaceGate
@@ -37,6 +35,7 @@
 from radishwind.target.registered_server import Registration
 from radishwind.target.run_time_estimator import RunTimeEstimator
 from radishwind.target.send_limiter import WindowLimiter
+from radishwind.target.server_notices import ServerNotices
 from radishwind.target.server_process import ServerProcess
 from radishwind.target.stated_limit import StatedLimit
 from radishwind.target.verifying_exchange import VerifyingExchange
@@ -104,7 +103,6 @@
           link_free_kbps: returns the free capacity of the node's link (kbit/s).
         """
         self._switches = switches
-        self._on_stated_leaving = on_stated_leaving or _ignore_process
         self._clock = clock
         self._connections = DEFAULT_SLOTS
         self.server = RegisteredServer(
@@ -148,6 +146,14 @@
         recorder = _ReachabilityRecorder(
             clock, HealthEstimator(), self.quarantine, self.server
         )
+        self._notices = ServerNotices(
+            node_name=settings.node,
+            clock=clock,
+            rumor_bus=rumor_bus,
+            server=self.server,
+            limit=self.stated_limit,
+            on_leaving=on_stated_leaving,
+        )
         self.exchange = VerifyingExchange(
             clock=clock,
             sender=sender,
@@ -155,7 +161,7 @@
             recorder=recorder,
             monitor=self.load_monitor,
             on_replaced=self._on_server_replaced,
-            on_response=self._on_response,
+            on_response=self._notices.record_response,
         )
         self.pipeline = TargetPipeline(
             clock=clock,
@@ -185,13 +191,6 @@
         self._recorder = recorder
         self._log = PartLogger("target", clock)
         self._settings = settings
-        self._limit_records = LimitRecords(
-            node_name=settings.node,
-            clock=clock,
-            rumor_bus=rumor_bus,
-            process=lambda: self.server.process,
-            on_restored=self.stated_limit.restore,
-        )
 
     def register(self, registration: Registration) -> bool:
         """Accepts the registration of the server in a heartbeat.
@@ -207,8 +206,7 @@
             self.concurrency_estimator.reset()
             self.quarantine.set_service(self.server.service)
             self._configure_service()
-            self.stated_limit.reset()
-            self._limit_records.restore()
+            self._notices.record_process()
             self.warmup.record_start(registration.warmup_left_s)
         elif registration.incarnation == self.server.incarnation:
             self.warmup.record_heartbeat(registration.warmup_left_s)
@@ -286,13 +284,7 @@
           sent_at: when the check was sent (s, of the clock).
         """
         self._update_server(response, is_ok, sent_at)
-        incarnation = response.incarnation or self.server.incarnation
-        if not self.server.is_from_current(incarnation, sent_at):
-            return
-        self.stated_limit.record_check(response, sent_at)
-        self._limit_records.update(self.stated_limit.per_s)
-        if response.is_leaving:
-            self._record_leaving()
+        self._notices.record_check(response, sent_at)
 
     def _update_server(
         self, response: ResponseMetadata, is_ok: bool, sent_at: float
@@ -324,32 +316,10 @@
         if response.warmup_left_s is None:
             self.warmup.mark_unknown(sent_at)
 
-    def _on_response(self, response: VerifiedResponse) -> None:
-        """Handles what the response to a request states of the server."""
-        metadata = response.metadata
-        if metadata.is_other_incarnation:
-            return
-        if not self.server.is_from_current(
-            response.incarnation, response.sent_at
-        ):
-            return
-        self.stated_limit.record_response(
-            metadata, response.sent_at, is_success=response.is_success
-        )
-        self._limit_records.update(self.stated_limit.per_s)
-        if metadata.is_leaving:
-            self._record_leaving()
-
-    def _record_leaving(self) -> None:
-        """Stops new work at a server that states that it is leaving."""
-        process = self.server.process
-        if self.server.mark_leaving(process):
-            self._on_stated_leaving(process)
-
     def _on_server_replaced(self, expected: str, incarnation: str) -> None:
         """Handles that `incarnation` answered instead of `expected`."""
         self.server.record_answering_incarnation(expected, incarnation)
-        self.stated_limit.reset()
+        self._notices.record_process()
         self.warmup.mark_unknown(self._clock.monotonic())
 
     def _on_run(self, run: CompletedRun) -> None:
@@ -403,7 +373,3 @@
     def record_connect_failure(self) -> None:
         super().record_connect_failure()
         self._server.mark_unreachable()
-
-
-def _ignore_process(process: ServerProcess) -> None:
-    """The default for `on_stated_leaving`."""
--- a/src/radishwind/sidecar/tests/test_unreported_notices.py
+++ b/src/radishwind/sidecar/tests/test_unreported_notices.py
@@ -43,6 +43,6 @@
     chooser.receive_report("x", LoadReport(6, 0, 0, 0.0), 1, 1, 0.0)
     chooser.receive_report("y", LoadReport(6, 6, 0, 0.0), 1, 1, 0.0)
 
-    UnreportedNotices(chooser, clock).check("x", headers, load)
+    UnreportedNotices(chooser.statistics, clock).check("x", headers, load)
 
     assert chooser.choose(MEMBERS, 1.0).name == chosen
--- a/src/radishwind/sidecar/unreported_notices.py
+++ b/src/radishwind/sidecar/unreported_notices.py
@@ -10,7 +10,7 @@
 from radishwind.platform import get_stated_limit
 from radishwind.platform import states_leaving
 from radishwind.routing.chooser import LoadReport
-from radishwind.routing.fresh_load_chooser import FreshLoadChooser
+from radishwind.routing.target_statistics import TargetStatistics
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Time for which a target whose server states that it is leaving is excluded
@@ -21,14 +21,14 @@
 class UnreportedNotices:
     """Compares the fields of forwarded responses with the load reports."""
 
-    def __init__(self, chooser: FreshLoadChooser, clock: Clock) -> None:
+    def __init__(self, statistics: TargetStatistics, clock: Clock) -> None:
         """Creates the comparison.
 
         Args:
-          chooser: is told of limits and leaving that no report states.
+          statistics: what is known of targets; is told what no report states.
           clock: the clock.
         """
-        self._chooser = chooser
+        self._statistics = statistics
         self._clock = clock
         self._log = PartLogger("entry", clock)
 
@@ -52,10 +52,10 @@
                 target=target,
                 limit_per_s=limit_per_s,
             )
-            self._chooser.record_unenforced_limit(target, limit_per_s, now)
+            self._statistics.record_unenforced_limit(target, limit_per_s, now)
         if states_leaving(headers) and (load is None or not load.leaving):
             self._log.info(
                 "A node does not report that its server is leaving.",
                 target=target,
             )
-            self._chooser.exclude(target, now + LEAVING_EXCLUSION_S)
+            self._statistics.exclude(target, now + LEAVING_EXCLUSION_S)
--- a/src/radishwind/target/limit_records.py
+++ b/src/radishwind/target/limit_records.py
@@ -13,7 +13,7 @@
 from radishwind.target.server_process import ServerProcess
 from radishwind.telemetry.part_logger import PartLogger
 
-TOPIC = "server-limit"
+TOPIC = "stated-limit"
 
 #: Lifetime of a record that is not renewed (s), and its age when it is.
 RECORD_TTL_S = 20.0
