Let servers leave by their responses in the experiment

The experiment injected stated limits, but no leave, so that only single target sides and the soak showed requests at leaving servers. An event `leaving` lets some servers of a service state it and replaces them later; the report counts requests that arrive later than 2 s after the first response with the mark.

--- a/src/radishwind/experiment/report.py
+++ b/src/radishwind/experiment/report.py
@@ -86,12 +86,15 @@
       cold_crashes: number of crashes of cold servers by overload.
       limit_excess: most requests beyond those allowed that a server got in a
         window while it stated a limit.
+      late_arrivals: requests that reached servers too late after they had
+        stated that they leave.
     """
 
     records: tuple[RequestRecord, ...]
     runs: int
     cold_crashes: int = 0
     limit_excess: float = 0.0
+    late_arrivals: int = 0
 
     @property
     def credit(self) -> float:
@@ -150,6 +153,8 @@
     ]
     if report.limit_excess:
         lines.append(f"limit exceeded by {report.limit_excess:.1f} requests")
+    if report.late_arrivals:
+        lines.append(f"{report.late_arrivals} requests reached leaving servers")
     lines.append("from second  credit")
     lines += [f"{at:>11.0f}{credit:>8.3f}" for at, credit in report.windows()]
     return "\n".join(lines) + "\n"
--- a/src/radishwind/experiment/scenario.py
+++ b/src/radishwind/experiment/scenario.py
@@ -178,6 +178,24 @@
     in_health_responses: bool = True
 
 
+class LeavingServers(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="leaving"
+):
+    """Some servers of a service state that they leave, and are replaced.
+
+    Attributes:
+      at: when they first state it (s).
+      for_s: time until other processes take their places (s).
+      service: the service.
+      share: fraction of the servers of the service.
+    """
+
+    at: _Seconds
+    for_s: _Seconds
+    service: str
+    share: _Share = 0.4
+
+
 class PowerLoss(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="power-loss"
 ):
@@ -198,7 +216,14 @@
     domain: str
 
 
-Event = Burst | SlowServers | LimitedServers | PowerLoss | DomainEvacuation
+Event = (
+    Burst
+    | SlowServers
+    | LimitedServers
+    | LeavingServers
+    | PowerLoss
+    | DomainEvacuation
+)
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/radishwind/experiment/simulated_server.py
+++ b/src/radishwind/experiment/simulated_server.py
@@ -32,6 +32,9 @@
 #: Window in which the requests to a cold server are counted (s).
 _COLD_WINDOW_S = 1.0
 
+#: Time for which a server that states that it is leaving may get requests (s).
+DRAIN_S = 2.0
+
 #: Sends a nested request of a kind with a time left (s); returns whether it
 #: succeeded.
 MakeCall = Callable[[str, float], Awaitable[bool]]
@@ -77,8 +80,11 @@
       started_runs: number of requests that started to run.
       hidden_slowdown: factor on run times that its load does not show.
       limit_meter: the request limit that it states, and how it is kept.
+      is_leaving: whether it states that it is leaving.
+      late_arrivals: requests that arrived later than `DRAIN_S` after a response
+        stated that.
       has_notices_in_health_responses: whether its health responses state the
-        limit too.
+        limit and the leave too.
       on_cold_crash: called when it is overloaded while cold.
     """
 
@@ -95,6 +101,9 @@
         self.started_runs = 0
         self.hidden_slowdown = 1.0
         self.limit_meter = LimitMeter()
+        self.is_leaving = False
+        self.late_arrivals = 0
+        self._leave_stated_at = math.inf
         self.has_notices_in_health_responses = True
         self.on_cold_crash: Callable[[], None] = _ignore_crash
         self._arrivals: collections.deque[float] = collections.deque()
@@ -127,7 +136,9 @@
                 self.warmup_left_s(),
                 self._notices(in_health_response=True),
             )
-        self.limit_meter.record_arrival(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self.limit_meter.record_arrival(now)
+        self.late_arrivals += now > self._leave_stated_at + DRAIN_S
         self._check_cold_overload()
         if self._waiting >= self._model.queue:
             return build_refusal(self._load(), self._notices())
@@ -162,7 +173,10 @@
         if in_health_response and not self.has_notices_in_health_responses:
             return NO_NOTICES
         self.limit_meter.record_statement()
-        return SimulatedNotices(self.limit_meter.per_s)
+        if self.is_leaving:
+            now = self._clock.monotonic()
+            self._leave_stated_at = min(self._leave_stated_at, now)
+        return SimulatedNotices(self.limit_meter.per_s, self.is_leaving)
 
     async def _call(self, kind: RequestKind, left_s: float) -> bool:
         if kind.calls is None or self._rng.random() >= kind.calls_share:
--- a/src/radishwind/experiment/simulation.py
+++ b/src/radishwind/experiment/simulation.py
@@ -12,6 +12,7 @@
 from radishwind.experiment.scenario import Burst
 from radishwind.experiment.scenario import DomainEvacuation
 from radishwind.experiment.scenario import Event
+from radishwind.experiment.scenario import LeavingServers
 from radishwind.experiment.scenario import LimitedServers
 from radishwind.experiment.scenario import RequestKind
 from radishwind.experiment.scenario import Scenario
@@ -42,7 +43,6 @@
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.switches import ALL_ON
 from radishwind.sidecar.switches import Switches
-from radishwind.standins.limit_meter import LimitMeter
 from radishwind.target.registered_server import Registration
 
 #: One-way delay within an instance (s).
@@ -88,7 +88,7 @@
         self._rate_factor = 1.0
         self._runs = 0
         self._cold_crashes = 0
-        self._limit_meters: list[LimitMeter] = []
+        self._servers: list[SimulatedServer] = []
         self._revisions = itertools.count(1)
         self._evacuated = EvacuatedDomains()
         self._names = itertools.count(1)
@@ -117,7 +117,8 @@
             tuple(callers.records),
             self._runs,
             self._cold_crashes,
-            max((x.excess for x in self._limit_meters), default=0.0),
+            max((x.limit_meter.excess for x in self._servers), default=0.0),
+            sum(x.late_arrivals for x in self._servers),
         )
 
     async def _generate_arrivals(
@@ -168,6 +169,9 @@
         if isinstance(event, LimitedServers):
             await self._limit_servers(event)
             return
+        if isinstance(event, LeavingServers):
+            await self._replace_servers(event)
+            return
         count = max(1, round(event.share * len(self._instances)))
         affected = self._rng.sample(self._instances, count)
         if isinstance(event, SlowServers):
@@ -193,15 +197,22 @@
                 instance.restart_warmup()
         self._set_evacuated(event.domain, evacuated=False)
 
+    def _sample_running(self, service: str, share: float) -> list[_Instance]:
+        """Returns a random share of the instances that run `service`."""
+        running = [
+            x
+            for x in self._instances
+            if x.server is not None and x.settings.service == service
+        ]
+        return self._rng.sample(running, max(1, round(share * len(running))))
+
     async def _limit_servers(self, event: LimitedServers) -> None:
         """Lets some servers of a service state a limit for a while."""
-        servers = [
+        limited = [
             x.server
-            for x in self._instances
-            if x.server is not None and x.settings.service == event.service
+            for x in self._sample_running(event.service, event.share)
+            if x.server is not None
         ]
-        count = max(1, round(event.share * len(servers)))
-        limited = self._rng.sample(servers, count)
         for server in limited:
             server.has_notices_in_health_responses = event.in_health_responses
             server.limit_meter.set_limit(event.per_s, self._clock.monotonic())
@@ -209,6 +220,20 @@
         for server in limited:
             server.limit_meter.set_limit(None, self._clock.monotonic())
 
+    async def _replace_servers(self, event: LeavingServers) -> None:
+        """Lets some servers of a service leave, and replaces them."""
+        leaving = self._sample_running(event.service, event.share)
+        for instance in leaving:
+            assert instance.server is not None
+            instance.server.is_leaving = True
+        await anyio.sleep(event.for_s)
+        for instance in leaving:
+            if instance.node is None or instance.server is None:
+                continue
+            self._runs += instance.server.started_runs
+            self._network.close_listener(instance.settings.server)
+            self._start_server(instance, instance.node)
+
     def _set_evacuated(self, domain: str, *, evacuated: bool) -> None:
         """Marks `domain` as evacuated, or not, at all running nodes."""
         self._evacuated = self._evacuated.with_change(
@@ -256,7 +281,7 @@
             instance, node, server
         )
         instance.server = server
-        self._limit_meters.append(server.limit_meter)
+        self._servers.append(server)
         self._network.listen(settings.server, server.handle)
         self._tasks.start_soon(self._send_heartbeats, instance, node, server)
 
--- a/src/radishwind/experiment/tests/test_limited_servers.py
+++ b/src/radishwind/experiment/tests/test_server_notices.py
@@ -1,9 +1,10 @@
-"""A fleet in which some servers state a request limit."""
+"""A fleet in which some servers state a request limit, or that they leave."""
 
 import msgspec
 import pytest
 
 from radishwind.experiment import simulate
+from radishwind.experiment.scenario import LeavingServers
 from radishwind.experiment.scenario import LimitedServers
 from radishwind.experiment.scenario import Noise
 from radishwind.experiment.scenario import NoiseLaw
@@ -64,3 +65,15 @@
 
     assert report.limit_excess == 0
     assert report.credit >= 0.9
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_leaving_servers_get_no_late_requests(seed):
+    leaving = LeavingServers(at=3.0, for_s=5.0, service="clips")
+
+    report = simulate(
+        msgspec.structs.replace(FLEET, seed=seed, events=(leaving,))
+    )
+
+    assert report.late_arrivals == 0
+    assert report.credit >= 0.9
