Restart soak nodes that a reload ended before their code ran

Its log ends with the planned stop's `Stopped.`: it was started 0.13 s before a SIGHUP and never logged again.

The fault now waits for a starting node, restarts it if the signal ended it before it logged anything, and counts any other end as a failure; until now an exit by SIGHUP was not checked at all. Ruled out: the limit and the leave, of which the node's log has none at that time.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -26,6 +26,9 @@
     for number, service in ((1, "library"), (2, "library"), (3, "sessions"))
 )
 
+#: Interval at which a starting node is checked (s).
+_POLL_INTERVAL_S = 0.02
+
 #: Exit code of a node ended by SIGKILL, which is expected, as is 0.
 _KILLED_EXIT_CODE = -signal.SIGKILL
 
@@ -212,6 +215,25 @@
         await instance.start_node()
         self.record_disturbance(instance)
 
+    async def reload_node(self, instance: Instance) -> None:
+        """Sends SIGHUP; restarts a node that it ended before our code ran."""
+        if instance.has_logged_since_start:
+            instance.signal_node(signal.SIGHUP)
+            return
+        instance.signal_node(signal.SIGHUP)
+        ended = asyncio.ensure_future(instance.node_ended())
+        while not ended.done() and not instance.has_logged_since_start:  # noqa: ASYNC110
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        if not ended.done():
+            ended.cancel()
+            return
+        if ended.result() != -signal.SIGHUP or instance.has_logged_since_start:
+            self.unexpected_exits.append(
+                f"{instance.place.name} ended with {ended.result()}"
+            )
+        self.record_disturbance(instance)
+        await instance.start_node()
+
     async def close(self) -> None:
         for links in self.links.values():
             for proxy in links.all():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -133,9 +133,15 @@
 
 async def reload_node(deployment: Deployment, rng: random.Random) -> str:
     instance = rng.choice(deployment.instances())
-    if instance.place.name not in deployment.reserved:
-        instance.signal_node(signal.SIGHUP)
-    return instance.place.name
+    name = instance.place.name
+    if name in deployment.reserved:
+        return name
+    deployment.reserved.add(name)
+    try:
+        await deployment.reload_node(instance)
+    finally:
+        deployment.reserved.discard(name)
+    return name
 
 
 async def crash_server(deployment: Deployment, rng: random.Random) -> str:
