Turn nodes away from the store stand-in by the address they call

Two checks saw a store that was well: StoreFaults.only matched the address that a call comes from, and all nodes of a deployment call from 127.0.0.1. Each node now has an address of the store of its own, and the stand-in counts each fault that took effect. It also loses answers of watches, cuts open connections and lets them go silent.

test_node_refused_by_the_store_stays_in_service asserts that calls were turned away. The check is of a node in service, so the fixture waits until each node knows the secret.

--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -31,11 +31,13 @@
 from radishwind.standins.ports import find_free_port_range
 
 HOST = "calm.example"
-STORE_HOST = "127.0.9.1"
 
 #: The `bounds` setting that every deployment of stand-ins has.
 _BOUNDS = ("drain-ms=2000", "grace-s=6", "retry-slack=58")
 
+#: Ports of an instance: of its node, its server, the store, and proxies.
+_PORTS_PER_INSTANCE = 11
+
 #: Time within which a node must become ready (s).
 READY_WITHIN_S = 20.0
 
@@ -87,6 +89,7 @@
       peer_address: the listener for peers on the node.
       server_address: the address of the backend server.
       metrics_address: the metrics listener of the node.
+      store_address: the address at which the store serves this node only.
       configured_store_address: the address of the store that the node is
         configured with, such as that of a proxy; `None` for the real one.
       configured_server_address: the address of the backend server that the
@@ -108,6 +111,7 @@
         self.peer_address = Address(place.host, port + 3)
         self.server_address = Address(place.host, port + 4)
         self.metrics_address = Address(place.host, port + 6)
+        self.store_address = Address(place.host, port + 10)
         self.configured_store_address: Address | None = None
         self.configured_server_address = self.server_address
         self.configured_peer_address: Address | None = None
@@ -121,10 +125,11 @@
         self.server: PlatformServerStandin | None = None
 
     def write_settings(
-        self, store: Address, domains: list[str], bounds: tuple[str, ...]
+        self, domains: list[str], bounds: tuple[str, ...]
     ) -> None:
         """Writes the settings file in the format of the platform."""
         place = self.place
+        store = self.configured_store_address or self.store_address
         lines = [
             f'node = "{place.name}"',
             f'ip = "{place.host}"',
@@ -143,7 +148,7 @@
             f'ready = "{self.ready_address}"',
             f'control = "{self.control_address}"',
             "[provider]",
-            f'address = "{self.configured_store_address or store}"',
+            f'address = "{store}"',
         ]
         self.settings_path.write_text("\n".join(lines) + "\n")
 
@@ -239,7 +244,6 @@
     Attributes:
       instances: the instances, by name.
       store: the stand-in for the store.
-      store_address: the address of the store.
       accounts: the client accounts that `configure` writes, in the format of
         the operator.
     """
@@ -262,17 +266,19 @@
         self._bounds = bounds
         self.accounts: list[dict[str, Any]] = []
         self._prepare_instance = prepare
-        port = find_free_port_range([p.host for p in places] + [STORE_HOST], 10)
+        port = find_free_port_range(
+            [p.host for p in places], _PORTS_PER_INSTANCE
+        )
         self.instances = {p.name: Instance(p, port, folder) for p in places}
         self.store = PlatformStoreStandin(SystemClock())
-        self.store_address = Address(STORE_HOST, port)
         self._stack = contextlib.AsyncExitStack()
         self._config_version = 0
         self._session: aiohttp.ClientSession
 
     async def __aenter__(self) -> "Fleet":
         runner = await _start_application(
-            self.store.make_application(), self.store_address
+            self.store.make_application(),
+            *(i.store_address for i in self.instances.values()),
         )
         self._stack.push_async_callback(runner.cleanup)
         store_task = asyncio.create_task(self.store.run())
@@ -286,7 +292,7 @@
         for instance in self.instances.values():
             if self._prepare_instance is not None:
                 await self._prepare_instance(instance)
-            instance.write_settings(self.store_address, domains, self._bounds)
+            instance.write_settings(domains, self._bounds)
             self._stack.push_async_callback(instance.close)
         return self
 
@@ -410,10 +416,13 @@
 
 
 async def _start_application(
-    app: web.Application, address: Address
+    app: web.Application, *addresses: Address
 ) -> web.AppRunner:
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port, reuse_address=True)
-    await site.start()
+    for address in addresses:
+        site = web.TCPSite(
+            runner, address.host, address.port, reuse_address=True
+        )
+        await site.start()
     return runner
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -34,21 +34,33 @@
 class StoreFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The faults in force until they are replaced.
 
+    A connection on which a response was lost returns nothing further.
+
     Attributes:
       down: empty, `busy` (status 503), `many` (status 429), `reset` (the
         connection is reset) or `silent` (no response).
-      only: the client IP addresses to which `down` applies; empty for all.
+      only: the nodes to which `down`, `cut` and `mute` apply, by IP address;
+        empty for all. A node is known by the address of the store that it
+        calls, or by its own.
+      cut: whether the open connections are reset when the faults are set.
+      mute: whether the open connections return nothing from then on; new ones
+        are served.
       delay_ms: the delay before each call is processed (ms).
       lose_answers: the number of next transactions whose response is lost.
       late_s: the delay after which a transaction whose response was lost is
         applied, if its conditions still hold (s).
+      lose_watch_answers: the number of next watch responses with events that
+        are lost.
     """
 
     down: str = ""
     only: tuple[str, ...] = ()
+    cut: bool = False
+    mute: bool = False
     delay_ms: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    lose_watch_answers: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,7 +82,8 @@
     Attributes:
       calls: the number of calls received, by name; a long-polling watch counts
         once.
-      faults: the faults in force.
+      injected: how often each fault took effect, by its name and the address
+        of the node, as of `StoreFaults.only`.
       revision: the current revision of the store.
     """
 
@@ -82,12 +95,43 @@
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
         self._change_event = asyncio.Event()
-        self.faults = StoreFaults()
+        self._faults = StoreFaults()
         self._answers_to_lose = 0
+        self._watch_answers_to_lose = 0
+        self._connections: dict[asyncio.BaseTransport, str] = {}
+        self._mute_connections: set[asyncio.BaseTransport] = set()
+        self.injected: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._delayed_transactions: set[asyncio.Task[None]] = set()
         self.calls: collections.Counter[str] = collections.Counter()
         self.revision = 1
 
+    @property
+    def faults(self) -> StoreFaults:
+        """The faults in force."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults: StoreFaults) -> None:
+        self._faults = faults
+        self._answers_to_lose = faults.lose_answers
+        self._watch_answers_to_lose = faults.lose_watch_answers
+        self._drop_closed_connections()
+        for transport, node in list(self._connections.items()):
+            if faults.only and node not in faults.only:
+                continue
+            if faults.mute:
+                self._mute_connections.add(transport)
+                self.injected["mute", node] += 1
+            if faults.cut:
+                transport.abort()  # type: ignore[attr-defined]
+                self.injected["cut", node] += 1
+
+    def injected_count(self, fault: str) -> int:
+        """Returns how often `fault` took effect at any node."""
+        return sum(n for (name, _), n in self.injected.items() if name == fault)
+
     def make_application(self) -> web.Application:
         """Returns an aiohttp application that serves the calls."""
         app = web.Application()
@@ -155,30 +199,59 @@
         self._notify_watches()
 
     def _with_faults(self, handler: Any) -> Any:
-        """Returns a handler that applies the faults before `handler`."""
+        """Returns a handler that applies the faults around `handler`."""
 
         async def handle(request: web.Request) -> web.StreamResponse:
             self.calls[request.path.split("/")[2]] += 1
-            faults = self.faults
-            is_affected = not faults.only or request.remote in faults.only
-            if faults.delay_ms:
-                await asyncio.sleep(faults.delay_ms / 1000)
-            if faults.down and is_affected:
-                return await _send_fault(request, faults.down)
+            self._note_connection(request)
+            if self._faults.delay_ms:
+                await asyncio.sleep(self._faults.delay_ms / 1000)
+            if self._is_down_for(request):
+                return await self._refuse(request)
             response: web.StreamResponse = await handler(request)
+            if request.transport in self._mute_connections:
+                return await _never_respond()
             return response
 
         return handle
 
+    def _note_connection(self, request: web.Request) -> None:
+        self._drop_closed_connections()
+        if request.transport is not None:
+            self._connections[request.transport] = _node_of(request)
+
+    def _drop_closed_connections(self) -> None:
+        for transport in list(self._connections):
+            if transport.is_closing():
+                del self._connections[transport]
+                self._mute_connections.discard(transport)
+
+    def _is_down_for(self, request: web.Request) -> bool:
+        faults = self._faults
+        if not faults.down:
+            return False
+        nodes = {_node_of(request), request.remote}
+        return not faults.only or bool(nodes & set(faults.only))
+
+    async def _refuse(self, request: web.Request) -> web.StreamResponse:
+        self.injected[self._faults.down, _node_of(request)] += 1
+        return await _send_fault(request, self._faults.down)
+
     async def _handle_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
         self.faults = msgspec.json.decode(body, type=StoreFaults)
-        self._answers_to_lose = self.faults.lose_answers
         return web.Response(status=204)
 
     async def _handle_counters(self, request: web.Request) -> web.Response:
         return web.json_response(
-            {"calls": dict(self.calls), "revision": self.revision}
+            {
+                "calls": dict(self.calls),
+                "injected": {
+                    f"{fault} {node}": count
+                    for (fault, node), count in self.injected.items()
+                },
+                "revision": self.revision,
+            }
         )
 
     async def _handle_key(self, request: web.Request) -> web.Response:
@@ -202,7 +275,7 @@
             }
         )
 
-    async def _handle_watch(self, request: web.Request) -> web.Response:
+    async def _handle_watch(self, request: web.Request) -> web.StreamResponse:
         prefix, after = request.query["prefix"], int(request.query["after"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["wait-ms"]) / 1000
@@ -215,6 +288,12 @@
                 if e["rev"] > after and e["key"].startswith(prefix)
             ]
             left_s = deadline - loop.time()
+            if (events or left_s <= 0) and self._is_down_for(request):
+                return await self._refuse(request)
+            if events and self._watch_answers_to_lose > 0:
+                self._watch_answers_to_lose -= 1
+                self.injected["lost watch answer", _node_of(request)] += 1
+                return await _never_respond()
             if events or left_s <= 0:
                 response = {"events": events, "current-rev": self.revision}
                 return web.json_response(response)
@@ -226,6 +305,7 @@
         body = await request.json()
         if self._answers_to_lose > 0:
             self._answers_to_lose -= 1
+            self.injected["lost answer", _node_of(request)] += 1
             late_s = self.faults.late_s
             task = asyncio.create_task(self._apply_later(body, late_s))
             self._delayed_transactions.add(task)
@@ -318,13 +398,30 @@
     if fault == "many":
         return web.json_response({}, status=429)
     if fault == "silent":
-        await asyncio.sleep(3600)
+        return await _never_respond()
     transport = request.transport
     if transport is not None:
         transport.abort()
     return web.Response(status=503)
 
 
+def _node_of(request: web.Request) -> str:
+    """Returns the address by which the node that sent `request` is known.
+
+    Each node of a deployment calls the store at an address of its own; their
+    connections all come from the same address of the loopback interface.
+    """
+    if request.transport is None:
+        return ""
+    return str(request.transport.get_extra_info("sockname")[0])
+
+
+async def _never_respond() -> web.StreamResponse:
+    """Holds the response, and so the connection, for ever."""
+    await asyncio.Event().wait()
+    return web.Response(status=503)
+
+
 async def _wait_at_most(event: asyncio.Event, timeout_s: float) -> None:
     try:
         await asyncio.wait_for(event.wait(), timeout_s)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -94,7 +94,7 @@
         port = instance.caller_address.port + 6
         host = instance.place.host
         upstreams = (
-            self.fleet.store_address,
+            instance.store_address,
             instance.server_address,
             instance.peer_address,
         )
--- a/tests/test_recency_processes.py
+++ b/tests/test_recency_processes.py
@@ -50,9 +50,17 @@
         await running.start(7, spell_s=0.0)
         for instance in running.instances.values():
             await wait_for(lambda i=instance: has_status(i, 200, key="one"))
+            await wait_for(lambda i=instance: knows_secret(i))
         yield running
 
 
+async def knows_secret(instance):
+    """Returns whether the node can sign messages and verify its peers'."""
+    return is_logged(instance, "secret of the fleet") or is_logged(
+        instance, "Created the secret"
+    )
+
+
 def configure(fleet, version, keys):
     cfg = {
         "version": version,
@@ -126,6 +134,7 @@
     await wait_for(lambda: has_status(refused, 401, key="one"))
     assert await has_status(refused, 200, key="two")
     assert not is_logged(refused, "Out of proof")
+    assert fleet.store.injected_count(how) > 0
 
 
 async def test_proof_metrics_are_exported(fleet):
