Show which nodes watch the store and how long a watch has been quiet

No log line or metric told a watch that brings nothing from a store in which nothing changes, nor which nodes watched. radishwind_store_watch_open, radishwind_store_watch_quiet_seconds, and a line at the begin and the end of each watch.

--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -46,6 +46,7 @@
 from radishwind.routes.store_watcher import DUTY_CHECK_INTERVAL_S
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.store_watcher import StoreWatcher
+from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.store.base import Store
 from radishwind.telemetry.part_logger import PartLogger
 
@@ -160,6 +161,11 @@
         rumor_bus.subscribe(EVACUATION_TOPIC, self._on_evacuation_rumor)
         active_routes.subscribe(self._on_adopted)
 
+    @property
+    def watch_monitor(self) -> WatchMonitor:
+        """State of this node's watch of the store."""
+        return self._store_watcher.monitor
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/radishwind/routes/store_watcher.py
+++ b/src/radishwind/routes/store_watcher.py
@@ -14,6 +14,7 @@
 from radishwind.core.clock import Clock
 from radishwind.recency.model import FreshnessProof
 from radishwind.routes.evacuation import EvacuatedDomains
+from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.store.base import Store
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreEntry
@@ -49,7 +50,11 @@
 
 
 class StoreWatcher:
-    """Reads the store once, and watches it while this node is a watcher."""
+    """Reads the store once, and watches it while this node is a watcher.
+
+    Attributes:
+      monitor: state of the watch.
+    """
 
     def __init__(
         self,
@@ -91,6 +96,7 @@
         self._log = PartLogger("routes", clock)
         self._backoff = Backoff(rng, _INITIAL_PAUSE_S, _MAX_PAUSE_S)
         self._clock = clock
+        self.monitor = WatchMonitor(clock)
         self._revision = 0
         # The newest revision at which the version of the configuration is
         # certain, and this version: from a linearizable read or from a change.
@@ -215,19 +221,26 @@
         The next watch continues from the last revision seen. All keys are read
         again only if the store has compacted the history since then.
         """
+        self.monitor.record_start(self._revision)
+        reason = "not a watcher"
         try:
             async for event in self._store.watch(
                 self._keys.prefix, self._revision + 1
             ):
                 self._record_result(failed=False)
+                self.monitor.record_event()
                 self._revision = max(self._revision, event.revision)
                 self._apply_event(event)
                 if not self._is_watcher():
                     return
-        except StoreCompactedError:
+        except StoreCompactedError as exc:
+            reason = str(exc)
             self._revision = 0
         except StoreError as exc:
-            self._record_result(failed=True, reason=str(exc)[:120])
+            reason = str(exc)[:120]
+            self._record_result(failed=True, reason=reason)
+        finally:
+            self.monitor.record_end(reason)
         await anyio.sleep(self._backoff.record_failure())
 
     def _apply_event(self, event: WatchEvent) -> None:
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -264,6 +264,7 @@
                 malformed_by_source=self._malformed_by_source,
                 keys=self._entry.keys,
                 recency=self._recency.renewer,
+                watch=self._control.watch_monitor,
             ),
         )
 
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -20,6 +20,7 @@
 from radishwind.routes.route_feed import RouteFeed
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.unsigned_requests import UnsignedRequestHandler
+from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.control import HeartbeatListener
 from radishwind.sidecar.leaving_records_loader import LeavingRecordsLoader
@@ -138,6 +139,11 @@
             on_loaded=self.heartbeats.on_records_loaded,
         )
 
+    @property
+    def watch_monitor(self) -> WatchMonitor:
+        """State of this node's watch of the store."""
+        return self._feed.watch_monitor
+
     def listen_on(self, peers: PeerListener) -> None:
         """Handles messages of other nodes about routes and leaving servers."""
         peers.add_control_handler(
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -15,6 +15,7 @@
 from radishwind.recency import ProofRenewer
 from radishwind.routes.active_routes import ActiveRoutes
 from radishwind.routes.evacuation import EvacuationState
+from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.sidecar.link_side import LinkSide
 from radishwind.sidecar.peer_side import PeerSide
 from radishwind.sidecar.quota_sharing import QuotaSharing
@@ -48,6 +49,7 @@
     malformed_by_source: Callable[[], Mapping[str, int]]
     keys: KeyAuthenticator
     recency: ProofRenewer | None
+    watch: WatchMonitor
 
 
 def add_metrics(metrics: NodeExposition, sources: MetricSources) -> None:
@@ -154,6 +156,16 @@
         "The version of the routes in force.",
         lambda: {"": sources.routes.version},
     )
+    metrics.add_gauge(
+        "radishwind_store_watch_open",
+        "1 while this node watches the store, else 0.",
+        lambda: {"": int(sources.watch.is_open)},
+    )
+    metrics.add_gauge(
+        "radishwind_store_watch_quiet_seconds",
+        "How long the open watch has reported no change.",
+        lambda: {"": sources.watch.quiet_s()},
+    )
     metrics.add_gauge(
         "radishwind_domains_emptied",
         "Failure domains that get nothing new, by name.",
