Prove the configuration recent at all times, and replace watches that died

Cause: the only way to learn of a change was a watch, one call that waits for 29 s. Its silence counted as 'nothing changed', although a connection on which an answer was lost, or that was opened while the store stood still, returns nothing more. And the nodes that watch were chosen by membership alone: if the store answered none of them, nobody else asked it.

Why this works: the freshness proofs, which bounded the age of revoked keys where settings ask for it, now run everywhere, at the bound of a change. One node reads the store's revision each 0.3 of it; if no proof comes, the others follow by the age of theirs, so the duty passes on by what each node sees, not by who seems alive. A change that a proof or a peer shows and the open watch does not report within 1 s ends that watch; so does a loss of the store.

A node that misses a version asks peers that have it first, and the next one after 0.1 s without an answer. The time limit of a call of the store covers the whole answer; the body had none.

--- a/src/radishwind/accounts/__init__.py
+++ b/src/radishwind/accounts/__init__.py
@@ -5,15 +5,11 @@
 """
 
 from radishwind.accounts.account_index import AccountIndex
-from radishwind.accounts.key_freshness import AlwaysFresh
-from radishwind.accounts.key_freshness import KeyFreshness
 from radishwind.accounts.model import Account
 from radishwind.accounts.model import digest_key
 
 __all__ = [
     "Account",
     "AccountIndex",
-    "AlwaysFresh",
-    "KeyFreshness",
     "digest_key",
 ]
--- a/src/radishwind/accounts/key_freshness.py
+++ b/src/radishwind/core/freshness.py
@@ -1,14 +1,14 @@
-"""Interface that reports whether the known keys are recent enough to use."""
+"""Interface that tells whether what a node knows is recent enough to use."""
 
 import abc
 
 
-class KeyFreshness(abc.ABC):
-    """Determines whether keys known to this node may be accepted."""
+class Freshness(abc.ABC):
+    """Determines whether knowledge of a node may be relied on."""
 
     @abc.abstractmethod
     def is_fresh(self, now: float) -> bool:
-        """Returns whether requests with a key may run.
+        """Returns whether the knowledge is recent enough.
 
         Args:
           now: monotonic time, which includes suspensions of the machine (s).
@@ -25,8 +25,8 @@
         return None
 
 
-class AlwaysFresh(KeyFreshness):
-    """Keys are accepted until a newer configuration removes them."""
+class AlwaysFresh(Freshness):
+    """What is known counts until it is replaced."""
 
     def is_fresh(self, now: float) -> bool:
         return True
--- a/src/radishwind/entry/key_authenticator.py
+++ b/src/radishwind/entry/key_authenticator.py
@@ -4,9 +4,9 @@
 
 from radishwind.accounts import Account
 from radishwind.accounts import AccountIndex
-from radishwind.accounts import AlwaysFresh
-from radishwind.accounts import KeyFreshness
 from radishwind.core.codes import ResultCode
+from radishwind.core.freshness import AlwaysFresh
+from radishwind.core.freshness import Freshness
 from radishwind.entry.call import CallRejectedError
 
 
@@ -40,7 +40,7 @@
     def __init__(
         self,
         accounts: Callable[[], AccountIndex],
-        freshness: KeyFreshness | None = None,
+        freshness: Freshness | None = None,
     ) -> None:
         """Creates an authenticator.
 
--- a/src/radishwind/entry/routed_classifier.py
+++ b/src/radishwind/entry/routed_classifier.py
@@ -8,12 +8,15 @@
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
+from radishwind.core.freshness import AlwaysFresh
+from radishwind.core.freshness import Freshness
 from radishwind.entry.call import Call
 from radishwind.entry.call import CallRejectedError
 from radishwind.entry.call import ServiceUnknownError
 from radishwind.entry.classifier import Classifier
 from radishwind.entry.fan_out import FanOutDetector
 from radishwind.entry.key_authenticator import KeyAuthenticator
+from radishwind.entry.key_authenticator import KeyRefusedError
 from radishwind.entry.nested_routes import NestedRouteDetector
 from radishwind.entry.retry_age import RetryAgeEstimator
 from radishwind.http.types import Headers
@@ -32,6 +35,18 @@
     code = ResultCode.ROUTES_UNKNOWN
 
 
+class RoutesUnprovenError(CallRejectedError):
+    """A newer configuration may allow the request that this one denies."""
+
+    code = ResultCode.ROUTES_UNPROVEN
+
+    def __init__(self, retry_after_s: float | None) -> None:
+        super().__init__(
+            "expected a proof that the configuration is up to date, got none"
+        )
+        self.retry_after_s = retry_after_s
+
+
 class CallerFields(msgspec.Struct, frozen=True):
     """The decoded header fields of a caller's request.
 
@@ -52,7 +67,12 @@
 
 
 class RoutedClassifier(Classifier):
-    """Classifies a request by the route that it matches."""
+    """Classifies a request by the route that it matches.
+
+    Attributes:
+      unproven_count: number of requests rejected since the configuration that
+        denies them is not proven to be up to date.
+    """
 
     def __init__(
         self,
@@ -64,6 +84,7 @@
         normal_run_s: Callable[[str], float],
         keys: KeyAuthenticator,
         with_account: Callable[[Headers, str], Headers],
+        freshness: Freshness | None = None,
         retry_ages: RetryAgeEstimator | None = None,
         fan_outs: FanOutDetector | None = None,
         nested_routes: NestedRouteDetector | None = None,
@@ -80,6 +101,8 @@
           keys: authenticates requests.
           with_account: returns the given header fields and one with the name
             of an account, for the backend server.
+          freshness: whether the configuration is recent enough to deny a
+            request for good; by default it always is.
           retry_ages: estimates how long ago a caller first sent a request; by
             default each request counts as the first.
           fan_outs: detects calls of one fan-out; by default there are none.
@@ -93,6 +116,8 @@
         self._normal_run_s = normal_run_s
         self._keys = keys
         self._with_account = with_account
+        self._freshness = freshness or AlwaysFresh()
+        self.unproven_count = 0
         self._retry_ages = retry_ages
         self._fan_outs = fan_outs
         self._nested_routes = nested_routes
@@ -131,13 +156,14 @@
                 "expected a route configuration, got none yet"
             )
         route = self._routes.table.match(fields.host, request.path)
+        now = self._clock.monotonic()
         if route is None:
+            self._check_proven(now)
             raise ServiceUnknownError(
                 f"expected a host and path of a route of version "
                 f"{self._routes.version}, got host {fields.host[:80]!r} and "
                 f"path {request.path[:80]!r}"
             )
-        now = self._clock.monotonic()
         account = self._account(fields, route, now)
         timeout_s = route.timeout_s
         age_s = group_rank = 0.0
@@ -203,6 +229,22 @@
         """
         if not self._keys.has_accounts:
             return None
-        return self._keys.authenticate(
-            fields.keys, public=route.public, now=now
-        )
+        try:
+            return self._keys.authenticate(
+                fields.keys, public=route.public, now=now
+            )
+        except KeyRefusedError:
+            if fields.keys:
+                self._check_proven(now)
+            raise
+
+    def _check_proven(self, now: float) -> None:
+        """Raises unless the configuration may deny a request for good.
+
+        Raises:
+          RoutesUnprovenError: a newer one may be in force by now.
+        """
+        if self._freshness.is_fresh(now):
+            return
+        self.unproven_count += 1
+        raise RoutesUnprovenError(self._freshness.retry_s(now))
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -100,6 +100,7 @@
         quota_slack=bounds.get("quota-slack", 20.0),
         cold_over=bounds.get("cold-over", 1.0),
         cold_slack=bounds.get("cold-slack", 0.0),
+        config_s=bounds.get("config-ms", 2000.0) / 1000,
         revoke_s=bounds.get("revoke-ms", 5000.0) / 1000 if is_strict else None,
         link_mbps=file.limits.link_mbps,
         first_start=file.bootstrap,
--- a/src/radishwind/platform/platform_store.py
+++ b/src/radishwind/platform/platform_store.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import Any
+from typing import cast
 from typing import TypeVar
 import urllib.parse
 
@@ -15,6 +16,7 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import SendError
 from radishwind.http.sender import Sender
+from radishwind.http.types import abort_body
 from radishwind.http.types import Address
 from radishwind.http.types import read_body
 from radishwind.http.types import Request
@@ -115,7 +117,7 @@
         response = await self._call("GET", _make_path("kv-key", **query))
         if response.status == 404:
             return None
-        return _make_entry(await _decode_response(response, _Item))
+        return _make_entry(_decode_response(response, _Item))
 
     async def list(
         self, prefix: str, limit: int = 0, *, allow_stale: bool = False
@@ -127,7 +129,7 @@
             if after:
                 query["after"] = after
             response = await self._call("GET", _make_path("kv-range", **query))
-            page = await _decode_response(response, _Range)
+            page = _decode_response(response, _Range)
             entries += [
                 _make_entry(item, page.current_rev)
                 for item in self._decode_items(page.items)
@@ -148,7 +150,7 @@
         # response carries the revision without any value.
         query = {"prefix": CONFIG_KEY, "after": CONFIG_KEY}
         response = await self._call("GET", _make_path("kv-range", **query))
-        revision = (await _decode_response(response, _Range)).current_rev
+        revision = _decode_response(response, _Range).current_rev
         if revision <= 0:
             raise StoreAnswerMalformedError(
                 f"expected the store's revision, got {revision}"
@@ -169,27 +171,23 @@
             "POST", "/-/kv-txn", msgspec.json.encode(body)
         )
         if response.status == 412:
-            await _read_response(response)
             return TxnResult(False, 0)
-        result = await _decode_response(response, _Revision)
+        result = _decode_response(response, _Revision)
         return TxnResult(True, result.rev)
 
     async def grant(self, ttl_s: int) -> int:
         body = msgspec.json.encode({"ttl-ms": ttl_s * 1000})
         response = await self._call("POST", "/-/kv-lease", body)
-        return (await _decode_response(response, _Lease)).lease
+        return _decode_response(response, _Lease).lease
 
     async def keep_alive(self, lease_id: int) -> int:
         response = await self._call("POST", f"/-/kv-keep/{lease_id}")
         if response.status == 404:
-            await _read_response(response)
             return 0
-        return (await _decode_response(response, _Lease)).ttl_ms // 1000
+        return _decode_response(response, _Lease).ttl_ms // 1000
 
     async def revoke(self, lease_id: int) -> None:
-        await _read_response(
-            await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
-        )
+        await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
 
     async def watch(
         self, prefix: str, from_revision: int
@@ -206,7 +204,7 @@
                 ),
                 timeout_s=WATCH_WAIT_S + _WATCH_MARGIN_S,
             )
-            page = await _decode_response(response, _Events)
+            page = _decode_response(response, _Events)
             for item in self._decode_items(page.events):
                 entry = None if item.removed else _make_entry(item)
                 yield WatchEvent(item.key, entry, item.rev)
@@ -236,6 +234,8 @@
     ) -> Response:
         """Makes a call and returns its response, of status 200, 404 or 412.
 
+        Its body is complete: the timeout covers the whole response.
+
         Raises:
           StoreUnavailableError: the call certainly had no effect.
           StoreAnswerLostError: the call may have had an effect, or may still
@@ -245,8 +245,10 @@
         request = Request(method, path, _JSON, body, len(body))
         try:
             with anyio.fail_after(timeout_s):
-                response = await self._sender.send(
-                    self._address, request, _CONNECT_TIMEOUT_S
+                response = await _complete(
+                    await self._sender.send(
+                        self._address, request, _CONNECT_TIMEOUT_S
+                    )
                 )
         except ConnectFailedError as exc:
             raise StoreUnavailableError(f"{method}: {exc}") from exc
@@ -254,7 +256,6 @@
             raise StoreAnswerLostError(f"{method}: {exc!r}") from exc
         if response.status in (200, 404, 412):
             return response
-        await _read_response(response)
         if response.status == 410:
             raise StoreCompactedError("expected history, got 410")
         raise StoreUnavailableError(
@@ -272,21 +273,23 @@
     return f"/-/{name}?{urllib.parse.urlencode(query)}"
 
 
-async def _read_response(response: Response) -> bytes:
+async def _complete(response: Response) -> Response:
+    """Returns `response` with its whole body."""
     try:
-        return await read_body(response.body)
-    except SendError as exc:
-        raise StoreAnswerLostError(f"response broken off: {exc}") from exc
+        body = await read_body(response.body)
+    except BaseException:
+        abort_body(response.body)
+        raise
+    return msgspec.structs.replace(response, body=body)
 
 
-async def _decode_response(response: Response, kind: type[_T]) -> _T:
-    body = await _read_response(response)
+def _decode_response(response: Response, kind: type[_T]) -> _T:
     if response.status != 200:
         raise StoreUnavailableError(
             f"expected status 200, got {response.status}"
         )
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(cast(bytes, response.body), type=kind)
     except (msgspec.MsgspecError, ValueError) as exc:
         raise StoreAnswerMalformedError(f"response: {exc}") from exc
 
--- a/src/radishwind/recency/__init__.py
+++ b/src/radishwind/recency/__init__.py
@@ -1,9 +1,10 @@
-"""Bounds how stale a node's knowledge of the accounts' keys may be.
+"""Bounds how stale a node's knowledge of the configuration may be.
 
-A key that the operator revoked must not be accepted anywhere later than a bound
-after the store acknowledged the revocation, not even at a node that is cut off.
-Each node therefore proves by round trips how recent its configuration is, and
-accepts no key once its proof is older than the bound.
+A change that the store acknowledged must be in force at every node within a
+bound, and a revoked key must not be accepted later than another, not even at a
+node that is cut off. Each node therefore proves by round trips how recent its
+configuration is. The proofs find a change that a watch of the store missed, and
+while a node has no recent one it accepts no key and denies no route.
 """
 
 from radishwind.recency.model import FreshnessProof
--- a/src/radishwind/recency/proven_freshness.py
+++ b/src/radishwind/recency/proven_freshness.py
@@ -1,10 +1,10 @@
-"""Accepts keys only while a recent proof of the configuration is held."""
+"""Relies on the configuration only while a recent proof of it is held."""
 
 from collections.abc import Callable
 import math
 import random
 
-from radishwind.accounts import KeyFreshness
+from radishwind.core.freshness import Freshness
 from radishwind.recency.model import FreshnessProof
 from radishwind.recency.model import ProofSchedule
 
@@ -20,8 +20,48 @@
 _RETRY_JITTER = 0.5
 
 
-class ProvenFreshness(KeyFreshness):
-    """Keys are fresh while the version in force is proven to be recent.
+class BoundedFreshness(Freshness):
+    """Fresh while the proof of what is in force is younger than a bound."""
+
+    def __init__(
+        self,
+        max_age_s: float,
+        age_s: Callable[[float], float],
+        rng: random.Random,
+        on_stale: Callable[[], None],
+    ) -> None:
+        """Creates the freshness.
+
+        Args:
+          max_age_s: age at which a proof expires (s).
+          age_s: returns the age of the proof at a monotonic time (s).
+          rng: random source for retry delays.
+          on_stale: called when freshness was checked and the proof had expired.
+        """
+        self._max_age_s = max_age_s
+        self._age_s = age_s
+        self._rng = rng
+        self._on_stale = on_stale
+
+    def is_fresh(self, now: float) -> bool:
+        if self._age_s(now) < self._max_age_s:
+            return True
+        self._on_stale()
+        return False
+
+    def retry_s(self, now: float) -> float:
+        """Returns after how long a proof is likely to be available (s).
+
+        An outage is presumed to last as long again as it has lasted so far.
+        """
+        age_s = self._age_s(now)
+        outage_s = age_s - self._max_age_s if age_s < math.inf else 0.0
+        wait_s = min(max(outage_s, _MIN_RETRY_S), _MAX_RETRY_S)
+        return wait_s * self._rng.uniform(1, 1 + _RETRY_JITTER)
+
+
+class ProvenFreshness(Freshness):
+    """Fresh while the version in force is proven to be recent.
 
     Attributes:
       on_stale: called when freshness was checked and the proof had expired.
@@ -40,29 +80,31 @@
           version: returns the version in force, which never decreases.
           rng: random source for retry delays.
         """
-        self._schedule = schedule
         self._version = version
         self._rng = rng
         self._current: FreshnessProof | None = None
         self._pending: list[FreshnessProof] = []
+        self._own = self.within(schedule.bound_s)
         self.on_stale: Callable[[], None] = _ignore_stale
 
     def is_fresh(self, now: float) -> bool:
-        if self.age_s(now) < self._schedule.max_age_s:
-            return True
-        self.on_stale()
-        return False
+        return self._own.is_fresh(now)
 
     def retry_s(self, now: float) -> float:
-        """Returns after how long a proof is likely to be available (s).
+        return self._own.retry_s(now)
 
-        An outage is presumed to last as long again as it has lasted so far.
+    def within(self, bound_s: float) -> BoundedFreshness:
+        """Returns the freshness by the same proofs with another bound.
+
+        Args:
+          bound_s: longest time that a replaced version may be relied on (s).
         """
-        outage_s = 0.0
-        if self._current is not None:
-            outage_s = self.age_s(now) - self._schedule.max_age_s
-        wait_s = min(max(outage_s, _MIN_RETRY_S), _MAX_RETRY_S)
-        return wait_s * self._rng.uniform(1, 1 + _RETRY_JITTER)
+        return BoundedFreshness(
+            ProofSchedule(bound_s).max_age_s,
+            self.age_s,
+            self._rng,
+            lambda: self.on_stale(),
+        )
 
     def age_s(self, now: float) -> float:
         """Returns the age of the proof of the version in force (s).
--- a/src/radishwind/routes/feed_peers.py
+++ b/src/radishwind/routes/feed_peers.py
@@ -77,6 +77,29 @@
         """Returns the nodes of other failure domains, shuffled."""
         return self._select(is_local=False)
 
+    def update_sources(self, own_version: int) -> list[Member]:
+        """Returns the nodes to request an update from, in order.
+
+        Nodes known to have a newer version come first. A watcher requests it
+        from any failure domain, and pushes it to its own; the other nodes turn
+        to their own failure domain first, so that a node that alone has a
+        version is not called by all.
+
+        Args:
+          own_version: version of the routes in force here.
+        """
+        local, remote = self.local(), self.remote()
+        ahead = [
+            [m for m in members if m.config_revision > own_version]
+            for members in (local, remote)
+        ]
+        if self.is_watcher():
+            preferred = [*ahead[0][:2], *ahead[1][:2]]
+        else:
+            preferred = ahead[0][:3]
+        others = [*local[:3], *ahead[1][:1], *remote[:2]]
+        return list(dict.fromkeys([*preferred, *others]))
+
     def is_watcher(self) -> bool:
         """Returns whether this node should watch the store."""
         names = [m.name for m in self._others() if self._is_local(m)]
--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -71,6 +71,9 @@
 #: and then requests the version.
 _PUSH_WAIT_S = 0.15
 
+#: Another peer is requested from after this time without an answer (s).
+_NEXT_PEER_WAIT_S = 0.1
+
 #: Pushes in flight at the same time. A compressed configuration is 28 to 100
 #: KB, the link of a node 10 to 20 Mbit/s: six pushes that share it finish
 #: within the timeout, while concurrent pushes to all nodes of a large failure
@@ -188,6 +191,7 @@
 
     def note_version(self, version: int) -> None:
         """Records that `version` exists, so that it is fetched if newer."""
+        self._store_watcher.note_version(version)
         if version > self._known_version:
             self._known_version = version
             self._behind_event.set()
@@ -291,6 +295,7 @@
 
     def _on_adopted(self, cfg: RouteConfig) -> None:
         self._known_version = max(self._known_version, cfg.version)
+        self._store_watcher.note_version(cfg.version)
         value = msgspec.json.encode([cfg.version, self._node_name])
         self._rumor_bus.publish(
             VERSION_TOPIC, "version", cfg.version, value, _RUMOR_TTL_S
@@ -383,23 +388,37 @@
         return self._active_routes.version < self._known_version
 
     async def _pull(self) -> bool:
-        """Requests updates from peers, local ones first, then from the store.
+        """Requests updates from peers, and from the store if that fails.
+
+        The next peer is asked if one has not answered within
+        `_NEXT_PEER_WAIT_S`: it may have stopped or be cut off.
 
         Returns:
           Whether the node is up to date afterwards.
         """
-        for member in (
-            *self._feed_peers.local()[:3],
-            *self._feed_peers.remote()[:2],
-        ):
-            if await self._pull_from(member):
-                return True
+        async with anyio.create_task_group() as tasks:
+            for member in self._feed_peers.update_sources(
+                self._active_routes.version
+            ):
+                done = anyio.Event()
+                tasks.start_soon(self._pull_from, member, done)
+                with anyio.move_on_after(_NEXT_PEER_WAIT_S):
+                    await done.wait()
+                if self._is_up_to_date():
+                    tasks.cancel_scope.cancel()
+                    break
+        if self._is_up_to_date():
+            return True
         if self._active_routes.cfg is None:
             return False
         await self._store_watcher.read()
         return not self._is_behind()
 
-    async def _pull_from(self, member: Member) -> bool:
+    def _is_up_to_date(self) -> bool:
+        return self._active_routes.cfg is not None and not self._is_behind()
+
+    async def _pull_from(self, member: Member, done: anyio.Event) -> None:
+        """Requests an update from a peer; sets `done` at the end."""
         request = encode(
             UpdateRequest(
                 self._active_routes.version, self._evacuation.domains.revision
@@ -414,5 +433,5 @@
                 self._apply_update(message, f"peer {member.name}")
         except (PeerError, FeedMalformedError) as exc:
             self._log.info("A peer sent no routes.", reason=str(exc)[:120])
-            return False
-        return self._active_routes.cfg is not None and not self._is_behind()
+        finally:
+            done.set()
--- a/src/radishwind/routes/store_watcher.py
+++ b/src/radishwind/routes/store_watcher.py
@@ -102,6 +102,13 @@
         # certain, and this version: from a linearizable read or from a change.
         self._confirmed = (0, 0)
         self._is_unavailable = False
+        self._unavailable_since = 0.0
+        self._watch_scope: anyio.CancelScope | None = None
+        self._replacement_reason = ""
+
+    def note_version(self, version: int) -> None:
+        """Records that `version` exists, which the watch has to report."""
+        self.monitor.record_known(version=version)
 
     async def run(
         self, first_wait_s: float, is_known: Callable[[], bool]
@@ -116,6 +123,14 @@
           is_known: returns whether a configuration is in force; if a peer sent
             one during the wait, the read is skipped.
         """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._replace_silent_watches)
+            await self._follow(first_wait_s, is_known)
+
+    async def _follow(
+        self, first_wait_s: float, is_known: Callable[[], bool]
+    ) -> None:
+        """Reads once, then watches while this node is a watcher; see `run`."""
         await anyio.sleep(self._rng.random() * first_wait_s)
         may_skip_read = first_wait_s > 0
         while not is_known() or not may_skip_read:
@@ -195,7 +210,6 @@
         # there.
         newest = max(entry.mod_revision for entry in entries)
         as_of = max(newest, min(e.store_revision for e in entries))
-        self._revision = as_of
         # A stale response gets the revision of the newest key in it, so that
         # it never overrides what other nodes have learned since.
         names = self._evacuated_names(entries)
@@ -204,6 +218,12 @@
         version = self._on_config(config[0].value, STORE_SOURCE)
         if not allow_stale:
             self._record_confirmed(config[0].store_revision, version)
+        if self.monitor.is_open:
+            # The open watch has to report it too, or it is replaced.
+            self.monitor.record_known(newest, version)
+        else:
+            self._revision = as_of
+            self.monitor.record_reported(as_of, version)
         return version
 
     def _record_confirmed(self, revision: int, version: int) -> None:
@@ -223,32 +243,51 @@
         """
         self.monitor.record_start(self._revision)
         reason = "not a watcher"
-        try:
-            async for event in self._store.watch(
-                self._keys.prefix, self._revision + 1
-            ):
-                self._record_result(failed=False)
-                self.monitor.record_event()
-                self._revision = max(self._revision, event.revision)
-                self._apply_event(event)
-                if not self._is_watcher():
-                    return
-        except StoreCompactedError as exc:
-            reason = str(exc)
-            self._revision = 0
-        except StoreError as exc:
-            reason = str(exc)[:120]
-            self._record_result(failed=True, reason=reason)
-        finally:
-            self.monitor.record_end(reason)
+        with anyio.CancelScope() as self._watch_scope:
+            try:
+                await self._apply_events()
+            except StoreCompactedError as exc:
+                reason = str(exc)
+                self._revision = 0
+            except StoreError as exc:
+                reason = str(exc)[:120]
+                self._record_result(failed=True, reason=reason)
+        if self._watch_scope.cancelled_caught:
+            self.monitor.record_end(self._replacement_reason, is_replaced=True)
+            return
+        self.monitor.record_end(reason)
         await anyio.sleep(self._backoff.record_failure())
 
+    async def _apply_events(self) -> None:
+        async for event in self._store.watch(
+            self._keys.prefix, self._revision + 1
+        ):
+            self._record_result(failed=False)
+            self._revision = max(self._revision, event.revision)
+            self._apply_event(event)
+            if not self._is_watcher():
+                return
+
+    async def _replace_silent_watches(self) -> None:
+        """Ends a watch that missed a change, so that a new one is opened."""
+        while True:
+            await anyio.sleep(DUTY_CHECK_INTERVAL_S)
+            if self.monitor.has_missed_change():
+                self._replace_watch("missed a change")
+
+    def _replace_watch(self, reason: str) -> None:
+        if self._watch_scope is not None and self.monitor.is_open:
+            self._replacement_reason = reason
+            self._watch_scope.cancel()
+
     def _apply_event(self, event: WatchEvent) -> None:
         if event.key == self._keys.config:
             if event.entry is not None:
                 version = self._on_config(event.entry.value, STORE_SOURCE)
+                self.monitor.record_reported(event.revision, version)
                 self._record_confirmed(event.revision, version)
             return
+        self.monitor.record_reported(event.revision)
         name = self._keys.evacuated_domain(event.key)
         if name is None:
             return
@@ -258,15 +297,22 @@
         self._on_evacuation(domains, STORE_SOURCE)
 
     def _record_result(self, *, failed: bool, reason: str = "") -> None:
-        """Logs when the store becomes unavailable and available again."""
+        """Records the result of a call; logs losing and regaining the store.
+
+        A watch from before the loss may have died with it, and is replaced.
+        """
         if not failed:
             self._backoff.record_success()
         if failed == self._is_unavailable:
             return
         self._is_unavailable = failed
-        sentence = (
-            "The store is unavailable."
-            if failed
-            else "The store is available again."
+        if failed:
+            self._unavailable_since = self._clock.monotonic()
+            self._log.change("The store is unavailable.", reason=reason)
+            return
+        self._log.change(
+            "The store is available again.",
+            after_s=round(self._clock.monotonic() - self._unavailable_since, 3),
         )
-        self._log.change(sentence, reason=reason)
+        if self.monitor.is_older_than(self._unavailable_since):
+            self._replace_watch("the store was unavailable")
--- a/src/radishwind/routes/watch_monitor.py
+++ b/src/radishwind/routes/watch_monitor.py
@@ -1,21 +1,64 @@
-"""Tracks an open watch of the store, and whether it has missed a change.
+"""Decides whether an open watch of the store has missed a change.
 
 A watch that reports nothing may mean that nothing changed, or that its
-connection is dead. Only evidence from elsewhere tells these apart.
+connection is dead. Evidence from elsewhere tells these apart: a read of the
+store, a version that a peer has, a call of this node that failed.
 """
 
 from radishwind.core.clock import Clock
 from radishwind.telemetry.part_logger import PartLogger
 
+#: A watch reports a change within this time after it is known from elsewhere
+#: (s), also while the store is slow.
+MAX_LAG_S = 1.0
+
+
+class _Lag:
+    """How long what a watch reported has been behind what is known."""
+
+    def __init__(self) -> None:
+        self._reported = 0
+        self._known = 0
+        self._since: float | None = None
+
+    def update(self, reported: int, known: int, now: float) -> None:
+        """Records what the watch reported, and what is known, by number."""
+        is_newer = known > self._known
+        self._reported = max(self._reported, reported)
+        self._known = max(self._known, known)
+        if self._reported >= self._known:
+            self._since = None
+        elif self._since is None and is_newer:
+            self._since = now
+
+    def restart(self, now: float) -> None:
+        """Gives a new watch the whole time to report what is known."""
+        if self._since is not None:
+            self._since = now
+
+    def age_s(self, now: float) -> float:
+        """Returns for how long the watch has been behind (s)."""
+        return 0.0 if self._since is None else now - self._since
+
 
 class WatchMonitor:
-    """The state of one node's watch."""
+    """The state of one node's watch.
+
+    Attributes:
+      replaced_count: number of watches that were replaced since they had
+        missed a change, or may have.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._log = PartLogger("routes", clock)
         self._is_open = False
+        self._started_at = 0.0
         self._heard_at = 0.0
+        # Versions of the configuration, and revisions of the operator's keys.
+        self._versions = _Lag()
+        self._revisions = _Lag()
+        self.replaced_count = 0
 
     @property
     def is_open(self) -> bool:
@@ -29,15 +72,42 @@
     def record_start(self, revision: int) -> None:
         """Records that a watch was opened after `revision`."""
         self._is_open = True
-        self._heard_at = self._clock.monotonic()
+        self._started_at = self._heard_at = self._clock.monotonic()
+        self._versions.restart(self._started_at)
+        self._revisions.restart(self._started_at)
+        self.record_reported(revision)
         self._log.info("Watches the store.", revision=revision)
 
-    def record_event(self) -> None:
-        """Records that the watch reported a change."""
-        self._heard_at = self._clock.monotonic()
+    def record_reported(self, revision: int, version: int = 0) -> None:
+        """Records what the watch reported, or was opened after.
+
+        Args:
+          revision: revision of the store.
+          version: version of the configuration; 0 if it reported none.
+        """
+        now = self._heard_at = self._clock.monotonic()
+        self._revisions.update(revision, 0, now)
+        self._versions.update(version, 0, now)
+
+    def record_known(self, revision: int = 0, version: int = 0) -> None:
+        """Records what is known from elsewhere; see `record_reported`."""
+        now = self._clock.monotonic()
+        self._revisions.update(0, revision, now)
+        self._versions.update(0, version, now)
+
+    def has_missed_change(self) -> bool:
+        """Returns whether the open watch should have reported a change."""
+        now = self._clock.monotonic()
+        lag_s = max(self._versions.age_s(now), self._revisions.age_s(now))
+        return self._is_open and lag_s >= MAX_LAG_S
+
+    def is_older_than(self, moment: float) -> bool:
+        """Returns whether the open watch was opened before `moment` (s)."""
+        return self._is_open and self._started_at < moment
 
-    def record_end(self, reason: str) -> None:
+    def record_end(self, reason: str, *, is_replaced: bool = False) -> None:
         """Records that the watch ended."""
+        self.replaced_count += is_replaced
         self._log.info(
             "The watch of the store ended.",
             reason=reason,
--- a/src/radishwind/settings/placed_settings.py
+++ b/src/radishwind/settings/placed_settings.py
@@ -41,6 +41,8 @@
       cold_over: limit of the requests to a cold server in any second, as a
         multiple of its warm-up rate.
       cold_slack: requests that it may receive in a second beyond that limit.
+      config_s: time within which an acknowledged configuration must be in force
+        at every node (s).
       revoke_s: time after which no node accepts a revoked key, even if it is
         partitioned from the others (s); `None` if a partitioned node may keep
         using the newest configuration that it has.
@@ -76,6 +78,7 @@
     quota_slack: float = 20.0
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    config_s: float = 2.0
     revoke_s: float | None = None
     link_mbps: float = 0.0
     first_start: bool = False
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -190,7 +190,8 @@
                 member
             ),
             observers=(RequestLog(self._clock), self._metrics),
-            freshness=self._recency.freshness,
+            key_freshness=self._recency.keys,
+            route_freshness=self._recency.routes,
             quotas=self._quotas.borrower,
             links=self._links,
         )
@@ -264,6 +265,7 @@
                 malformed_by_source=self._malformed_by_source,
                 keys=self._entry.keys,
                 recency=self._recency.renewer,
+                classifier=self._entry.classifier,
                 watch=self._control.watch_monitor,
             ),
         )
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -69,7 +69,7 @@
           routes: the routes in force.
           evacuation: the evacuated failure domains.
           target: the own target.
-          recency: the freshness proof of keys.
+          recency: the freshness proof of the configuration.
         """
         self._settings = settings
         self._recency = recency
@@ -113,9 +113,7 @@
             first_wait_s=(
                 FIRST_START_SPREAD_S if settings.first_start else 0.0
             ),
-            on_proof=recency.renewer.accept_first_read
-            if recency.renewer
-            else None,
+            on_proof=recency.renewer.accept_first_read,
         )
         self._unsigned_requests = UnsignedRequestHandler(
             feed=self._feed,
--- a/src/radishwind/sidecar/entry_side.py
+++ b/src/radishwind/sidecar/entry_side.py
@@ -7,10 +7,10 @@
 from collections.abc import Sequence
 import random
 
-from radishwind.accounts import KeyFreshness
 from radishwind.claims.claim_guard import NoClaims
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
+from radishwind.core.freshness import Freshness
 from radishwind.entry.fan_out import FanOutDetector
 from radishwind.entry.key_authenticator import KeyAuthenticator
 from radishwind.entry.load_shedder import NoLoadShedding
@@ -82,7 +82,8 @@
         reports_unsolicited: Callable[[Member], bool] | None = None,
         observers: Sequence[CallObserver] = (),
         signer: RequestSigner | None = None,
-        freshness: KeyFreshness | None = None,
+        key_freshness: Freshness | None = None,
+        route_freshness: Freshness | None = None,
         quotas: QuotaGate | None = None,
         links: LinkSide | None = None,
     ) -> None:
@@ -107,14 +108,16 @@
             to this node even if it gets no attempts from here.
           observers: notified of each finished request.
           signer: signs requests to other nodes.
-          freshness: whether the keys known here are fresh enough to accept.
+          key_freshness: whether the keys known here are fresh enough to accept.
+          route_freshness: whether the routes known here are recent enough to
+            deny others.
           quotas: enforces the quotas of client accounts.
           links: path costs and link statistics; by default the path costs are
             fixed.
         """
         self._service = service
         self._log = PartLogger("entry", clock)
-        self.keys = KeyAuthenticator(lambda: routes.accounts, freshness)
+        self.keys = KeyAuthenticator(lambda: routes.accounts, key_freshness)
         weights = cost_weights_for(switches)
         self.chooser = FreshLoadChooser(
             rng,
@@ -137,6 +140,7 @@
             decode_fields=self._decode_caller_fields,
             normal_run_s=self.chooser.normal_run_s,
             keys=self.keys,
+            freshness=route_freshness,
             with_account=add_account_field,
             retry_ages=RetryAgeEstimator() if switches.returns else None,
             fan_outs=FanOutDetector(rng) if switches.siblings else None,
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -9,6 +9,7 @@
 from radishwind.core.clock import Clock
 from radishwind.entry.call_executor import AttemptCounts
 from radishwind.entry.key_authenticator import KeyAuthenticator
+from radishwind.entry.routed_classifier import RoutedClassifier
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.node.membership_tasks import MembershipTasks
@@ -48,7 +49,8 @@
     output: BoundedOutput
     malformed_by_source: Callable[[], Mapping[str, int]]
     keys: KeyAuthenticator
-    recency: ProofRenewer | None
+    recency: ProofRenewer
+    classifier: RoutedClassifier
     watch: WatchMonitor
 
 
@@ -56,7 +58,7 @@
     """Adds the metrics that read the state of the parts of a node."""
     _add_data_path(metrics, sources)
     _add_control(metrics, sources)
-    _add_keys(metrics, sources.keys, sources.recency)
+    _add_recency(metrics, sources)
     _add_quotas(metrics, sources.quotas)
 
 
@@ -166,6 +168,11 @@
         "How long the open watch has reported no change.",
         lambda: {"": sources.watch.quiet_s()},
     )
+    metrics.add_counter(
+        "radishwind_store_watches_replaced_total",
+        "Watches replaced since they had missed a change, or may have.",
+        lambda: {"": sources.watch.replaced_count},
+    )
     metrics.add_gauge(
         "radishwind_domains_emptied",
         "Failure domains that get nothing new, by name.",
@@ -211,11 +218,8 @@
     )
 
 
-def _add_keys(
-    metrics: NodeExposition,
-    keys: KeyAuthenticator,
-    recency: ProofRenewer | None,
-) -> None:
+def _add_recency(metrics: NodeExposition, sources: MetricSources) -> None:
+    keys, recency = sources.keys, sources.recency
     metrics.add_counter(
         "radishwind_keys_refused_total",
         "Requests refused for their key, or for want of proof that it counts.",
@@ -224,17 +228,20 @@
             'reason="unproven"': keys.unproven_count,
         },
     )
-    if recency is None:
-        return
+    metrics.add_counter(
+        "radishwind_routes_unproven_total",
+        "Requests of unknown routes or keys answered as not run.",
+        lambda: {"": sources.classifier.unproven_count},
+    )
     metrics.add_gauge(
         "radishwind_key_proof_age_seconds",
-        "Age of the proof that what is known of keys is recent.",
+        "Age of the proof that the configuration in force is recent.",
         recency.proof_ages_s,
     )
     exchange = recency.exchange
     metrics.add_counter(
         "radishwind_key_proof_questions_total",
-        "Questions for such proof, asked and answered, and those of others.",
+        "Queries for such proof, sent and answered, and those of others.",
         lambda: {
             'way="asked"': exchange.queries_sent,
             'way="answered"': exchange.proofs_received,
--- a/src/radishwind/sidecar/recency_side.py
+++ b/src/radishwind/sidecar/recency_side.py
@@ -1,12 +1,12 @@
-"""Wires the freshness proof of keys, if the settings require one."""
+"""Wires the freshness proof of the configuration."""
 
 import random
 
 import anyio.abc
 
-from radishwind.accounts import AlwaysFresh
-from radishwind.accounts import KeyFreshness
 from radishwind.core.clock import Clock
+from radishwind.core.freshness import AlwaysFresh
+from radishwind.core.freshness import Freshness
 from radishwind.membership.directory import Directory
 from radishwind.peers.peer_socket import PeerSocket
 from radishwind.recency import ProofRenewer
@@ -18,11 +18,12 @@
 
 
 class RecencySide:
-    """The freshness of the keys known here, and the task that proves it.
+    """The freshness of the configuration, and the task that proves it.
 
     Attributes:
-      freshness: whether the keys known here are fresh enough to accept.
-      renewer: renews the proof; `None` if the settings require none.
+      routes: whether the routes known here are fresh enough to deny others.
+      keys: whether the keys known here are fresh enough to accept.
+      renewer: renews the proof.
     """
 
     def __init__(
@@ -45,26 +46,31 @@
           routes: the configuration in force.
           socket: carries queries and replies.
         """
-        self.freshness: KeyFreshness = AlwaysFresh()
-        self.renewer: ProofRenewer | None = None
-        if settings.revoke_s is None:
-            return
+        bounds_s = {"routes": settings.config_s}
+        if settings.revoke_s is not None:
+            bounds_s["keys"] = settings.revoke_s
         self.renewer = ProofRenewer(
             node_name=settings.node,
             failure_domain=settings.failure_domain,
-            schedule=ProofSchedule(settings.revoke_s),
+            schedule=ProofSchedule(min(bounds_s.values())),
             clock=clock,
             rng=rng,
             directory=directory,
             socket=socket,
             routes=routes,
             first_wait_s=start_spread_s(settings),
+            max_ages_s={
+                use: ProofSchedule(bound_s).max_age_s
+                for use, bound_s in bounds_s.items()
+            },
         )
-        self.freshness = self.renewer.freshness
+        proven = self.renewer.freshness
+        self.routes: Freshness = proven.within(settings.config_s)
+        self.keys: Freshness = AlwaysFresh()
+        if settings.revoke_s is not None:
+            self.keys = proven.within(settings.revoke_s)
 
     def start(self, tasks: anyio.abc.TaskGroup, feed: RouteFeed) -> None:
         """Starts the task, which reads the store through `feed`."""
-        if self.renewer is None:
-            return
         self.renewer.connect(feed.confirm, feed.note_version)
         tasks.start_soon(self.renewer.run)
