Find changes that a silent watch of the configuration hides, in the library too

The same cause as in the platform's program: a watch stream of the store that reports nothing was taken for an unchanged configuration until it was opened anew, after 30 to 90 s by the default periods; all that watch at once, and the fleet is behind for as long, where 13 s are the bound. Non-watchers read each 300 s.

Watchers now read the root each 2 to 6 s beside their watch, the next two nodes of each failure domain each 3.5 to 10.5 s. WatchMonitor, shared by both programs, decides when a watch is replaced: it did not report within 1 s what is known from elsewhere, or the store failed since it was opened.

Cost: half a read a second for each failure domain for its watchers, 0.3 for the two behind them (worked out from the periods).

--- a/src/radishwind/config/watchers.py
+++ b/src/radishwind/config/watchers.py
@@ -9,6 +9,9 @@
 #: Two, so that one may be restarted without effect; more only cost store calls.
 WATCHERS_PER_DOMAIN = 2
 
+#: Nodes of a failure domain, watchers included, that read the store regularly.
+CONFIRMERS_PER_DOMAIN = 4
+
 
 def is_watcher(
     own_name: str,
--- a/src/radishwind/node/config_periods.py
+++ b/src/radishwind/node/config_periods.py
@@ -16,6 +16,10 @@
       watch_duration_s: duration of a watch before the store is read again (s).
       short_watch_duration_s: the same if the store has compacted the history
         since the root's revision, so that the watch starts from now (s).
+      confirm_period_s: between reads by which a node that watches finds what
+        its watch did not report (s).
+      standby_confirm_period_s: between reads by the nodes that would watch
+        next, in case the store answers none that do (s).
       rank_check_period_s: between checks whether this node ranks among those
         that watch the store (s).
       read_period_s: between store reads by nodes that don't watch (s).
@@ -32,6 +36,8 @@
     lagging_pull_period_s: float = 0.3
     watch_duration_s: float = 60.0
     short_watch_duration_s: float = 2.0
+    confirm_period_s: float = 4.0
+    standby_confirm_period_s: float = 7.0
     rank_check_period_s: float = 2.0
     read_period_s: float = 300.0
     initial_read_period_s: float = 10.0
--- a/src/radishwind/node/store_follower.py
+++ b/src/radishwind/node/store_follower.py
@@ -1,4 +1,9 @@
-"""Follows the newest revision in the store, by a watch or by rare reads."""
+"""Follows the newest revision in the store, by a watch and by reads.
+
+A watch that reports nothing may be dead. So the nodes that watch, and those
+that would watch next, also read the store from time to time; a watch that did
+not report what a read found is replaced.
+"""
 
 from collections.abc import Callable
 import random
@@ -11,7 +16,9 @@
 from radishwind.config.config_exchange import jittered
 from radishwind.config.errors import RevisionRefusedError
 from radishwind.config.records import ROOT_KEY
+from radishwind.config.watchers import CONFIRMERS_PER_DOMAIN
 from radishwind.config.watchers import is_watcher
+from radishwind.config.watchers import WATCHERS_PER_DOMAIN
 from radishwind.core import Clock
 from radishwind.membership.directory import Member
 from radishwind.node.config_periods import ConfigPeriods
@@ -21,12 +28,14 @@
 from radishwind.store import StoreCompactedError
 from radishwind.store import StoreError
 from radishwind.store import WatchEvent
+from radishwind.store.watch_monitor import WatchMonitor
 
 
 class StoreFollower:
-    """Watches the store if this node ranks as a watcher, else reads it rarely.
+    """Watches the store if this node ranks as a watcher, else reads it.
 
     Attributes:
+      monitor: state of the watch.
       is_watching: whether this node is one of those that watch the store.
     """
 
@@ -68,12 +77,15 @@
         self._periods = periods
         self._watch_scope: anyio.CancelScope | None = None
         self._last_read = clock.monotonic()
+        self._failing_since: float | None = None
+        self.monitor = WatchMonitor(clock)
         self.is_watching = False
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Follows the store in `tasks` until they are cancelled."""
         tasks.start_soon(self._follow)
-        tasks.start_soon(self._end_watch_when_outranked)
+        tasks.start_soon(self._confirm_watch)
+        tasks.start_soon(self._check_watch)
 
     async def _follow(self) -> None:
         await anyio.sleep(
@@ -99,12 +111,7 @@
         if self.is_watching:
             await self._read_and_watch()
             return
-        is_unconfigured = self._adopter.snapshot.revision == 0
-        period_s = (
-            self._periods.initial_read_period_s
-            if is_unconfigured
-            else self._periods.read_period_s
-        )
+        period_s = self._read_period_s()
         elapsed_s = self._clock.monotonic() - self._last_read
         if elapsed_s >= jittered(self._rng, period_s):
             await self._read_store()
@@ -112,11 +119,23 @@
             jittered(self._rng, self._periods.rank_check_period_s)
         )
 
+    def _read_period_s(self) -> float:
+        """Returns the mean time between reads of a node that doesn't watch."""
+        if self._ranks_among(CONFIRMERS_PER_DOMAIN):
+            return self._periods.standby_confirm_period_s
+        if self._adopter.snapshot.revision == 0:
+            return self._periods.initial_read_period_s
+        return self._periods.read_period_s
+
     def _is_watcher(self) -> bool:
+        return self._ranks_among(WATCHERS_PER_DOMAIN)
+
+    def _ranks_among(self, count: int) -> bool:
         return is_watcher(
             self._settings.target,
             self._settings.failure_domain,
             self._members(),
+            count,
         )
 
     async def _read_and_watch(self) -> None:
@@ -128,27 +147,75 @@
             await self._watch(0, self._periods.short_watch_duration_s)
 
     async def _watch(self, from_revision: int, duration_s: float) -> None:
-        """Watches for about `duration_s` (s), or until outranked.
+        """Watches for about `duration_s` (s), until outranked or replaced.
 
         Args:
           from_revision: store revision of the first event; 0 for events from
             now on.
           duration_s: mean duration (s).
         """
-        with anyio.move_on_after(
-            jittered(self._rng, duration_s)
-        ) as self._watch_scope:
-            async for event in self._store.watch(ROOT_KEY, from_revision):
-                await self._apply_event(event)
+        self.monitor.record_start(max(0, from_revision - 1))
+        try:
+            with anyio.move_on_after(
+                jittered(self._rng, duration_s)
+            ) as self._watch_scope:
+                async for event in self._store.watch(ROOT_KEY, from_revision):
+                    self.monitor.record_reported(event.revision)
+                    await self._apply_event(event)
+        finally:
+            self.monitor.record_end()
+
+    async def _confirm_watch(self) -> None:
+        """Reads the store from time to time while a watch is open."""
+        while True:
+            await anyio.sleep(
+                jittered(self._rng, self._periods.confirm_period_s)
+            )
+            if not self.monitor.is_open:
+                continue
+            try:
+                self.monitor.record_known(revision=await self._read_store())
+            except StoreError as exc:
+                if self._failing_since is None:
+                    self._failing_since = self._clock.monotonic()
+                    self._log(f"The store is unavailable: {exc}")
+                continue
+            except RevisionRefusedError as exc:
+                self._on_refused(Source.STORE, exc)
+                continue
+            self._record_available()
+
+    def _record_available(self) -> None:
+        """Replaces a watch from before a failure, which may have ended it."""
+        failing_since, self._failing_since = self._failing_since, None
+        if failing_since is None:
+            return
+        self._log("The store is available again.")
+        if self.monitor.is_older_than(failing_since):
+            self._replace_watch("the store was unavailable")
 
-    async def _end_watch_when_outranked(self) -> None:
+    async def _check_watch(self) -> None:
+        """Ends the watch of a node that is outranked, or that missed a change.
+
+        The follower then continues with a read of the store.
+        """
         while True:
             await anyio.sleep(
                 jittered(self._rng, self._periods.rank_check_period_s)
             )
-            if self._watch_scope is not None and not self._is_watcher():
+            if self.monitor.has_missed_change():
+                self._replace_watch("it missed a change")
+            elif self._watch_scope is not None and not self._is_watcher():
                 self._watch_scope.cancel()
 
+    def _replace_watch(self, reason: str) -> None:
+        if self._watch_scope is not None:
+            self._log(
+                f"Replaced the watch of the store: {reason}; it had reported "
+                f"nothing for {self.monitor.quiet_s():.1f} s."
+            )
+            self._watch_scope.cancel()
+
     async def _apply_event(self, event: WatchEvent) -> None:
         refusals = self._adopter.refusals
         await self._exchange.apply_event(event)
--- a/src/radishwind/node/tests/test_config_tasks.py
+++ b/src/radishwind/node/tests/test_config_tasks.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import dataclasses
 
 import anyio
 import pytest
@@ -40,8 +41,8 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(node_count, testbed=None):
-    fleet = ConfigFleet(testbed or ConfigTestbed(), SHORT_PERIODS)
+async def running_fleet(node_count, testbed=None, periods=SHORT_PERIODS):
+    fleet = ConfigFleet(testbed or ConfigTestbed(), periods)
     async with anyio.create_task_group() as tasks:
         for number in range(node_count):
             fleet.start(tasks, f"svc-0000-{number}", DOMAINS[number % 3])
@@ -67,6 +68,47 @@
         await fleet.wait_in_force(2)
 
 
+async def test_change_that_open_watches_do_not_report_is_in_force():
+    periods = dataclasses.replace(
+        SHORT_PERIODS, watch_duration_s=600.0, confirm_period_s=0.2
+    )
+    async with running_fleet(9, periods=periods) as (fleet, _):
+        testbed = fleet.testbed
+        await testbed.apply(inventory())
+        await fleet.wait_in_force(1)
+        await fleet.wait_until(lambda: testbed.standin.open_watches == 6)
+        testbed.standin.set_faults(StoreFaults(mute_watches=True))
+
+        await testbed.apply(inventory(slots=4))
+
+        await fleet.wait_in_force(2)
+        assert testbed.standin.muted_watches > 0
+        # The silent watches are replaced, so the next change is reported.
+        calls = testbed.standin.calls["watch"]
+        await fleet.wait_until(
+            lambda: testbed.standin.calls["watch"] >= calls + 6
+        )
+
+
+async def test_change_is_in_force_while_the_store_refuses_all_watchers():
+    periods = dataclasses.replace(
+        SHORT_PERIODS, watch_duration_s=600.0, standby_confirm_period_s=0.2
+    )
+    async with running_fleet(12, periods=periods) as (fleet, _):
+        testbed = fleet.testbed
+        await testbed.apply(inventory())
+        await fleet.wait_in_force(1)
+        await fleet.wait_until(lambda: testbed.standin.open_watches == 6)
+        watchers = {n for n, t in fleet.nodes.items() if t.is_watching}
+        fleet.refused = watchers
+        testbed.standin.set_faults(StoreFaults(mute_watches=True))
+
+        await testbed.apply(inventory(slots=4))
+
+        await fleet.wait_in_force(2)
+        assert testbed.standin.muted_watches > 0
+
+
 async def test_only_few_nodes_read_and_watch_the_store():
     async with running_fleet(30) as (fleet, _):
         await fleet.testbed.apply(inventory())
--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -46,8 +46,8 @@
 from radishwind.routes.store_watcher import DUTY_CHECK_INTERVAL_S
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.store_watcher import StoreWatcher
-from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.store.base import Store
+from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Name of the control path on the peer listener.
--- a/src/radishwind/routes/store_watcher.py
+++ b/src/radishwind/routes/store_watcher.py
@@ -14,13 +14,13 @@
 from radishwind.core.clock import Clock
 from radishwind.recency.model import FreshnessProof
 from radishwind.routes.evacuation import EvacuatedDomains
-from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.store.base import Store
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreError
 from radishwind.store.base import WatchEvent
 from radishwind.store.budgeted_store import Backoff
+from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Source given with everything that is read from the store.
@@ -242,6 +242,7 @@
         again only if the store has compacted the history since then.
         """
         self.monitor.record_start(self._revision)
+        self._log.info("Watches the store.", revision=self._revision)
         reason = "not a watcher"
         with anyio.CancelScope() as self._watch_scope:
             try:
@@ -252,11 +253,15 @@
             except StoreError as exc:
                 reason = str(exc)[:120]
                 self._record_result(failed=True, reason=reason)
-        if self._watch_scope.cancelled_caught:
-            self.monitor.record_end(self._replacement_reason, is_replaced=True)
-            return
-        self.monitor.record_end(reason)
-        await anyio.sleep(self._backoff.record_failure())
+        is_replaced = self._watch_scope.cancelled_caught
+        self._log.info(
+            "The watch of the store ended.",
+            reason=self._replacement_reason if is_replaced else reason,
+            quiet_s=round(self.monitor.quiet_s(), 3),
+        )
+        self.monitor.record_end(is_replaced=is_replaced)
+        if not is_replaced:
+            await anyio.sleep(self._backoff.record_failure())
 
     async def _apply_events(self) -> None:
         async for event in self._store.watch(
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -20,7 +20,6 @@
 from radishwind.routes.route_feed import RouteFeed
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.unsigned_requests import UnsignedRequestHandler
-from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.control import HeartbeatListener
 from radishwind.sidecar.leaving_records_loader import LeavingRecordsLoader
@@ -31,6 +30,7 @@
 from radishwind.sidecar.service_profile import ProfileSynchronizer
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.base import Store
+from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.target.leaving_records import CONTROL_NAME as LEAVING_CONTROL
 from radishwind.target.leaving_records import LeavingRecords
 from radishwind.target.server_process import ServerProcess
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -16,12 +16,12 @@
 from radishwind.recency import ProofRenewer
 from radishwind.routes.active_routes import ActiveRoutes
 from radishwind.routes.evacuation import EvacuationState
-from radishwind.routes.watch_monitor import WatchMonitor
 from radishwind.sidecar.link_side import LinkSide
 from radishwind.sidecar.peer_side import PeerSide
 from radishwind.sidecar.quota_sharing import QuotaSharing
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budgeted_store import BudgetedStore
+from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.node_exposition import NodeExposition
 
--- a/src/radishwind/standins/store.py
+++ b/src/radishwind/standins/store.py
@@ -51,6 +51,8 @@
       lose_kind: the kind of call that loses its response.
       lose_prefix: limits the loss to transactions that change a key with this
         prefix.
+      mute_watches: whether the open watches report nothing from then on; new
+        ones do.
       lapse_leases: the IDs of leases to end at once; `[-1]` for all.
     """
 
@@ -59,6 +61,7 @@
     lose_answers: int = 0
     lose_kind: str = "txn"
     lose_prefix: str = ""
+    mute_watches: bool = False
     lapse_leases: tuple[int, ...] = ()
 
 
@@ -69,12 +72,15 @@
       state: the keys, revisions and leases.
       calls: the number of calls received, by kind; a watch counts once.
       open_watches: the number of open watches.
+      muted_watches: the number of watches that report nothing any more.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.state = StoreState(clock)
         self.calls: dict[str, int] = {}
         self.open_watches = 0
+        self.muted_watches = 0
+        self._mute_event = anyio.Event()
         self._faults = StoreFaults()
         self._answers_to_lose = 0
         self._faults_changed = anyio.Event()
@@ -89,6 +95,9 @@
         """Replaces the faults in force."""
         self._faults = faults
         self._answers_to_lose = faults.lose_answers
+        if faults.mute_watches:
+            self._mute_event.set()
+            self._mute_event = anyio.Event()
         for lease_id in faults.lapse_leases:
             if lease_id == -1:
                 self.state.end_all_leases()
@@ -193,7 +202,11 @@
             compacted = str(self.state.compacted_revision)
             header |= {"canceled": True, "compact_revision": compacted}
         yield _encode_line({"result": header})
+        muted = self._mute_event
         while not self._faults.down:
+            if muted.is_set():
+                self.muted_watches += 1
+                await anyio.sleep_forever()
             change_event = self.state.change_event()
             changes = self.state.changes_since(start, key, end)
             if changes:
--- a/src/radishwind/routes/tests/test_watch_monitor.py
+++ b/src/radishwind/store/tests/test_watch_monitor.py
@@ -3,8 +3,8 @@
 import pytest
 
 from radishwind.core import ManualClock
-from radishwind.routes.watch_monitor import MAX_LAG_S
-from radishwind.routes.watch_monitor import WatchMonitor
+from radishwind.store.watch_monitor import MAX_LAG_S
+from radishwind.store.watch_monitor import WatchMonitor
 
 
 class Watch:
@@ -58,7 +58,7 @@
 def test_new_watch_gets_the_whole_time(watch):
     watch.monitor.record_known(version=4)
     watch.clock.advance(MAX_LAG_S)
-    watch.monitor.record_end("missed a change", is_replaced=True)
+    watch.monitor.record_end(is_replaced=True)
     assert not watch.monitor.has_missed_change()
     watch.monitor.record_start(5)
 
--- a/src/radishwind/routes/watch_monitor.py
+++ b/src/radishwind/store/watch_monitor.py
@@ -6,7 +6,6 @@
 """
 
 from radishwind.core.clock import Clock
-from radishwind.telemetry.part_logger import PartLogger
 
 #: A watch reports a change within this time after it is known from elsewhere
 #: (s), also while the store is slow.
@@ -51,7 +50,6 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._log = PartLogger("routes", clock)
         self._is_open = False
         self._started_at = 0.0
         self._heard_at = 0.0
@@ -76,7 +74,6 @@
         self._versions.restart(self._started_at)
         self._revisions.restart(self._started_at)
         self.record_reported(revision)
-        self._log.info("Watches the store.", revision=revision)
 
     def record_reported(self, revision: int, version: int = 0) -> None:
         """Records what the watch reported, or was opened after.
@@ -105,12 +102,7 @@
         """Returns whether the open watch was opened before `moment` (s)."""
         return self._is_open and self._started_at < moment
 
-    def record_end(self, reason: str, *, is_replaced: bool = False) -> None:
+    def record_end(self, *, is_replaced: bool = False) -> None:
         """Records that the watch ended."""
         self.replaced_count += is_replaced
-        self._log.info(
-            "The watch of the store ended.",
-            reason=reason,
-            quiet_s=round(self.quiet_s(), 3),
-        )
         self._is_open = False
--- a/tests/support/configs.py
+++ b/tests/support/configs.py
@@ -30,6 +30,8 @@
 from radishwind.http import Handler
 from radishwind.http import Request
 from radishwind.http import Response
+from radishwind.http.errors import ConnectFailedError
+from radishwind.http.sender import Sender
 from radishwind.http.types import read_body
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
@@ -147,13 +149,39 @@
         return self.all_members
 
 
+class RefusableSender(Sender):
+    """Sends the calls of one node to the store while it is not refused."""
+
+    def __init__(self, sender: Sender, is_refused: Callable[[], bool]) -> None:
+        self._sender = sender
+        self._is_refused = is_refused
+        self.refused_count = 0
+
+    async def send(
+        self, address: Address, request: Request, connect_timeout_s: float
+    ) -> Response:
+        if self._is_refused():
+            self.refused_count += 1
+            raise ConnectFailedError("refused by the store")
+        return await self._sender.send(address, request, connect_timeout_s)
+
+    async def close(self) -> None:
+        """Does nothing: the sender is shared."""
+
+
 class ConfigFleet:
-    """The configuration tasks of many nodes."""
+    """The configuration tasks of many nodes.
+
+    Attributes:
+      refused: names of the nodes whose new calls the store refuses.
+    """
 
     def __init__(self, testbed: ConfigTestbed, periods: ConfigPeriods) -> None:
         self.testbed = testbed
         self.nodes: dict[str, ConfigTasks] = {}
         self.reports: list[str] = []
+        self.refused: set[str] = set()
+        self.store_senders: dict[str, RefusableSender] = {}
         self._periods = periods
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._directory = FixedDirectory()
@@ -201,6 +229,10 @@
     def _node(
         self, name: str, domain: str, address: Address, seed: int
     ) -> ConfigTasks:
+        sender = RefusableSender(
+            self.testbed.sender, lambda: name in self.refused
+        )
+        self.store_senders[name] = sender
         return ConfigTasks(
             settings=NodeSettings(
                 target=name,
@@ -211,7 +243,7 @@
             ),
             clock=SystemClock(),
             rng=random.Random(seed),
-            store=EtcdStore(self.testbed.sender, STORE, timeout_s=0.2),
+            store=EtcdStore(sender, STORE, timeout_s=0.2),
             directory=self._directory,
             peers=HttpPeerClient(self.testbed.sender),
             rumor_bus=NullRumorBus(),
