Check in the soak that changes are in force beside faults of the store

The soak changed timeouts only, and no check compared what a node did with the version that it should have. Each change now adds a route and moves another; probes of all nodes find a 404 for an added route 2 s after its acknowledgement, at any node, and a run by the former service at a node in touch. The store's faults now include some nodes only, lost watch answers, silent and cut connections, with a change beside half of them.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -17,6 +17,7 @@
 from radishwind.standins.platform_server import PlatformServerStandin
 from radishwind.standins.platform_server import ServerOptions
 from tests.soak.account_keys import AccountKeys
+from tests.soak.config_checks import ConfigurationChecks
 from tests.soak.loopback_proxy import LoopbackProxy
 from tests.soak.server_notices import ServerNotices
 
@@ -65,6 +66,7 @@
     Attributes:
       rng: random source of delays and of the seeds of new servers.
       accounts: client accounts; `None` for a deployment without accounts.
+      config_checks: checks that changes of the configuration are in force.
       fleet: instances and the store stand-in.
       links: proxies by instance name.
       servers: every server that has run, with those that were replaced.
@@ -82,6 +84,7 @@
         self.rng = rng
         self._notices = notices
         self.accounts = accounts
+        self.config_checks = ConfigurationChecks(accounts)
         bounds = accounts.bounds if accounts else ()
         self.fleet = Fleet(list(PLACES), folder, self._insert_proxies, bounds)
         self.links: dict[str, InstanceLinks] = {}
@@ -126,12 +129,15 @@
         """
         if self.accounts is not None:
             self.fleet.accounts = self.accounts.to_operator_config()
-        return self.fleet.configure(
+        version = self.fleet.configure(
             [
                 route("library", "safe", **library_options),
                 route("sessions", "unsafe"),
+                *self.config_checks.routes(),
             ]
         )
+        self.config_checks.record_change(asyncio.get_running_loop().time())
+        return version
 
     def instances(self) -> tuple[Instance, ...]:
         return tuple(self.fleet.instances.values())
@@ -191,9 +197,9 @@
 
     def record_disturbance(self, instance: Instance) -> None:
         """Records that `instance` was restarted, paused or cut off."""
-        self._notices.record_disturbance(
-            instance.place.name, asyncio.get_running_loop().time()
-        )
+        now = asyncio.get_running_loop().time()
+        self._notices.record_disturbance(instance.place.name, now)
+        self.config_checks.record_node_disturbance(instance.place.name, now)
 
     async def restart_node(self, instance: Instance, stop_signal: int) -> None:
         """Ends the node of `instance` by a signal and starts it again."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -202,22 +202,40 @@
 
 
 async def harm_store(deployment: Deployment, rng: random.Random) -> str:
-    store = deployment.fleet.store
+    """Harms the store for some or all nodes, at times with a change beside."""
+    store, checks = deployment.fleet.store, deployment.config_checks
+    hosts = [i.place.host for i in deployment.instances()]
+    some = tuple(rng.sample(hosts, rng.randrange(1, len(hosts))))
     faults = rng.choice(
         (
-            *(StoreFaults(down=how) for how in ("busy", "many", "silent")),
-            StoreFaults(
-                down="reset", only=(deployment.instances()[0].place.host,)
+            *(
+                StoreFaults(down=how, cut=rng.random() < 0.5)
+                for how in ("busy", "many", "silent")
             ),
+            *(
+                StoreFaults(down=how, only=some, cut=rng.random() < 0.5)
+                for how in ("busy", "reset", "silent")
+            ),
+            StoreFaults(mute=True),
+            StoreFaults(mute=True, only=some),
+            StoreFaults(lose_watch_answers=rng.randrange(1, len(hosts))),
             StoreFaults(delay_ms=300.0),
             StoreFaults(lose_answers=5, late_s=1.0),
         )
     )
+    loop = asyncio.get_running_loop()
+    checks.begin_store_disturbance(loop.time())
     store.faults = faults
+    if rng.random() < 0.5:
+        await asyncio.sleep(0.3 * rng.random())
+        deployment.configure()
     await asyncio.sleep(0.5 + 3 * rng.random())
     store.faults = StoreFaults()
     if rng.random() < 0.3:
         store.compact_history()
+    if rng.random() < 0.5:
+        deployment.configure()
+    checks.end_store_disturbance(loop.time())
     return str(faults)
 
 
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -56,6 +56,8 @@
                     instance, seed + number, LOAD_PER_S, results, stop
                 )
                 tasks.create_task(load)
+                probes = deployment.config_checks.probe(instance, stop)
+                tasks.create_task(probes)
             await inject(deployment, seed, length_s)
             violations = await _find_unrecovered(deployment, results)
             stop.set()
@@ -120,6 +122,9 @@
             violations.append(f"{request_id}: told not run, ran {count} times")
     if deployment.accounts is not None:
         violations += deployment.accounts.find_violations(deployment.servers)
+    violations += deployment.config_checks.find_violations(
+        deployment.servers, deployment.fleet
+    )
     violations += results.notices.find_violations(deployment.servers)
     return violations + _find_duplicate_runs(deployment)
 
