Push the routes to the node that an unsigned request names

What callers saw: with client accounts, a node that starts while the store refuses it is not ready, and answers 503, until the store answers it.

Cause: it has no secret, so its peers push it the configuration instead of answering; they looked for it by the address that its request came from. That is another one where a machine has several, and on the loopback interface.

Why it is as safe: what a request names chooses among the addresses of members only, as its own address did, so nothing is sent to any other place.

--- a/src/radishwind/routes/messages.py
+++ b/src/radishwind/routes/messages.py
@@ -43,10 +43,12 @@
     Attributes:
       have: route version in force at the sender; 0 for none.
       have_emptied: revision of the evacuated domains at the sender.
+      node: name of the sender; empty if it runs an earlier version.
     """
 
     have: int
     have_emptied: int = 0
+    node: str = ""
 
 
 class NoUpdate(msgspec.Struct, frozen=True, tag="nothing"):
--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -421,7 +421,9 @@
         """Requests an update from a peer; sets `done` at the end."""
         request = encode(
             UpdateRequest(
-                self._active_routes.version, self._evacuation.domains.revision
+                self._active_routes.version,
+                self._evacuation.domains.revision,
+                self._node_name,
             )
         )
         try:
--- a/src/radishwind/routes/tests/test_unsigned_requests.py
+++ b/src/radishwind/routes/tests/test_unsigned_requests.py
@@ -71,6 +71,16 @@
     assert peers.pushed == [(KNOWN.address, "routes", UPDATE)]
 
 
+@pytest.mark.parametrize("remote", ["10.0.0.2", "127.0.0.1"])
+async def test_push_goes_to_the_member_that_the_request_names(
+    handler, peers, remote
+):
+    await send(handler, messages.UpdateRequest(0, node="b-1"), remote)
+    await send(handler, messages.UpdateRequest(0, node="b-2"), remote)
+
+    assert peers.pushed == [(KNOWN.address, "routes", UPDATE)]
+
+
 async def test_unknown_host_gets_no_push(handler, peers):
     reply = await send(handler, messages.UpdateRequest(0), "10.6.6.6")
 
--- a/src/radishwind/routes/unsigned_requests.py
+++ b/src/radishwind/routes/unsigned_requests.py
@@ -3,7 +3,8 @@
 A node that started while the store was unavailable has no secret, and may know
 no routes. The configuration holds the API keys of client accounts, so it is not
 sent in response to an unsigned request: it is pushed to the address at which
-the requesting node is known as a member.
+the node that the request names is known as a member. Whoever sends a request in
+the name of another node has the configuration pushed to that one.
 """
 
 from radishwind.core.clock import Clock
@@ -32,7 +33,7 @@
 
 
 class UnsignedRequestHandler:
-    """Pushes the configuration to the known member at the requesting host."""
+    """Pushes the configuration to the known member that a request names."""
 
     def __init__(
         self,
@@ -63,15 +64,19 @@
             message = decode(body)
         except FeedMalformedError as exc:
             return problem_response(exc.code, str(exc), "not-run")
-        member = self._find_member(request.remote)
-        if isinstance(message, UpdateRequest) and member is not None:
-            await self._push(member, self._feed.build_reply(message))
+        if isinstance(message, UpdateRequest):
+            member = self._find_member(message.node, request.remote)
+            if member is not None:
+                await self._push(member, self._feed.build_reply(message))
         data = encode(NoUpdate())
         return Response(200, _MSGPACK, data, len(data))
 
-    def _find_member(self, host: str) -> Member | None:
+    def _find_member(self, name: str, host: str) -> Member | None:
+        """Returns the member `name`; without a name, the one at `host`."""
         for member in self._directory.members():
-            if member.address.host == host:
+            if member.name == name or (
+                not name and member.address.host == host
+            ):
                 return member
         return None
 
--- a/tests/test_recency_processes.py
+++ b/tests/test_recency_processes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import signal
 
 import aiohttp
 import pytest
@@ -61,10 +62,10 @@
     )
 
 
-def configure(fleet, version, keys):
+def configure(fleet, version, keys, routes=ROUTES):
     cfg = {
         "version": version,
-        "routes": ROUTES,
+        "routes": routes,
         "services": [
             {"name": "library", "health-path": HEALTH_PATH, "max-conns": 64}
         ],
@@ -146,3 +147,19 @@
     for name in ("age_seconds ", "questions_total{"):
         assert f"\nradishwind_key_proof_{name}" in text
     assert 'radishwind_keys_refused_total{reason="unproven"}' in text
+
+
+async def test_node_that_starts_refused_by_the_store_adopts_changes(fleet):
+    refused = fleet.instances["a-2"]
+    fleet.store.faults = StoreFaults(down="busy", only=(refused.place.host,))
+    refused.signal_node(signal.SIGKILL)
+    await refused.node_ended()
+    await refused.start_node()
+    await fleet.until_ready(refused)
+    await wait_for(lambda: has_status(refused, 200, "/open/x"))
+
+    added = route("library", "safe", name="new", prefix="/new/", public=True)
+    configure(fleet, 4, ["one"], [*ROUTES, added])
+
+    await wait_for(lambda: has_status(refused, 200, "/new/x"))
+    assert fleet.store.injected_count("busy") > 0
