Read the secret soon after failed reads

A node that is told of a newer secret, or whose messages are refused, read it again up to 60 s after reads that failed: the pause that spares the store from reads caused by forged messages counted failures of the store too. Until then its peers refuse its messages, so it gets no proof of its configuration. Failed reads now pause for 2 s at most; reads that bring nothing new as before. test_secret_is_read_soon_after_a_long_store_outage failed before (timeout).

--- a/src/radishwind/sidecar/secret_manager.py
+++ b/src/radishwind/sidecar/secret_manager.py
@@ -197,7 +197,6 @@
         """Reads the record once; backs off while that brings nothing new."""
         known_revision = self._keyring.revision
         now = self._clock.monotonic()
-        self._next_refresh_at = now + self._refresh_backoff.record_failure()
         try:
             entry = await self._store.get(KEY)
         except StoreError as exc:
@@ -206,8 +205,12 @@
                 reason=str(exc)[:120],
             )
             self._last_refresh_failed = True
+            # The record may have changed, unlike after a read without news.
+            self._next_refresh_at = now + self._backoff.record_failure()
             return
         self._last_refresh_failed = False
+        self._backoff.record_success()
+        self._next_refresh_at = now + self._refresh_backoff.record_failure()
         # Otherwise a rumor of a record that was removed since would cause reads
         # forever.
         self._rumored_revision = 0
--- a/src/radishwind/sidecar/tests/test_secret_manager.py
+++ b/src/radishwind/sidecar/tests/test_secret_manager.py
@@ -420,6 +420,27 @@
     assert len(store.calls) == before + 2
 
 
+async def test_secret_is_read_soon_after_a_long_store_outage(
+    store, rumor_bus, running
+):
+    node = Node(store, rumor_bus)
+    node.keyring.set_has_accounts(True, with_grace=False)
+    running(node)
+    await wait_until(lambda: not node.keyring.lacks_secret)
+    store.is_unavailable = True
+    store.replace(msgspec.json.encode(SecretRecord(b"n" * SECRET_BYTES)))
+    for _ in range(20):
+        node.clock.advance(secret_manager._MAX_REFRESH_BACKOFF_S)
+        node.keyring.suspect_outdated()
+        await settle()
+
+    store.is_unavailable = False
+    node.clock.advance(secret_manager._MAX_BACKOFF_S)
+    node.keyring.suspect_outdated()
+
+    await wait_until(lambda: node.keyring.signing_secret == b"n" * SECRET_BYTES)
+
+
 async def test_rumor_causes_read_at_once_despite_backoff(
     store, rumor_bus, running
 ):
