--- a/src/radishwind/platform/tests/test_platform_store.py
+++ b/src/radishwind/platform/tests/test_platform_store.py
@@ -1,16 +1,21 @@
 """The store client separates "certainly not done" from "unknown"."""
 
+import asyncio
 import base64
 
+import anyio
 import msgspec
 import pytest
 
+from radishwind.experiment.virtual_loop import run_in_virtual_time
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.sender import Sender
 from radishwind.http.types import Address
+from radishwind.http.types import BodyStream
 from radishwind.http.types import Response
 from radishwind.platform import PlatformStore
+from radishwind.platform.platform_store import CALL_TIMEOUT_S
 from radishwind.store.base import Compare
 from radishwind.store.base import Put
 from radishwind.store.base import StoreAnswerLostError
@@ -91,6 +96,37 @@
         await client.transact((Compare("k", 0),), (Put("k", b"v"),))
 
 
+class SilentBody(BodyStream):
+    """A body that stops after its first bytes."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    async def __aiter__(self):
+        yield b'{"items": ['
+        await anyio.sleep_forever()
+
+    def abort(self):
+        self.is_aborted = True
+
+
+def test_answer_whose_body_stops_midway_is_given_up():
+    body = SilentBody()
+
+    class Silent(ScriptedSender):
+        async def send(self, address, request, connect_timeout_s):
+            return Response(200, (), body)
+
+    async def read():
+        client = PlatformStore(Silent(), Address("10.0.0.1", 1))
+        with pytest.raises(StoreAnswerLostError):
+            await client.list("p/")
+        return asyncio.get_running_loop().time()
+
+    assert run_in_virtual_time(read()) == pytest.approx(CALL_TIMEOUT_S)
+    assert body.is_aborted
+
+
 async def test_failed_comparison_is_reported():
     client, _ = make_store((412, {"items": [item("k")]}))
 
