--- a/bench/config_adoption.py
+++ b/bench/config_adoption.py
@@ -23,7 +23,7 @@
 from radishwind.standins.platform_fleet import Fleet
 from radishwind.standins.platform_fleet import Place
 from radishwind.standins.platform_fleet import route
-from radishwind.standins.platform_store import StoreFaults
+from radishwind.standins.store_faults import StoreFaults
 
 DOMAINS = {"a": "127.0.41", "b": "127.0.42", "c": "127.0.43"}
 NODES_PER_DOMAIN = 3
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import collections
+from collections.abc import Mapping
 import dataclasses
 from typing import Any
 
@@ -15,6 +16,10 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.standins.store_faults import FaultInjector
+from radishwind.standins.store_faults import never_respond
+from radishwind.standins.store_faults import send_fault
+from radishwind.standins.store_faults import StoreFaults
 
 FAULTS_PATH = "/standin/faults"
 COUNTERS_PATH = "/standin/counters"
@@ -31,38 +36,6 @@
 _LEASE_CHECK_INTERVAL_S = 0.1
 
 
-class StoreFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The faults in force until they are replaced.
-
-    A connection on which a response was lost returns nothing further.
-
-    Attributes:
-      down: empty, `busy` (status 503), `many` (status 429), `reset` (the
-        connection is reset) or `silent` (no response).
-      only: the nodes to which `down`, `cut` and `mute` apply, by IP address;
-        empty for all. A node is known by the address of the store that it
-        calls, or by its own.
-      cut: whether the open connections are reset when the faults are set.
-      mute: whether the open connections return nothing from then on; new ones
-        are served.
-      delay_ms: the delay before each call is processed (ms).
-      lose_answers: the number of next transactions whose response is lost.
-      late_s: the delay after which a transaction whose response was lost is
-        applied, if its conditions still hold (s).
-      lose_watch_answers: the number of next watch responses with events that
-        are lost.
-    """
-
-    down: str = ""
-    only: tuple[str, ...] = ()
-    cut: bool = False
-    mute: bool = False
-    delay_ms: float = 0.0
-    lose_answers: int = 0
-    late_s: float = 0.0
-    lose_watch_answers: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class _Lease:
     """A lease.
@@ -82,8 +55,6 @@
     Attributes:
       calls: the number of calls received, by name; a long-polling watch counts
         once.
-      injected: how often each fault took effect, by its name and the address
-        of the node, as of `StoreFaults.only`.
       revision: the current revision of the store.
     """
 
@@ -95,14 +66,7 @@
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
         self._change_event = asyncio.Event()
-        self._faults = StoreFaults()
-        self._answers_to_lose = 0
-        self._watch_answers_to_lose = 0
-        self._connections: dict[asyncio.BaseTransport, str] = {}
-        self._mute_connections: set[asyncio.BaseTransport] = set()
-        self.injected: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
+        self._injector = FaultInjector()
         self._delayed_transactions: set[asyncio.Task[None]] = set()
         self.calls: collections.Counter[str] = collections.Counter()
         self.revision = 1
@@ -110,23 +74,16 @@
     @property
     def faults(self) -> StoreFaults:
         """The faults in force."""
-        return self._faults
+        return self._injector.faults
 
     @faults.setter
     def faults(self, faults: StoreFaults) -> None:
-        self._faults = faults
-        self._answers_to_lose = faults.lose_answers
-        self._watch_answers_to_lose = faults.lose_watch_answers
-        self._drop_closed_connections()
-        for transport, node in list(self._connections.items()):
-            if faults.only and node not in faults.only:
-                continue
-            if faults.mute:
-                self._mute_connections.add(transport)
-                self.injected["mute", node] += 1
-            if faults.cut:
-                transport.abort()  # type: ignore[attr-defined]
-                self.injected["cut", node] += 1
+        self._injector.faults = faults
+
+    @property
+    def injected(self) -> Mapping[tuple[str, str], int]:
+        """How often each fault took effect, by its name and the node."""
+        return self._injector.injected
 
     def injected_count(self, fault: str) -> int:
         """Returns how often `fault` took effect at any node."""
@@ -203,40 +160,18 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             self.calls[request.path.split("/")[2]] += 1
-            self._note_connection(request)
-            if self._faults.delay_ms:
-                await asyncio.sleep(self._faults.delay_ms / 1000)
-            if self._is_down_for(request):
-                return await self._refuse(request)
+            self._injector.record_connection(request)
+            if self.faults.delay_ms:
+                await asyncio.sleep(self.faults.delay_ms / 1000)
+            if self._injector.is_down_for(request):
+                return await self._injector.refuse(request)
             response: web.StreamResponse = await handler(request)
-            if request.transport in self._mute_connections:
-                return await _never_respond()
+            if self._injector.is_mute(request):
+                return await never_respond()
             return response
 
         return handle
 
-    def _note_connection(self, request: web.Request) -> None:
-        self._drop_closed_connections()
-        if request.transport is not None:
-            self._connections[request.transport] = _node_of(request)
-
-    def _drop_closed_connections(self) -> None:
-        for transport in list(self._connections):
-            if transport.is_closing():
-                del self._connections[transport]
-                self._mute_connections.discard(transport)
-
-    def _is_down_for(self, request: web.Request) -> bool:
-        faults = self._faults
-        if not faults.down:
-            return False
-        nodes = {_node_of(request), request.remote}
-        return not faults.only or bool(nodes & set(faults.only))
-
-    async def _refuse(self, request: web.Request) -> web.StreamResponse:
-        self.injected[self._faults.down, _node_of(request)] += 1
-        return await _send_fault(request, self._faults.down)
-
     async def _handle_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
         self.faults = msgspec.json.decode(body, type=StoreFaults)
@@ -288,12 +223,10 @@
                 if e["rev"] > after and e["key"].startswith(prefix)
             ]
             left_s = deadline - loop.time()
-            if (events or left_s <= 0) and self._is_down_for(request):
-                return await self._refuse(request)
-            if events and self._watch_answers_to_lose > 0:
-                self._watch_answers_to_lose -= 1
-                self.injected["lost watch answer", _node_of(request)] += 1
-                return await _never_respond()
+            if (events or left_s <= 0) and self._injector.is_down_for(request):
+                return await self._injector.refuse(request)
+            if events and self._injector.loses_watch_answer(request):
+                return await never_respond()
             if events or left_s <= 0:
                 response = {"events": events, "current-rev": self.revision}
                 return web.json_response(response)
@@ -303,14 +236,12 @@
         self, request: web.Request
     ) -> web.StreamResponse:
         body = await request.json()
-        if self._answers_to_lose > 0:
-            self._answers_to_lose -= 1
-            self.injected["lost answer", _node_of(request)] += 1
+        if self._injector.loses_answer(request):
             late_s = self.faults.late_s
             task = asyncio.create_task(self._apply_later(body, late_s))
             self._delayed_transactions.add(task)
             task.add_done_callback(self._delayed_transactions.discard)
-            return await _send_fault(request, "reset")
+            return await send_fault(request, "reset")
         status, response = self._apply_transaction(body)
         return web.json_response(response, status=status)
 
@@ -392,36 +323,6 @@
         self._change_event = asyncio.Event()
 
 
-async def _send_fault(request: web.Request, fault: str) -> web.StreamResponse:
-    if fault == "busy":
-        return web.json_response({}, status=503)
-    if fault == "many":
-        return web.json_response({}, status=429)
-    if fault == "silent":
-        return await _never_respond()
-    transport = request.transport
-    if transport is not None:
-        transport.abort()
-    return web.Response(status=503)
-
-
-def _node_of(request: web.Request) -> str:
-    """Returns the address by which the node that sent `request` is known.
-
-    Each node of a deployment calls the store at an address of its own; their
-    connections all come from the same address of the loopback interface.
-    """
-    if request.transport is None:
-        return ""
-    return str(request.transport.get_extra_info("sockname")[0])
-
-
-async def _never_respond() -> web.StreamResponse:
-    """Holds the response, and so the connection, for ever."""
-    await asyncio.Event().wait()
-    return web.Response(status=503)
-
-
 async def _wait_at_most(event: asyncio.Event, timeout_s: float) -> None:
     try:
         await asyncio.wait_for(event.wait(), timeout_s)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 
 from radishwind.standins.platform_fleet import Instance
 from radishwind.standins.platform_server import ServerFaults
-from radishwind.standins.platform_store import StoreFaults
+from radishwind.standins.store_faults import StoreFaults
 from tests.soak.deployment import Deployment
 from tests.soak.deployment import LeaveAnnouncement
 from tests.soak.loopback_proxy import LinkMode
--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -26,7 +26,7 @@
 from radishwind.standins.platform_fleet import HOST
 from radishwind.standins.platform_fleet import Place
 from radishwind.standins.platform_fleet import route
-from radishwind.standins.platform_store import StoreFaults
+from radishwind.standins.store_faults import StoreFaults
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -18,7 +18,7 @@
 from radishwind.standins.platform_fleet import Place
 from radishwind.standins.platform_fleet import route
 from radishwind.standins.platform_server import ServerFaults
-from radishwind.standins.platform_store import StoreFaults
+from radishwind.standins.store_faults import StoreFaults
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
--- a/tests/test_stale_configuration.py
+++ b/tests/test_stale_configuration.py
@@ -14,7 +14,7 @@
 from radishwind.standins.platform_fleet import Fleet
 from radishwind.standins.platform_fleet import Place
 from radishwind.standins.platform_fleet import route
-from radishwind.standins.platform_store import StoreFaults
+from radishwind.standins.store_faults import StoreFaults
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
