--- a/src/radishwind/store/watch_monitor.py
+++ b/src/radishwind/store/watch_monitor.py
@@ -52,7 +52,7 @@
         self._clock = clock
         self._is_open = False
         self._started_at = 0.0
-        self._heard_at = 0.0
+        self._last_report_at = 0.0
         # Versions of the configuration, and revisions of the operator's keys.
         self._versions = _Lag()
         self._revisions = _Lag()
@@ -65,12 +65,16 @@
 
     def quiet_s(self) -> float:
         """Returns how long the open watch has reported nothing (s)."""
-        return self._clock.monotonic() - self._heard_at if self._is_open else 0
+        return (
+            self._clock.monotonic() - self._last_report_at
+            if self._is_open
+            else 0
+        )
 
     def record_start(self, revision: int) -> None:
         """Records that a watch was opened after `revision`."""
         self._is_open = True
-        self._started_at = self._heard_at = self._clock.monotonic()
+        self._started_at = self._last_report_at = self._clock.monotonic()
         self._versions.restart(self._started_at)
         self._revisions.restart(self._started_at)
         self.record_reported(revision)
@@ -82,7 +86,7 @@
           revision: revision of the store.
           version: version of the configuration; 0 if it reported none.
         """
-        now = self._heard_at = self._clock.monotonic()
+        now = self._last_report_at = self._clock.monotonic()
         self._revisions.update(revision, 0, now)
         self._versions.update(version, 0, now)
 
