--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exit 1: the rule was broken; 0: it held; 2: the case could not run.
+# TROUBLE=0 does the same, but no process is killed.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -179,7 +179,7 @@
           handle: returns the encoded response; `None` resets the connection.
         """
         self._handle = handle
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, *addresses: tuple[str, int]) -> None:
@@ -191,10 +191,18 @@
             for host, port in addresses
         ]
 
-    async def stop(self) -> None:
-        """Stops listening and resets all connections."""
+    def stop_listening(self) -> None:
+        """Accepts no more connections; open ones stay as they are."""
         for server in self._servers:
             server.close()
+
+    async def stop(self) -> None:
+        """Stops listening and resets all connections."""
+        self.stop_listening()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Resets all open connections."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -592,8 +600,12 @@
 
     async def beat(self) -> bool:
         """Sends one heartbeat; returns whether it was acknowledged."""
+        return await self.send_beat(self.next_beat())
+
+    def next_beat(self) -> dict[str, Any]:
+        """Returns the body of the next heartbeat."""
         self.sequence += 1
-        body = {
+        return {
             "service": self.service,
             "address": f"{self.node.host}:{self.node.app_port}",
             "zone": self.node.zone,
@@ -604,6 +616,9 @@
             "seq": self.sequence,
             "born": self.born,
         }
+
+    async def send_beat(self, body: dict[str, Any]) -> bool:
+        """Delivers a heartbeat; returns whether it was acknowledged."""
         return await self._tell("Heartbeat", body)
 
     async def deregister(self) -> bool:
