--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,9 @@
 """Late surplus answers beside refusals: are the refusals true?
 
-Three targets of one service run bookings, which are not idempotent. For some
+Three targets of one service run orders, which are not idempotent. For some
 seconds two of them send a second copy of some answers, late, where the next
 answer on the connection is expected. All the while the targets refuse some
-requests (`Not-Executed`). Afterwards each booking must have run once at most,
+requests (`Not-Executed`). Afterwards each order must have run once at most,
 and none that was answered 429, 503, 408 or 421 may have run.
 """
 
@@ -32,19 +32,22 @@
 ROUNDS = 6
 PAUSE_S = 1.0
 
-#: Requests a second at all machines together, and the work of one (s).
-RATE_PER_S = float(os.environ.get("RATE", "140"))
-WORK_S = 0.12
+PLACES = (("rk-hall-a", 1), ("rk-hall-b", 1), ("rk-annex", 1))
+
+#: Requests a second at all machines together; the work of one (s), and the
+#: slots of a target, as in the site: the targets can run 285 a second.
+RATE_PER_S = float(os.environ.get("RATE", "280"))
+WORK_S = 0.063
 SLOTS = 6
-TIMEOUT_MS = 1500
+TIMEOUT_MS = 800
 
 #: Time that a target takes to refuse a request (s).
-REFUSAL_S = 0.002
+REFUSAL_S = 0.01
 
 PROMISES = frozenset({"429", "503", "408", "421"})
 
 
-class BookingTarget(standins.Target):
+class OrderTarget(standins.Target):
     """A target that refuses some requests and repeats some answers late."""
 
     def __init__(self, *args: object, rng: random.Random, **kw: object) -> None:
@@ -88,14 +91,14 @@
             await writer.drain()
 
 
-class Bookings:
+class Orders:
     """The clients, the disturbance and the check."""
 
     def __init__(self, lab: standins.Lab) -> None:
         self._lab = lab
         self._rng = random.Random(SEED)
         self._answers: dict[str, str] = {}
-        self._targets: list[BookingTarget] = []
+        self._targets: list[OrderTarget] = []
 
     async def play(self) -> int:
         """Plays the case; returns the exit code."""
@@ -110,21 +113,21 @@
 
     async def _start(self) -> None:
         lab = self._lab
-        for name, zone in (("a", "hall-a"), ("b", "hall-b"), ("c", "annex")):
-            lab.add(f"sidecar-{name}-1", zone, "sessions")
+        for zone, number in PLACES:
+            lab.add(f"sidecar-{zone}-{number}", zone, "dispatch")
         await lab.start_store()
         lab.configure(
             [
                 standins.make_route(
-                    "review-book", "sessions", **{"timeout-ms": TIMEOUT_MS}
+                    "pkg-release", "dispatch", **{"timeout-ms": TIMEOUT_MS}
                 )
             ]
         )
         for number, node in enumerate(lab.nodes.values(), 1):
-            target = BookingTarget(
+            target = OrderTarget(
                 lab,
                 node,
-                "sessions",
+                "dispatch",
                 f"i-{number:08x}",
                 slots=SLOTS,
                 work_s=WORK_S,
@@ -135,14 +138,14 @@
         await lab.start_nodes()
         await asyncio.sleep(4.0)
 
-    async def _book(self, node: standins.Node, attempt: str) -> None:
+    async def _order(self, node: standins.Node, attempt: str) -> None:
         note = self._lab.record.note
         note(f"sent {attempt} to {node.name}")
         answer = await standins.call(
             node.host,
             node.outbound,
             "POST",
-            "/review-book/1",
+            "/pkg-release/1",
             {
                 "Host": standins.HOST,
                 "Attempt-Id": attempt,
@@ -162,9 +165,9 @@
         async with asyncio.TaskGroup() as tasks:
             while self._lab.record.now < until:
                 number = len(self._answers)
-                attempt = f"b{number:05d}-{self._rng.getrandbits(32):08x}"
+                attempt = f"o{number:05d}-{self._rng.getrandbits(32):08x}"
                 self._answers[attempt] = "none"
-                tasks.create_task(self._book(self._rng.choice(nodes), attempt))
+                tasks.create_task(self._order(self._rng.choice(nodes), attempt))
                 await asyncio.sleep(self._rng.expovariate(RATE_PER_S))
 
     async def _disturb(self) -> None:
@@ -209,7 +212,7 @@
     record = standins.Record(HERE / "record.txt")
     lab = standins.Lab(record, 81)
     try:
-        return await Bookings(lab).play()
+        return await Orders(lab).play()
     except (OSError, TimeoutError) as exc:
         record.note(f"could not run: {exc!r}", show=True)
         return 2
