Use a connection again only after a response that named its request

Cause, two faults of one class. A response that named another request went back to the pool with its connection, on which the true response was still due; from then on each response was read as that of the request after it. And a refusal names no request, so its late copy was taken for the refusal of the next one, also on a connection that was in step. Ruled out: refusals by the node itself.

Why it works: the head of a response is compared with its request before the connection is released. One that names its request proves that nothing else is due; one without a name is delivered and its connection closed; a copy of the response before is skipped by the request that it names; anything else fails the exchange. Health checks, whose responses name nothing, have connections of their own, in both programs.

--- a/src/radishwind/experiment/network.py
+++ b/src/radishwind/experiment/network.py
@@ -8,6 +8,7 @@
 
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.response_check import ResponseCheck
 from radishwind.http.sender import Sender
 from radishwind.http.server import Handler
 from radishwind.http.types import Address
@@ -90,7 +91,11 @@
         self._delay_s = delay_s
 
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
         sent = msgspec.structs.replace(request, remote=self._host)
         return await self._network.exchange(
--- a/src/radishwind/experiment/simulated_node.py
+++ b/src/radishwind/experiment/simulated_node.py
@@ -104,6 +104,7 @@
             settings=settings,
             clock=clock,
             sender=sender,
+            check_sender=sender,
             dialect=PlatformDialect(),
             rumor_bus=NullRumorBus(),
             is_early_learner=lambda: True,
--- a/src/radishwind/http/aiohttp_sender.py
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -11,6 +11,9 @@
 
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import ResponseMismatchError
+from radishwind.http.response_check import ResponseCheck
+from radishwind.http.response_check import verify_head
 from radishwind.http.sender import Sender
 from radishwind.http.strict_response_handler import StrictResponseHandler
 from radishwind.http.tcp_keepalive import enable_dead_peer_detection
@@ -18,6 +21,7 @@
 from radishwind.http.types import Address
 from radishwind.http.types import Body
 from radishwind.http.types import BodyStream
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
@@ -65,16 +69,21 @@
         """
         self._connections = connections
         self._keepalive_s = keepalive_s
-        self._sessions: dict[float, aiohttp.ClientSession] = {}
-
-    def _session(self, connect_timeout_s: float) -> aiohttp.ClientSession:
-        session = self._sessions.get(connect_timeout_s)
+        # By the timeout of a new connection (s), and whether connections are
+        # used only once.
+        self._sessions: dict[tuple[float, bool], aiohttp.ClientSession] = {}
+
+    def _session(
+        self, connect_timeout_s: float, *, is_single_use: bool
+    ) -> aiohttp.ClientSession:
+        session = self._sessions.get((connect_timeout_s, is_single_use))
         if session is not None:
             return session
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=self._connections,
-            keepalive_timeout=self._keepalive_s,
+            keepalive_timeout=None if is_single_use else self._keepalive_s,
+            force_close=is_single_use,
             use_dns_cache=False,
             socket_factory=_make_socket,
         )
@@ -94,13 +103,21 @@
         # aiohttp by itself resends GET, PUT and DELETE when a reused connection
         # breaks. Retries are decided by the retry policy instead.
         session._retry_connection = False
-        self._sessions[connect_timeout_s] = session
+        self._sessions[connect_timeout_s, is_single_use] = session
         return session
 
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
-        session = self._session(connect_timeout_s)
+        # A complete response has released its connection before it can be
+        # checked.
+        session = self._session(
+            connect_timeout_s, is_single_use=check is not None
+        )
         url = yarl.URL(
             f"http://{address.host}:{address.port}{request.path}", encoded=True
         )
@@ -119,6 +136,11 @@
             raise ConnectFailedError(f"{address}: {exc}") from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise ExchangeBrokenError(f"{address}: {exc!r}") from exc
+        try:
+            verify_head(check, response.status, _decode_headers(response))
+        except ResponseMismatchError:
+            response.close()
+            raise
         return await _read_response(response)
 
     async def close(self) -> None:
@@ -141,12 +163,15 @@
     return body or None
 
 
-async def _read_response(response: aiohttp.ClientResponse) -> Response:
-    fields = [
+def _decode_headers(response: aiohttp.ClientResponse) -> Headers:
+    return tuple(
         (key.decode("ascii"), value.decode("utf-8", "surrogateescape"))
         for key, value in response.raw_headers
-    ]
-    headers = tuple(fields)
+    )
+
+
+async def _read_response(response: aiohttp.ClientResponse) -> Response:
+    headers = _decode_headers(response)
     length = response.content_length
     if length is None or length > SMALL_BODY_BYTES:
         return Response(
--- a/src/radishwind/http/client_connection.py
+++ b/src/radishwind/http/client_connection.py
@@ -7,31 +7,43 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import cast
+from typing import TypeAlias
 
 import httptools
 
 from radishwind.http.byte_meter import ByteMeter
 from radishwind.http.byte_meter import NO_METER
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import ResponseMismatchError
 from radishwind.http.heads import decode_fields
 from radishwind.http.heads import encode_chunk
 from radishwind.http.heads import has_body
 from radishwind.http.heads import LAST_CHUNK
 from radishwind.http.heads import parse_framing
 from radishwind.http.incoming_body import IncomingBody
+from radishwind.http.response_check import ResponseCheck
+from radishwind.http.response_sequence import CloseReason
+from radishwind.http.response_sequence import MAX_SKIPPED_BYTES
+from radishwind.http.response_sequence import ResponseSequence
+from radishwind.http.response_sequence import Verdict
 from radishwind.http.types import BodyStream
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
 
-#: Limit of the size of a response head.
+#: Limit of the size of a response head (bytes).
 MAX_RESPONSE_HEAD_BYTES = 256 * 1024
 
 _SWITCHING = 101
 
 
+#: How many connections were closed, by reason.
+CloseCounts: TypeAlias = collections.Counter[CloseReason]
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection that carries one exchange at a time.
 
@@ -45,6 +57,7 @@
         self,
         on_released: Callable[["ClientConnection"], None],
         meter: ByteMeter = NO_METER,
+        close_counts: CloseCounts | None = None,
     ) -> None:
         """Creates the protocol of a connection that is not open yet.
 
@@ -52,9 +65,13 @@
           on_released: called when an exchange has ended or the connection is
             lost; see `is_usable`.
           meter: counts the bytes of the connection.
+          close_counts: counts why connections were closed.
         """
         self._on_released = on_released
         self._meter = meter
+        self._close_counts = (
+            CloseCounts() if close_counts is None else close_counts
+        )
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[Response] | None = None
@@ -70,24 +87,38 @@
         self._buffered_length: int | None = None
         self._to_head = False
         self._is_lost = False
+        self._sequence = ResponseSequence()
+        # Whether the response being received is skipped, and how much of its
+        # body was received so far.
+        self._is_skipping = False
+        self._skipped_bytes = 0
         self.is_usable = True
         self.idle_since = 0.0
         self.has_received = False
 
     # Called by the sender.
 
-    async def exchange(self, head: bytes, request: Request) -> Response:
+    async def exchange(
+        self,
+        head: bytes,
+        request: Request,
+        check: ResponseCheck | None = None,
+    ) -> Response:
         """Sends `request` and returns once the response head was received.
 
         Args:
           head: encoded head of `request`.
           request: what to send.
+          check: tells whether a response is that to `request`; `None` if
+            responses don't name their requests.
 
         Raises:
+          ResponseMismatchError: the response is not that to `request`.
           ExchangeBrokenError: the connection broke or the response is invalid.
         """
         loop = asyncio.get_running_loop()
         self._response = loop.create_future()
+        self._sequence.start(check)
         self._to_head = request.method == "HEAD"
         self.has_received = False
         self.is_usable = False
@@ -122,7 +153,7 @@
     def data_received(self, data: bytes) -> None:
         if self._response is None:
             # No exchange is in progress, so this is not a response.
-            self.abort()
+            self._abort_for(CloseReason.UNSOLICITED)
             return
         self.has_received = True
         self._meter.record_received(len(data))
@@ -165,7 +196,7 @@
     def on_message_begin(self) -> None:
         if self._response is None:
             # A second response after the first.
-            self.abort()
+            self._abort_for(CloseReason.UNSOLICITED)
         self._fields = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -183,6 +214,16 @@
         if not framing.is_unambiguous:
             self._fail("expected a chunked body or one with Content-Length")
             return
+        verdict = self._sequence.judge(
+            self._status, headers, framing, to_head=self._to_head
+        )
+        if verdict is Verdict.REJECT:
+            self._fail_mismatch()
+            return
+        self._is_skipping = verdict is Verdict.SKIP
+        if self._is_skipping:
+            self._skipped_bytes = 0
+            return
         if self._to_head or not has_body(self._status):
             self._resolve(Response(self._status, headers, b"", 0))
             if self._to_head:
@@ -200,14 +241,21 @@
         self._resolve(Response(self._status, headers, self._body, length))
 
     def on_body(self, piece: bytes) -> None:
-        if self._body is not None:
+        if self._is_skipping:
+            self._skipped_bytes += len(piece)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                self._fail_mismatch()
+        elif self._body is not None:
             self._body.feed(piece)
 
     def on_message_complete(self) -> None:
         if self._status == _SWITCHING:
             self._fail("expected a response, got a switch of protocols")
             return
-        if self._status >= 200:
+        if self._is_skipping:
+            self._is_skipping = False
+            self._in_head = True
+        elif self._status >= 200:
             self._complete()
 
     # End of an exchange.
@@ -237,6 +285,9 @@
         self._reset()
         if self._is_lost:
             return
+        if self._sequence.close_reason is not None:
+            self._abort_for(self._sequence.close_reason)
+            return
         if not keeps_alive or not is_sent:
             self._transport.close()
             return
@@ -251,11 +302,27 @@
         self._response = None
         self._buffered_length = None
         self._until_close = False
+        self._is_skipping = False
         self._in_head = True
 
+    def _abort_for(self, reason: CloseReason) -> None:
+        """Closes the connection at once and counts why."""
+        if not self._is_lost and not self._transport.is_closing():
+            self._close_counts[reason] += 1
+        self.abort()
+
+    def _fail_mismatch(self) -> None:
+        """Fails the exchange; the response is that to another request."""
+        self._close_counts[CloseReason.FOREIGN] += 1
+        self._fail_with(
+            ResponseMismatchError("expected the response to the request sent")
+        )
+
     def _fail(self, reason: str) -> None:
         """Fails the exchange and closes the connection."""
-        error = ExchangeBrokenError(reason)
+        self._fail_with(ExchangeBrokenError(reason))
+
+    def _fail_with(self, error: ExchangeBrokenError) -> None:
         if self._body is not None:
             self._body.fail(error)
             self._body = None
--- a/src/radishwind/http/errors.py
+++ b/src/radishwind/http/errors.py
@@ -23,6 +23,16 @@
     code = ResultCode.EXCHANGE_BROKEN
 
 
+class InvalidResponseError(ExchangeBrokenError):
+    """The peer sent bytes that are not a valid response to the request."""
+
+
+class ResponseMismatchError(InvalidResponseError):
+    """The response received is not the one to the request sent."""
+
+    code = ResultCode.ANSWER_MISMATCH
+
+
 class RequestRejectedError(RadishwindError):
     """A received request violates the rules or limits of HTTP."""
 
--- a/src/radishwind/http/httptools_sender.py
+++ b/src/radishwind/http/httptools_sender.py
@@ -7,9 +7,11 @@
 from radishwind.http.byte_meter import ByteMeter
 from radishwind.http.byte_meter import NO_METER
 from radishwind.http.client_connection import ClientConnection
+from radishwind.http.client_connection import CloseCounts
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.heads import encode_request_head
+from radishwind.http.response_check import ResponseCheck
 from radishwind.http.sender import Sender
 from radishwind.http.tcp_keepalive import enable_dead_peer_detection
 from radishwind.http.tcp_keepalive import KEEPALIVE_S
@@ -63,6 +65,10 @@
     request on such a connection; whether that request was executed is then
     unknown. After such a reset, connections that were idle for half as long
     are not reused for a while.
+
+    Attributes:
+      close_counts: how many connections were closed, by reason.
+      opened_count: how many connections were opened.
     """
 
     def __init__(
@@ -84,9 +90,15 @@
         self._pools: dict[Address, _Pool] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._closed = False
+        self.close_counts = CloseCounts()
+        self.opened_count = 0
 
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
         pool = self._pools.get(address)
         if pool is None:
@@ -96,7 +108,7 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         try:
-            return await conn.exchange(head, request)
+            return await conn.exchange(head, request, check)
         except ExchangeBrokenError:
             now = loop.time()
             is_immediate = (
@@ -169,7 +181,9 @@
         try:
             with TimeLimit(timeout_s):
                 transport, conn = await loop.create_connection(
-                    lambda: ClientConnection(on_released, self._meter),
+                    lambda: ClientConnection(
+                        on_released, self._meter, self.close_counts
+                    ),
                     address.host,
                     address.port,
                 )
@@ -184,6 +198,7 @@
             self._wake_next(pool)
             raise
         enable_dead_peer_detection(transport.get_extra_info("socket"))
+        self.opened_count += 1
         return conn
 
     def _wake_next(self, pool: _Pool) -> None:
--- a/src/radishwind/http/httpx_sender.py
+++ b/src/radishwind/http/httpx_sender.py
@@ -7,10 +7,14 @@
 
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import ResponseMismatchError
+from radishwind.http.response_check import ResponseCheck
+from radishwind.http.response_check import verify_head
 from radishwind.http.sender import Sender
 from radishwind.http.types import Address
 from radishwind.http.types import Body
 from radishwind.http.types import BodyStream
+from radishwind.http.types import Headers
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
@@ -58,12 +62,18 @@
         )
 
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
         outgoing = httpx.Request(
             request.method,
             f"http://{address.host}:{address.port}{request.path}",
-            headers=list(request.headers),
+            headers=_single_use(request.headers)
+            if check is not None
+            else list(request.headers),
             content=_content(request.body),
             extensions={"timeout": {"connect": connect_timeout_s}},
         )
@@ -73,12 +83,27 @@
             raise ConnectFailedError(f"{address}: {exc!r}") from exc
         except httpx.HTTPError as exc:
             raise ExchangeBrokenError(f"{address}: {exc!r}") from exc
+        try:
+            verify_head(
+                check,
+                response.status_code,
+                tuple(response.headers.multi_items()),
+            )
+        except ResponseMismatchError:
+            await response.aclose()
+            raise
         return await _read_response(response)
 
     async def close(self) -> None:
         await self._client.aclose()
 
 
+def _single_use(headers: Headers) -> list[tuple[str, str]]:
+    """Returns `headers` such that the connection is used only once."""
+    kept = [item for item in headers if item[0].lower() != "connection"]
+    return [*kept, ("Connection", "close")]
+
+
 def _content(body: Body) -> bytes | AsyncIterator[bytes] | None:
     if isinstance(body, BodyStream):
         return aiter(body)
--- a/src/radishwind/http/sender.py
+++ b/src/radishwind/http/sender.py
@@ -2,6 +2,7 @@
 
 import abc
 
+from radishwind.http.response_check import ResponseCheck
 from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
@@ -16,7 +17,11 @@
 
     @abc.abstractmethod
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
         """Sends `request` and returns once the response head was received.
 
@@ -24,9 +29,13 @@
           address: where to send it.
           request: what to send; its header fields are sent unchanged.
           connect_timeout_s: timeout for opening a new connection (s).
+          check: tells whether a response is that to `request`. Its connection
+            is used again only after a response that names the request. `None`
+            if responses don't name their requests.
 
         Raises:
           ConnectFailedError: no byte of the request was sent.
+          ResponseMismatchError: the response is not that to `request`.
           ExchangeBrokenError: the exchange failed after that.
         """
 
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -46,6 +46,7 @@
 #: Claims have connections of their own to the store, so that they never wait
 #: behind a watch or a slow read.
 _PEER_CONNECTIONS = 250
+_PROBE_CONNECTIONS = 1
 _STORE_CONNECTIONS = 4
 _CLAIM_CONNECTIONS = 8
 
@@ -72,6 +73,7 @@
     def _build_control(self) -> None:
         library = self._settings.http_library
         self._sender = make_sender(library, _PEER_CONNECTIONS)
+        self._probe_sender = make_sender(library, _PROBE_CONNECTIONS)
         self._stores = make_stores(
             self._settings,
             make_sender(library, _STORE_CONNECTIONS),
@@ -110,6 +112,7 @@
             self._settings,
             self._clock,
             self._sender,
+            self._probe_sender,
             self._membership.rumor_bus,
             self._handle_ready_changed,
         )
@@ -216,6 +219,7 @@
             tasks.cancel_scope.cancel()
         # Only now, because the tasks use these connections until they end.
         await self._sender.close()
+        await self._probe_sender.close()
         await self._stores.close()
         self._log.info("Stopped.")
 
--- a/src/radishwind/node/target_side.py
+++ b/src/radishwind/node/target_side.py
@@ -39,6 +39,7 @@
         settings: NodeSettings,
         clock: Clock,
         sender: Sender,
+        probe_sender: Sender,
         rumor_bus: RumorBus,
         on_ready_changed: Callable[[bool], None],
     ) -> None:
@@ -47,7 +48,9 @@
         Args:
           settings: settings of the node.
           clock: the clock.
-          sender: sends requests and probes to the server.
+          sender: sends requests to the server.
+          probe_sender: sends probes to the server. Their responses name no
+            request, so that a late one must not meet a request.
           rumor_bus: shares crash reports with other nodes.
           on_ready_changed: called when the server begins or ceases to take new
             work.
@@ -68,7 +71,7 @@
         self._recorder = ExchangeRecorder(clock, health, self.quarantine)
         self._prober = Prober(
             clock=clock,
-            sender=sender,
+            sender=probe_sender,
             server=self._server,
             admission=self._admission,
             health=health,
--- a/src/radishwind/platform/platform_dialect.py
+++ b/src/radishwind/platform/platform_dialect.py
@@ -73,8 +73,15 @@
         is_not_run = NOT_EXECUTED.lower() in fields or _is_other_incarnation(
             response
         )
+        request_id = fields.get(REQUEST_ID.lower())
+        names_request = request_id is not None and request_id == get_header(
+            call.request.headers, REQUEST_ID.lower()
+        )
         return ResponseMetadata(
-            matches_request=_matches_request(call, fields, is_not_run),
+            # A refusal may omit the request id.
+            matches_request=names_request
+            or (request_id is None and is_not_run),
+            names_request=names_request,
             incarnation=fields.get(SERVER_INCARNATION.lower(), ""),
             is_not_run=is_not_run,
             is_other_incarnation=_is_other_incarnation(response),
@@ -88,7 +95,10 @@
 
     def parse_health_response(self, response: Response) -> ResponseMetadata:
         limit = get_header(response.headers, LIMIT.lower())
+        request_id = get_header(response.headers, REQUEST_ID.lower())
         return ResponseMetadata(
+            matches_request=request_id is None,
+            names_request=False,
             incarnation=get_header(response.headers, SERVER_INCARNATION.lower())
             or "",
             load=_parse_load(get_header(response.headers, LOAD.lower())),
@@ -111,19 +121,6 @@
     return get_header(headers, LEAVING.lower()) == _IS_LEAVING
 
 
-def _matches_request(
-    call: Call, fields: dict[str, str], is_not_run: bool
-) -> bool:
-    """Returns whether the fields of a response carry the id of `call`.
-
-    A refusal may omit the request id; any other response must carry it.
-    """
-    request_id = fields.get(REQUEST_ID.lower())
-    if request_id is None:
-        return is_not_run
-    return request_id == get_header(call.request.headers, REQUEST_ID.lower())
-
-
 def _is_other_incarnation(response: Response) -> bool:
     return response.status == _OTHER_INCARNATION_STATUS
 
--- a/src/radishwind/platform/tests/test_platform_store.py
+++ b/src/radishwind/platform/tests/test_platform_store.py
@@ -31,7 +31,7 @@
         self.responses = list(responses)
         self.requests = []
 
-    async def send(self, address, request, connect_timeout_s):
+    async def send(self, address, request, connect_timeout_s, check=None):
         self.requests.append(request)
         response = self.responses.pop(0)
         if isinstance(response, Exception):
@@ -114,7 +114,7 @@
     body = SilentBody()
 
     class Silent(ScriptedSender):
-        async def send(self, address, request, connect_timeout_s):
+        async def send(self, address, request, connect_timeout_s, check=None):
             return Response(200, (), body)
 
     async def read():
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -25,6 +25,7 @@
 from radishwind.routes.evacuation import EvacuationState
 from radishwind.routes.model import RouteConfig
 from radishwind.settings.placed_settings import PlacedSettings
+from radishwind.sidecar.connection_metrics import add_connection_metrics
 from radishwind.sidecar.control import Readiness
 from radishwind.sidecar.control_side import ControlSide
 from radishwind.sidecar.entry_side import EntrySide
@@ -38,6 +39,7 @@
 from radishwind.sidecar.metrics import add_metrics
 from radishwind.sidecar.metrics import MetricsListener
 from radishwind.sidecar.metrics import MetricSources
+from radishwind.sidecar.options import CHECK_POOL_SIZE
 from radishwind.sidecar.options import DISCOVERY
 from radishwind.sidecar.options import GOSSIP
 from radishwind.sidecar.options import MAX_PIPELINED
@@ -96,9 +98,13 @@
         self._server_sender = HttptoolsSender(
             SERVER_POOL_SIZE, SERVER_POOL_IDLE_S
         )
+        self._check_sender = HttptoolsSender(
+            CHECK_POOL_SIZE, SERVER_POOL_IDLE_S
+        )
+        self._store_sender = HttptoolsSender(STORE_POOL_SIZE)
         self._store = BudgetedStore(
             PlatformStore(
-                HttptoolsSender(STORE_POOL_SIZE),
+                self._store_sender,
                 settings.store,
                 self._on_malformed_store_item,
             ),
@@ -155,6 +161,7 @@
             settings=self._settings,
             clock=self._clock,
             sender=self._server_sender,
+            check_sender=self._check_sender,
             dialect=PlatformDialect(),
             rumor_bus=self._membership.rumor_bus,
             on_ready_changed=self._on_ready_changed,
@@ -248,6 +255,15 @@
             recency=self._recency,
         )
         self._control.listen_on(self._peers.listener)
+        add_connection_metrics(
+            self._metrics,
+            {
+                "server": self._server_sender,
+                "health": self._check_sender,
+                "peer": self._peer_sender,
+                "store": self._store_sender,
+            },
+        )
         add_metrics(
             self._metrics,
             MetricSources(
@@ -343,6 +359,7 @@
         """Closes the senders once no task uses them any more."""
         await self._peer_sender.close()
         await self._server_sender.close()
+        await self._check_sender.close()
         await self._store.close()
 
     async def _wait_for_signal(
--- a/src/radishwind/sidecar/options.py
+++ b/src/radishwind/sidecar/options.py
@@ -8,10 +8,11 @@
 from radishwind.sidecar.switches import Switches
 from radishwind.store.budgeted_store import StoreBudget
 
-#: Maximum number of connections to one peer, to the local backend server, and
-#: to the store.
+#: Maximum number of connections to one peer, to the local backend server, to
+#: its health path, and to the store.
 PEER_POOL_SIZE = 250
 SERVER_POOL_SIZE = 250
+CHECK_POOL_SIZE = 1
 STORE_POOL_SIZE = 8
 
 #: Maximum number of connections of a listener, by its clients. Together with
--- a/src/radishwind/sidecar/target_side.py
+++ b/src/radishwind/sidecar/target_side.py
@@ -78,6 +78,7 @@
         settings: PlacedSettings,
         clock: Clock,
         sender: Sender,
+        check_sender: Sender,
         dialect: ServerDialect,
         rumor_bus: RumorBus,
         on_ready_changed: Callable[[bool], None],
@@ -92,6 +93,7 @@
           settings: settings of the node.
           clock: the clock.
           sender: sends requests to the server.
+          check_sender: sends health checks to the server.
           dialect: builds requests to the server and parses its responses.
           rumor_bus: shares suspects of the quarantine with other nodes.
           on_ready_changed: called with whether the server accepts new work.
@@ -179,7 +181,7 @@
         )
         self.load_poller = LoadPoller(
             clock=clock,
-            sender=sender,
+            sender=check_sender,
             dialect=dialect,
             monitor=self.load_monitor,
             view=self._view,
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -9,12 +9,16 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import itertools
 import random
 import socket
 import struct
 from typing import Any
+from typing import TypeAlias
+import weakref
 
 import aiohttp
 from aiohttp import web
@@ -23,6 +27,11 @@
 from radishwind.core.clock import Clock
 from radishwind.http.types import Address
 
+#: Handles a request.
+RequestHandler: TypeAlias = Callable[
+    [web.Request], Awaitable[web.StreamResponse]
+]
+
 FAULTS_PATH = "/standin/faults"
 COUNTERS_PATH = "/standin/counters"
 HEALTH_PATH = "/health"
@@ -88,6 +97,10 @@
       shed: the fraction of requests shed although the queue has room.
       health: empty, `bad` (always reports unhealthy) or `good` (always reports
         healthy).
+      late_copies: the fraction of responses, refusals included, of which a
+        second copy is sent where the next response on the connection is
+        expected.
+      shed_s: how long it takes to shed a request (s).
       slow: a factor on every service time.
       limit_per_s: the request limit that responses state (requests/s); `None`
         for none.
@@ -99,6 +112,8 @@
     fail: float = 0.0
     shed: float = 0.0
     health: str = ""
+    late_copies: float = 0.0
+    shed_s: float = 0.0
     slow: float = 1.0
     limit_per_s: float | None = None
     health_notices: bool = True
@@ -119,6 +134,8 @@
         for none.
       draining: whether heartbeats and health checks report it as draining.
       leaving: whether all responses report it as leaving.
+      late_copies_sent: the number of late copies of responses sent.
+      shed_count: the number of requests shed.
       leave_acknowledged_at: when the node acknowledged the planned leave
         (monotonic s), set by the caller that makes it leave; `None` before.
       last_run_started_at: when the last run started (monotonic s); 0 before
@@ -141,6 +158,12 @@
         self._started_at = clock.monotonic()
         self._spell_offset_s = rng.random() * max(options.spell_s, 0.001)
         self._pace_by_spell: dict[int, float] = {}
+        # The copy to send late, by connection.
+        self._late_copies: weakref.WeakKeyDictionary[
+            asyncio.BaseTransport, bytes
+        ] = weakref.WeakKeyDictionary()
+        self.late_copies_sent = 0
+        self.shed_count = 0
         random_name = f"i-{rng.getrandbits(32):08x}"
         self.incarnation = options.incarnation or random_name
         self.started_at_ms = clock.wall_ms()
@@ -169,13 +192,35 @@
 
     def make_application(self) -> web.Application:
         """Returns an aiohttp application that serves the requests."""
-        app = web.Application()
+
+        @web.middleware
+        async def send_copies(
+            request: web.Request, handler: RequestHandler
+        ) -> web.StreamResponse:
+            return await self._handle_with_copies(request, handler)
+
+        app = web.Application(middlewares=[send_copies])
         app.router.add_get(HEALTH_PATH, self._handle_health)
         app.router.add_post(FAULTS_PATH, self._handle_faults)
         app.router.add_get(COUNTERS_PATH, self._handle_counters)
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         return app
 
+    async def _handle_with_copies(
+        self, request: web.Request, handler: RequestHandler
+    ) -> web.StreamResponse:
+        """Handles a request on a connection that may get late copies."""
+        transport = request.transport
+        assert transport is not None
+        copy = self._late_copies.pop(transport, b"")
+        if copy:
+            self.late_copies_sent += 1
+            transport.write(copy)  # type: ignore[attr-defined]
+        response = await handler(request)
+        if self._rng.random() < self.faults.late_copies:
+            self._late_copies[transport] = _encode_response(response)
+        return response
+
     async def send_heartbeats(self) -> None:
         """Sends heartbeats until cancelled."""
         async with aiohttp.ClientSession() as session:
@@ -285,6 +330,8 @@
         )
         is_full = self._queued >= self.options.queue
         if is_full or self._rng.random() < self.faults.shed:
+            self.shed_count += 1
+            await asyncio.sleep(self.faults.shed_s)
             headers = {
                 "Not-Executed": "1",
                 **self._load_header(),
@@ -365,6 +412,20 @@
         return response
 
 
+def _encode_response(response: web.StreamResponse) -> bytes:
+    """Returns the bytes of a response whose body is known."""
+    assert isinstance(response, web.Response)
+    body = response.body if isinstance(response.body, bytes) else b""
+    lines = [f"HTTP/1.1 {response.status} Copy"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in response.headers.items()
+        if name.lower() not in ("content-length", "transfer-encoding")
+    ]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
 def _send_reset(transport: asyncio.BaseTransport) -> None:
     """Closes a connection with a reset (RST) instead of a FIN."""
     sock = transport.get_extra_info("socket")
@@ -372,6 +433,16 @@
     transport.abort()  # type: ignore[attr-defined]
 
 
+def _encode_own_fields(request_id: str, incarnation: str) -> bytes:
+    """Returns the field lines of the response to a request; none without ID."""
+    if not request_id:
+        return b""
+    return (
+        f"Attempt-Id: {request_id}\r\n"
+        f"Response-Signature: {incarnation}.{request_id}\r\n"
+    ).encode()
+
+
 def _encode_faulty_response(
     request_id: str, incarnation: str, fault: str, notices: dict[str, str]
 ) -> bytes:
@@ -379,9 +450,10 @@
     body = f"done {request_id}".encode()
     stated = "".join(f"{name}: {value}\r\n" for name, value in notices.items())
     head = (
-        f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\n"
-        f"Response-Signature: {incarnation}.{request_id}\r\n{stated}"
-    ).encode()
+        b"HTTP/1.1 200 OK\r\n"
+        + _encode_own_fields(request_id, incarnation)
+        + stated.encode()
+    )
     length = b"Content-Length: %d\r\n\r\n" % len(body)
     if fault == "unframed":
         return head + b"\r\n" + body
--- a/src/radishwind/target/dialect.py
+++ b/src/radishwind/target/dialect.py
@@ -9,7 +9,6 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 
-
 class ServerLoad(msgspec.Struct, frozen=True):
     """A load report of the server.
 
@@ -31,7 +30,8 @@
     """What the header fields of a server's response state.
 
     Attributes:
-      matches_request: whether it names the request that it answers.
+      matches_request: whether it can be the response to the request.
+      names_request: whether it names that request.
       incarnation: the incarnation that answers; empty if not stated.
       is_not_run: whether the server states that it did not run the request.
       is_other_incarnation: whether it states that it is another incarnation
@@ -49,6 +49,7 @@
     """
 
     matches_request: bool = True
+    names_request: bool = True
     incarnation: str = ""
     is_not_run: bool = False
     is_other_incarnation: bool = False
@@ -104,4 +105,7 @@
 
     @abc.abstractmethod
     def parse_health_response(self, response: Response) -> ResponseMetadata:
-        """Returns what the response to a health check states."""
+        """Returns what the response to a health check states.
+
+        A response that names a request is not that to a health check.
+        """
--- a/src/radishwind/target/server_exchange.py
+++ b/src/radishwind/target/server_exchange.py
@@ -11,10 +11,13 @@
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
 from radishwind.http.notifying_stream import NotifyingStream
+from radishwind.http.response_check import ResponseCheck
+from radishwind.http.response_check import ResponseMatch
 from radishwind.http.sender import Sender
 from radishwind.http.types import abort_body
 from radishwind.http.types import BodyStream
 from radishwind.http.types import get_header
+from radishwind.http.types import Headers
 from radishwind.http.types import Response
 from radishwind.outcomes.model import Done
 from radishwind.outcomes.model import NotRun
@@ -40,6 +43,22 @@
 _RETRY_AFTER_S = 1.0
 
 
+class _ShedCheck(ResponseCheck):
+    """Closes the connection of a refusal.
+
+    Responses don't name their requests. A late copy of a refusal could be taken
+    for the refusal of the next request, which would then run all the same.
+    """
+
+    def match(self, status: int, headers: Headers) -> ResponseMatch:
+        if _states_shed(status, headers):
+            return ResponseMatch.UNIDENTIFIED
+        return ResponseMatch.OWN
+
+
+_SHED_CHECK = _ShedCheck()
+
+
 class ServerExchange(Exchange):
     """Sends calls to the server and records their outcomes."""
 
@@ -57,7 +76,10 @@
         try:
             with TimeLimit(call.deadline - now):
                 response = await self._sender.send(
-                    view.address, server_request(call, now), CONNECT_TIMEOUT_S
+                    view.address,
+                    server_request(call, now),
+                    CONNECT_TIMEOUT_S,
+                    _SHED_CHECK,
                 )
         except ConnectFailedError:
             self._recorder.record_connect_failure()
@@ -82,7 +104,7 @@
     def _received(
         self, call: Call, response: Response, is_alone: bool
     ) -> Outcome:
-        if _was_shed(response):
+        if _states_shed(response.status, response.headers):
             abort_body(response.body)
             return NotRun(
                 ResultCode.SERVER_SHED,
@@ -115,10 +137,10 @@
         )
 
 
-def _was_shed(response: Response) -> bool:
-    if response.status != _SHED_STATUS:
+def _states_shed(status: int, headers: Headers) -> bool:
+    if status != _SHED_STATUS:
         return False
-    return get_header(response.headers, SHED_FIELD) is not None
+    return get_header(headers, SHED_FIELD) is not None
 
 
 class SlotHoldingStream(NotifyingStream):
--- a/src/radishwind/target/tests/test_leaving_records.py
+++ b/src/radishwind/target/tests/test_leaving_records.py
@@ -55,7 +55,7 @@
     def __init__(self):
         self.peers = {}
 
-    async def send(self, address, request, connect_timeout_s):
+    async def send(self, address, request, connect_timeout_s, check=None):
         return await self.peers[address.port].handle(request)
 
     async def close(self):
--- a/src/radishwind/target/tests/test_verifying_exchange.py
+++ b/src/radishwind/target/tests/test_verifying_exchange.py
@@ -57,7 +57,7 @@
         self.response = response
         self.requests = []
 
-    async def send(self, address, request, connect_timeout_s):
+    async def send(self, address, request, connect_timeout_s, check=None):
         self.requests.append(request)
         if isinstance(self.response, Exception):
             raise self.response
--- a/src/radishwind/target/verifying_exchange.py
+++ b/src/radishwind/target/verifying_exchange.py
@@ -3,7 +3,8 @@
 The server may cut off responses, send surplus ones, or send malformed bytes.
 Therefore a response is buffered until it is complete, and it must name the
 request that it answers. Anything else has the outcome `Unknown`, and its
-connection is closed.
+connection is closed. A refusal may name no request; its connection is closed
+too, since a late copy of it could be taken for the refusal of the next request.
 """
 
 from collections.abc import Callable
@@ -14,11 +15,15 @@
 from radishwind.entry.call import Call
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import ResponseMismatchError
+from radishwind.http.response_check import ResponseCheck
+from radishwind.http.response_check import ResponseMatch
 from radishwind.http.sanitization import strip_hop_by_hop_fields
 from radishwind.http.sender import Sender
 from radishwind.http.types import abort_body
 from radishwind.http.types import Body
 from radishwind.http.types import get_header
+from radishwind.http.types import Headers
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
 from radishwind.outcomes.model import Done
@@ -35,6 +40,7 @@
 from radishwind.target.exchange_recorder import ExchangeRecorder
 from radishwind.target.load_monitor import LoadMonitor
 from radishwind.target.server_exchange import SlotHoldingStream
+from radishwind.telemetry.part_logger import PartLogger
 
 #: Timeout of a new connection to the server (s). The server runs on the same
 #: instance, so a connection that takes longer met a full accept queue.
@@ -51,6 +57,31 @@
 _REPLACED_RETRY_AFTER_S = 0.05
 
 
+class _CallCheck(ResponseCheck):
+    """Checks which response is the one to a call.
+
+    Attributes:
+      metadata: what the first response to the call states; `None` before it.
+    """
+
+    def __init__(self, dialect: ServerDialect, call: Call) -> None:
+        self._dialect = dialect
+        self._call = call
+        self.metadata: ResponseMetadata | None = None
+
+    def match(self, status: int, headers: Headers) -> ResponseMatch:
+        metadata = self._dialect.parse_response(
+            self._call, Response(status, headers)
+        )
+        if not metadata.matches_request or not metadata.is_authentic:
+            return ResponseMatch.FOREIGN
+        if self.metadata is None:
+            self.metadata = metadata
+        if metadata.names_request:
+            return ResponseMatch.OWN
+        return ResponseMatch.UNIDENTIFIED
+
+
 class VerifyingExchange(Exchange):
     """Buffers each response until it is complete, and verifies it.
 
@@ -89,6 +120,7 @@
         self._monitor = monitor
         self._on_replaced = on_replaced
         self._on_response = on_response or _ignore_response
+        self._log = PartLogger("target", clock)
         self.sent_count = 0
         self.buffer_budget = BufferBudget()
 
@@ -100,10 +132,11 @@
         sent_at = self._clock.monotonic()
         left_s = call.deadline - sent_at
         request = self._dialect.build_request(call, view.instance, left_s)
+        check = _CallCheck(self._dialect, call)
         try:
             with TimeLimit(left_s):
                 response = await self._sender.send(
-                    view.address, request, CONNECT_TIMEOUT_S
+                    view.address, request, CONNECT_TIMEOUT_S, check
                 )
                 body = await self._buffer(response)
         except ConnectFailedError:
@@ -111,6 +144,9 @@
             return NotRun(
                 ResultCode.CONNECT_FAILED, "The server accepts no connections."
             )
+        except ResponseMismatchError:
+            self._recorder.record_broken_exchange(call)
+            return self._mismatch(call, view)
         except ExchangeBrokenError as exc:
             self._recorder.record_broken_exchange(call)
             return Unknown(ResultCode.EXCHANGE_BROKEN, str(exc.args[0])[:160])
@@ -120,7 +156,16 @@
                 ResultCode.EXCHANGE_TIMEOUT,
                 "The server did not respond in time.",
             )
-        return self._verify(call, view, response, body, is_alone, sent_at)
+        metadata = check.metadata or self._dialect.parse_response(
+            call, response
+        )
+        if not metadata.matches_request or not metadata.is_authentic:
+            abort_body(body)
+            self._recorder.record_broken_exchange(call)
+            return self._mismatch(call, view)
+        return self._finish(
+            call, view, metadata, response, body, is_alone, sent_at
+        )
 
     def wrap_stream(
         self,
@@ -143,23 +188,28 @@
             response.status, response.headers, body, response.body_bytes
         )
 
-    def _verify(
+    def _mismatch(self, call: Call, view: ServerView) -> Unknown:
+        self._log.info(
+            "A response was not the server's own to its request; the "
+            "connection is closed.",
+            call=call.call_id,
+            incarnation=view.instance,
+        )
+        return Unknown(
+            ResultCode.ANSWER_MISMATCH,
+            "The response was not the server's own to this request.",
+        )
+
+    def _finish(
         self,
         call: Call,
         view: ServerView,
+        metadata: ResponseMetadata,
         response: Response,
         body: Body,
         is_alone: bool,
         sent_at: float,
     ) -> Outcome:
-        metadata = self._dialect.parse_response(call, response)
-        if not metadata.matches_request or not metadata.is_authentic:
-            abort_body(body)
-            self._recorder.record_broken_exchange(call)
-            return Unknown(
-                ResultCode.ANSWER_MISMATCH,
-                "The response was not the server's own to this request.",
-            )
         if metadata.load is not None:
             self._monitor.record_load(metadata.load)
         is_success = not metadata.is_not_run and 200 <= response.status < 300
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -189,6 +189,8 @@
             ServerFaults(answer=rng.choice(_RESPONSE_FAULTS), share=0.3),
             ServerFaults(fail=0.5),
             ServerFaults(shed=0.5),
+            ServerFaults(shed=0.5, shed_s=0.01, late_copies=0.1),
+            ServerFaults(late_copies=0.1),
             ServerFaults(slow=6.0),
             ServerFaults(health="bad"),
             ServerFaults(health="good", fail=1.0),
--- a/tests/support/configs.py
+++ b/tests/support/configs.py
@@ -31,6 +31,7 @@
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.http.errors import ConnectFailedError
+from radishwind.http.response_check import ResponseCheck
 from radishwind.http.sender import Sender
 from radishwind.http.types import read_body
 from radishwind.membership.directory import Directory
@@ -158,12 +159,18 @@
         self.refused_count = 0
 
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
         if self._is_refused():
             self.refused_count += 1
             raise ConnectFailedError("refused by the store")
-        return await self._sender.send(address, request, connect_timeout_s)
+        return await self._sender.send(
+            address, request, connect_timeout_s, check
+        )
 
     async def close(self) -> None:
         """Does nothing: the sender is shared."""
--- a/tests/support/in_process_sender.py
+++ b/tests/support/in_process_sender.py
@@ -15,6 +15,7 @@
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.http import Sender
+from radishwind.http.response_check import ResponseCheck
 
 
 class Fault(enum.Enum):
@@ -44,7 +45,11 @@
         self.sent: list[tuple[Address, Request]] = []
 
     async def send(
-        self, address: Address, request: Request, connect_timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        connect_timeout_s: float,
+        check: ResponseCheck | None = None,
     ) -> Response:
         self.sent.append((address, request))
         fault = self.faults.get(address)
--- a/tests/support/local_server.py
+++ b/tests/support/local_server.py
@@ -85,6 +85,7 @@
             settings=settings(),
             clock=self.clock,
             sender=self.sender,
+            check_sender=self.sender,
             dialect=PlatformDialect(),
             rumor_bus=rumor_bus or NullRumorBus(),
             on_ready_changed=lambda ready: None,
