--- a/bench/claims.py
+++ b/bench/claims.py
@@ -47,6 +47,7 @@
 from radishwind.store import Put
 from radishwind.store import Store
 from radishwind.store import TxnResult
+from radishwind.store.position import StorePosition
 
 _ANSWER = b'{"booking": "7f31c6", "state": "confirmed"}' * 4
 _RULES = ServiceRules()
@@ -76,8 +77,8 @@
     ) -> Any:
         return await self._store.list(prefix, limit, allow_stale=allow_stale)
 
-    async def revision(self) -> int:
-        return await self._store.revision()
+    async def position(self) -> StorePosition:
+        return await self._store.position()
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Any]
@@ -97,8 +98,8 @@
     async def revoke(self, lease_id: int) -> None:
         await self._store.revoke(lease_id)
 
-    def watch(self, prefix: str, from_revision: int) -> Any:
-        return self._store.watch(prefix, from_revision)
+    def watch(self, prefix: str, start: StorePosition) -> Any:
+        return self._store.watch(prefix, start)
 
     async def close(self) -> None:
         await self._store.close()
--- a/bench/peer_security.py
+++ b/bench/peer_security.py
@@ -29,6 +29,7 @@
 from radishwind.peers.peer_socket import Channel
 from radishwind.peers.peer_socket import PeerSocket
 from radishwind.routing.chooser import LoadReport
+from radishwind.store.position import StorePosition
 
 _ATTEMPT = (
     b'["library-entry-1-00000123","library-7","library",true,1180,'
@@ -49,7 +50,7 @@
         clock = SystemClock()
         self.own = own
         keyring = Keyring(clock)
-        keyring.update_secret(b"s" * 32, 1)
+        keyring.update_secret(b"s" * 32, StorePosition(0, 1))
         keyring.set_has_accounts(True, with_grace=False)
         self.start_ids = StartIds(number.to_bytes(4, "big"))
         self.signer = FleetSigner(keyring, self.start_ids)
--- a/src/radishwind/experiment/simulation.py
+++ b/src/radishwind/experiment/simulation.py
@@ -43,6 +43,7 @@
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.switches import ALL_ON
 from radishwind.sidecar.switches import Switches
+from radishwind.store.position import StorePosition
 from radishwind.target.registered_server import Registration
 
 #: One-way delay within an instance (s).
@@ -237,7 +238,9 @@
     def _set_evacuated(self, domain: str, *, evacuated: bool) -> None:
         """Marks `domain` as evacuated, or not, at all running nodes."""
         self._evacuated = self._evacuated.with_change(
-            domain, next(self._revisions), evacuated=evacuated
+            domain,
+            StorePosition(0, next(self._revisions)),
+            evacuated=evacuated,
         )
         for instance in self._instances:
             if instance.node is not None:
--- a/src/radishwind/node/store_follower.py
+++ b/src/radishwind/node/store_follower.py
@@ -28,6 +28,7 @@
 from radishwind.store import StoreCompactedError
 from radishwind.store import StoreError
 from radishwind.store import WatchEvent
+from radishwind.store.position import StorePosition
 from radishwind.store.watch_monitor import WatchMonitor
 
 
@@ -154,13 +155,14 @@
             now on.
           duration_s: mean duration (s).
         """
-        self.monitor.record_start(max(0, from_revision - 1))
+        start = StorePosition(0, from_revision)
+        self.monitor.record_start(StorePosition(0, max(0, from_revision - 1)))
         try:
             with anyio.move_on_after(
                 jittered(self._rng, duration_s)
             ) as self._watch_scope:
-                async for event in self._store.watch(ROOT_KEY, from_revision):
-                    self.monitor.record_reported(event.revision)
+                async for event in self._store.watch(ROOT_KEY, start):
+                    self.monitor.record_reported(event.position)
                     await self._apply_event(event)
         finally:
             self.monitor.record_end()
@@ -174,7 +176,9 @@
             if not self.monitor.is_open:
                 continue
             try:
-                self.monitor.record_known(revision=await self._read_store())
+                self.monitor.record_known(
+                    StorePosition(0, await self._read_store())
+                )
             except StoreError as exc:
                 if self._failing_since is None:
                     self._failing_since = self._clock.monotonic()
--- a/src/radishwind/peers/keyring.py
+++ b/src/radishwind/peers/keyring.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 
 from radishwind.core.clock import Clock
+from radishwind.store.position import StorePosition
+from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.telemetry.part_logger import PartLogger
 
 #: If accounts come into force while nodes run, unsigned messages are accepted
@@ -25,8 +27,7 @@
     Attributes:
       has_accounts: whether there are client accounts; if so, messages are
         signed.
-      revision: store revision of the record of the newest secret; 0 if none is
-        known.
+      position: position in the store of the record of the newest secret.
       may_be_outdated: whether other nodes may know a newer secret.
       is_signing_paused: whether nothing is signed, regardless of secret and
         accounts.
@@ -42,7 +43,7 @@
         self._accounts_known = False
         self._listeners: list[Callable[[], None]] = []
         self.has_accounts = False
-        self.revision = 0
+        self.position = UNKNOWN_POSITION
         self.may_be_outdated = False
         self.is_signing_paused = False
 
@@ -76,11 +77,11 @@
         if self.lacks_secret:
             self._call_listeners()
 
-    def update_secret(self, secret: bytes, revision: int) -> None:
-        """Sets the secret of the record at `revision`, if that is newer."""
-        if revision <= self.revision:
+    def update_secret(self, secret: bytes, position: StorePosition) -> None:
+        """Sets the secret of the record at `position`, if that is newer."""
+        if position <= self.position:
             return
-        self.revision = revision
+        self.position = position
         if secret == self._newest:
             return
         self._older = self._newest
@@ -88,7 +89,8 @@
         self._newest = secret
         self._log.change(
             "Knows the secret of the fleet.",
-            revision=revision,
+            era=position.era,
+            revision=position.revision,
             replaced=int(self._older is not None),
         )
         self._call_listeners()
@@ -107,6 +109,11 @@
         """Whether a secret is known."""
         return self._newest is not None
 
+    @property
+    def newest_secret(self) -> bytes | None:
+        """The newest secret; `None` if none is known."""
+        return self._newest
+
     @property
     def lacks_secret(self) -> bool:
         """Whether messages should be signed but no secret is known."""
--- a/src/radishwind/peers/tests/test_fleet_security.py
+++ b/src/radishwind/peers/tests/test_fleet_security.py
@@ -20,6 +20,7 @@
 from radishwind.peers.signing import PeerRefusedError
 from radishwind.peers.signing import PeerReplayedError
 from radishwind.peers.signing import PeerStaleError
+from radishwind.store.position import StorePosition
 
 OLD, NEW, FOREIGN = b"o" * 32, b"n" * 32, b"f" * 32
 ENTRY = Address("10.0.0.1", 7600)
@@ -38,7 +39,7 @@
         self.address = address
         self.keyring = Keyring(self.clock)
         if secret is not None:
-            self.keyring.update_secret(secret, 1)
+            self.keyring.update_secret(secret, StorePosition(0, 1))
         if accounts is not None:
             self.keyring.set_has_accounts(accounts, with_grace=with_grace)
         Node.started += 1
@@ -288,17 +289,17 @@
 
 
 def test_both_secrets_are_accepted_during_a_rotation(entry, here):
-    here.keyring.update_secret(NEW, 2)
+    here.keyring.update_secret(NEW, StorePosition(0, 2))
 
     here.verify_request(entry.sign(here))
     assert here.authenticator.verify(entry.send(here), ENTRY) == PLAIN
-    entry.keyring.update_secret(NEW, 2)
+    entry.keyring.update_secret(NEW, StorePosition(0, 2))
     here.verify_request(entry.sign(here))
     assert here.authenticator.verify(entry.send(here), ENTRY) == PLAIN
 
 
 def test_replaced_secret_expires(entry, here):
-    here.keyring.update_secret(NEW, 2)
+    here.keyring.update_secret(NEW, StorePosition(0, 2))
     here.clock.advance(OLD_SECRET_VALID_S)
 
     with pytest.raises(PeerRefusedError):
@@ -307,8 +308,8 @@
 
 
 def test_secret_of_an_older_record_is_ignored(entry, here):
-    here.keyring.update_secret(NEW, 5)
-    here.keyring.update_secret(FOREIGN, 4)
+    here.keyring.update_secret(NEW, StorePosition(0, 5))
+    here.keyring.update_secret(FOREIGN, StorePosition(0, 4))
 
     assert here.keyring.signing_secret == NEW
 
@@ -317,7 +318,7 @@
 def test_unknown_signature_notifies_of_a_possibly_newer_secret(entry, here, by):
     notifications = []
     here.keyring.subscribe(lambda: notifications.append(1))
-    entry.keyring.update_secret(NEW, 2)
+    entry.keyring.update_secret(NEW, StorePosition(0, 2))
 
     if by == "datagram":
         here.authenticator.verify(entry.send(here), ENTRY)
@@ -337,7 +338,7 @@
     log_handler = lines.append
     part_logger._sinks.append(log_handler)
     try:
-        here.keyring.update_secret(NEW, 2)
+        here.keyring.update_secret(NEW, StorePosition(0, 2))
         here.authenticator.verify(PLAIN, ENTRY)
     finally:
         part_logger._sinks.remove(log_handler)
--- a/src/radishwind/platform/header_fields.py
+++ b/src/radishwind/platform/header_fields.py
@@ -33,6 +33,10 @@
 #: Marks the responses of a backend server that is leaving.
 LEAVING = "Server-Leaving"
 
+#: The era of the store, in its answers; it rises each time that the store comes
+#: back from an older copy.
+ERA = "Store-Era"
+
 #: The incarnation of the responding backend server.
 SERVER_INCARNATION = "Instance-Id"
 
--- a/src/radishwind/platform/platform_store.py
+++ b/src/radishwind/platform/platform_store.py
@@ -13,14 +13,17 @@
 import anyio
 import msgspec
 
+from radishwind.core.clock import SystemClock
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import SendError
 from radishwind.http.sender import Sender
 from radishwind.http.types import abort_body
 from radishwind.http.types import Address
+from radishwind.http.types import get_header
 from radishwind.http.types import read_body
 from radishwind.http.types import Request
 from radishwind.http.types import Response
+from radishwind.platform.header_fields import ERA
 from radishwind.platform.routes import CONFIG_KEY
 from radishwind.store.base import Compare
 from radishwind.store.base import Delete
@@ -34,6 +37,8 @@
 from radishwind.store.base import StoreUnavailableError
 from radishwind.store.base import TxnResult
 from radishwind.store.base import WatchEvent
+from radishwind.store.era_tracker import EraTracker
+from radishwind.store.position import StorePosition
 
 #: Timeout of a call (s). The store responds within 4 ms, and within 0.3 s when
 #: it is slow; a call on a silent connection would never end by itself.
@@ -89,6 +94,36 @@
     ttl_ms: int = 0
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """A complete answer of the store.
+
+    Attributes:
+      status: the HTTP status.
+      body: the body.
+      era: era of the store; 0 if it states none.
+    """
+
+    status: int
+    body: bytes
+    era: int
+
+    def decode(self, kind: type[_T]) -> _T:
+        """Returns the decoded body of an answer of status 200.
+
+        Raises:
+          StoreUnavailableError: it has another status.
+          StoreAnswerMalformedError: it can't be decoded.
+        """
+        if self.status != 200:
+            raise StoreUnavailableError(
+                f"expected status 200, got {self.status}"
+            )
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            raise StoreAnswerMalformedError(f"response: {exc}") from exc
+
+
 class PlatformStore(Store):
     """Store that the platform provides; each method makes one call per page."""
 
@@ -97,6 +132,7 @@
         sender: Sender,
         address: Address,
         on_item_skipped: Callable[[str], None] | None = None,
+        eras: EraTracker | None = None,
     ) -> None:
         """Initializes the client.
 
@@ -105,33 +141,41 @@
           address: address of the store.
           on_item_skipped: called with the reason for each malformed item,
             which is skipped.
+          eras: follows the era of the store.
         """
         self._sender = sender
         self._address = address
         self._on_item_skipped = on_item_skipped or _ignore
+        self._eras = eras or EraTracker(SystemClock())
 
     async def get(
         self, key: str, *, allow_stale: bool = False
     ) -> StoreEntry | None:
         query = {"key": key} | _stale_query(allow_stale)
-        response = await self._call("GET", _make_path("kv-key", **query))
-        if response.status == 404:
+        answer = await self._call("GET", _make_path("kv-key", **query))
+        if answer.status == 404:
             return None
-        return _make_entry(_decode_response(response, _Item))
+        return _make_entry(answer.decode(_Item), answer.era)
 
     async def list(
         self, prefix: str, limit: int = 0, *, allow_stale: bool = False
     ) -> tuple[StoreEntry, ...]:
         entries: list[StoreEntry] = []
         after = ""
+        era: int | None = None
         while True:
             query = {"prefix": prefix} | _stale_query(allow_stale)
             if after:
                 query["after"] = after
-            response = await self._call("GET", _make_path("kv-range", **query))
-            page = _decode_response(response, _Range)
+            answer = await self._call("GET", _make_path("kv-range", **query))
+            if era is not None and answer.era != era:
+                raise StoreUnavailableError(
+                    f"expected all pages of era {era}, got {answer.era}"
+                )
+            era = answer.era
+            page = answer.decode(_Range)
             entries += [
-                _make_entry(item, page.current_rev)
+                _make_entry(item, era, page.current_rev)
                 for item in self._decode_items(page.items)
             ]
             if not page.truncated or not page.items:
@@ -145,17 +189,17 @@
                 )
         return tuple(entries[:limit] if limit else entries)
 
-    async def revision(self) -> int:
+    async def position(self) -> StorePosition:
         # Only one key has this prefix, so the page after it is empty and the
         # response carries the revision without any value.
         query = {"prefix": CONFIG_KEY, "after": CONFIG_KEY}
-        response = await self._call("GET", _make_path("kv-range", **query))
-        revision = _decode_response(response, _Range).current_rev
+        answer = await self._call("GET", _make_path("kv-range", **query))
+        revision = answer.decode(_Range).current_rev
         if revision <= 0:
             raise StoreAnswerMalformedError(
                 f"expected the store's revision, got {revision}"
             )
-        return revision
+        return StorePosition(answer.era, revision)
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
@@ -167,34 +211,33 @@
             "puts": [_encode_put(o) for o in operations if isinstance(o, Put)],
             "deletes": [o.key for o in operations if isinstance(o, Delete)],
         }
-        response = await self._call(
+        answer = await self._call(
             "POST", "/-/kv-txn", msgspec.json.encode(body)
         )
-        if response.status == 412:
-            return TxnResult(False, 0)
-        result = _decode_response(response, _Revision)
-        return TxnResult(True, result.rev)
+        if answer.status == 412:
+            return TxnResult(False, 0, answer.era)
+        return TxnResult(True, answer.decode(_Revision).rev, answer.era)
 
     async def grant(self, ttl_s: int) -> int:
         body = msgspec.json.encode({"ttl-ms": ttl_s * 1000})
-        response = await self._call("POST", "/-/kv-lease", body)
-        return _decode_response(response, _Lease).lease
+        answer = await self._call("POST", "/-/kv-lease", body)
+        return answer.decode(_Lease).lease
 
     async def keep_alive(self, lease_id: int) -> int:
-        response = await self._call("POST", f"/-/kv-keep/{lease_id}")
-        if response.status == 404:
+        answer = await self._call("POST", f"/-/kv-keep/{lease_id}")
+        if answer.status == 404:
             return 0
-        return _decode_response(response, _Lease).ttl_ms // 1000
+        return answer.decode(_Lease).ttl_ms // 1000
 
     async def revoke(self, lease_id: int) -> None:
         await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, start: StorePosition
     ) -> AsyncIterator[WatchEvent]:
-        after = max(0, from_revision - 1)
+        after = max(0, start.revision - 1)
         while True:
-            response = await self._call(
+            answer = await self._call(
                 "GET",
                 _make_path(
                     "kv-watch",
@@ -204,10 +247,15 @@
                 ),
                 timeout_s=WATCH_WAIT_S + _WATCH_MARGIN_S,
             )
-            page = _decode_response(response, _Events)
+            if answer.era != start.era:
+                # Revisions of the eras before mean nothing in this one.
+                raise StoreCompactedError(
+                    f"expected events of era {start.era}, got {answer.era}"
+                )
+            page = answer.decode(_Events)
             for item in self._decode_items(page.events):
-                entry = None if item.removed else _make_entry(item)
-                yield WatchEvent(item.key, entry, item.rev)
+                entry = None if item.removed else _make_entry(item, answer.era)
+                yield WatchEvent(item.key, entry, item.rev, answer.era)
             after = max(after, page.current_rev)
 
     def _decode_items(self, raws: Sequence[msgspec.Raw]) -> Iterator[_Item]:
@@ -231,8 +279,8 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Response:
-        """Makes a call and returns its response, of status 200, 404 or 412.
+    ) -> "_Answer":
+        """Makes a call and returns its answer, of status 200, 404 or 412.
 
         Its body is complete: the timeout covers the whole response.
 
@@ -255,8 +303,10 @@
         except (SendError, TimeoutError) as exc:
             raise StoreAnswerLostError(f"{method}: {exc!r}") from exc
         if response.status in (200, 404, 412):
-            return response
+            era = self._eras.observe(get_header(response.headers, ERA.lower()))
+            return _Answer(response.status, cast(bytes, response.body), era)
         if response.status == 410:
+            self._eras.observe(get_header(response.headers, ERA.lower()))
             raise StoreCompactedError("expected history, got 410")
         raise StoreUnavailableError(
             f"{method} {path.partition('?')[0]}: expected status 200, got "
@@ -283,17 +333,6 @@
     return msgspec.structs.replace(response, body=body)
 
 
-def _decode_response(response: Response, kind: type[_T]) -> _T:
-    if response.status != 200:
-        raise StoreUnavailableError(
-            f"expected status 200, got {response.status}"
-        )
-    try:
-        return msgspec.json.decode(cast(bytes, response.body), type=kind)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        raise StoreAnswerMalformedError(f"response: {exc}") from exc
-
-
 def _decode_key(raw: msgspec.Raw) -> str:
     """Returns the key of a possibly malformed item; empty if it has none."""
     try:
@@ -306,7 +345,7 @@
     """Ignores the reason why an item was skipped."""
 
 
-def _make_entry(item: _Item, store_revision: int = 0) -> StoreEntry:
+def _make_entry(item: _Item, era: int, store_revision: int = 0) -> StoreEntry:
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError as exc:
@@ -318,6 +357,7 @@
         item.rev,
         item.lease,
         item.current_rev or store_revision,
+        era,
     )
 
 
--- a/src/radishwind/platform/tests/test_platform_store.py
+++ b/src/radishwind/platform/tests/test_platform_store.py
@@ -22,6 +22,7 @@
 from radishwind.store.base import StoreAnswerMalformedError
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreUnavailableError
+from radishwind.store.position import StorePosition
 
 pytestmark = pytest.mark.anyio
 
@@ -151,7 +152,7 @@
     events = []
 
     async def follow():
-        async for event in client.watch("k", 5):
+        async for event in client.watch("k", StorePosition(0, 5)):
             events.append((event.key, event.entry is not None, event.revision))
 
     with pytest.raises(StoreCompactedError):
@@ -203,7 +204,7 @@
     }
     client, _ = make_store((200, page))
 
-    async for event in client.watch("x/", 1):
+    async for event in client.watch("x/", StorePosition(0, 1)):
         assert (event.key, event.revision) == ("b", 6)
         break
 
@@ -232,7 +233,7 @@
         (200, {"items": [], "truncated": False, "current-rev": 530})
     )
 
-    assert await client.revision() == 530
+    assert await client.position() == StorePosition(0, 530)
     assert script.requests[0].path == (
         "/-/kv-range?prefix=op%2Fconfig&after=op%2Fconfig"
     )
@@ -252,4 +253,4 @@
     client, _ = make_store(response)
 
     with pytest.raises(error):
-        await client.revision()
+        await client.position()
--- a/src/radishwind/routes/messages.py
+++ b/src/radishwind/routes/messages.py
@@ -13,6 +13,7 @@
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
 from radishwind.routes.evacuation import EvacuatedDomains
+from radishwind.store.position import StorePosition
 
 #: Fast, and within a tenth of the best ratio on configurations.
 _COMPRESSION_LEVEL = 3
@@ -44,11 +45,18 @@
       have: route version in force at the sender; 0 for none.
       have_emptied: revision of the evacuated domains at the sender.
       node: name of the sender; empty if it runs an earlier version.
+      have_emptied_era: era of the evacuated domains at the sender.
     """
 
     have: int
     have_emptied: int = 0
     node: str = ""
+    have_emptied_era: int = 0
+
+    @property
+    def evacuation_position(self) -> StorePosition:
+        """The position of the evacuated domains at the sender."""
+        return StorePosition(self.have_emptied_era, self.have_emptied)
 
 
 class NoUpdate(msgspec.Struct, frozen=True, tag="nothing"):
@@ -87,19 +95,27 @@
       revision: revision of the store.
       names: the domains; `None` if they don't fit in a rumor, so that the
         receiver has to request them.
+      era: era of the store; 0 if it states none.
     """
 
     revision: int
     names: tuple[str, ...] | None
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the evacuated domains."""
+        return StorePosition(self.era, self.revision)
 
 
 def encode_rumor(domains: EvacuatedDomains, max_bytes: int) -> bytes:
     """Returns a rumor of `domains` of at most `max_bytes`, as JSON."""
     names = tuple(sorted(domains.names))
-    value = msgspec.json.encode(EvacuationRumor(domains.revision, names))
+    rumor = EvacuationRumor(domains.revision, names, domains.era)
+    value = msgspec.json.encode(rumor)
     if len(value) <= max_bytes:
         return value
-    return msgspec.json.encode(EvacuationRumor(domains.revision, None))
+    return msgspec.json.encode(msgspec.structs.replace(rumor, names=None))
 
 
 def decode_rumor(value: bytes) -> EvacuationRumor:
--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -47,6 +47,7 @@
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.store_watcher import StoreWatcher
 from radishwind.store.base import Store
+from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.telemetry.part_logger import PartLogger
 
@@ -143,7 +144,7 @@
             is_watcher=lambda: self._feed_peers.is_watcher(),
             on_config=self._adopt_config,
             on_evacuation=self._adopt_evacuated,
-            evacuated=lambda: evacuation.domains,
+            evacuation=evacuation,
             on_proof=on_proof,
         )
         self._decode = decode
@@ -155,7 +156,7 @@
         self._first_wait_s = first_wait_s
         self._log = PartLogger("routes", clock)
         self._known_version = 0
-        self._known_evacuation_revision = 0
+        self._known_evacuation = UNKNOWN_POSITION
         self._behind_event = anyio.Event()
         # A version and its compressed configuration, made on the first use.
         self._compressed = (0, b"")
@@ -189,6 +190,10 @@
         """
         return await self._store_watcher.confirm()
 
+    def on_new_era(self) -> None:
+        """Handles that the store came back from a copy."""
+        self._store_watcher.on_new_era()
+
     def note_version(self, version: int) -> None:
         """Records that `version` exists, so that it is fetched if newer."""
         self._store_watcher.note_version(version)
@@ -219,7 +224,7 @@
         evacuated = self._evacuation.domains
         if request.have < self._active_routes.version:
             return RouteUpdate(self._compressed_config(), evacuated)
-        if request.have_emptied < evacuated.revision:
+        if request.evacuation_position < evacuated.position:
             return RouteUpdate(b"", evacuated)
         return NoUpdate()
 
@@ -280,17 +285,19 @@
         if self._evacuation.adopt(domains, source):
             self._publish_evacuation()
             self._push_soon(RouteUpdate(b"", domains))
-        elif domains.revision < own.revision and domains.names != own.names:
+        elif domains.position < own.position and domains.names != own.names:
             self._publish_evacuation()
-        self._known_evacuation_revision = max(
-            self._known_evacuation_revision, domains.revision
-        )
+        self._known_evacuation = max(self._known_evacuation, domains.position)
 
     def _publish_evacuation(self) -> None:
         domains = self._evacuation.domains
         value = encode_rumor(domains, MAX_RUMOR_VALUE_CHARS)
         self._rumor_bus.publish(
-            EVACUATION_TOPIC, "domains", domains.revision, value, _RUMOR_TTL_S
+            EVACUATION_TOPIC,
+            "domains",
+            domains.position.number,
+            value,
+            _RUMOR_TTL_S,
         )
 
     def _on_adopted(self, cfg: RouteConfig) -> None:
@@ -350,11 +357,13 @@
             self._log.warning("A rumor is malformed.", reason=str(exc)[:120])
             return
         if rumor.names is not None:
-            domains = EvacuatedDomains(rumor.revision, frozenset(rumor.names))
+            domains = EvacuatedDomains(
+                rumor.revision, frozenset(rumor.names), rumor.era
+            )
             self._adopt_evacuated(domains, "rumor")
             return
-        if rumor.revision > self._known_evacuation_revision:
-            self._known_evacuation_revision = rumor.revision
+        if rumor.position > self._known_evacuation:
+            self._known_evacuation = rumor.position
             self._behind_event.set()
 
     async def _pull_when_behind(self) -> None:
@@ -383,7 +392,7 @@
     def _is_behind(self) -> bool:
         if self._active_routes.cfg is None:
             return bool(self._feed_peers.local() or self._feed_peers.remote())
-        if self._evacuation.domains.revision < self._known_evacuation_revision:
+        if self._evacuation.domains.position < self._known_evacuation:
             return True
         return self._active_routes.version < self._known_version
 
@@ -424,6 +433,7 @@
                 self._active_routes.version,
                 self._evacuation.domains.revision,
                 self._node_name,
+                self._evacuation.domains.era,
             )
         )
         try:
--- a/src/radishwind/routes/store_watcher.py
+++ b/src/radishwind/routes/store_watcher.py
@@ -14,12 +14,15 @@
 from radishwind.core.clock import Clock
 from radishwind.recency.model import FreshnessProof
 from radishwind.routes.evacuation import EvacuatedDomains
+from radishwind.routes.evacuation import EvacuationState
 from radishwind.store.base import Store
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreError
 from radishwind.store.base import WatchEvent
 from radishwind.store.budgeted_store import Backoff
+from radishwind.store.position import StorePosition
+from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.telemetry.part_logger import PartLogger
 
@@ -66,7 +69,7 @@
         is_watcher: Callable[[], bool],
         on_config: Callable[[bytes, str], int],
         on_evacuation: Callable[[EvacuatedDomains, str], None],
-        evacuated: Callable[[], EvacuatedDomains],
+        evacuation: EvacuationState,
         on_proof: Callable[[FreshnessProof], None] | None = None,
     ) -> None:
         """Creates the watcher.
@@ -81,7 +84,7 @@
             returns its version, 0 if it is malformed.
           on_evacuation: called with the evacuated failure domains and their
             source.
-          evacuated: returns the evacuated failure domains in force.
+          evacuation: the evacuated failure domains in force.
           on_proof: called with the freshness proof of the first read; `None`
             if no proof is needed, so that the first read may be stale.
         """
@@ -92,15 +95,17 @@
         self._is_watcher = is_watcher
         self._on_config = on_config
         self._on_evacuation = on_evacuation
-        self._evacuated = evacuated
+        self._evacuation = evacuation
         self._log = PartLogger("routes", clock)
         self._backoff = Backoff(rng, _INITIAL_PAUSE_S, _MAX_PAUSE_S)
         self._clock = clock
         self.monitor = WatchMonitor(clock)
-        self._revision = 0
-        # The newest revision at which the version of the configuration is
+        self._position = UNKNOWN_POSITION
+        # The newest position at which the version of the configuration is
         # certain, and this version: from a linearizable read or from a change.
-        self._confirmed = (0, 0)
+        self._confirmed = (UNKNOWN_POSITION, 0)
+        # The newest version that was in the store at any time.
+        self._known_version = 0
         self._is_unavailable = False
         self._unavailable_since = 0.0
         self._watch_scope: anyio.CancelScope | None = None
@@ -108,8 +113,14 @@
 
     def note_version(self, version: int) -> None:
         """Records that `version` exists, which the watch has to report."""
+        self._known_version = max(self._known_version, version)
         self.monitor.record_known(version=version)
 
+    def on_new_era(self) -> None:
+        """Reads and watches again from the new era of the store."""
+        self._position = UNKNOWN_POSITION
+        self._replace_watch("the era of the store rose")
+
     async def run(
         self, first_wait_s: float, is_known: Callable[[], bool]
     ) -> None:
@@ -143,7 +154,7 @@
             if not self._is_watcher():
                 await anyio.sleep(DUTY_CHECK_INTERVAL_S)
                 continue
-            if not self._revision and not await self.read():
+            if not self._position.revision and not await self.read():
                 await anyio.sleep(self._backoff.record_failure())
                 continue
             await self._watch()
@@ -167,8 +178,10 @@
         """Asks the store which configuration is its newest.
 
         A watch proves nothing, since it may report a change late. If the
-        revision of the store is still the one at which its configuration is
-        known, reading the revision is sufficient; else all keys are read.
+        position of the store is still the one at which its configuration is
+        known, reading the position is sufficient; else all keys are read. A
+        store that came back from a copy proves nothing until it has the newest
+        version again that is known.
 
         Returns:
           The freshness proof, dated to before the call; `None` if the store
@@ -177,15 +190,26 @@
         called_at = self._clock.monotonic()
         try:
             if self._confirmed[1]:
-                revision = await self._store.revision()
-                if revision == self._confirmed[0]:
+                position = await self._store.position()
+                if position == self._confirmed[0]:
                     self._record_result(failed=False)
-                    return FreshnessProof(called_at, self._confirmed[1])
+                    return self._make_proof(called_at, self._confirmed[1])
         except StoreError as exc:
             self._record_result(failed=True, reason=str(exc)[:120])
             return None
         version = await self._read()
-        return FreshnessProof(called_at, version) if version else None
+        return self._make_proof(called_at, version) if version else None
+
+    def _make_proof(self, as_of: float, version: int) -> FreshnessProof | None:
+        """Returns the proof that `version` was the newest at `as_of` (s)."""
+        if version < self._known_version:
+            self._log.warning(
+                "The store has an older configuration than is known.",
+                version=version,
+                known=self._known_version,
+            )
+            return None
+        return FreshnessProof(as_of, version)
 
     async def _read(self, *, allow_stale: bool = False) -> int | None:
         """Reads all keys and passes them on.
@@ -208,28 +232,32 @@
         # Watch from the revision of the store on: the revisions of the keys may
         # be older than the history, so that the store refuses a watch from
         # there.
-        newest = max(entry.mod_revision for entry in entries)
-        as_of = max(newest, min(e.store_revision for e in entries))
+        newest = max(entry.position for entry in entries)
+        as_of = max(newest, min(e.store_position for e in entries))
         # A stale response gets the revision of the newest key in it, so that
         # it never overrides what other nodes have learned since.
         names = self._evacuated_names(entries)
-        domains = EvacuatedDomains(newest if allow_stale else as_of, names)
+        domains_at = newest if allow_stale else as_of
+        domains = EvacuatedDomains(domains_at.revision, names, domains_at.era)
         self._on_evacuation(domains, STORE_SOURCE)
         version = self._on_config(config[0].value, STORE_SOURCE)
         if not allow_stale:
-            self._record_confirmed(config[0].store_revision, version)
+            self._record_confirmed(config[0].store_position, version)
         if self.monitor.is_open:
             # The open watch has to report it too, or it is replaced.
             self.monitor.record_known(newest, version)
+            if newest.era > self._position.era:
+                self._position = as_of
+                self._replace_watch("the era of the store rose")
         else:
-            self._revision = as_of
+            self._position = as_of
             self.monitor.record_reported(as_of, version)
         return version
 
-    def _record_confirmed(self, revision: int, version: int) -> None:
-        """Records that `version` is in the store as of `revision`."""
-        if version and revision > self._confirmed[0]:
-            self._confirmed = (revision, version)
+    def _record_confirmed(self, position: StorePosition, version: int) -> None:
+        """Records that `version` is in the store as of `position`."""
+        if version and position > self._confirmed[0]:
+            self._confirmed = (position, version)
 
     def _evacuated_names(self, entries: Sequence[StoreEntry]) -> frozenset[str]:
         names = (self._keys.evacuated_domain(entry.key) for entry in entries)
@@ -241,15 +269,19 @@
         The next watch continues from the last revision seen. All keys are read
         again only if the store has compacted the history since then.
         """
-        self.monitor.record_start(self._revision)
-        self._log.info("Watches the store.", revision=self._revision)
+        self.monitor.record_start(self._position)
+        self._log.info(
+            "Watches the store.",
+            era=self._position.era,
+            revision=self._position.revision,
+        )
         reason = "not a watcher"
         with anyio.CancelScope() as self._watch_scope:
             try:
                 await self._apply_events()
             except StoreCompactedError as exc:
                 reason = str(exc)
-                self._revision = 0
+                self._position = UNKNOWN_POSITION
             except StoreError as exc:
                 reason = str(exc)[:120]
                 self._record_result(failed=True, reason=reason)
@@ -265,18 +297,23 @@
 
     async def _apply_events(self) -> None:
         async for event in self._store.watch(
-            self._keys.prefix, self._revision + 1
+            self._keys.prefix,
+            self._position._replace(revision=self._position.revision + 1),
         ):
             self._record_result(failed=False)
-            self._revision = max(self._revision, event.revision)
+            self._position = max(self._position, event.position)
             self._apply_event(event)
             if not self._is_watcher():
                 return
 
     async def _replace_silent_watches(self) -> None:
-        """Ends a watch that missed a change, so that a new one is opened."""
+        """Ends a watch that missed a change, so that a new one is opened.
+
+        Lets evacuations of an earlier era expire, too.
+        """
         while True:
             await anyio.sleep(DUTY_CHECK_INTERVAL_S)
+            self._evacuation.expire_carried()
             if self.monitor.has_missed_change():
                 self._replace_watch("missed a change")
 
@@ -289,15 +326,15 @@
         if event.key == self._keys.config:
             if event.entry is not None:
                 version = self._on_config(event.entry.value, STORE_SOURCE)
-                self.monitor.record_reported(event.revision, version)
-                self._record_confirmed(event.revision, version)
+                self.monitor.record_reported(event.position, version)
+                self._record_confirmed(event.position, version)
             return
-        self.monitor.record_reported(event.revision)
+        self.monitor.record_reported(event.position)
         name = self._keys.evacuated_domain(event.key)
         if name is None:
             return
-        domains = self._evacuated().with_change(
-            name, event.revision, evacuated=event.entry is not None
+        domains = self._evacuation.domains.with_change(
+            name, event.position, evacuated=event.entry is not None
         )
         self._on_evacuation(domains, STORE_SOURCE)
 
--- a/src/radishwind/routes/tests/test_confirm.py
+++ b/src/radishwind/routes/tests/test_confirm.py
@@ -7,7 +7,7 @@
 
 from radishwind.core import ManualClock
 from radishwind.recency import FreshnessProof
-from radishwind.routes.evacuation import EvacuatedDomains
+from radishwind.routes.evacuation import EvacuationState
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.store_watcher import StoreWatcher
 from radishwind.store.base import StoreAnswerLostError
@@ -15,6 +15,7 @@
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreUnavailableError
 from radishwind.store.base import WatchEvent
+from radishwind.store.position import StorePosition
 
 pytestmark = pytest.mark.anyio
 
@@ -28,17 +29,18 @@
         self.stale_raw = b"5"
         self.error = None
         self.calls = []
+        self.era = 0
 
     def write(self, raw):
         self.now_at += 1
         self.raw, self.written_at = raw, self.now_at
 
-    async def revision(self):
+    async def position(self):
         self.calls.append("revision")
         self._clock.advance(0.25)
         if self.error:
             raise self.error
-        return self.now_at
+        return StorePosition(self.era, self.now_at)
 
     async def list(self, prefix, limit=0, *, allow_stale=False):
         self.calls.append("stale" if allow_stale else "list")
@@ -48,7 +50,11 @@
         raw = self.stale_raw if allow_stale else self.raw
         if not raw:
             return ()
-        return (StoreEntry("op/c", raw, 1, self.written_at, 0, self.now_at),)
+        return (
+            StoreEntry(
+                "op/c", raw, 1, self.written_at, 0, self.now_at, self.era
+            ),
+        )
 
 
 class Node:
@@ -64,7 +70,7 @@
             is_watcher=lambda: True,
             on_config=self._adopt,
             on_evacuation=lambda domains, source: None,
-            evacuated=EvacuatedDomains,
+            evacuation=EvacuationState(self.clock),
         )
 
     def _adopt(self, raw, source):
@@ -195,3 +201,22 @@
     await run_until_adopted(node)
 
     assert node.store.calls == ["stale"]
+
+
+async def test_same_revision_of_a_later_era_confirms_nothing(node):
+    await node.watcher.confirm()
+    node.store.era += 1
+    node.store.raw = b"9"
+    node.store.calls.clear()
+
+    assert (await node.watcher.confirm()).version == 9
+    assert node.store.calls == ["revision", "list"]
+
+
+async def test_store_that_lost_the_newest_version_proves_nothing(node):
+    node.watcher.note_version(9)
+    node.store.era += 1
+
+    assert await node.watcher.confirm() is None
+    node.store.write(b"9")
+    assert (await node.watcher.confirm()).version == 9
--- a/src/radishwind/routes/tests/test_evacuation.py
+++ b/src/radishwind/routes/tests/test_evacuation.py
@@ -40,8 +40,8 @@
     return "asyncio"
 
 
-def evacuated(revision, *names):
-    return EvacuatedDomains(revision, frozenset(names))
+def evacuated(revision, *names, era=0):
+    return EvacuatedDomains(revision, frozenset(names), era)
 
 
 class Store:
@@ -51,6 +51,7 @@
         self.items = {}
         self.events = []
         self.revision = 10
+        self.era = 0
         self.compacted_revision = 0
         self.is_down = False
         self.reads = 0
@@ -70,9 +71,11 @@
         if value is None:
             del self.items[key]
         else:
-            entry = StoreEntry(key, value, self.revision, self.revision)
+            entry = StoreEntry(
+                key, value, self.revision, self.revision, era=self.era
+            )
             self.items[key] = entry
-        self.events.append(WatchEvent(key, entry, self.revision))
+        self.events.append(WatchEvent(key, entry, self.revision, self.era))
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -82,10 +85,21 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def copy(self):
+        return dict(self.items), list(self.events), self.revision
+
+    def restore(self, copy):
+        """Comes back from a copy in the next era."""
+        items, events, self.revision = copy
+        self.items, self.events = dict(items), list(events)
+        self.era += 1
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def snapshot(self):
         now = self.revision
         return tuple(
-            msgspec.structs.replace(entry, store_revision=now)
+            msgspec.structs.replace(entry, store_revision=now, era=self.era)
             for entry in self.items.values()
         )
 
@@ -97,12 +111,15 @@
             return self.stale_entries
         return self.snapshot()
 
-    async def watch(self, prefix, from_revision):
+    async def watch(self, prefix, start):
+        from_revision = start.revision
         while True:
             if self.is_down:
                 raise StoreUnavailableError("down")
             if from_revision <= self.compacted_revision:
                 raise StoreCompactedError("expected history, got 410")
+            if start.era != self.era:
+                raise StoreCompactedError("expected another era")
             for event in list(self.events):
                 if event.revision >= from_revision:
                     from_revision = event.revision + 1
@@ -329,7 +346,7 @@
         if rumor[0] == EVACUATION_TOPIC
     ]
     assert [(v, msgspec.json.decode(raw)) for _, v, raw in published] == [
-        (50, [50, []])
+        (50, [50, [], 0])
     ]
 
 
@@ -340,7 +357,7 @@
     node.feed._adopt_evacuated(evacuated(20, *names), "test")
 
     raw = node.rumor_bus.published[-1][2]
-    assert msgspec.json.decode(raw) == [20, None]
+    assert msgspec.json.decode(raw) == [20, None, 0]
     other = Node(Store())
     other.routes.adopt(RouteConfig(7, (ROUTE,), {}), b"7", "test")
     other.feed._on_evacuation_rumor("domains", raw)
--- a/src/radishwind/routes/tests/test_route_feed.py
+++ b/src/radishwind/routes/tests/test_route_feed.py
@@ -53,7 +53,7 @@
         self.reads += 1
         return (StoreEntry("k", b"7", 1, 1),)
 
-    async def watch(self, prefix, from_revision):
+    async def watch(self, prefix, start):
         await anyio.sleep_forever()
         yield
 
@@ -224,9 +224,9 @@
         self.reads += 1
         return (StoreEntry("k", b"7", 1, 6, store_revision=50),)
 
-    async def watch(self, prefix, from_revision):
-        self.watched.append(from_revision)
-        if from_revision < 40:
+    async def watch(self, prefix, start):
+        self.watched.append(start.revision)
+        if start.revision < 40:
             raise StoreCompactedError("expected history, got 410")
         await anyio.sleep_forever()
         yield
@@ -253,7 +253,7 @@
         super().__init__()
         self.watches = 0
 
-    async def watch(self, prefix, from_revision):
+    async def watch(self, prefix, start):
         self.watches += 1
         yield WatchEvent("k", StoreEntry("k", b"8", 1, 2), 2)
         # Each further watch event costs a call of the store.
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -56,10 +56,12 @@
 from radishwind.sidecar.recency_side import RecencySide
 from radishwind.sidecar.settings_reloader import SettingsFile
 from radishwind.sidecar.settings_reloader import SettingsReloader
+from radishwind.sidecar.store_metrics import add_store_metrics
 from radishwind.sidecar.switches import ALL_ON
 from radishwind.sidecar.switches import Switches
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budgeted_store import BudgetedStore
+from radishwind.store.era_tracker import EraTracker
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.node_exposition import NodeExposition
 from radishwind.telemetry.part_logger import PartLogger
@@ -101,12 +103,14 @@
         self._check_sender = HttptoolsSender(
             CHECK_POOL_SIZE, SERVER_POOL_IDLE_S
         )
+        self._eras = EraTracker(self._clock)
         self._store_sender = HttptoolsSender(STORE_POOL_SIZE)
         self._store = BudgetedStore(
             PlatformStore(
                 self._store_sender,
                 settings.store,
                 self._on_malformed_store_item,
+                self._eras,
             ),
             self._clock,
             self._rng,
@@ -253,8 +257,11 @@
             evacuation=self._evacuation,
             target=self._target,
             recency=self._recency,
+            eras=self._eras,
         )
+        self._eras.subscribe(self._peers.on_new_era)
         self._control.listen_on(self._peers.listener)
+        add_store_metrics(self._metrics, self._eras)
         add_connection_metrics(
             self._metrics,
             {
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -22,6 +22,7 @@
 from radishwind.routes.unsigned_requests import UnsignedRequestHandler
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.control import HeartbeatListener
+from radishwind.sidecar.era_notices import EraNotices
 from radishwind.sidecar.leaving_records_loader import LeavingRecordsLoader
 from radishwind.sidecar.options import FIRST_START_SPREAD_S
 from radishwind.sidecar.recency_side import RecencySide
@@ -30,6 +31,7 @@
 from radishwind.sidecar.service_profile import ProfileSynchronizer
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.base import Store
+from radishwind.store.era_tracker import EraTracker
 from radishwind.store.watch_monitor import WatchMonitor
 from radishwind.target.leaving_records import CONTROL_NAME as LEAVING_CONTROL
 from radishwind.target.leaving_records import LeavingRecords
@@ -56,6 +58,7 @@
         evacuation: EvacuationState,
         target: SidecarTarget,
         recency: RecencySide,
+        eras: EraTracker,
     ) -> None:
         """Wires the control side.
 
@@ -70,6 +73,7 @@
           evacuation: the evacuated failure domains.
           target: the own target.
           recency: the freshness proof of the configuration.
+          eras: follows the era of the store.
         """
         self._settings = settings
         self._recency = recency
@@ -115,6 +119,15 @@
             ),
             on_proof=recency.renewer.accept_first_read,
         )
+        eras.subscribe(self._feed.on_new_era)
+        self._era_notices = EraNotices(
+            eras=eras,
+            store=store,
+            rumor_bus=membership.rumor_bus,
+            node_count=membership.node_count,
+            clock=clock,
+            rng=rng,
+        )
         self._unsigned_requests = UnsignedRequestHandler(
             feed=self._feed,
             directory=membership.directory,
@@ -155,6 +168,7 @@
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the tasks in `tasks`."""
         tasks.start_soon(self._feed.run)
+        tasks.start_soon(self._era_notices.run)
         self._recency.start(tasks, self._feed)
         tasks.start_soon(self._records_loader.run)
         tasks.start_soon(self._records.run)
--- a/src/radishwind/sidecar/peer_side.py
+++ b/src/radishwind/sidecar/peer_side.py
@@ -147,6 +147,10 @@
         """Accepts an entry that was listed together with the contacts."""
         self._secret_manager.on_listed(entry)
 
+    def on_new_era(self) -> None:
+        """Handles that the store came back from a copy."""
+        self._secret_manager.on_new_era()
+
     async def run(self) -> None:
         """Obtains the secret when it is needed; runs until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/radishwind/sidecar/secret_manager.py
+++ b/src/radishwind/sidecar/secret_manager.py
@@ -23,7 +23,10 @@
 from radishwind.store.base import Store
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreError
+from radishwind.store.base import TxnResult
 from radishwind.store.budgeted_store import Backoff
+from radishwind.store.position import StorePosition
+from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Cannot collide with a contact record, since no failure domain has this name.
@@ -123,7 +126,8 @@
             rng, _INITIAL_REFRESH_BACKOFF_S, _MAX_REFRESH_BACKOFF_S
         )
         self._next_refresh_at = 0.0
-        self._rumored_revision = 0
+        self._rumored = UNKNOWN_POSITION
+        self._is_restore_due = False
         self._last_refresh_failed = False
         self._wake_up = anyio.Event()
         self._rumor_received = anyio.Event()
@@ -135,6 +139,12 @@
         if entry.key == KEY:
             self._apply(entry)
 
+    def on_new_era(self) -> None:
+        """Restores the secret in a store that came back from a copy."""
+        if self._is_creator() and self._keyring.has_secret:
+            self._is_restore_due = True
+            self._wake_up.set()
+
     async def run(self) -> None:
         """Runs until cancelled."""
         await anyio.sleep(self._spread_s + _LISTING_S)
@@ -143,12 +153,14 @@
             self._wake_up = anyio.Event()
             if self._keyring.lacks_secret:
                 await self._obtain()
+            elif self._is_restore_due:
+                await self._restore()
             elif self._keyring.has_accounts and self._is_refresh_due():
                 await self._refresh()
 
     def _is_refresh_due(self) -> bool:
         """Returns whether the record should be read again now."""
-        is_rumored = self._rumored_revision > self._keyring.revision
+        is_rumored = self._rumored > self._keyring.position
         if not is_rumored and not self._keyring.may_be_outdated:
             return False
         self._keyring.may_be_outdated = False
@@ -161,26 +173,27 @@
 
     def _on_rumor(self, key: str, value: bytes) -> None:
         try:
-            revision = msgspec.json.decode(value, type=int)
+            number = msgspec.json.decode(value, type=int)
         except msgspec.MsgspecError as exc:
             self._log.warning(
-                "Ignored a malformed rumor of the secret's revision.",
+                "Ignored a malformed rumor of the secret's position.",
                 reason=str(exc)[:120],
             )
             return
-        if revision <= self._keyring.revision:
+        position = StorePosition.from_number(max(0, number))
+        if position <= self._keyring.position:
             return
-        self._rumored_revision = max(self._rumored_revision, revision)
+        self._rumored = max(self._rumored, position)
         self._rumor_received.set()
         self._wake_up.set()
 
     async def _obtain(self) -> None:
         """Returns once the secret is known or no longer needed."""
-        if not self._is_creator() and not self._rumored_revision:
+        if not self._is_creator() and not self._is_rumored():
             with anyio.move_on_after(CREATOR_WAIT_S):
                 await self._rumor_received.wait()
         for _ in range(_STALE_READS):
-            if not self._keyring.in_grace_period or not self._rumored_revision:
+            if not self._keyring.in_grace_period or not self._is_rumored():
                 break
             await anyio.sleep(_STALE_READ_DELAY_S)
             if not self._keyring.lacks_secret or await self._read_or_create(
@@ -193,9 +206,53 @@
                 return
             await anyio.sleep(self._backoff.record_failure())
 
+    async def _restore(self) -> None:
+        """Writes the secret again if the store has lost it.
+
+        Otherwise the next node that starts would create another one.
+        """
+        while self._is_restore_due:
+            try:
+                entry = await self._store.get(KEY)
+                if entry is None or decode_record(entry.value) is None:
+                    self._is_restore_due = not await self._write_again(entry)
+                else:
+                    self._is_restore_due = False
+                    self._apply(entry)
+                    self._announce(self._keyring.position)
+            except StoreError as exc:
+                self._log.info(
+                    "Failed to restore the secret in the store.",
+                    reason=str(exc)[:120],
+                )
+            if self._is_restore_due:
+                await anyio.sleep(self._backoff.record_failure())
+        self._backoff.record_success()
+
+    async def _write_again(self, malformed: StoreEntry | None) -> bool:
+        """Writes the known secret; returns whether no other node did before.
+
+        Raises:
+          StoreError: the store failed.
+        """
+        secret = self._keyring.newest_secret
+        if secret is None:
+            return True
+        result = await self._put(SecretRecord(secret), malformed)
+        if not result.succeeded:
+            return False
+        self._log.change(
+            "Restored the secret in the store.",
+            era=result.era,
+            revision=result.revision,
+        )
+        self._keyring.update_secret(secret, result.position)
+        self._announce(result.position)
+        return True
+
     async def _refresh(self) -> None:
         """Reads the record once; backs off while that brings nothing new."""
-        known_revision = self._keyring.revision
+        known_position = self._keyring.position
         now = self._clock.monotonic()
         try:
             entry = await self._store.get(KEY)
@@ -213,10 +270,10 @@
         self._next_refresh_at = now + self._refresh_backoff.record_failure()
         # Otherwise a rumor of a record that was removed since would cause reads
         # forever.
-        self._rumored_revision = 0
+        self._rumored = UNKNOWN_POSITION
         if entry is not None:
             self._apply(entry)
-        if self._keyring.revision > known_revision:
+        if self._keyring.position > known_position:
             self._refresh_backoff.record_success()
 
     async def _read_or_create(self, *, may_lag: bool = False) -> bool:
@@ -263,18 +320,25 @@
             applied.
         """
         record = SecretRecord(self._entropy(SECRET_BYTES))
-        value = msgspec.json.encode(record)
-        result = await self._store.transact(
-            (Compare(KEY, malformed.mod_revision if malformed else 0),),
-            (Put(KEY, value),),
-        )
+        result = await self._put(record, malformed)
         if not result.succeeded:
             return False
-        self._log.change("Created the secret.", revision=result.revision)
-        self._keyring.update_secret(record.secret, result.revision)
-        self._announce(result.revision)
+        self._log.change(
+            "Created the secret.", era=result.era, revision=result.revision
+        )
+        self._keyring.update_secret(record.secret, result.position)
+        self._announce(result.position)
         return True
 
+    async def _put(
+        self, record: SecretRecord, malformed: StoreEntry | None
+    ) -> TxnResult:
+        """Writes a record if there is still none but the malformed one."""
+        return await self._store.transact(
+            (Compare(KEY, malformed.mod_revision if malformed else 0),),
+            (Put(KEY, msgspec.json.encode(record)),),
+        )
+
     def _apply(self, entry: StoreEntry) -> None:
         record = decode_record(entry.value)
         if record is None:
@@ -283,8 +347,13 @@
                 revision=entry.mod_revision,
             )
             return
-        self._keyring.update_secret(record.secret, entry.mod_revision)
+        self._keyring.update_secret(record.secret, entry.position)
+
+    def _announce(self, position: StorePosition) -> None:
+        value = msgspec.json.encode(position.number)
+        self._rumor_bus.publish(
+            TOPIC, "record", position.number, value, _RUMOR_TTL_S
+        )
 
-    def _announce(self, revision: int) -> None:
-        value = msgspec.json.encode(revision)
-        self._rumor_bus.publish(TOPIC, "record", revision, value, _RUMOR_TTL_S)
+    def _is_rumored(self) -> bool:
+        return self._rumored > UNKNOWN_POSITION
--- a/src/radishwind/sidecar/tests/test_forged.py
+++ b/src/radishwind/sidecar/tests/test_forged.py
@@ -44,6 +44,7 @@
 from radishwind.routing.chooser import LoadReport
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.app import SidecarNode
+from radishwind.store.position import StorePosition
 from radishwind.target.leaving_records import CONTROL_NAME as LEAVING
 from radishwind.telemetry.bounded_output import BoundedOutput
 
@@ -107,7 +108,7 @@
         self.node._build()
         self.peers = self.node._peers
         if secret is not None:
-            self.peers.keyring.update_secret(secret, 1)
+            self.peers.keyring.update_secret(secret, StorePosition(0, 1))
         self.adopt(accounts=accounts)
         record = MemberRecord("b-1", "s", "b", str(PEER), 5)
         self.node._membership._receive(Push("b-1", 0, (record,)))
@@ -143,7 +144,7 @@
     def __init__(self, receiver, secret):
         self.keyring = Keyring(receiver.clock)
         if secret is not None:
-            self.keyring.update_secret(secret, 1)
+            self.keyring.update_secret(secret, StorePosition(0, 1))
         self.keyring.set_has_accounts(True, with_grace=False)
         start_ids = StartIds(b"peer")
         start_ids.update(HERE, receiver.peers._start_ids.own)
--- a/src/radishwind/sidecar/tests/test_route_verifier.py
+++ b/src/radishwind/sidecar/tests/test_route_verifier.py
@@ -16,6 +16,7 @@
 from radishwind.sidecar.route_verifier import RouteVerifier
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreUnavailableError
+from radishwind.store.position import StorePosition
 
 pytestmark = pytest.mark.anyio
 
@@ -106,7 +107,7 @@
     await settle()
     assert node.calls == 0
 
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
 
     await wait_until(lambda: node.forged)
     assert node.calls == 2
@@ -118,7 +119,7 @@
     node.stale_reads_lag = behind
     node.adopt(7, "peer 10.6.6.6", raw=b"07")
 
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
 
     await wait_until(lambda: node.forged)
     assert node.calls == 2
@@ -129,7 +130,7 @@
     node.value = None
     node.adopt(1, "peer 10.6.6.6")
 
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
 
     await wait_until(lambda: node.forged)
 
@@ -138,7 +139,7 @@
 async def test_version_of_operator_is_accepted(node, version):
     node.adopt(version, "peer 10.0.0.2")
 
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     await settle()
 
     assert node.calls == 1
@@ -150,7 +151,7 @@
     node.stale_reads_lag = True
     node.adopt(7, "peer 10.0.0.2")
 
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     await settle()
 
     assert node.calls == 2
@@ -163,7 +164,7 @@
     node.during_read = lambda: node.adopt(9, source)
     node.adopt(7, "peer 10.0.0.2")
 
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     await settle()
 
     assert node.calls == 2
@@ -179,7 +180,7 @@
     node.stale_reads_lag = True
     node.during_read = replace
     node.adopt(8, "peer 10.6.6.6")
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     await wait_until(lambda: node.calls == 2)
     assert not node.forged
     assert node.keyring.signing_secret is None
@@ -192,7 +193,7 @@
 async def test_comparison_is_retried_while_store_is_unavailable(node):
     node.is_unavailable = True
     node.adopt(999, "peer 10.6.6.6")
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     await wait_until(lambda: node.calls >= 3)
     assert not node.forged
     assert node.keyring.signing_secret is None
@@ -205,7 +206,7 @@
 async def test_routes_from_store_or_authenticated_peer_need_no_call(node):
     node.adopt(3, "peer 10.0.0.2")
     node.adopt(7, "store")
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     node.adopt(9, "peer 10.0.0.2")
     await settle()
 
@@ -222,7 +223,7 @@
 async def test_malformed_stored_routes_change_nothing(node):
     node.value = b"x"
     node.adopt(999, "peer 10.6.6.6")
-    node.keyring.update_secret(b"s" * 32, 1)
+    node.keyring.update_secret(b"s" * 32, StorePosition(0, 1))
     await settle()
 
     assert node.calls == 1
--- a/src/radishwind/sidecar/tests/test_secret_manager.py
+++ b/src/radishwind/sidecar/tests/test_secret_manager.py
@@ -47,6 +47,7 @@
     def __init__(self):
         self.revision = 10
         self.value = None
+        self.era = 0
         self.is_unavailable = False
         self.stale_reads_lag = False
         self.lost_answers = 0
@@ -60,7 +61,9 @@
             raise StoreUnavailableError("unavailable")
         if self.value is None or (allow_stale and self.stale_reads_lag):
             return None
-        return StoreEntry(key, self.value, self.revision, self.revision)
+        return StoreEntry(
+            key, self.value, self.revision, self.revision, era=self.era
+        )
 
     async def transact(self, compares, operations):
         self.calls.append("transact")
@@ -75,7 +78,13 @@
         if self.lost_answers:
             self.lost_answers -= 1
             raise StoreAnswerLostError("lost")
-        return TxnResult(True, self.revision)
+        return TxnResult(True, self.revision, self.era)
+
+    def come_back(self, value):
+        """Comes back from a copy with `value` in the next era."""
+        self.era += 1
+        self.revision = 3
+        self.value = value
 
     def replace(self, value):
         self.revision += 1
@@ -456,3 +465,47 @@
         handler("record", msgspec.json.encode(store.revision))
 
     await wait_until(lambda: node.keyring.signing_secret == b"n" * SECRET_BYTES)
+
+
+async def start_fleet(store, rumor_bus, running):
+    nodes = [Node(store, rumor_bus, i, is_creator=i == 1) for i in range(1, 4)]
+    for node in nodes:
+        node.keyring.set_has_accounts(True, with_grace=False)
+    running(*nodes)
+    await wait_until(lambda: not any(n.keyring.lacks_secret for n in nodes))
+    return nodes
+
+
+async def test_secret_that_a_drill_of_the_store_lost_is_written_again(
+    store, rumor_bus, running
+):
+    nodes = await start_fleet(store, rumor_bus, running)
+    before = nodes[0].keyring.signing_secret
+
+    store.come_back(None)
+    for node in nodes:
+        node.manager.on_new_era()
+    await wait_until(lambda: store.value is not None)
+    started = Node(store, rumor_bus, 9)
+    started.keyring.set_has_accounts(True, with_grace=False)
+    running(started)
+
+    await wait_until(lambda: not started.keyring.lacks_secret)
+    assert {n.keyring.signing_secret for n in (*nodes, started)} == {before}
+
+
+async def test_older_secret_that_a_drill_brought_back_is_read_by_all(
+    store, rumor_bus, running
+):
+    nodes = await start_fleet(store, rumor_bus, running)
+    other = msgspec.json.encode(SecretRecord(b"o" * SECRET_BYTES))
+
+    store.come_back(other)
+    for node in nodes:
+        node.manager.on_new_era()
+
+    await wait_until(
+        lambda: (
+            {n.keyring.signing_secret for n in nodes} == {b"o" * SECRET_BYTES}
+        )
+    )
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -36,6 +36,23 @@
 _LEASE_CHECK_INTERVAL_S = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the whole store.
+
+    Attributes:
+      items: the items by key.
+      history: the changes so far.
+      leases: the leases by ID.
+      revision: the revision of the store.
+    """
+
+    items: dict[str, dict[str, Any]]
+    history: tuple[dict[str, Any], ...]
+    leases: dict[int, "_Lease"]
+    revision: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Lease:
     """A lease.
@@ -53,9 +70,12 @@
     """Handles the calls of the store.
 
     Attributes:
+      restored_count: how often the store came back from a copy.
       calls: the number of calls received, by name; a long-polling watch counts
         once.
       revision: the current revision of the store.
+      era: the current era, stated in all answers; `None` for a store that
+        states none.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -68,8 +88,10 @@
         self._change_event = asyncio.Event()
         self._injector = FaultInjector()
         self._delayed_transactions: set[asyncio.Task[None]] = set()
+        self.restored_count = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self.revision = 1
+        self.era: int | None = 1
 
     @property
     def faults(self) -> StoreFaults:
@@ -138,6 +160,28 @@
         self._remove(key)
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy from which the store can come back."""
+        return StoreCopy(
+            dict(self._items),
+            tuple(self._history),
+            dict(self._leases),
+            self.revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from `copy` in a new era; what was written since is gone.
+
+        Watches that wait are cut.
+        """
+        self._items, self._history = dict(copy.items), list(copy.history)
+        self._leases, self.revision = dict(copy.leases), copy.revision
+        if self.era is not None:
+            self.era += 1
+        self.restored_count += 1
+        self._injector.cut_all()
+        self._notify_watches()
+
     def compact_history(self) -> None:
         """Drops the history, so that watches must read the range again."""
         self._history.clear()
@@ -165,7 +209,13 @@
                 await asyncio.sleep(self.faults.delay_ms / 1000)
             if self._injector.is_down_for(request):
                 return await self._injector.refuse(request)
+            era = self.era
             response: web.StreamResponse = await handler(request)
+            if era != self.era:
+                # The store came back from a copy meanwhile.
+                return await send_fault(request, "reset")
+            if era is not None and not response.prepared:
+                response.headers["Store-Era"] = str(era)
             if self._injector.is_mute(request):
                 return await never_respond()
             return response
@@ -215,7 +265,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["wait-ms"]) / 1000
         while True:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self.revision:
                 return web.json_response({}, status=410)
             events = [
                 e
--- a/src/radishwind/standins/store_faults.py
+++ b/src/radishwind/standins/store_faults.py
@@ -78,6 +78,12 @@
                 transport.abort()  # type: ignore[attr-defined]
                 self.injected["cut", node] += 1
 
+    def cut_all(self) -> None:
+        """Resets all open connections."""
+        self._drop_closed_connections()
+        for transport in self._connections:
+            transport.abort()  # type: ignore[attr-defined]
+
     def record_connection(self, request: web.Request) -> None:
         """Records the connection of a call, so that faults can affect it."""
         self._drop_closed_connections()
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -9,6 +9,7 @@
 
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
+from radishwind.store.position import StorePosition
 
 
 class StoreError(RadishwindError):
@@ -37,7 +38,7 @@
 
 
 class StoreCompactedError(StoreError):
-    """The start revision of a watch has been compacted away."""
+    """The start of a watch is not in the store's history any more."""
 
     code = ResultCode.STORE_UNAVAILABLE
 
@@ -61,6 +62,7 @@
       store_revision: the store's revision at the time of the read, the lowest
         one if a list was read in several pages. A watch that starts from it
         misses no change. 0 if the store did not state it.
+      era: era of the store at the time of the read; 0 if it states none.
     """
 
     key: str
@@ -69,6 +71,17 @@
     mod_revision: int
     lease_id: int = 0
     store_revision: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the last change of the key."""
+        return StorePosition(self.era, self.mod_revision)
+
+    @property
+    def store_position(self) -> StorePosition:
+        """The position of the store at the time of the read."""
+        return StorePosition(self.era, self.store_revision)
 
 
 class Compare(msgspec.Struct, frozen=True):
@@ -110,10 +123,17 @@
     Attributes:
       succeeded: whether all conditions held and the changes were applied.
       revision: the store's revision after the transaction.
+      era: era of the store; 0 if it states none.
     """
 
     succeeded: bool
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the store after the transaction."""
+        return StorePosition(self.era, self.revision)
 
 
 class WatchEvent(msgspec.Struct, frozen=True):
@@ -123,11 +143,18 @@
       key: the changed key.
       entry: the new entry, `None` if the key was deleted.
       revision: the store's revision of the change.
+      era: era of the store; 0 if it states none.
     """
 
     key: str
     entry: StoreEntry | None
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the change."""
+        return StorePosition(self.era, self.revision)
 
 
 class Store(abc.ABC):
@@ -166,10 +193,10 @@
         """
 
     @abc.abstractmethod
-    async def revision(self) -> int:
-        """Returns the store's current revision by a linearizable read.
+    async def position(self) -> StorePosition:
+        """Returns the store's current position by a linearizable read.
 
-        Nothing in the store has changed as long as the revision is the same.
+        Nothing in the store has changed as long as the position is the same.
         """
 
     @abc.abstractmethod
@@ -192,7 +219,7 @@
 
     @abc.abstractmethod
     def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, start: StorePosition
     ) -> AsyncIterator[WatchEvent]:
         """Yields changes of keys that start with `prefix` until it fails.
 
@@ -200,11 +227,11 @@
 
         Args:
           prefix: prefix of the keys, not empty.
-          from_revision: first revision reported; 0 for changes from now on.
+          start: first position reported; revision 0 for changes from now on.
 
         Raises:
-          StoreCompactedError: `from_revision` has been compacted away; the
-            caller has to read the keys again.
+          StoreCompactedError: `start` has been compacted away, or the era of
+            the store has changed since; the caller has to read the keys again.
           StoreError: the watch was rejected or interrupted.
         """
 
--- a/src/radishwind/store/budgeted_store.py
+++ b/src/radishwind/store/budgeted_store.py
@@ -20,6 +20,7 @@
 from radishwind.store.base import StoreError
 from radishwind.store.base import TxnResult
 from radishwind.store.base import WatchEvent
+from radishwind.store.position import StorePosition
 
 
 class TokenBucket:
@@ -153,10 +154,10 @@
                 prefix, limit, allow_stale=allow_stale
             )
 
-    async def revision(self) -> int:
+    async def position(self) -> StorePosition:
         self._admit("revision")
         with _RecordResult(self):
-            return await self._inner.revision()
+            return await self._inner.position()
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
@@ -181,11 +182,11 @@
             await self._inner.revoke(lease_id)
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, start: StorePosition
     ) -> AsyncIterator[WatchEvent]:
         self._admit("watch")
         with _RecordResult(self):
-            async for event in self._inner.watch(prefix, from_revision):
+            async for event in self._inner.watch(prefix, start):
                 self._backoff.record_success()
                 yield event
 
--- a/src/radishwind/store/etcd_store.py
+++ b/src/radishwind/store/etcd_store.py
@@ -26,6 +26,7 @@
 from radishwind.store.base import StoreUnavailableError
 from radishwind.store.base import TxnResult
 from radishwind.store.base import WatchEvent
+from radishwind.store.position import StorePosition
 
 _CONNECT_TIMEOUT_S = 1.0
 
@@ -91,9 +92,10 @@
                 return tuple(entries)
             start = _next_page_start(start, page)
 
-    async def revision(self) -> int:
+    async def position(self) -> StorePosition:
         body = {"key": gateway.encode_bytes(_ABSENT_KEY), "count_only": True}
-        return gateway.parse_revision(await self._call("kv/range", body))
+        message = await self._call("kv/range", body)
+        return StorePosition(0, gateway.parse_revision(message))
 
     async def transact(
         self, compares: Sequence[Compare], operations: Sequence[Operation]
@@ -126,12 +128,12 @@
         )
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, start: StorePosition
     ) -> AsyncIterator[WatchEvent]:
         create = {
             "key": gateway.encode_bytes(prefix.encode()),
             "range_end": gateway.encode_bytes(gateway.prefix_end(prefix)),
-            "start_revision": from_revision,
+            "start_revision": start.revision,
         }
         payload = msgspec.json.encode({"create_request": create})
         try:
--- a/src/radishwind/store/tests/test_etcd_store.py
+++ b/src/radishwind/store/tests/test_etcd_store.py
@@ -28,6 +28,7 @@
 from radishwind.store import StoreCompactedError
 from radishwind.store import StoreError
 from radishwind.store import StoreUnavailableError
+from radishwind.store.position import StorePosition
 
 pytestmark = pytest.mark.anyio
 ADDRESS = Address("127.0.0.1", 1)
@@ -70,11 +71,11 @@
 
 async def test_revision_grows_with_each_change():
     store = StoreSetup().store
-    first = await store.revision()
-    assert await store.revision() == first
+    first = await store.position()
+    assert await store.position() == first
     written = await store.transact((), (Put("k", b"1"),))
 
-    assert first < await store.revision() == written.revision
+    assert first < await store.position() == written.position
 
 
 async def test_keys_of_an_expired_lease_are_deleted():
@@ -94,7 +95,7 @@
     first = await setup.store.transact((), (Put("w/a", b"1"),))
     await setup.store.transact((), (Put("other", b"1"),))
     events = []
-    async for event in setup.store.watch("w/", first.revision):
+    async for event in setup.store.watch("w/", first.position):
         events.append((event.key, event.entry and event.entry.value))
         if len(events) == 1:
             assert setup.standin.open_watches == 1
@@ -111,13 +112,13 @@
     for _ in range(40):
         await setup.store.transact((), tuple(Put("w", b"") for _ in range(120)))
     with pytest.raises(StoreCompactedError):
-        await anext(setup.store.watch("w", 1))
+        await anext(setup.store.watch("w", StorePosition(0, 1)))
 
 
 async def test_watch_fails_when_the_store_goes_down():
     setup = StoreSetup()
     await setup.store.transact((), (Put("w", b""),))
-    watch = setup.store.watch("w", 1)
+    watch = setup.store.watch("w", StorePosition(0, 1))
     await anext(watch)
     setup.standin.set_faults(StoreFaults(down="refuse"))
     with pytest.raises(StoreUnavailableError):
@@ -228,7 +229,7 @@
             lambda: store.transact((), ()),
             lambda: store.grant(1),
             lambda: store.keep_alive(1),
-            lambda: anext(store.watch("k", 1)),
+            lambda: anext(store.watch("k", StorePosition(0, 1))),
         ):
             with contextlib.suppress(StoreError):
                 await call()
--- a/src/radishwind/store/tests/test_watch_monitor.py
+++ b/src/radishwind/store/tests/test_watch_monitor.py
@@ -3,6 +3,7 @@
 import pytest
 
 from radishwind.core import ManualClock
+from radishwind.store.position import StorePosition
 from radishwind.store.watch_monitor import MAX_LAG_S
 from radishwind.store.watch_monitor import WatchMonitor
 
@@ -13,8 +14,8 @@
     def __init__(self):
         self.clock = ManualClock()
         self.monitor = WatchMonitor(self.clock)
-        self.monitor.record_reported(5, version=3)
-        self.monitor.record_start(5)
+        self.monitor.record_reported(StorePosition(0, 5), version=3)
+        self.monitor.record_start(StorePosition(0, 5))
 
 
 @pytest.fixture
@@ -29,7 +30,9 @@
     assert watch.monitor.quiet_s() == 3600.0
 
 
-@pytest.mark.parametrize("known", [{"version": 4}, {"revision": 6}])
+@pytest.mark.parametrize(
+    "known", [{"version": 4}, {"position": StorePosition(0, 6)}]
+)
 def test_change_known_from_elsewhere_must_be_reported_in_time(watch, known):
     watch.monitor.record_known(**known)
     assert not watch.monitor.has_missed_change()
@@ -48,8 +51,8 @@
 
 
 def test_reported_change_is_not_missed(watch):
-    watch.monitor.record_known(revision=6, version=4)
-    watch.monitor.record_reported(6, version=4)
+    watch.monitor.record_known(StorePosition(0, 6), version=4)
+    watch.monitor.record_reported(StorePosition(0, 6), version=4)
     watch.clock.advance(10 * MAX_LAG_S)
 
     assert not watch.monitor.has_missed_change()
@@ -60,7 +63,7 @@
     watch.clock.advance(MAX_LAG_S)
     watch.monitor.record_end(is_replaced=True)
     assert not watch.monitor.has_missed_change()
-    watch.monitor.record_start(5)
+    watch.monitor.record_start(StorePosition(0, 5))
 
     assert not watch.monitor.has_missed_change()
     watch.clock.advance(MAX_LAG_S)
--- a/src/radishwind/store/watch_monitor.py
+++ b/src/radishwind/store/watch_monitor.py
@@ -6,6 +6,8 @@
 """
 
 from radishwind.core.clock import Clock
+from radishwind.store.position import StorePosition
+from radishwind.store.position import UNKNOWN_POSITION
 
 #: A watch reports a change within this time after it is known from elsewhere
 #: (s), also while the store is slow.
@@ -16,12 +18,14 @@
     """How long what a watch reported has been behind what is known."""
 
     def __init__(self) -> None:
-        self._reported = 0
-        self._known = 0
+        self._reported = UNKNOWN_POSITION
+        self._known = UNKNOWN_POSITION
         self._since: float | None = None
 
-    def update(self, reported: int, known: int, now: float) -> None:
-        """Records what the watch reported, and what is known, by number."""
+    def update(
+        self, reported: StorePosition, known: StorePosition, now: float
+    ) -> None:
+        """Records what the watch reported, and what is known."""
         is_newer = known > self._known
         self._reported = max(self._reported, reported)
         self._known = max(self._known, known)
@@ -53,9 +57,10 @@
         self._is_open = False
         self._started_at = 0.0
         self._last_report_at = 0.0
-        # Versions of the configuration, and revisions of the operator's keys.
+        # Versions of the configuration, which outlive the eras of the store,
+        # and positions of the operator's keys.
         self._versions = _Lag()
-        self._revisions = _Lag()
+        self._positions = _Lag()
         self.replaced_count = 0
 
     @property
@@ -71,35 +76,39 @@
             else 0
         )
 
-    def record_start(self, revision: int) -> None:
-        """Records that a watch was opened after `revision`."""
+    def record_start(self, position: StorePosition) -> None:
+        """Records that a watch was opened after `position`."""
         self._is_open = True
         self._started_at = self._last_report_at = self._clock.monotonic()
         self._versions.restart(self._started_at)
-        self._revisions.restart(self._started_at)
-        self.record_reported(revision)
+        self._positions.restart(self._started_at)
+        self.record_reported(position)
 
-    def record_reported(self, revision: int, version: int = 0) -> None:
+    def record_reported(
+        self, position: StorePosition, version: int = 0
+    ) -> None:
         """Records what the watch reported, or was opened after.
 
         Args:
-          revision: revision of the store.
+          position: position of the store.
           version: version of the configuration; 0 if it reported none.
         """
         now = self._last_report_at = self._clock.monotonic()
-        self._revisions.update(revision, 0, now)
-        self._versions.update(version, 0, now)
+        self._positions.update(position, UNKNOWN_POSITION, now)
+        self._versions.update(StorePosition(0, version), UNKNOWN_POSITION, now)
 
-    def record_known(self, revision: int = 0, version: int = 0) -> None:
+    def record_known(
+        self, position: StorePosition = UNKNOWN_POSITION, version: int = 0
+    ) -> None:
         """Records what is known from elsewhere; see `record_reported`."""
         now = self._clock.monotonic()
-        self._revisions.update(0, revision, now)
-        self._versions.update(0, version, now)
+        self._positions.update(UNKNOWN_POSITION, position, now)
+        self._versions.update(UNKNOWN_POSITION, StorePosition(0, version), now)
 
     def has_missed_change(self) -> bool:
         """Returns whether the open watch should have reported a change."""
         now = self._clock.monotonic()
-        lag_s = max(self._versions.age_s(now), self._revisions.age_s(now))
+        lag_s = max(self._versions.age_s(now), self._positions.age_s(now))
         return self._is_open and lag_s >= MAX_LAG_S
 
     def is_older_than(self, moment: float) -> bool:
--- a/src/radishwind/target/dialect.py
+++ b/src/radishwind/target/dialect.py
@@ -9,6 +9,7 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 
+
 class ServerLoad(msgspec.Struct, frozen=True):
     """A load report of the server.
 
--- a/tests/support/recency_net.py
+++ b/tests/support/recency_net.py
@@ -17,12 +17,13 @@
 from radishwind.recency import ProofSchedule
 from radishwind.routes import ActiveRoutes
 from radishwind.routes import RouteConfig
-from radishwind.routes.evacuation import EvacuatedDomains
+from radishwind.routes.evacuation import EvacuationState
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.store_watcher import StoreWatcher
 from radishwind.store.base import StoreAnswerLostError
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreUnavailableError
+from radishwind.store.position import StorePosition
 
 BOUND_S = 5.0
 KEYS = OperatorKeys("op/", "op/config", lambda key: None)
@@ -77,8 +78,8 @@
         await asyncio.sleep(fault / 2)
         return result
 
-    async def revision(self):
-        return await self._call(lambda: self._store.revision)
+    async def position(self):
+        return await self._call(lambda: StorePosition(0, self._store.revision))
 
     async def list(self, prefix, limit=0, *, allow_stale=False):
         s = self._store
@@ -137,7 +138,7 @@
             is_watcher=lambda: False,
             on_config=self._adopt,
             on_evacuation=lambda told, source: None,
-            evacuated=EvacuatedDomains,
+            evacuation=EvacuationState(network.clock),
         )
         self.renewer.connect(self.side.confirm, self._on_newer_version)
 
