Acknowledge a leave once the store holds its record

Cause: the record was written to the store and to peers side by side, and the first to answer cancelled the other. Two peers, which keep it in memory, answer before the store's two calls end. Found on the way: a node that started while the store was away gave up on the stored records for good. Ruled out: a record that is stored but not read, where the store is there at the start.

Why it works: only the store's confirmation ends the wait, whether this node or, where the store turns it away or is silent, a peer has written the record. What is not stored yet stays queued, also without another call of the server; records are loaded however late the store is back, and written again in a new era.

Tests replaced by stricter ones: two peers no longer suffice, since a kill of all nodes loses their memory; no number of peers does. While the whole store is away a leave gets no ack; the server gets nothing new all the same.

--- a/src/radishwind/sidecar/control.py
+++ b/src/radishwind/sidecar/control.py
@@ -29,8 +29,8 @@
 class HeartbeatListener:
     """Acknowledges heartbeats and deregistrations of the local server.
 
-    One that announces that the server is leaving is acknowledged only once that
-    is stored.
+    One that announces that the server is leaving is acknowledged only once the
+    store holds that.
     """
 
     def __init__(
@@ -121,6 +121,8 @@
         self._register(registration)
         if await self._records.persist(process, PERSIST_TIMEOUT_S):
             return Response(200, _JSON, _EMPTY_BODY, len(_EMPTY_BODY))
+        # The server may end without calling again.
+        self._records.announce(process)
         return problem_response(
             ResultCode.STORE_UNAVAILABLE,
             "The leaving record is not stored yet; call again.",
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -120,6 +120,7 @@
             on_proof=recency.renewer.accept_first_read,
         )
         eras.subscribe(self._feed.on_new_era)
+        eras.subscribe(self._records.on_new_era)
         self._era_notices = EraNotices(
             eras=eras,
             store=store,
--- a/src/radishwind/sidecar/leaving_records_loader.py
+++ b/src/radishwind/sidecar/leaving_records_loader.py
@@ -1,6 +1,8 @@
 """Loads at the start which incarnations are leaving.
 
 Until that is known, no heartbeat is accepted, so the server gets no requests.
+If the store stays away, heartbeats are accepted after a while, and the records
+are loaded once it is back.
 """
 
 from collections.abc import Callable
@@ -17,6 +19,9 @@
 
 _RETRY_DELAY_S = 0.2
 
+#: Delay between attempts while heartbeats are accepted already (s).
+_LATE_RETRY_DELAY_S = 0.5
+
 
 class LeavingRecordsLoader:
     """Loads the leaving records, from peers if the store is unavailable.
@@ -52,16 +57,21 @@
         self.is_done = False
 
     async def run(self) -> None:
-        """Returns once the records are loaded or the wait has timed out."""
+        """Returns once the records are loaded."""
         began = self._clock.monotonic()
-        while not self._first_start:
-            if await self._records.load():
-                break
-            if self._has_timed_out(self._clock.monotonic() - began):
+        is_loaded = self._first_start
+        while not is_loaded:
+            is_loaded = await self._records.load()
+            if is_loaded or self._has_timed_out(
+                self._clock.monotonic() - began
+            ):
                 break
             await anyio.sleep(_RETRY_DELAY_S)
         self.is_done = True
         self._on_loaded()
+        while not is_loaded:
+            await anyio.sleep(_LATE_RETRY_DELAY_S)
+            is_loaded = await self._records.load()
 
     def _has_timed_out(self, elapsed_s: float) -> bool:
         is_alone = self._node_count() <= 1
--- a/src/radishwind/sidecar/tests/test_control.py
+++ b/src/radishwind/sidecar/tests/test_control.py
@@ -19,12 +19,16 @@
 class Records:
     def __init__(self):
         self.persisted = []
+        self.announced = []
         self.is_persisted = True
 
     async def persist(self, process, timeout_s):
         self.persisted.append(process)
         return self.is_persisted
 
+    def announce(self, process):
+        self.announced.append(process)
+
 
 class Harness:
     def __init__(self, are_records_loaded=True):
@@ -96,6 +100,7 @@
 
     assert await harness.send_heartbeat(FIRST, 2, state="draining") == 503
     assert harness.server.is_draining
+    assert [p.started_ms for p in harness.records.announced] == [FIRST]
     harness.records.is_persisted = True
 
     assert await harness.send_heartbeat(FIRST, 3, state="draining") == 200
--- a/src/radishwind/sidecar/tests/test_leaving_records_loader.py
+++ b/src/radishwind/sidecar/tests/test_leaving_records_loader.py
@@ -38,12 +38,14 @@
     await loader.run()
     assert loader.is_done
     assert len(loaded_at) == 1
+    assert first_start or records.loads == failures + 1
     return records.loads, loaded_at[0] - began
 
 
 @pytest.fixture(autouse=True)
 def no_retry_delay(monkeypatch):
     monkeypatch.setattr(leaving_records_loader, "_RETRY_DELAY_S", 0.0)
+    monkeypatch.setattr(leaving_records_loader, "_LATE_RETRY_DELAY_S", 0.0)
 
 
 async def test_records_are_loaded_before_heartbeats_are_accepted():
@@ -64,3 +66,10 @@
 
 async def test_node_alone_waits_longer_but_not_forever():
     assert (await load(99))[1] == pytest.approx(3.0)
+
+
+async def test_records_are_loaded_even_after_heartbeats_were_accepted():
+    loads, accepted_after_s = await load(20, nodes=3)
+
+    assert accepted_after_s == pytest.approx(0.6)
+    assert loads == 21
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -154,6 +154,10 @@
         item = self._items.get(key)
         return None if item is None else base64.b64decode(item["value"])
 
+    def has_prefix(self, prefix: str) -> bool:
+        """Returns whether there is a key that begins with `prefix`."""
+        return any(key.startswith(prefix) for key in self._items)
+
     def remove(self, key: str) -> None:
         """Removes an item as the operator, without a transaction's checks."""
         self.revision += 1
--- a/src/radishwind/target/leaving_records.py
+++ b/src/radishwind/target/leaving_records.py
@@ -1,8 +1,9 @@
 """Records of the server processes that are leaving; they survive a restart.
 
 A process that is leaving must get no new requests once that was acknowledged,
-not even from a node that was killed meanwhile and restarted. Therefore the
-record is persisted by the store or by two peers before it is acknowledged.
+not even if all nodes are killed at that moment. Therefore the record is in the
+store before it is acknowledged. A node that the store turns away asks peers to
+write the record. What nodes hold in memory counts as no copy.
 """
 
 import collections
@@ -37,25 +38,28 @@
 #: time, at times many seconds longer, and its node may restart within that.
 RECORD_TTL_S = 120
 
-#: Peers that must hold the record where the store does not.
-MIN_PEER_COPIES = 2
-
-#: Peers asked to hold it.
-_PEERS_ASKED = 4
+#: Peers asked to write the record, and the time after which they are asked if
+#: the store has neither confirmed nor refused it (s).
+_PEERS_ASKED = 2
+_PEER_DELAY_S = 0.25
 
 #: Timeout of persisting an announced record, and the delay before the next try
 #: (s).
 _PERSIST_S = 0.8
 _RETRY_DELAY_S = 0.5
 
+#: Persisted records remembered; the oldest is dropped first.
+_MAX_PERSISTED = 64
+
 #: Announced records waiting to be persisted; the oldest is dropped first.
 _MAX_UNPERSISTED = 16
 
-#: The response of a peer that holds the record.
-_ACKNOWLEDGED = b"{}"
+#: The response of a peer that has written the record.
+_STORED = b'{"stored":true}'
 
-#: Timeout of a call to a peer (s).
-_PEER_TIMEOUT_S = 0.4
+#: Timeouts of a call to a peer, and of its write (s).
+_PEER_TIMEOUT_S = 0.5
+_PEER_WRITE_S = 0.4
 
 
 class LeavingRecords:
@@ -94,7 +98,9 @@
         self._rng = rng
         self._on_leaving = on_leaving
         self._log = PartLogger("leaving", clock)
-        self._persisted: set[str] = set()
+        # The processes whose records this node has persisted, and until when
+        # the store keeps them (monotonic s).
+        self._persisted: dict[ServerProcess, float] = {}
         self._unpersisted: collections.deque[ServerProcess] = collections.deque(
             maxlen=_MAX_UNPERSISTED
         )
@@ -140,32 +146,48 @@
     async def persist(self, process: ServerProcess, within_s: float) -> bool:
         """Persists the record of a process; returns whether that succeeded.
 
+        A write that is cut short may still take effect, which does no harm.
+
         Args:
           process: the process that is leaving.
           within_s: timeout (s).
         """
-        key = process.key
-        if key in self._persisted:
+        now = self._clock.monotonic()
+        if self._persisted.get(process, 0.0) > now:
             return True
+        key = process.key
         self._publish(key)
-        persisted = anyio.Event()
+        stored, failed = anyio.Event(), anyio.Event()
         with anyio.move_on_after(within_s):
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._persist_in_store, key, persisted)
-                tasks.start_soon(self._persist_at_peers, key, persisted)
-                await persisted.wait()
+                tasks.start_soon(self._store_or_fail, key, stored, failed)
+                tasks.start_soon(self._store_by_peers, key, stored, failed)
+                await stored.wait()
                 tasks.cancel_scope.cancel()
-        if not persisted.is_set():
+        took_s = round(self._clock.monotonic() - now, 3)
+        if not stored.is_set():
             self._log.change(
-                "Neither the store nor enough peers hold a leaving record.",
+                "The store does not hold a leaving record yet.",
                 life=key,
+                took_s=took_s,
             )
             return False
-        self._persisted.add(key)
+        self._log.change(
+            "The store holds a leaving record.", life=key, took_s=took_s
+        )
+        self._remember_persisted(process, now + RECORD_TTL_S)
         return True
 
+    def on_new_era(self) -> None:
+        """Persists again what a store that came back from a copy may lack."""
+        now = self._clock.monotonic()
+        persisted, self._persisted = self._persisted, {}
+        for process, kept_until in persisted.items():
+            if kept_until > now:
+                self.announce(process)
+
     async def handle(self, request: Request) -> Response:
-        """Accepts a record from a peer."""
+        """Writes a record for a peer that the store turns away."""
         body = await read_body(request.body)
         try:
             key = body.decode()
@@ -175,14 +197,20 @@
             )
             return Response(400)
         self._publish(key)
-        return Response(200, (), _ACKNOWLEDGED, len(_ACKNOWLEDGED))
+        is_stored = False
+        with anyio.move_on_after(_PEER_WRITE_S):
+            is_stored = await self._store_record(key)
+        if not is_stored:
+            return Response(503, (), b"", 0)
+        return Response(200, (), _STORED, len(_STORED))
 
     def _publish(self, key: str) -> None:
         self._rumor_bus.publish(
             TOPIC, key, 1, msgspec.json.encode(1), RECORD_TTL_S
         )
 
-    async def _persist_in_store(self, key: str, persisted: anyio.Event) -> None:
+    async def _store_record(self, key: str) -> bool:
+        """Writes a record to the store; returns whether it is confirmed."""
         try:
             lease = await self._store.grant(RECORD_TTL_S)
             put = Put(PREFIX + key, b"1", lease)
@@ -192,39 +220,56 @@
                 "The store did not persist a leaving record.",
                 reason=str(exc)[:120],
             )
-            return
-        persisted.set()
+            return False
+        return True
+
+    async def _store_or_fail(
+        self, key: str, stored: anyio.Event, failed: anyio.Event
+    ) -> None:
+        """Sets the event that tells whether this node could write a record."""
+        is_stored = await self._store_record(key)
+        (stored if is_stored else failed).set()
 
-    async def _persist_at_peers(self, key: str, persisted: anyio.Event) -> None:
+    async def _store_by_peers(
+        self, key: str, stored: anyio.Event, failed: anyio.Event
+    ) -> None:
+        """Asks peers to write a record that this node could not write yet."""
+        with anyio.move_on_after(_PEER_DELAY_S):
+            await failed.wait()
         members = [
             m
             for m in self._directory.members()
             if m.name != self._node_name and m.state is MemberState.ALIVE
         ]
         self._rng.shuffle(members)
-        confirmed: list[str] = []
-
-        async def ask(member: Member) -> None:
-            try:
-                await self._peers.call(
-                    member.address,
-                    CONTROL_NAME,
-                    key.encode(),
-                    _PEER_TIMEOUT_S,
-                )
-            except PeerError as exc:
-                self._log.info(
-                    "A peer did not confirm a leaving record.",
-                    reason=str(exc)[:120],
-                )
-                return
-            confirmed.append(member.name)
-            if len(confirmed) >= MIN_PEER_COPIES:
-                persisted.set()
-
         async with anyio.create_task_group() as tasks:
             for member in members[:_PEERS_ASKED]:
-                tasks.start_soon(ask, member)
+                tasks.start_soon(self._ask_peer, member, key, stored)
+
+    async def _ask_peer(
+        self, member: Member, key: str, stored: anyio.Event
+    ) -> None:
+        try:
+            answer = await self._peers.call(
+                member.address, CONTROL_NAME, key.encode(), _PEER_TIMEOUT_S
+            )
+        except PeerError as exc:
+            self._log.info(
+                "A peer did not write a leaving record.",
+                peer=member.name,
+                reason=str(exc)[:120],
+            )
+            return
+        # A peer of an earlier version only remembers it.
+        if answer == _STORED:
+            stored.set()
+
+    def _remember_persisted(
+        self, process: ServerProcess, kept_until: float
+    ) -> None:
+        self._persisted[process] = kept_until
+        while len(self._persisted) > _MAX_PERSISTED:
+            del self._persisted[next(iter(self._persisted))]
 
     def _on_rumor(self, key: str, value: bytes) -> None:
         self._on_leaving(ServerProcess.from_key(key))
--- a/src/radishwind/target/tests/test_leaving_records.py
+++ b/src/radishwind/target/tests/test_leaving_records.py
@@ -1,4 +1,4 @@
-"""Peers hold leaving records while the store is unavailable."""
+"""Acknowledged leaving records are in the store, whoever wrote them."""
 
 import random
 
@@ -9,12 +9,16 @@
 from radishwind.http.sender import Sender
 from radishwind.http.types import Address
 from radishwind.http.types import Request
+from radishwind.http.types import Response
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.membership.rumor_bus import NullRumorBus
 from radishwind.peers.peer_client import HttpPeerClient
 from radishwind.store.base import StoreUnavailableError
+from radishwind.store.base import TxnResult
+from radishwind.target import leaving_records
 from radishwind.target.leaving_records import LeavingRecords
+from radishwind.target.leaving_records import PREFIX
 from radishwind.target.server_process import ServerProcess
 
 pytestmark = pytest.mark.anyio
@@ -22,9 +26,26 @@
 PROCESS = ServerProcess("i-1", 1_000_000)
 
 
-class UnavailableStore:
+class MemoryStore:
+    """Holds records; may be slow or unavailable."""
+
+    def __init__(self, *, is_down=False, delay_s=0.0):
+        self.is_down = is_down
+        self.delay_s = delay_s
+        self.keys = []
+
     async def grant(self, ttl_s):
-        raise StoreUnavailableError("unavailable")
+        await anyio.sleep(self.delay_s)
+        if self.is_down:
+            raise StoreUnavailableError("unavailable")
+        return 7
+
+    async def transact(self, compares, operations):
+        await anyio.sleep(self.delay_s)
+        if self.is_down:
+            raise StoreUnavailableError("unavailable")
+        self.keys += [operation.key for operation in operations]
+        return TxnResult(True, len(self.keys))
 
 
 class RecordingRumorBus(NullRumorBus):
@@ -62,11 +83,18 @@
         pass
 
 
-def records(network, rumor_bus, count):
+class OldPeer:
+    """A peer of an earlier version, which only remembers records."""
+
+    async def handle(self, request):
+        return Response(200, (), b"{}", 2)
+
+
+def records(network, rumor_bus, count, store):
     return LeavingRecords(
         node_name="own",
         clock=ManualClock(),
-        store=UnavailableStore(),
+        store=store,
         directory=FixedDirectory(count),
         rumor_bus=rumor_bus,
         peers=HttpPeerClient(network),
@@ -75,44 +103,106 @@
     )
 
 
-async def test_two_peers_suffice():
-    network, buses = Network(), [RecordingRumorBus() for _ in range(3)]
+def peers(network, count, store):
+    """Adds peers to the network; returns their rumor buses."""
+    buses = [RecordingRumorBus() for _ in range(count)]
     for port, rumor_bus in enumerate(buses):
-        network.peers[port] = records(network, rumor_bus, 0)
+        network.peers[port] = records(network, rumor_bus, 0, store)
+    return buses
+
+
+async def test_acknowledged_record_is_in_the_store_although_peers_are_faster():
+    network, store = Network(), MemoryStore(delay_s=0.02)
+    peers(network, 3, MemoryStore())
+
+    own = records(network, RecordingRumorBus(), 3, store)
+    assert await own.persist(PROCESS, 5.0)
+
+    assert store.keys == [PREFIX + PROCESS.key]
+
+
+async def test_peer_writes_the_record_of_a_node_that_the_store_turns_away():
+    network, store = Network(), MemoryStore()
+    buses = peers(network, 3, store)
+
+    own = records(network, RecordingRumorBus(), 3, MemoryStore(is_down=True))
+    assert await own.persist(PROCESS, 5.0)
 
-    assert await records(network, RecordingRumorBus(), 3).persist(PROCESS, 5.0)
+    assert set(store.keys) == {PREFIX + PROCESS.key}
+    assert any(bus.published == [PROCESS.key] for bus in buses)
 
-    assert sum(bus.published == [PROCESS.key] for bus in buses) >= 2
 
+async def test_peer_writes_the_record_of_a_node_whose_store_is_silent():
+    network, store = Network(), MemoryStore()
+    peers(network, 3, store)
 
-async def test_one_peer_does_not_suffice():
+    silent = MemoryStore(delay_s=60.0)
+    own = records(network, RecordingRumorBus(), 3, silent)
+    assert await own.persist(PROCESS, 5.0)
+
+    assert set(store.keys) == {PREFIX + PROCESS.key}
+
+
+async def test_memory_of_peers_alone_is_no_copy():
     network = Network()
-    network.peers[0] = records(network, RecordingRumorBus(), 0)
+    buses = peers(network, 3, MemoryStore(is_down=True))
 
-    assert not await records(network, RecordingRumorBus(), 1).persist(
-        PROCESS, 0.1
-    )
+    own = records(network, RecordingRumorBus(), 3, MemoryStore(is_down=True))
+    assert not await own.persist(PROCESS, 0.3)
+
+    assert sum(bus.published == [PROCESS.key] for bus in buses) >= 1
+
+
+async def test_answers_of_peers_of_an_earlier_version_are_no_copy():
+    network = Network()
+    network.peers = {port: OldPeer() for port in range(3)}
+
+    own = records(network, RecordingRumorBus(), 3, MemoryStore(is_down=True))
+    assert not await own.persist(PROCESS, 0.3)
 
 
 async def test_malformed_record_is_refused():
     request = Request("POST", "/x", (), b"\xff\xfe", 2)
 
-    response = await records(Network(), RecordingRumorBus(), 0).handle(request)
+    own = records(Network(), RecordingRumorBus(), 0, MemoryStore())
+    response = await own.handle(request)
 
     assert response.status == 400
 
 
-async def test_announced_record_is_persisted_once_peers_confirm_it():
-    network, bus = Network(), RecordingRumorBus()
-    own = records(network, bus, 2)
+async def test_announced_record_is_persisted_once_the_store_is_back(
+    monkeypatch,
+):
+    monkeypatch.setattr(leaving_records, "_RETRY_DELAY_S", 0.01)
+    store, bus = MemoryStore(is_down=True), RecordingRumorBus()
+    own = records(Network(), bus, 0, store)
     own.announce(PROCESS)
     assert bus.published == [PROCESS.key]
-    held = [RecordingRumorBus() for _ in range(2)]
-    for port, rumor_bus in enumerate(held):
-        network.peers[port] = records(network, rumor_bus, 0)
 
-    with anyio.move_on_after(0.2):
-        await own.run()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(own.run)
+        await anyio.sleep(0.05)
+        store.is_down = False
+        with anyio.fail_after(5):
+            while not store.keys:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
 
-    assert [bus.published for bus in held] == [[PROCESS.key]] * 2
     assert await own.persist(PROCESS, 0.0)
+
+
+async def test_record_that_a_drill_of_the_store_lost_is_persisted_again():
+    store = MemoryStore()
+    own = records(Network(), RecordingRumorBus(), 0, store)
+    assert await own.persist(PROCESS, 5.0)
+
+    store.keys.clear()
+    own.on_new_era()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(own.run)
+        with anyio.fail_after(5):
+            while not store.keys:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+    assert store.keys == [PREFIX + PROCESS.key]
