Bound every part of a message in bytes and in time

Beside responses that never end, ordinary requests failed and nodes grew: with an endless field of a trailer 65 to 74 of 300 requests failed and a node grew by up to 340 MB; an endless health response's trailer made 187 fail (seen from outside).

Cause: only heads were measured. The parser keeps a field of a trailer until its end, readers of whole bodies had no limit, a response that streams had no end in time, and a broken health check counted as an unreachable server. Ruled out: the buffer of bodies, which was bounded.

Why it works: what goes into the parser is compared with the body that comes out of it, in pieces of 16 KiB; whole bodies have a limit by reader; a stream ends 0.5 s after the deadline of its call, also while bytes come; an invalid health response is told from a dead server. The same measure holds for requests.

--- a/src/radishwind/http/client_connection.py
+++ b/src/radishwind/http/client_connection.py
@@ -17,7 +17,12 @@
 from radishwind.http.byte_meter import ByteMeter
 from radishwind.http.byte_meter import NO_METER
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.errors import InvalidResponseError
 from radishwind.http.errors import ResponseMismatchError
+from radishwind.http.errors import ResponseTooLongError
+from radishwind.http.framing_budget import FRAMING_ALLOWANCE_BYTES
+from radishwind.http.framing_budget import FramingBudget
+from radishwind.http.framing_budget import PIECE_BYTES
 from radishwind.http.heads import decode_fields
 from radishwind.http.heads import encode_chunk
 from radishwind.http.heads import has_body
@@ -37,6 +42,9 @@
 #: Limit of the size of a response head (bytes).
 MAX_RESPONSE_HEAD_BYTES = 256 * 1024
 
+#: Limit of the length of a body that a response may announce (bytes).
+MAX_BODY_BYTES = 1 << 30
+
 _SWITCHING = 101
 
 
@@ -80,6 +88,8 @@
         self._writable: asyncio.Future[None] | None = None
         self._is_writable = True
         self._fields: list[tuple[bytes, bytes]] = []
+        # Parsed pieces of the body that were not passed on yet.
+        self._pieces: list[bytes] = []
         self._status = 0
         self._head_bytes = 0
         self._in_head = True
@@ -88,6 +98,7 @@
         self._to_head = False
         self._is_lost = False
         self._sequence = ResponseSequence()
+        self._framing = FramingBudget()
         # Whether the response being received is skipped, and how much of its
         # body was received so far.
         self._is_skipping = False
@@ -157,17 +168,34 @@
             return
         self.has_received = True
         self._meter.record_received(len(data))
+        for start in range(0, len(data), PIECE_BYTES):
+            if not self._feed(data[start : start + PIECE_BYTES]):
+                return
+
+    def _feed(self, data: bytes) -> bool:
+        """Parses received bytes; returns whether more may be parsed."""
         if self._in_head:
             self._head_bytes += len(data)
+        else:
+            self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"expected a response of HTTP/1.1: {exc}")
-            return
+            self._fail_with(
+                InvalidResponseError(f"expected a response of HTTP/1.1: {exc}")
+            )
+            return False
+        self._flush_body()
         if self._in_head and self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            self._fail(
+            self._fail_too_long(
                 f"expected a head of {MAX_RESPONSE_HEAD_BYTES} bytes at most"
             )
+        elif self._framing.is_exceeded:
+            self._fail_too_long(
+                "expected chunk sizes and trailers shorter than the body, got "
+                f"more than {FRAMING_ALLOWANCE_BYTES} bytes"
+            )
+        return not self._transport.is_closing()
 
     def eof_received(self) -> None:
         if self._until_close:
@@ -209,10 +237,15 @@
             return
         self._in_head = False
         self._head_bytes = 0
+        self._framing.start()
         headers = decode_fields(self._fields)
         framing = parse_framing(headers)
         if not framing.is_unambiguous:
-            self._fail("expected a chunked body or one with Content-Length")
+            self._fail_with(
+                InvalidResponseError(
+                    "expected a chunked body or one with Content-Length"
+                )
+            )
             return
         verdict = self._sequence.judge(
             self._status, headers, framing, to_head=self._to_head
@@ -224,6 +257,12 @@
         if self._is_skipping:
             self._skipped_bytes = 0
             return
+        if framing.length is not None and framing.length > MAX_BODY_BYTES:
+            self._fail_too_long(
+                f"expected a body of {MAX_BODY_BYTES} bytes at most, got "
+                f"{framing.length}"
+            )
+            return
         if self._to_head or not has_body(self._status):
             self._resolve(Response(self._status, headers, b"", 0))
             if self._to_head:
@@ -241,12 +280,13 @@
         self._resolve(Response(self._status, headers, self._body, length))
 
     def on_body(self, piece: bytes) -> None:
+        self._framing.record_body(len(piece))
         if self._is_skipping:
             self._skipped_bytes += len(piece)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
                 self._fail_mismatch()
-        elif self._body is not None:
-            self._body.feed(piece)
+        else:
+            self._pieces.append(piece)
 
     def on_message_complete(self) -> None:
         if self._status == _SWITCHING:
@@ -268,6 +308,7 @@
         """Completes the response and releases the connection."""
         if self._response is None:
             return
+        self._flush_body()
         body, self._body = self._body, None
         if body is not None:
             body.end()
@@ -295,6 +336,12 @@
         self.is_usable = True
         self._on_released(self)
 
+    def _flush_body(self) -> None:
+        """Passes the parsed pieces on as one, however small they are."""
+        pieces, self._pieces = self._pieces, []
+        if pieces and self._body is not None:
+            self._body.feed(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+
     def _reset(self) -> None:
         if self._body_sender is not None:
             self._body_sender.cancel()
@@ -318,6 +365,11 @@
             ResponseMismatchError("expected the response to the request sent")
         )
 
+    def _fail_too_long(self, reason: str) -> None:
+        """Fails the exchange; the response exceeds a limit."""
+        self._close_counts[CloseReason.TOO_LONG] += 1
+        self._fail_with(ResponseTooLongError(reason))
+
     def _fail(self, reason: str) -> None:
         """Fails the exchange and closes the connection."""
         self._fail_with(ExchangeBrokenError(reason))
--- a/src/radishwind/http/errors.py
+++ b/src/radishwind/http/errors.py
@@ -33,6 +33,10 @@
     code = ResultCode.ANSWER_MISMATCH
 
 
+class ResponseTooLongError(InvalidResponseError):
+    """The response exceeds a limit of its size."""
+
+
 class RequestRejectedError(RadishwindError):
     """A received request violates the rules or limits of HTTP."""
 
--- a/src/radishwind/http/request_reader.py
+++ b/src/radishwind/http/request_reader.py
@@ -11,6 +11,9 @@
 import httptools
 
 from radishwind.http.errors import RequestRejectedError
+from radishwind.http.framing_budget import FRAMING_ALLOWANCE_BYTES
+from radishwind.http.framing_budget import FramingBudget
+from radishwind.http.framing_budget import PIECE_BYTES
 from radishwind.http.heads import decode_fields
 from radishwind.http.heads import Framing
 from radishwind.http.heads import parse_framing
@@ -82,6 +85,7 @@
         self._closes_connection = False
         self._body: IncomingBody | None = None
         self._body_bytes = 0
+        self._framing = FramingBudget()
         self._is_delivered = False
         self._is_stopped = False
         self.accepts_chunks = True
@@ -108,8 +112,15 @@
           UpgradeRequestedError: the bytes after the last request belong to
             another protocol.
         """
+        for start in range(0, len(data), PIECE_BYTES):
+            self._feed(data[start : start + PIECE_BYTES])
+
+    def _feed(self, data: bytes) -> None:
+        """Parses a piece of received bytes; see `feed`."""
         if self._in_head:
             self._head_bytes += len(data)
+        else:
+            self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -119,6 +130,11 @@
         max_bytes = _MAX_HEAD_LINES * self._limits.max_field_bytes
         if self._in_head and self._head_bytes > max_bytes:
             raise head_too_long_error(self._limits)
+        if not self._in_head and self._framing.is_exceeded:
+            raise RequestRejectedError(
+                "expected chunk sizes and trailers shorter than the body, got "
+                f"more than {FRAMING_ALLOWANCE_BYTES} bytes"
+            )
 
     def end_body(self, exc: Exception) -> bool:
         """Ends the body in progress; returns whether its reader gets `exc`.
@@ -173,6 +189,7 @@
     def on_headers_complete(self) -> None:
         self._in_head = False
         self._head_bytes = 0
+        self._framing.start()
         if self._is_stopped:
             return
         headers = decode_fields(self._fields)
@@ -190,6 +207,7 @@
         self._start_body(framing)
 
     def on_body(self, piece: bytes) -> None:
+        self._framing.record_body(len(piece))
         body = self._body
         if body is None:
             return
--- a/src/radishwind/http/response_sequence.py
+++ b/src/radishwind/http/response_sequence.py
@@ -28,6 +28,8 @@
     SURPLUS = "surplus"
     #: Bytes came while no request waited for a response.
     UNSOLICITED = "unsolicited"
+    #: A response exceeded a limit of its size.
+    TOO_LONG = "too-long"
 
 
 class Verdict(enum.Enum):
--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -7,9 +7,15 @@
 
 import msgspec
 
+from radishwind.http.errors import ResponseTooLongError
+
 #: Bodies up to this size are buffered; larger ones are streamed.
 SMALL_BODY_BYTES = 64 * 1024
 
+#: Largest body of a message that is read as a whole, unless stated otherwise
+#: (bytes).
+MAX_MESSAGE_BYTES = 8 << 20
+
 _FIRST_SERVER_ERROR = 500
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
@@ -111,11 +117,29 @@
     body_bytes: int | None = None
 
 
-async def read_body(body: Body) -> bytes:
-    """Reads the complete `body`; for messages known to be small."""
+async def read_body(body: Body, max_bytes: int = MAX_MESSAGE_BYTES) -> bytes:
+    """Reads the complete `body`; for messages known to be small.
+
+    Args:
+      body: the body of a request or a response.
+      max_bytes: its largest size (bytes).
+
+    Raises:
+      ResponseTooLongError: it is larger; its connection is closed.
+    """
     if isinstance(body, bytes):
         return body
-    return b"".join([piece async for piece in body])
+    pieces = []
+    size = 0
+    async for piece in body:
+        pieces.append(piece)
+        size += len(piece)
+        if size > max_bytes:
+            body.abort()
+            raise ResponseTooLongError(
+                f"expected a body of {max_bytes} bytes at most, got more"
+            )
+    return b"".join(pieces)
 
 
 def is_resendable(body: Body) -> bool:
--- a/src/radishwind/platform/platform_store.py
+++ b/src/radishwind/platform/platform_store.py
@@ -15,6 +15,7 @@
 
 from radishwind.core.clock import SystemClock
 from radishwind.http.errors import ConnectFailedError
+from radishwind.http.errors import ResponseTooLongError
 from radishwind.http.errors import SendError
 from radishwind.http.sender import Sender
 from radishwind.http.types import abort_body
@@ -32,6 +33,7 @@
 from radishwind.store.base import Store
 from radishwind.store.base import StoreAnswerLostError
 from radishwind.store.base import StoreAnswerMalformedError
+from radishwind.store.base import StoreAnswerTooLongError
 from radishwind.store.base import StoreCompactedError
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreUnavailableError
@@ -44,6 +46,10 @@
 #: it is slow; a call on a silent connection would never end by itself.
 CALL_TIMEOUT_S = 1.0
 
+#: Largest answer of the store (bytes). A page has 1 MB of values at most; a
+#: watch may report several versions of a value at once.
+MAX_ANSWER_BYTES = 32 << 20
+
 #: How long a watch call waits for a change (s). Each return costs another
 #: call; the store accepts at most 30 s.
 WATCH_WAIT_S = 29.0
@@ -237,16 +243,19 @@
     ) -> AsyncIterator[WatchEvent]:
         after = max(0, start.revision - 1)
         while True:
-            answer = await self._call(
-                "GET",
-                _make_path(
-                    "kv-watch",
-                    prefix=prefix,
-                    after=str(after),
-                    **{"wait-ms": str(int(WATCH_WAIT_S * 1000))},
-                ),
-                timeout_s=WATCH_WAIT_S + _WATCH_MARGIN_S,
+            path = _make_path(
+                "kv-watch",
+                prefix=prefix,
+                after=str(after),
+                **{"wait-ms": str(int(WATCH_WAIT_S * 1000))},
             )
+            try:
+                answer = await self._call(
+                    "GET", path, timeout_s=WATCH_WAIT_S + _WATCH_MARGIN_S
+                )
+            except StoreAnswerTooLongError as exc:
+                # The same watch would get it again.
+                raise StoreCompactedError(str(exc)) from exc
             if answer.era != start.era:
                 # Revisions of the eras before mean nothing in this one.
                 raise StoreCompactedError(
@@ -300,6 +309,8 @@
                 )
         except ConnectFailedError as exc:
             raise StoreUnavailableError(f"{method}: {exc}") from exc
+        except ResponseTooLongError as exc:
+            raise StoreAnswerTooLongError(f"{method}: {exc}") from exc
         except (SendError, TimeoutError) as exc:
             raise StoreAnswerLostError(f"{method}: {exc!r}") from exc
         if response.status in (200, 404, 412):
@@ -326,7 +337,7 @@
 async def _complete(response: Response) -> Response:
     """Returns `response` with its whole body."""
     try:
-        body = await read_body(response.body)
+        body = await read_body(response.body, MAX_ANSWER_BYTES)
     except BaseException:
         abort_body(response.body)
         raise
--- a/src/radishwind/probing/prober.py
+++ b/src/radishwind/probing/prober.py
@@ -23,6 +23,7 @@
 from radishwind.target.backend_server import BackendServer
 from radishwind.target.backend_server import ServerState
 from radishwind.target.backend_server import ServerView
+from radishwind.target.dialect import MAX_HEALTH_BYTES
 
 #: Interval at which the policy is evaluated (s).
 POLL_INTERVAL_S = 0.25
@@ -130,7 +131,7 @@
                 response = await self._sender.send(
                     view.address, request, PROBE_TIMEOUT_S
                 )
-                body = await read_body(response.body)
+                body = await read_body(response.body, MAX_HEALTH_BYTES)
         except ConnectFailedError:
             self._on_connect_failed()
             return None
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -11,6 +11,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -26,6 +27,8 @@
 
 from radishwind.core.clock import Clock
 from radishwind.http.types import Address
+from radishwind.standins.endless_responses import EndlessPart
+from radishwind.standins.endless_responses import generate
 
 #: Handles a request.
 RequestHandler: TypeAlias = Callable[
@@ -36,6 +39,9 @@
 COUNTERS_PATH = "/standin/counters"
 HEALTH_PATH = "/health"
 
+#: End of the path of requests that may get a response without end.
+ENDLESS_SUFFIX = "/endless"
+
 #: Delay before a heartbeat that was not acknowledged is retried (s).
 _HEARTBEAT_RETRY_S = 0.3
 
@@ -95,6 +101,9 @@
       share: the fraction of responses with this fault.
       fail: the fraction of requests answered with status 500.
       shed: the fraction of requests shed although the queue has room.
+      endless: empty, or the part of a response that never ends, see
+        `EndlessPart`; of the requests whose path ends in `ENDLESS_SUFFIX`.
+      endless_health: the same, of all health responses.
       health: empty, `bad` (always reports unhealthy) or `good` (always reports
         healthy).
       late_copies: the fraction of responses, refusals included, of which a
@@ -111,6 +120,8 @@
     share: float = 1.0
     fail: float = 0.0
     shed: float = 0.0
+    endless: str = ""
+    endless_health: str = ""
     health: str = ""
     late_copies: float = 0.0
     shed_s: float = 0.0
@@ -136,6 +147,7 @@
       leaving: whether all responses report it as leaving.
       late_copies_sent: the number of late copies of responses sent.
       shed_count: the number of requests shed.
+      endless_count: the number of responses without end begun.
       leave_acknowledged_at: when the node acknowledged the planned leave
         (monotonic s), set by the caller that makes it leave; `None` before.
       last_run_started_at: when the last run started (monotonic s); 0 before
@@ -164,6 +176,7 @@
         ] = weakref.WeakKeyDictionary()
         self.late_copies_sent = 0
         self.shed_count = 0
+        self.endless_count = 0
         random_name = f"i-{rng.getrandbits(32):08x}"
         self.incarnation = options.incarnation or random_name
         self.started_at_ms = clock.wall_ms()
@@ -299,7 +312,11 @@
         )
         return {"Server-Load": ",".join(map(str, load))}
 
-    async def _handle_health(self, request: web.Request) -> web.Response:
+    async def _handle_health(self, request: web.Request) -> web.StreamResponse:
+        if self.faults.endless_health:
+            return await self._send_endless(
+                request, self.faults.endless_health, ""
+            )
         is_unhealthy = self.draining or self.faults.health == "bad"
         if self.faults.health == "good":
             is_unhealthy = False
@@ -365,6 +382,8 @@
         if self._rng.random() < self.faults.fail:
             return self._make_response(request_id, 500)
         faults = self.faults
+        if faults.endless and request.path.endswith(ENDLESS_SUFFIX):
+            return await self._send_endless(request, faults.endless, request_id)
         if faults.answer and self._rng.random() < faults.share:
             return await self._send_faulty_response(
                 request, request_id, faults.answer
@@ -382,6 +401,23 @@
         body = b"done %s" % request_id.encode()
         return web.Response(status=status, headers=headers, body=body)
 
+    async def _send_endless(
+        self, request: web.Request, part: str, request_id: str
+    ) -> web.StreamResponse:
+        """Sends a response without end until the connection is closed."""
+        self.endless_count += 1
+        transport = request.transport
+        assert transport is not None
+        fields = _encode_own_fields(request_id, self.incarnation)
+        with contextlib.suppress(ConnectionError):
+            for piece in generate(EndlessPart(part), fields):
+                if transport.is_closing():
+                    break
+                transport.write(piece)  # type: ignore[attr-defined]
+                await request.writer.drain()
+                await asyncio.sleep(0)
+        return web.Response()
+
     async def _send_faulty_response(
         self, request: web.Request, request_id: str, fault: str
     ) -> web.StreamResponse:
--- a/src/radishwind/store/base.py
+++ b/src/radishwind/store/base.py
@@ -37,6 +37,12 @@
     code = ResultCode.STORE_ANSWER_MALFORMED
 
 
+class StoreAnswerTooLongError(StoreAnswerLostError):
+    """The response exceeds the size limit; the call may have taken effect."""
+
+    code = ResultCode.STORE_ANSWER_MALFORMED
+
+
 class StoreCompactedError(StoreError):
     """The start of a watch is not in the store's history any more."""
 
--- a/src/radishwind/target/dialect.py
+++ b/src/radishwind/target/dialect.py
@@ -9,6 +9,9 @@
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 
+#: Largest body of a health response (bytes).
+MAX_HEALTH_BYTES = 64 * 1024
+
 
 class ServerLoad(msgspec.Struct, frozen=True):
     """A load report of the server.
--- a/src/radishwind/target/load_poller.py
+++ b/src/radishwind/target/load_poller.py
@@ -15,6 +15,7 @@
 from radishwind.http.types import read_body
 from radishwind.http.types import Response
 from radishwind.target.backend_server import ServerView
+from radishwind.target.dialect import MAX_HEALTH_BYTES
 from radishwind.target.dialect import ResponseMetadata
 from radishwind.target.dialect import ServerDialect
 from radishwind.target.load_monitor import IDLE_REPORT_AGE_S
@@ -132,7 +133,7 @@
                     CHECK_TIMEOUT_S,
                     self._check,
                 )
-                await read_body(response.body)
+                await read_body(response.body, MAX_HEALTH_BYTES)
         except InvalidResponseError as exc:
             self._monitor.last_reported = began
             self._log.warning(
--- a/src/radishwind/target/server_exchange.py
+++ b/src/radishwind/target/server_exchange.py
@@ -34,6 +34,9 @@
 #: The longest pause of the server within a response (s).
 STALL_TIMEOUT_S = 30.0
 
+#: How long after the deadline of its call a response may still be received (s).
+STREAM_GRACE_S = 0.5
+
 #: The field by which a server states that it shed a request without running it.
 SHED_FIELD = "radishwind-shed"
 
@@ -130,7 +133,12 @@
 
         assert isinstance(response.body, BodyStream)
         body = SlotHoldingStream(
-            response.body, on_complete, on_broken, on_ended
+            response.body,
+            clock=self._clock,
+            deadline=call.deadline,
+            on_complete=on_complete,
+            on_broken=on_broken,
+            on_ended=on_ended,
         )
         return Response(
             response.status, response.headers, body, response.body_bytes
@@ -148,6 +156,8 @@
 
     Args:
       body: the stream of the response.
+      clock: the clock.
+      deadline: when its caller stops waiting (monotonic s).
       on_complete: called if the response was read to its end.
       on_broken: called if the server cut it off or paused too long.
       on_ended: called once when the stream ends for any reason, including
@@ -157,11 +167,16 @@
     def __init__(
         self,
         body: BodyStream,
+        *,
+        clock: Clock,
+        deadline: float,
         on_complete: Callable[[], None],
         on_broken: Callable[[], None],
         on_ended: Callable[[], None],
     ) -> None:
         super().__init__(body, on_ended)
+        self._clock = clock
+        self._ends_at = deadline + STREAM_GRACE_S
         self._on_complete = on_complete
         self._on_broken = on_broken
 
@@ -178,12 +193,16 @@
             self._finish()
 
     async def _next(self, chunks: AsyncIterator[bytes]) -> bytes | None:
+        left_s = self._ends_at - self._clock.monotonic()
         try:
-            with TimeLimit(STALL_TIMEOUT_S):
+            # The limit of a response that is always ready never gets to act.
+            if left_s <= 0:
+                raise TimeoutError
+            with TimeLimit(min(STALL_TIMEOUT_S, left_s)):
                 return await anext(chunks, None)
         except TimeoutError:
             self._body.abort()
             raise ExchangeBrokenError(
-                f"expected a chunk of the response within {STALL_TIMEOUT_S} s, "
-                "got none"
+                f"expected a chunk of the response within {STALL_TIMEOUT_S} s "
+                "and its end by the deadline, got neither"
             ) from None
--- a/src/radishwind/target/verifying_exchange.py
+++ b/src/radishwind/target/verifying_exchange.py
@@ -182,7 +182,12 @@
 
         assert not isinstance(response.body, bytes)
         body = SlotHoldingStream(
-            response.body, on_complete, on_broken, on_ended
+            response.body,
+            clock=self._clock,
+            deadline=call.deadline,
+            on_complete=on_complete,
+            on_broken=on_broken,
+            on_ended=on_ended,
         )
         return Response(
             response.status, response.headers, body, response.body_bytes
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 import signal
 from typing import TypeAlias
 
+from radishwind.standins.endless_responses import EndlessPart
 from radishwind.standins.platform_fleet import Instance
 from radishwind.standins.platform_server import ServerFaults
 from radishwind.standins.store_faults import StoreFaults
@@ -191,6 +192,7 @@
             ServerFaults(shed=0.5),
             ServerFaults(shed=0.5, shed_s=0.01, late_copies=0.1),
             ServerFaults(late_copies=0.1),
+            ServerFaults(endless_health=rng.choice(list(EndlessPart))),
             ServerFaults(slow=6.0),
             ServerFaults(health="bad"),
             ServerFaults(health="good", fail=1.0),
