--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -246,11 +246,21 @@
 
     async def send_heartbeat(self, session: aiohttp.ClientSession) -> bool:
         """Sends one heartbeat; returns whether it was acknowledged."""
+        return await self.deliver(session, self.make_heartbeat())
+
+    async def deliver(
+        self, session: aiohttp.ClientSession, heartbeat: dict[str, Any]
+    ) -> bool:
+        """Sends a heartbeat; returns whether it was acknowledged."""
+        return await self._post_to_node(session, "Heartbeat", heartbeat)
+
+    def make_heartbeat(self) -> dict[str, Any]:
+        """Returns the next heartbeat of this server."""
         options = self.options
         warmup_left_s = options.cold_s - (
             self._clock.monotonic() - self._started_at
         )
-        body = {
+        return {
             "service": options.service,
             "address": str(options.address),
             "zone": options.failure_domain,
@@ -261,7 +271,6 @@
             "seq": next(self._heartbeat_sequence),
             "born": self.started_at_ms,
         }
-        return await self._post_to_node(session, "Heartbeat", body)
 
     async def deregister(self, session: aiohttp.ClientSession) -> bool:
         """Deregisters; returns whether the node acknowledged it."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,7 @@
 
 from radishwind.standins.platform_fleet import HOST
 from radishwind.standins.platform_fleet import Instance
+from radishwind.standins.platform_server import ENDLESS_SUFFIX
 from tests.soak.account_keys import AccountKeys
 from tests.soak.server_notices import ServerNotices
 
@@ -96,7 +97,9 @@
     results.notices.record_request(request_id, instance.place.name, loop.time())
     # aiohttp retries requests with idempotent methods by itself, so use POST.
     method = "POST"
-    url = f"http://{instance.caller_address}/{service}/x"
+    # Some requests may get a response without end, where a fault says so.
+    suffix = ENDLESS_SUFFIX if request_id[0] == "0" else "/x"
+    url = f"http://{instance.caller_address}/{service}{suffix}"
     status = 0
     try:
         async with session.request(method, url, headers=headers) as response:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -1,11 +1,15 @@
 """The deployment under test: node processes with a proxy in each link."""
 
 import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import enum
 import pathlib
 import random
 import signal
+from typing import Any
 
 import aiohttp
 
@@ -16,6 +20,7 @@
 from radishwind.standins.platform_fleet import route
 from radishwind.standins.platform_server import PlatformServerStandin
 from radishwind.standins.platform_server import ServerOptions
+from radishwind.standins.store_faults import StoreFaults
 from tests.soak.account_keys import AccountKeys
 from tests.soak.config_checks import ConfigurationChecks
 from tests.soak.loopback_proxy import LoopbackProxy
@@ -34,6 +39,10 @@
 _KILLED_EXIT_CODE = -signal.SIGKILL
 
 
+async def _do_nothing() -> None:
+    """Does nothing after a leave was acknowledged."""
+
+
 class LeaveAnnouncement(enum.Enum):
     """How a server announces that it leaves, beside its responses."""
 
@@ -72,6 +81,7 @@
       servers: every server that has run, with those that were replaced.
       unexpected_exits: descriptions of nodes that ended with a wrong exit code.
       reserved: names of the instances whose processes a fault controls.
+      injected: how often each fault that is counted took effect.
     """
 
     def __init__(
@@ -91,6 +101,7 @@
         self.servers: list[PlatformServerStandin] = []
         self.unexpected_exits: list[str] = []
         self.reserved: set[str] = set()
+        self.injected: collections.Counter[str] = collections.Counter()
 
     async def _insert_proxies(self, instance: Instance) -> None:
         """Inserts a proxy into each link before the settings are written."""
@@ -158,21 +169,35 @@
         self.servers.append(instance.server)
 
     async def restart_server_gracefully(
-        self, instance: Instance, announcement: LeaveAnnouncement
+        self,
+        instance: Instance,
+        announcement: LeaveAnnouncement,
+        after_ack: Callable[[], Awaitable[None]] = _do_nothing,
     ) -> None:
         """Stops the server of `instance` gracefully and starts a new one.
 
         The server states in all its responses that it is leaving, announces
-        that as chosen, and stops some seconds later.
+        that as chosen, and stops some seconds later. A heartbeat from before
+        arrives late.
+
+        Args:
+          instance: its instance.
+          announcement: how it announces that it is leaving.
+          after_ack: called right after the leave was acknowledged.
         """
         server = instance.server
         assert server is not None
+        late_heartbeat = server.make_heartbeat()
         server.leaving = True
         server.draining = announcement is LeaveAnnouncement.HEARTBEAT
         if announcement is not LeaveAnnouncement.RESPONSES_ONLY:
             await self._announce_leave(server, announcement)
             instance.stop_heartbeats()
-        await asyncio.sleep(2.0 + 2.0 * self.rng.random())
+        if server.leave_acknowledged_at is not None:
+            await after_ack()
+        await asyncio.sleep(1.0 + self.rng.random())
+        await self._deliver(server, late_heartbeat)
+        await asyncio.sleep(1.0 + self.rng.random())
         await instance.crash_server()
         await asyncio.sleep(0.5)
         await self.restart_server(instance)
@@ -195,6 +220,40 @@
                     return
                 await asyncio.sleep(0.3)
 
+    async def _deliver(
+        self, server: PlatformServerStandin, heartbeat: dict[str, Any]
+    ) -> None:
+        async with aiohttp.ClientSession() as session:
+            await server.deliver(session, heartbeat)
+        self.injected["late heartbeat"] += 1
+
+    async def kill_all_nodes(self) -> None:
+        """Kills all nodes at the same moment, and starts them again."""
+        for instance in self.instances():
+            self.record_disturbance(instance)
+            instance.signal_node(signal.SIGKILL)
+        for instance in self.instances():
+            await instance.node_ended()
+        self.injected["kill of all nodes"] += 1
+        await asyncio.sleep(self.rng.random())
+        for instance in self.instances():
+            await instance.start_node()
+            self.record_disturbance(instance)
+
+    async def drill_store(self) -> None:
+        """Takes the store away; it comes back from a copy some seconds old."""
+        store = self.fleet.store
+        copy = store.copy()
+        await asyncio.sleep(2.0 * self.rng.random())
+        newest = store.value("op/config")
+        assert newest is not None
+        store.faults = StoreFaults(down="reset", cut=True)
+        await asyncio.sleep(0.5 * self.rng.random())
+        store.restore(copy)
+        store.faults = StoreFaults()
+        store.put("op/config", newest)
+        self.injected["drill of the store"] += 1
+
     def record_disturbance(self, instance: Instance) -> None:
         """Records that `instance` was restarted, paused or cut off."""
         now = asyncio.get_running_loop().time()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -192,6 +192,7 @@
             ServerFaults(shed=0.5),
             ServerFaults(shed=0.5, shed_s=0.01, late_copies=0.1),
             ServerFaults(late_copies=0.1),
+            ServerFaults(endless=rng.choice(list(EndlessPart))),
             ServerFaults(endless_health=rng.choice(list(EndlessPart))),
             ServerFaults(slow=6.0),
             ServerFaults(health="bad"),
@@ -255,6 +256,34 @@
     return f"{name} {mode.value}"
 
 
+async def leave_and_kill_all(deployment: Deployment, rng: random.Random) -> str:
+    """Kills all nodes right after they acknowledged the leave of a server."""
+    if deployment.reserved:
+        return "nothing"
+    instance = rng.choice(deployment.instances())
+    deployment.reserved |= {i.place.name for i in deployment.instances()}
+    checks, loop = deployment.config_checks, asyncio.get_running_loop()
+    checks.begin_store_disturbance(loop.time())
+    try:
+        await deployment.restart_server_gracefully(
+            instance,
+            LeaveAnnouncement.DEREGISTRATION,
+            deployment.kill_all_nodes,
+        )
+    finally:
+        deployment.reserved.clear()
+        checks.end_store_disturbance(loop.time())
+    return instance.place.name
+
+
+async def drill_store(deployment: Deployment, rng: random.Random) -> str:
+    checks, loop = deployment.config_checks, asyncio.get_running_loop()
+    checks.begin_store_disturbance(loop.time())
+    await deployment.drill_store()
+    checks.end_store_disturbance(loop.time())
+    return str(deployment.fleet.store.era)
+
+
 async def change_routes(deployment: Deployment, rng: random.Random) -> str:
     timeout_ms = rng.choice((800, 1000, 1500))
     return str(deployment.configure(**{"timeout-ms": timeout_ms}))
@@ -280,6 +309,8 @@
     harm_store,
     harm_link,
     harm_link,
+    leave_and_kill_all,
+    drill_store,
     change_routes,
     change_keys,
 )
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -63,6 +63,7 @@
             stop.set()
         await deployment.close()
     print(f"answers: {dict(results.statuses)}")
+    print(f"injected: {_count_injected(deployment)}")
     return (
         violations
         + results.violations
@@ -71,6 +72,17 @@
     )
 
 
+def _count_injected(deployment: Deployment) -> dict[str, int]:
+    """Returns how often the faults took effect that a seed may not bring."""
+    servers = deployment.servers
+    return {
+        **deployment.injected,
+        "late copies": sum(s.late_copies_sent for s in servers),
+        "shed": sum(s.shed_count for s in servers),
+        "endless": sum(s.endless_count for s in servers),
+    }
+
+
 async def _find_unrecovered(
     deployment: Deployment, results: CallerResults
 ) -> list[str]:
