--- a/src/radishwind/sidecar/era_notices.py
+++ b/src/radishwind/sidecar/era_notices.py
@@ -20,7 +20,7 @@
 from radishwind.store.position import MAX_ERA
 from radishwind.telemetry.part_logger import PartLogger
 
-TOPIC = "store-era"
+TOPIC = "era"
 _RUMOR_TTL_S = 600.0
 
 #: Rate at which all nodes together ask the store after a rumor (1/s).
