--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -245,10 +245,11 @@
         store = self.fleet.store
         copy = store.copy()
         await asyncio.sleep(2.0 * self.rng.random())
-        newest = store.value("op/config")
-        assert newest is not None
         store.faults = StoreFaults(down="reset", cut=True)
         await asyncio.sleep(0.5 * self.rng.random())
+        # What the operator wrote until now, it writes again.
+        newest = store.value("op/config")
+        assert newest is not None
         store.restore(copy)
         store.faults = StoreFaults()
         store.put("op/config", newest)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,7 +15,8 @@
 from tests.soak.deployment import LeaveAnnouncement
 from tests.soak.loopback_proxy import LinkMode
 
-#: Number of concurrent series of faults, beside one of limited servers.
+#: Number of concurrent series of faults, beside one of limited servers and one
+#: of servers that send late copies of responses.
 SERIES_COUNT = 3
 
 _RESPONSE_FAULTS = ("reset", "cut", "unframed-reset", "extra", "other", "lost")
@@ -33,6 +34,10 @@
                 tasks.create_task(_inject_series(deployment, rng, _FAULTS))
             rng = random.Random(seed * 100 + SERIES_COUNT)
             tasks.create_task(_inject_series(deployment, rng, (limit_server,)))
+            rng = random.Random(seed * 100 + SERIES_COUNT + 1)
+            tasks.create_task(
+                _inject_series(deployment, rng, (send_late_copies,))
+            )
     except TimeoutError:
         pass
     await _clear_faults(deployment)
@@ -183,6 +188,20 @@
     return f"{instance.place.name} {faults.limit_per_s}"
 
 
+async def send_late_copies(deployment: Deployment, rng: random.Random) -> str:
+    """Makes a server send late copies, at times beside refusals."""
+    instance = rng.choice(deployment.instances())
+    server = instance.server
+    shed = rng.choice((0.0, 0.4))
+    faults = ServerFaults(shed=shed, shed_s=0.01, late_copies=0.3)
+    if server is not None:
+        server.faults = faults
+        await asyncio.sleep(2 + 2 * rng.random())
+        if server.faults is faults:
+            server.faults = ServerFaults()
+    return f"{instance.place.name} {shed}"
+
+
 async def spoil_server(deployment: Deployment, rng: random.Random) -> str:
     server = rng.choice(deployment.instances()).server
     faults = rng.choice(
@@ -190,8 +209,6 @@
             ServerFaults(answer=rng.choice(_RESPONSE_FAULTS), share=0.3),
             ServerFaults(fail=0.5),
             ServerFaults(shed=0.5),
-            ServerFaults(shed=0.5, shed_s=0.01, late_copies=0.1),
-            ServerFaults(late_copies=0.1),
             ServerFaults(endless=rng.choice(list(EndlessPart))),
             ServerFaults(endless_health=rng.choice(list(EndlessPart))),
             ServerFaults(slow=6.0),
