--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -219,6 +219,11 @@
         """Whether the node has logged anything since its last start."""
         return self.log_path.stat().st_size > self._log_size_at_start
 
+    @property
+    def exit_status(self) -> int | None:
+        """The exit status of the node; `None` while it runs."""
+        return None if self._process is None else self._process.returncode
+
     @property
     def node_pid(self) -> int:
         """The process ID of the node."""
