--- a/src/radishwind/claims/claim_record.py
+++ b/src/radishwind/claims/claim_record.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import enum
+from typing import Annotated
 
 import msgspec
 import xxhash
 
+from radishwind.decoding.numbers import NonNegativeInt
 from radishwind.entry.call import Call
 from radishwind.entry.call import CALLER_FIELD
 from radishwind.http.types import get_header
@@ -34,7 +36,7 @@
       body: the whole body.
     """
 
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=100, le=599)]
     headers: Headers
     body: bytes
 
@@ -65,7 +67,7 @@
     nonce: str
     node: str
     fingerprint: str
-    expires_ms: int
+    expires_ms: NonNegativeInt
     caller: str = ""
     state: ClaimState = ClaimState.CLAIMED
     answer: RecordedResponse | None = None
--- a/src/radishwind/claims/claim_registry.py
+++ b/src/radishwind/claims/claim_registry.py
@@ -19,6 +19,8 @@
 from radishwind.claims.store_circuit_breaker import StoreCircuitBreaker
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
 from radishwind.entry.call import Call
 from radishwind.leases.shared_lease import SharedLease
 from radishwind.outcomes.model import NotRun
@@ -42,11 +44,16 @@
 #: Revision that stands for a key that does not exist.
 _ABSENT_REVISION = 0
 
+#: The largest claim that is read (bytes); etcd accepts 1.5 MB.
+MAX_CLAIM_BYTES = 2 << 20
+
 #: Retry delay if each attempt lost a race for the key.
 _CONTENTION_RETRY_S = 1.0
 
 _T = TypeVar("_T")
 
+_decoder = JsonDecoder[ClaimRecord](ClaimRecord, "a claim", MAX_CLAIM_BYTES)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnedClaim:
@@ -318,8 +325,8 @@
           that this node may take it over.
         """
         try:
-            record = msgspec.json.decode(entry.value, type=ClaimRecord)
-        except msgspec.MsgspecError as exc:
+            record = _decoder.decode(entry.value)
+        except MalformedInputError as exc:
             return Unknown(
                 ResultCode.CLAIM_UNKNOWN,
                 f"The stored claim is malformed: {exc}",
--- a/src/radishwind/cli/fleet.py
+++ b/src/radishwind/cli/fleet.py
@@ -4,7 +4,6 @@
 from typing import TypeVar
 
 import anyio
-import msgspec
 import typer
 
 from radishwind.cli.admin import AdminError
@@ -16,6 +15,8 @@
 from radishwind.config.reports import FLEET_PATH
 from radishwind.config.reports import FleetReport
 from radishwind.core import ResultCode
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
 
 #: Timeout of a response; for some, a node queries all its peers.
 _TIMEOUT_S = 30.0
@@ -23,6 +24,9 @@
 #: Polling interval while waiting for a revision.
 _POLL_INTERVAL_S = 0.2
 
+#: The largest answer of a node (bytes); it may hold a whole configuration.
+MAX_ANSWER_BYTES = 256 << 20
+
 _T = TypeVar("_T")
 
 
@@ -57,12 +61,12 @@
       AdminError: the node did not answer as expected.
       SettingError: `admin` is not HOST:PORT.
     """
+    decoder = JsonDecoder[_T](model, "a node's answer", MAX_ANSWER_BYTES)
+    answer = fetch(admin, path)
     try:
-        return msgspec.json.decode(fetch(admin, path), type=model)
-    except msgspec.MsgspecError as exc:
-        raise AdminError(
-            f"{admin}{path}: expected a node's answer, got {exc}"
-        ) from exc
+        return decoder.decode(answer)
+    except MalformedInputError as exc:
+        raise AdminError(f"{admin}{path}: {exc.args[0]}") from exc
 
 
 def fetch_config(admin: str) -> Configuration:
--- a/src/radishwind/config/files.py
+++ b/src/radishwind/config/files.py
@@ -1,8 +1,6 @@
 """Reads the operators' files; each is accepted or refused as a whole."""
 
-import json
 from typing import Any
-from typing import NoReturn
 from typing import TypeVar
 
 import msgspec
@@ -14,6 +12,9 @@
 from radishwind.config.validation import FileFault
 from radishwind.config.validation import FileInvalidError
 from radishwind.config.validation import find_model_faults
+from radishwind.decoding import convert
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding import parse_strict_json
 
 #: Maximum size of a file (bytes): about 15 times that of the largest
 #: deployment designed for.
@@ -87,25 +88,19 @@
 
 
 def _decode(content: bytes) -> Any:
-    if len(content) > MAX_FILE_BYTES:
-        text = f"expected at most {MAX_FILE_BYTES} bytes, got {len(content)}"
-        raise FileInvalidError([FileFault("", text)])
     try:
-        return json.loads(
-            content.decode("utf-8"),
-            object_pairs_hook=_make_object,
-            parse_constant=_refuse_constant,
+        return parse_strict_json(
+            content, "JSON in UTF-8", MAX_FILE_BYTES, _make_object
         )
-    except (ValueError, RecursionError) as exc:
-        text = f"expected JSON in UTF-8, got {str(exc)[:200]}"
-        raise FileInvalidError([FileFault("", text)]) from exc
+    except MalformedInputError as exc:
+        raise FileInvalidError([FileFault("", exc.args[0])]) from exc
 
 
 def _convert(document: Any, model: type[_T]) -> _T:
     try:
-        return msgspec.convert(document, model)
-    except msgspec.ValidationError as exc:
-        raise FileInvalidError([FileFault("", str(exc))]) from exc
+        return convert(document, model, "an operator's file")
+    except MalformedInputError as exc:
+        raise FileInvalidError([FileFault("", exc.args[0])]) from exc
 
 
 def _make_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
@@ -116,7 +111,3 @@
     keys = [key for key, _ in pairs]
     found.duplicates = tuple(sorted({k for k in keys if keys.count(k) > 1}))
     return found
-
-
-def _refuse_constant(name: str) -> NoReturn:
-    raise ValueError(f"{name}, which is not a JSON number")
--- a/src/radishwind/config/parts.py
+++ b/src/radishwind/config/parts.py
@@ -25,10 +25,15 @@
 from radishwind.config.model import Target
 from radishwind.config.records import ChangeRecord
 from radishwind.config.records import manifest_digest
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
 
 COMMON = "common"
 SERVICE_PREFIX = "service/"
 
+#: The largest part that is read (bytes); etcd accepts 1.5 MB.
+MAX_PART_BYTES = 2 << 20
+
 
 class CommonPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The content of a configuration that belongs to no single service.
@@ -54,8 +59,10 @@
 
 Part: TypeAlias = CommonPart | ServicePart
 
-_common_decoder = msgspec.json.Decoder(CommonPart)
-_service_decoder = msgspec.json.Decoder(ServicePart)
+_common_decoder = JsonDecoder[CommonPart](CommonPart, "a part", MAX_PART_BYTES)
+_service_decoder = JsonDecoder[ServicePart](
+    ServicePart, "a part", MAX_PART_BYTES
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,8 +128,8 @@
         if name == COMMON:
             return _common_decoder.decode(content)
         part = _service_decoder.decode(content)
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        raise RevisionRefusedError(f"part {name[:80]}: {exc}") from exc
+    except MalformedInputError as exc:
+        raise RevisionRefusedError(f"part {name[:80]}: {exc.args[0]}") from exc
     found = part.service.name
     foreign = [t.name for t in part.targets if t.service != found]
     if name != SERVICE_PREFIX + found or foreign:
--- a/src/radishwind/config/pull.py
+++ b/src/radishwind/config/pull.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-from typing import TypeVar
 
 import msgspec
 
@@ -21,6 +20,8 @@
 from radishwind.config.parts import Snapshot
 from radishwind.config.records import ChangeRecord
 from radishwind.config.records import PartRef
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding.numbers import NonNegativeInt
 
 #: Maximum total size of the parts in a reply (bytes of JSON), unless a single
 #: part is larger.
@@ -40,7 +41,7 @@
       want: part versions requested; empty to request the record.
     """
 
-    revision: int
+    revision: NonNegativeInt
     change_id: str
     address: str = ""
     want: tuple[PartRef, ...] = ()
@@ -59,7 +60,7 @@
       parts: some of the changed or requested parts, by name.
     """
 
-    revision: int
+    revision: NonNegativeInt
     change_id: str
     record: ChangeRecord | None = None
     whole: bool = False
@@ -68,10 +69,12 @@
     parts: dict[str, msgspec.Raw] = {}
 
 
-_T = TypeVar("_T")
-
-_pull_decoder = msgspec.json.Decoder(Pull)
-_reply_decoder = msgspec.json.Decoder(PullReply)
+_pull_decoder = JsonDecoder[Pull](
+    Pull, "a pull", MAX_MESSAGE_BYTES, RevisionRefusedError
+)
+_reply_decoder = JsonDecoder[PullReply](
+    PullReply, "a reply to a pull", MAX_MESSAGE_BYTES, RevisionRefusedError
+)
 
 
 def decode_pull(content: bytes) -> Pull:
@@ -80,7 +83,7 @@
     Raises:
       RevisionRefusedError: `content` is not a valid pull.
     """
-    return _decode(_pull_decoder, content)
+    return _pull_decoder.decode(content)
 
 
 def decode_reply(content: bytes) -> PullReply:
@@ -89,7 +92,7 @@
     Raises:
       RevisionRefusedError: `content` is not a valid reply.
     """
-    return _decode(_reply_decoder, content)
+    return _reply_decoder.decode(content)
 
 
 class PullResponder:
@@ -234,14 +237,3 @@
             break
         encoded[ref.name] = msgspec.Raw(raw)
     return encoded
-
-
-def _decode(decoder: msgspec.json.Decoder[_T], content: bytes) -> _T:
-    if len(content) > MAX_MESSAGE_BYTES:
-        raise RevisionRefusedError(
-            f"expected at most {MAX_MESSAGE_BYTES} bytes, got {len(content)}"
-        )
-    try:
-        return decoder.decode(content)
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        raise RevisionRefusedError(f"malformed message: {exc}") from exc
--- a/src/radishwind/config/records.py
+++ b/src/radishwind/config/records.py
@@ -14,6 +14,8 @@
 import xxhash
 
 from radishwind.config.errors import RevisionRefusedError
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding.numbers import NonNegativeInt
 
 PREFIX = "/radishwind/config/"
 ROOT_KEY = PREFIX + "root"
@@ -27,6 +29,9 @@
 #: Number of accepted changes that are kept for `changes show`.
 KEPT_CHANGES = 1000
 
+#: The largest record or manifest that is read (bytes); etcd accepts 1.5 MB.
+MAX_RECORD_BYTES = 2 << 20
+
 _REVISION_DIGITS = 12
 
 ChangeId = Annotated[
@@ -70,7 +75,7 @@
     at: datetime.datetime
     what: str
     lines: tuple[str, ...]
-    more_lines: int
+    more_lines: NonNegativeInt
     changed: tuple[PartRef, ...]
     replaced: tuple[PartRef, ...]
     digest: str
@@ -89,9 +94,15 @@
     parts: dict[str, msgspec.Raw] = {}
 
 
-_root_decoder = msgspec.json.Decoder(Root)
-_record_decoder = msgspec.json.Decoder(ChangeRecord)
-_manifest_decoder = msgspec.json.Decoder(tuple[PartRef, ...])
+_root_decoder = JsonDecoder[Root](
+    Root, "a root", MAX_RECORD_BYTES, RevisionRefusedError
+)
+_record_decoder = JsonDecoder[ChangeRecord](
+    ChangeRecord, "a record of a change", MAX_RECORD_BYTES, RevisionRefusedError
+)
+_manifest_decoder = JsonDecoder[tuple[PartRef, ...]](
+    tuple[PartRef, ...], "a manifest", MAX_RECORD_BYTES, RevisionRefusedError
+)
 
 
 def make_change_id(revision: int, random_bits: int) -> str:
@@ -138,10 +149,7 @@
     Raises:
       RevisionRefusedError: `content` is not a valid record.
     """
-    try:
-        return check_change_id(_record_decoder.decode(content))
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        raise RevisionRefusedError(f"malformed record: {exc}") from exc
+    return check_change_id(_record_decoder.decode(content))
 
 
 def decode_root(content: bytes) -> Root:
@@ -150,10 +158,7 @@
     Raises:
       RevisionRefusedError: `content` is not a valid root.
     """
-    try:
-        root = _root_decoder.decode(content)
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        raise RevisionRefusedError(f"malformed root: {exc}") from exc
+    root = _root_decoder.decode(content)
     check_change_id(root.record)
     return root
 
@@ -183,10 +188,7 @@
     Raises:
       RevisionRefusedError: `content` is not a valid manifest.
     """
-    try:
-        refs = _manifest_decoder.decode(content)
-    except msgspec.MsgspecError as exc:
-        raise RevisionRefusedError(f"malformed manifest: {exc}") from exc
+    refs = _manifest_decoder.decode(content)
     return {ref.name: ref.version for ref in refs}
 
 
--- a/src/radishwind/decoding/errors.py
+++ b/src/radishwind/decoding/errors.py
@@ -1,5 +1,8 @@
 """The error of every decoder, and the errors of the libraries behind it."""
 
+import binascii
+import zlib
+
 import msgspec
 
 from radishwind.core.codes import ResultCode
@@ -13,6 +16,8 @@
     ValueError,
     OverflowError,
     RecursionError,
+    binascii.Error,
+    zlib.error,
 )
 
 #: Longest reason in a message (characters); it may quote the input.
@@ -25,15 +30,24 @@
     code = ResultCode.INPUT_MALFORMED
 
 
-def malformed(what: str, exc: Exception) -> MalformedInputError:
-    """Returns the error that stands for `exc`, raised while decoding `what`."""
+def malformed(
+    what: str, exc: Exception, error: type[RadishwindError]
+) -> RadishwindError:
+    """Returns the `error` that stands for `exc`, raised while decoding `what`.
+
+    Its message has no line breaks or lone surrogates, so that it can be logged.
+    """
     reason = str(exc)[:MAX_REASON_CHARS] or type(exc).__name__
-    return MalformedInputError(f"expected {what}: {reason}")
+    if not reason.isprintable():
+        reason = ascii(reason)
+    return error(f"expected {what}, got malformed input: {reason}")
 
 
-def check_size(what: str, size_bytes: int, max_bytes: int) -> None:
-    """Raises `MalformedInputError` if the input is longer than `max_bytes`."""
+def check_size(
+    what: str, size_bytes: int, max_bytes: int, error: type[RadishwindError]
+) -> None:
+    """Raises `error` if the input is longer than `max_bytes`."""
     if size_bytes > max_bytes:
-        raise MalformedInputError(
-            f"expected {what} of at most {max_bytes} bytes, got {size_bytes}"
+        raise error(
+            f"expected at most {max_bytes} bytes of {what}, got {size_bytes}"
         )
--- a/src/radishwind/decoding/json_decoder.py
+++ b/src/radishwind/decoding/json_decoder.py
@@ -1,13 +1,16 @@
 """Decodes JSON into a type."""
 
+from typing import Any
 from typing import Generic
 from typing import TypeVar
 
 import msgspec
 
+from radishwind.core.errors import RadishwindError
 from radishwind.decoding.errors import check_size
 from radishwind.decoding.errors import DECODE_ERRORS
 from radishwind.decoding.errors import malformed
+from radishwind.decoding.errors import MalformedInputError
 from radishwind.decoding.json_pruning import prune_deep_values
 
 _T = TypeVar("_T")
@@ -20,35 +23,49 @@
     are nested: a newer version of the writer may add any.
     """
 
-    def __init__(self, kind: type[_T], what: str, max_bytes: int) -> None:
+    def __init__(
+        self,
+        kind: Any,
+        what: str,
+        max_bytes: int,
+        error: type[RadishwindError] = MalformedInputError,
+    ) -> None:
         """Creates a decoder.
 
         Args:
-          kind: type of the documents.
+          kind: type of the documents; a union of types as well.
           what: names a document in errors, such as `a heartbeat`.
           max_bytes: size of the longest document accepted (bytes).
+          error: raised for what can't be decoded.
         """
-        self._decoder = msgspec.json.Decoder(kind)
+        self._decoder: msgspec.json.Decoder[_T] = msgspec.json.Decoder(kind)
         self._what = what
         self._max_bytes = max_bytes
+        self._error = error
 
-    def decode(self, data: bytes | msgspec.Raw) -> _T:
+    def decode(self, data: bytes | str | msgspec.Raw) -> _T:
         """Returns the document encoded in `data`.
 
         Raises:
-          MalformedInputError: `data` is too long or not such a document.
+          RadishwindError: `data` is too long or not such a document; of the
+            type given to this decoder.
         """
-        check_size(self._what, len(memoryview(data)), self._max_bytes)
+        if isinstance(data, msgspec.Raw):
+            data = bytes(data)
+        check_size(self._what, len(data), self._max_bytes, self._error)
         try:
             return self._decoder.decode(data)
         except RecursionError:
             # Where the parser gives up depends on the depth of the call stack,
             # so what it refuses is decoded again at a depth that it always
             # accepts.
-            data = prune_deep_values(bytes(data))
+            return self._decode_pruned(data)
         except DECODE_ERRORS as exc:
-            raise malformed(self._what, exc) from exc
+            raise malformed(self._what, exc, self._error) from exc
+
+    def _decode_pruned(self, data: bytes | str) -> _T:
+        raw = data.encode() if isinstance(data, str) else data
         try:
-            return self._decoder.decode(data)
+            return self._decoder.decode(prune_deep_values(raw))
         except DECODE_ERRORS as exc:
-            raise malformed(self._what, exc) from exc
+            raise malformed(self._what, exc, self._error) from exc
--- a/src/radishwind/decoding/json_pruning.py
+++ b/src/radishwind/decoding/json_pruning.py
@@ -16,7 +16,7 @@
 def prune_deep_values(text: bytes, max_depth: int = MAX_DEPTH) -> bytes:
     """Returns `text` with `null` for each array and object below `max_depth`.
 
-    Text that isn't JSON stays malformed.
+    Text that isn't JSON stays malformed, but what is replaced isn't checked.
 
     Args:
       text: a JSON document.
@@ -36,6 +36,6 @@
                 kept_from = match.end()
             depth -= 1
     if depth > max_depth:
-        return b"".join(pieces)
+        return b"".join(pieces[:-1])
     pieces.append(text[kept_from:])
     return b"".join(pieces)
--- a/src/radishwind/http/types.py
+++ b/src/radishwind/http/types.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import AsyncIterator
+import re
 from typing import NamedTuple
 from typing import TypeAlias
 
@@ -21,8 +22,26 @@
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
 
+#: Length of the longest host name (characters).
+MAX_HOST_CHARS = 253
+
+_LABEL = "[A-Za-z0-9_-]{1,63}"
+_PORT = (
+    "(?:[0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}"
+    "|655[0-2][0-9]|6553[0-5])"
+)
+
+#: What `Address.parse` accepts: a host name whose labels can be looked up, or
+#: an IP literal, and a port.
+ADDRESS_PATTERN = (
+    rf"^(?:{_LABEL}(?:\.{_LABEL})*\.?|\[[0-9A-Fa-f:.]+\]"
+    rf"|[0-9A-Fa-f]*:[0-9A-Fa-f]*:[0-9A-Fa-f:.]*):{_PORT}\Z"
+)
+_ADDRESS = re.compile(ADDRESS_PATTERN)
+
+
 class Address(NamedTuple):
-    """An IP address and a TCP port."""
+    """A host, mostly an IP address, and a port."""
 
     host: str
     port: int
@@ -35,11 +54,12 @@
         """Parses `HOST:PORT`.
 
         Raises:
-          ValueError: `text` is not of that form or the port is not 0 to 65535.
+          ValueError: `text` is not of that form, the host can't be looked up,
+            or the port is not 0 to 65535.
         """
-        host, sep, port = text.rpartition(":")
-        if not sep or not host or not port.isdigit() or int(port) > 65535:
-            raise ValueError(f"expected HOST:PORT, got {text!r}")
+        host, _, port = text.rpartition(":")
+        if len(host) > MAX_HOST_CHARS or not _ADDRESS.search(text):
+            raise ValueError(f"expected HOST:PORT, got {text[:80]!r}")
         return cls(host, int(port))
 
 
--- a/src/radishwind/loads/load_message.py
+++ b/src/radishwind/loads/load_message.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding import MsgpackDecoder
+from radishwind.decoding.numbers import Int
+from radishwind.decoding.sizes import MAX_DATAGRAM_BYTES
 from radishwind.routing.chooser import LoadReport
 
 
@@ -17,13 +21,15 @@
     """
 
     target: str
-    start_id: int
-    sequence: int
+    start_id: Int
+    sequence: Int
     report: LoadReport
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(LoadMessage)
+_decoder = MsgpackDecoder[LoadMessage](
+    LoadMessage, "a load report", MAX_DATAGRAM_BYTES
+)
 
 #: Fields of a report that are sent in whole milliseconds.
 _ROUNDED_MS_INDEXES = frozenset(
@@ -66,7 +72,7 @@
     """Decodes a datagram; returns `None` if it is malformed."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError:
+    except MalformedInputError:
         return None
 
 
--- a/src/radishwind/membership/contact_records.py
+++ b/src/radishwind/membership/contact_records.py
@@ -8,14 +8,20 @@
 
 import msgspec
 
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_VALUE_BYTES
 from radishwind.http.types import Address
-from radishwind.membership.records import NonNegativeInt
 
 CONTACTS_KEY_PREFIX = "/radishwind/contacts/"
 
 #: Maximum number of addresses in the record of a failure domain.
 MAX_CONTACTS_PER_DOMAIN = 8
-#: A contact that wasn't confirmed for this long may be replaced (ms).
+#: Contacts read from a record; another writer may have put any number there.
+_MAX_CONTACTS_READ = 64
+#: A contact that wasn't confirmed for this long, or is said to have been this
+#: far in the future, may be replaced (ms).
 CONTACT_STALE_AFTER_MS = 3 * 3_600_000
 #: A contact renews its own entry when it is this old (ms).
 CONTACT_RENEW_AFTER_MS = 3_600_000
@@ -39,17 +45,33 @@
     contacts: tuple[Contact, ...] = ()
 
 
+class _RawContactRecord(msgspec.Struct, frozen=True):
+    # Decoded one by one, so that an odd contact doesn't hide the others.
+    contacts: tuple[msgspec.Raw, ...] = ()
+
+
+_record_decoder = JsonDecoder[_RawContactRecord](
+    _RawContactRecord, "a contact record", MAX_VALUE_BYTES
+)
+_contact_decoder = JsonDecoder[Contact](Contact, "a contact", MAX_VALUE_BYTES)
+
+
 def contact_key(failure_domain: str) -> str:
     """Returns the store key of the record of `failure_domain`."""
     return CONTACTS_KEY_PREFIX + failure_domain
 
 
 def decode_contact_record(value: bytes) -> ContactRecord:
-    """Returns the record decoded from `value`; empty if it is malformed."""
+    """Returns the record decoded from `value`; empty if it is malformed.
+
+    Malformed contacts in it are left out.
+    """
     try:
-        return msgspec.json.decode(value, type=ContactRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        raws = _record_decoder.decode(value).contacts
+    except MalformedInputError:
         return ContactRecord()
+    contacts = (_decode_contact(raw) for raw in raws[:_MAX_CONTACTS_READ])
+    return ContactRecord(tuple(c for c in contacts if c is not None))
 
 
 def contact_addresses(record: ContactRecord) -> tuple[Address, ...]:
@@ -80,7 +102,7 @@
     kept = [
         contact
         for contact in record.contacts
-        if now_ms - contact.confirmed_ms < CONTACT_STALE_AFTER_MS
+        if abs(now_ms - contact.confirmed_ms) < CONTACT_STALE_AFTER_MS
         and contact.address != str(own)
         and _parse_address(contact.address) not in unreachable
     ]
@@ -95,6 +117,14 @@
     return ContactRecord((*kept, Contact(str(own), now_ms)))
 
 
+def _decode_contact(raw: msgspec.Raw) -> Contact | None:
+    try:
+        contact = _contact_decoder.decode(raw)
+    except MalformedInputError:
+        return None
+    return contact if _parse_address(contact.address) is not None else None
+
+
 def _parse_address(text: str) -> Address | None:
     try:
         return Address.parse(text)
--- a/src/radishwind/membership/records.py
+++ b/src/radishwind/membership/records.py
@@ -11,32 +11,30 @@
 
 import msgspec
 
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.http.types import ADDRESS_PATTERN
+
 #: Bounds on what a peer may send; a message that exceeds them is malformed.
 MAX_NAME_CHARS = 63
 MAX_ADDRESS_CHARS = 64
+MAX_RUMOR_KEY_CHARS = 160
 MAX_RUMOR_VALUE_CHARS = 512
 MAX_RUMOR_TTL_MS = 7 * 86_400_000
-_MAX_INT = 2**53
 
 _Name: TypeAlias = Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)
 ]
-_PORT = (
-    "(?:[0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}"
-    "|655[0-2][0-9]|6553[0-5])"
-)
 AddressText: TypeAlias = Annotated[
     str,
     msgspec.Meta(
         max_length=MAX_ADDRESS_CHARS,
-        pattern=rf"^[A-Za-z0-9._:\[\]-]+:{_PORT}\Z",
+        pattern=ADDRESS_PATTERN,
     ),
 ]
-_Key: TypeAlias = Annotated[str, msgspec.Meta(max_length=160)]
+_Key: TypeAlias = Annotated[str, msgspec.Meta(max_length=MAX_RUMOR_KEY_CHARS)]
 _Value: TypeAlias = Annotated[
     str, msgspec.Meta(max_length=MAX_RUMOR_VALUE_CHARS)
 ]
-NonNegativeInt: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT)]
 
 #: Approximate length of the JSON around the values of a member record and of
 #: a rumor (bytes).
--- a/src/radishwind/membership/rumor_bus.py
+++ b/src/radishwind/membership/rumor_bus.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-import msgspec
-
 from radishwind.core.clock import Clock
+from radishwind.decoding import convert
+from radishwind.decoding import decode_text
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
 from radishwind.membership.gossip import Gossip
 from radishwind.membership.records import MAX_RUMOR_TTL_MS
 from radishwind.membership.records import MAX_RUMOR_VALUE_CHARS
@@ -97,10 +99,10 @@
       ValueError: peers would reject a field as malformed.
     """
     ttl_ms = min(MAX_RUMOR_TTL_MS, int(ttl_s * 1000))
-    raw = (topic, key, version, value.decode(), ttl_ms)
     try:
-        return msgspec.convert(raw, Rumor)
-    except msgspec.ValidationError as exc:
+        text = decode_text(value, "a rumor's value", MAX_RUMOR_VALUE_BYTES)
+        return convert((topic, key, version, text, ttl_ms), Rumor, "a rumor")
+    except MalformedInputError as exc:
         raise ValueError(
             f"expected a value of at most {MAX_RUMOR_VALUE_CHARS} characters "
             f"and fields within bounds: {exc}"
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -25,6 +25,10 @@
 from radishwind.config.parts import Snapshot
 from radishwind.core import Clock
 from radishwind.core import ResultCode
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
 from radishwind.http import Address
 from radishwind.http import Request
 from radishwind.http import Response
@@ -63,7 +67,12 @@
     It names no node to pull from, since all nodes would pull from that one.
     """
 
-    revision: int
+    revision: NonNegativeInt
+
+
+_rumor_decoder = JsonDecoder[RevisionRumor](
+    RevisionRumor, "a revision", MAX_RUMOR_VALUE_BYTES
+)
 
 
 class ConfigTasks:
@@ -236,8 +245,8 @@
 
     def _handle_rumor(self, key: str, value: bytes) -> None:
         try:
-            rumor = msgspec.json.decode(value, type=RevisionRumor)
-        except msgspec.MsgspecError as exc:
+            rumor = _rumor_decoder.decode(value)
+        except MalformedInputError as exc:
             self._log(f"Malformed rumor {key[:40]}: {exc}")
             return
         if rumor.revision > self._newest_known:
--- a/src/radishwind/node/node_telemetry.py
+++ b/src/radishwind/node/node_telemetry.py
@@ -6,14 +6,16 @@
 from typing import Any
 
 import anyio
-import msgspec
 
 from radishwind.burn import BurnLedger
 from radishwind.burn import ServiceMinutes
 from radishwind.core import Clock
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
 from radishwind.entry.observer import CallObserver
 from radishwind.http import Request
 from radishwind.http import Response
+from radishwind.http.types import MAX_MESSAGE_BYTES
 from radishwind.membership import Directory
 from radishwind.node.admin import AdminListener
 from radishwind.node.admin import json_response
@@ -29,6 +31,10 @@
 
 _BURN_CONTROL_NAME = "burn"
 
+_ledger_decoder = JsonDecoder[list[ServiceMinutes]](
+    list[ServiceMinutes], "a burn ledger", MAX_MESSAGE_BYTES
+)
+
 
 class NodeTelemetry:
     """Metrics of a node, and the burn ledgers of the fleet.
@@ -127,10 +133,8 @@
             async with limiter:
                 try:
                     body = await call_peer()
-                    ledgers.append(
-                        msgspec.json.decode(body, type=list[ServiceMinutes])
-                    )
-                except (PeerError, msgspec.MsgspecError):
+                    ledgers.append(_ledger_decoder.decode(body))
+                except (PeerError, MalformedInputError):
                     return
 
         async with anyio.create_task_group() as tasks:
--- a/src/radishwind/peers/attempts.py
+++ b/src/radishwind/peers/attempts.py
@@ -10,7 +10,11 @@
 import msgspec
 
 from radishwind.core.codes import ResultCode
-from radishwind.core.errors import RadishwindError
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import Float
+from radishwind.decoding.numbers import Int
+from radishwind.decoding.sizes import MAX_LINE_BYTES
 from radishwind.entry.call import Call
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.sanitization import NODE_FIELD_PREFIX
@@ -38,7 +42,7 @@
 _UNKNOWN = "unknown"
 
 
-class PeerMalformedError(RadishwindError):
+class PeerMalformedError(MalformedInputError):
     """A message of a peer is malformed."""
 
     code = ResultCode.PEER_MALFORMED
@@ -71,15 +75,15 @@
     target: str
     service: str
     idempotent: bool
-    remaining_ms: int
-    expires_ms: int
+    remaining_ms: Int
+    expires_ms: Int
     caller: str
-    depth: int
+    depth: Int
     suspect: bool = False
-    aim_ms: int | None = None
-    priority: int = 0
-    normal_run_ms: int = 0
-    group_rank: float = 0.0
+    aim_ms: Int | None = None
+    priority: Int = 0
+    normal_run_ms: Int = 0
+    group_rank: Float = 0.0
     route: str = ""
     account: str = ""
     is_retry: bool = False
@@ -100,14 +104,18 @@
 
     attempt_id: str
     outcome: str
-    code: int
+    code: Int
     detail: str
-    retry_after_s: float | None
+    retry_after_s: Float | None
     load: LoadReport | None
 
 
-_attempt_decoder = msgspec.json.Decoder(AttemptInfo)
-_answer_decoder = msgspec.json.Decoder(AnswerInfo)
+_attempt_decoder = JsonDecoder[AttemptInfo](
+    AttemptInfo, "an attempt", MAX_LINE_BYTES, PeerMalformedError
+)
+_answer_decoder = JsonDecoder[AnswerInfo](
+    AnswerInfo, "an answer", MAX_LINE_BYTES, PeerMalformedError
+)
 _encoder = msgspec.json.Encoder()
 
 
@@ -279,10 +287,7 @@
     Raises:
       PeerMalformedError: it cannot be decoded.
     """
-    try:
-        return _attempt_decoder.decode(field)
-    except (msgspec.MsgspecError, UnicodeEncodeError) as exc:
-        raise PeerMalformedError(str(exc)) from exc
+    return _attempt_decoder.decode(field)
 
 
 def _decode_answer(response: Response, attempt_id: str) -> AnswerInfo | None:
@@ -292,7 +297,7 @@
         return None
     try:
         info = _answer_decoder.decode(field)
-    except (msgspec.MsgspecError, UnicodeEncodeError):
+    except MalformedInputError:
         return None
     if info.attempt_id != attempt_id:
         return None
--- a/src/radishwind/peers/fleet_security.py
+++ b/src/radishwind/peers/fleet_security.py
@@ -14,6 +14,7 @@
 import hmac
 
 from radishwind.core.clock import Clock
+from radishwind.decoding import decode_base64
 from radishwind.http.types import Address
 from radishwind.http.types import get_header
 from radishwind.http.types import Headers
@@ -349,7 +350,6 @@
     """
     if len(field) != _FIELD_CHARS or not field.isascii():
         raise PeerRefusedError("expected a signature of valid length")
-    try:
-        return base64.urlsafe_b64decode(field)
-    except ValueError as exc:
-        raise PeerRefusedError("expected a signature in base64") from exc
+    return decode_base64(
+        field, "a signature in base64", PeerRefusedError, is_url_safe=True
+    )
--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -1,10 +1,15 @@
 """Decodes the settings file that the platform writes for each process."""
 
-import tomllib
+import math
+from typing import Annotated
 from typing import Any
 
 import msgspec
 
+from radishwind.decoding import decode_toml
+from radishwind.decoding import parse_toml
+from radishwind.decoding.numbers import Int
+from radishwind.decoding.numbers import NonNegativeFloat
 from radishwind.http.types import Address
 from radishwind.platform.errors import PlatformMalformedError
 from radishwind.settings.placed_settings import PlacedSettings
@@ -12,6 +17,12 @@
 #: The environment variable with the path of the settings file.
 PATH_VARIABLE = "RADISHWIND_BOOT"
 
+#: Names the file in errors.
+_WHAT = "a settings file"
+
+
+_Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
 
 class _Listen(msgspec.Struct, frozen=True, rename="kebab"):
     outbound: str
@@ -21,9 +32,9 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
-    memory_mb: int = 300
-    max_fds: int = 4100
-    link_mbps: float = 0.0
+    memory_mb: Int = 300
+    max_fds: Int = 4100
+    link_mbps: NonNegativeFloat = 0.0
 
 
 class _Provider(msgspec.Struct, frozen=True, rename="kebab"):
@@ -41,9 +52,9 @@
     app_addr: str
     listen: _Listen
     provider: _Provider
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     zones: dict[str, str] = {}
-    heartbeat_ms: int = 1500
+    heartbeat_ms: Int = 1500
     # Whether the whole fleet is starting now; says nothing about how this
     # process starts.
     bootstrap: bool = False
@@ -61,11 +72,9 @@
     Raises:
       PlatformMalformedError: a field is missing or cannot be read.
     """
+    file = decode_toml(text, _File, _WHAT, PlatformMalformedError)
     try:
-        file = msgspec.convert(tomllib.loads(text), _File)
         return _make_settings(file, metrics_port)
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
-        raise PlatformMalformedError(f"settings file: {exc}") from exc
     except ValueError as exc:
         raise PlatformMalformedError(f"settings file: {exc}") from exc
 
@@ -134,7 +143,11 @@
 def _parse_numbers(texts: dict[str, str]) -> dict[str, float]:
     """Returns the numeric bounds by name."""
     numbers = {name: _parse_number(text) for name, text in texts.items()}
-    return {name: n for name, n in numbers.items() if n is not None}
+    return {
+        name: n
+        for name, n in numbers.items()
+        if n is not None and math.isfinite(n)
+    }
 
 
 def _parse_number(text: str) -> float | None:
@@ -146,4 +159,4 @@
 
 def parse_tables(text: str) -> dict[str, Any]:
     """Returns the settings file as plain tables, for display."""
-    return tomllib.loads(text)
+    return parse_toml(text, _WHAT, PlatformMalformedError)
--- a/src/radishwind/platform/errors.py
+++ b/src/radishwind/platform/errors.py
@@ -1,10 +1,10 @@
 """Errors in data from the platform."""
 
 from radishwind.core.codes import ResultCode
-from radishwind.core.errors import RadishwindError
+from radishwind.decoding import MalformedInputError
 
 
-class PlatformMalformedError(RadishwindError):
+class PlatformMalformedError(MalformedInputError):
     """A message or file of the platform is malformed; none of it is used."""
 
     code = ResultCode.PLATFORM_MALFORMED
--- a/src/radishwind/platform/heartbeats.py
+++ b/src/radishwind/platform/heartbeats.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.numbers import PositiveInt
 from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.platform.errors import PlatformMalformedError
@@ -22,6 +25,13 @@
 #: which is limited to 200 bytes.
 MAX_INCARNATION_CHARS = 128
 
+#: The maximum length of a service's name (characters), as in the messages
+#: between nodes.
+MAX_NAME_CHARS = 63
+
+#: The largest body of a heartbeat (bytes).
+MAX_BODY_BYTES = 64 * 1024
+
 
 class Heartbeat(msgspec.Struct, frozen=True):
     """State of a backend server as it reports it, or its deregistration.
@@ -56,26 +66,29 @@
     DRAINING = "draining"
 
 
-_StartTime = Annotated[int, msgspec.Meta(gt=0)]
-
-
 class _HeartbeatBody(msgspec.Struct, frozen=True, rename="kebab"):
-    service: Annotated[str, msgspec.Meta(min_length=1)]
+    service: Annotated[
+        str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)
+    ]
     address: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: _State
     # Despite the name, the time for which the server is still slow.
     warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARMUP_MS)]
-    seq: Annotated[int, msgspec.Meta(ge=0)]
-    born: _StartTime | None = None
+    seq: NonNegativeInt
+    born: PositiveInt | None = None
 
 
 class _Deregistration(msgspec.Struct, frozen=True):
-    born: _StartTime | None = None
+    born: PositiveInt | None = None
 
 
-_heartbeat_decoder = msgspec.json.Decoder(_HeartbeatBody)
-_deregistration_decoder = msgspec.json.Decoder(_Deregistration)
+_heartbeat_decoder = JsonDecoder[_HeartbeatBody](
+    _HeartbeatBody, "a heartbeat", MAX_BODY_BYTES, PlatformMalformedError
+)
+_deregistration_decoder = JsonDecoder[_Deregistration](
+    _Deregistration, "a deregistration", MAX_BODY_BYTES, PlatformMalformedError
+)
 
 
 def decode_heartbeat(request: Request, body: bytes) -> Heartbeat | None:
@@ -101,11 +114,13 @@
     if not path.startswith(HEARTBEAT_PATH):
         return None
     incarnation = _parse_incarnation(path, HEARTBEAT_PATH)
+    message = _heartbeat_decoder.decode(body)
     try:
-        message = _heartbeat_decoder.decode(body)
         address = Address.parse(message.address)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except ValueError as exc:
         raise PlatformMalformedError(f"heartbeat: {exc}") from exc
+    if not address.port:
+        raise PlatformMalformedError("heartbeat: expected a port, got 0")
     return Heartbeat(
         incarnation=incarnation,
         service=message.service,
@@ -118,14 +133,17 @@
     )
 
 
+def is_incarnation(text: str) -> bool:
+    """Returns whether `text` can be the incarnation of a server."""
+    is_plain = text.isascii() and text.isprintable() and "/" not in text
+    return is_plain and 1 <= len(text) <= MAX_INCARNATION_CHARS
+
+
 def _decode_deregistration(incarnation: str, body: bytes) -> Heartbeat:
     """Decodes a deregistration, the body of which is optional."""
     if not body.strip():
         return Heartbeat(incarnation, is_deregistered=True)
-    try:
-        message = _deregistration_decoder.decode(body)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        raise PlatformMalformedError(f"deregistration: {exc}") from exc
+    message = _deregistration_decoder.decode(body)
     return Heartbeat(
         incarnation, is_deregistered=True, started_ms=message.born or 0
     )
@@ -133,8 +151,7 @@
 
 def _parse_incarnation(path: str, prefix: str) -> str:
     name = path.removeprefix(prefix)
-    is_plain = name.isascii() and name.isprintable() and "/" not in name
-    if not is_plain or not 1 <= len(name) <= MAX_INCARNATION_CHARS:
+    if not is_incarnation(name):
         raise PlatformMalformedError(
             "heartbeat: expected an incarnation of 1 to "
             f"{MAX_INCARNATION_CHARS} plain characters in the path, "
--- a/src/radishwind/platform/platform_dialect.py
+++ b/src/radishwind/platform/platform_dialect.py
@@ -16,6 +16,7 @@
 from radishwind.platform.header_fields import SIGNATURE
 from radishwind.platform.header_fields import TIMEOUT
 from radishwind.platform.header_fields import WARMUP
+from radishwind.platform.heartbeats import is_incarnation
 from radishwind.platform.heartbeats import MAX_WARMUP_MS
 from radishwind.target.dialect import ResponseMetadata
 from radishwind.target.dialect import ServerDialect
@@ -82,7 +83,9 @@
             matches_request=names_request
             or (request_id is None and is_not_run),
             names_request=names_request,
-            incarnation=fields.get(SERVER_INCARNATION.lower(), ""),
+            incarnation=_parse_incarnation(
+                fields.get(SERVER_INCARNATION.lower())
+            ),
             is_not_run=is_not_run,
             is_other_incarnation=_is_other_incarnation(response),
             is_authentic=not is_encoded and not is_unsigned,
@@ -99,8 +102,9 @@
         return ResponseMetadata(
             matches_request=request_id is None,
             names_request=False,
-            incarnation=get_header(response.headers, SERVER_INCARNATION.lower())
-            or "",
+            incarnation=_parse_incarnation(
+                get_header(response.headers, SERVER_INCARNATION.lower())
+            ),
             load=_parse_load(get_header(response.headers, LOAD.lower())),
             warmup_left_s=_parse_warmup_left(
                 get_header(response.headers, WARMUP.lower())
@@ -125,6 +129,11 @@
     return response.status == _OTHER_INCARNATION_STATUS
 
 
+def _parse_incarnation(text: str | None) -> str:
+    """Returns the incarnation; empty if missing or malformed."""
+    return text if text is not None and is_incarnation(text) else ""
+
+
 def _parse_warmup_left(text: str | None) -> float | None:
     """Returns the warm-up time left (s); `None` if missing or malformed."""
     if not text:
--- a/src/radishwind/platform/platform_store.py
+++ b/src/radishwind/platform/platform_store.py
@@ -14,6 +14,10 @@
 import msgspec
 
 from radishwind.core.clock import SystemClock
+from radishwind.decoding import decode_base64
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ResponseTooLongError
 from radishwind.http.errors import SendError
@@ -65,13 +69,13 @@
 
 class _Item(msgspec.Struct, frozen=True, rename="kebab"):
     key: str
-    rev: int
+    rev: NonNegativeInt
     value: str = ""
-    created_rev: int = 0
-    lease: int = 0
+    created_rev: NonNegativeInt = 0
+    lease: NonNegativeInt = 0
     removed: bool = False
     # The store's revision at the time of the response; in single items only.
-    current_rev: int = 0
+    current_rev: NonNegativeInt = 0
 
 
 class _Range(msgspec.Struct, frozen=True, rename="kebab"):
@@ -79,12 +83,12 @@
     # malformed item must not make the others unreadable.
     items: tuple[msgspec.Raw, ...] = ()
     truncated: bool = False
-    current_rev: int = 0
+    current_rev: NonNegativeInt = 0
 
 
 class _Events(msgspec.Struct, frozen=True, rename="kebab"):
     events: tuple[msgspec.Raw, ...] = ()
-    current_rev: int = 0
+    current_rev: NonNegativeInt = 0
 
 
 class _Key(msgspec.Struct, frozen=True):
@@ -92,12 +96,27 @@
 
 
 class _Revision(msgspec.Struct, frozen=True):
-    rev: int = 0
+    rev: NonNegativeInt = 0
 
 
 class _Lease(msgspec.Struct, frozen=True, rename="kebab"):
-    lease: int = 0
-    ttl_ms: int = 0
+    lease: NonNegativeInt = 0
+    ttl_ms: NonNegativeInt = 0
+
+
+def _answer_decoder(kind: type[_T]) -> JsonDecoder[_T]:
+    return JsonDecoder(
+        kind, "an answer", MAX_ANSWER_BYTES, StoreAnswerMalformedError
+    )
+
+
+_ITEM_DECODER = _answer_decoder(_Item)
+_RANGE_DECODER = _answer_decoder(_Range)
+_EVENTS_DECODER = _answer_decoder(_Events)
+_REVISION_DECODER = _answer_decoder(_Revision)
+_LEASE_DECODER = _answer_decoder(_Lease)
+_RAW_ITEM_DECODER = JsonDecoder[_Item](_Item, "an item", MAX_ANSWER_BYTES)
+_KEY_DECODER = JsonDecoder[_Key](_Key, "an item", MAX_ANSWER_BYTES)
 
 
 class _Answer(msgspec.Struct, frozen=True):
@@ -113,7 +132,7 @@
     body: bytes
     era: int
 
-    def decode(self, kind: type[_T]) -> _T:
+    def decode(self, decoder: JsonDecoder[_T]) -> _T:
         """Returns the decoded body of an answer of status 200.
 
         Raises:
@@ -124,10 +143,7 @@
             raise StoreUnavailableError(
                 f"expected status 200, got {self.status}"
             )
-        try:
-            return msgspec.json.decode(self.body, type=kind)
-        except (msgspec.MsgspecError, ValueError) as exc:
-            raise StoreAnswerMalformedError(f"response: {exc}") from exc
+        return decoder.decode(self.body)
 
 
 class PlatformStore(Store):
@@ -161,7 +177,7 @@
         answer = await self._call("GET", _make_path("kv-key", **query))
         if answer.status == 404:
             return None
-        return _make_entry(answer.decode(_Item), answer.era)
+        return _make_entry(answer.decode(_ITEM_DECODER), answer.era)
 
     async def list(
         self, prefix: str, limit: int = 0, *, allow_stale: bool = False
@@ -179,7 +195,7 @@
                     f"expected all pages of era {era}, got {answer.era}"
                 )
             era = answer.era
-            page = answer.decode(_Range)
+            page = answer.decode(_RANGE_DECODER)
             entries += [
                 _make_entry(item, era, page.current_rev)
                 for item in self._decode_items(page.items)
@@ -200,7 +216,7 @@
         # response carries the revision without any value.
         query = {"prefix": CONFIG_KEY, "after": CONFIG_KEY}
         answer = await self._call("GET", _make_path("kv-range", **query))
-        revision = answer.decode(_Range).current_rev
+        revision = answer.decode(_RANGE_DECODER).current_rev
         if revision <= 0:
             raise StoreAnswerMalformedError(
                 f"expected the store's revision, got {revision}"
@@ -222,18 +238,18 @@
         )
         if answer.status == 412:
             return TxnResult(False, 0, answer.era)
-        return TxnResult(True, answer.decode(_Revision).rev, answer.era)
+        return TxnResult(True, answer.decode(_REVISION_DECODER).rev, answer.era)
 
     async def grant(self, ttl_s: int) -> int:
         body = msgspec.json.encode({"ttl-ms": ttl_s * 1000})
         answer = await self._call("POST", "/-/kv-lease", body)
-        return answer.decode(_Lease).lease
+        return answer.decode(_LEASE_DECODER).lease
 
     async def keep_alive(self, lease_id: int) -> int:
         answer = await self._call("POST", f"/-/kv-keep/{lease_id}")
         if answer.status == 404:
             return 0
-        return answer.decode(_Lease).ttl_ms // 1000
+        return answer.decode(_LEASE_DECODER).ttl_ms // 1000
 
     async def revoke(self, lease_id: int) -> None:
         await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
@@ -261,7 +277,7 @@
                 raise StoreCompactedError(
                     f"expected events of era {start.era}, got {answer.era}"
                 )
-            page = answer.decode(_Events)
+            page = answer.decode(_EVENTS_DECODER)
             for item in self._decode_items(page.events):
                 entry = None if item.removed else _make_entry(item, answer.era)
                 yield WatchEvent(item.key, entry, item.rev, answer.era)
@@ -271,9 +287,9 @@
         """Yields the decoded items; reports and skips malformed ones."""
         for raw in raws:
             try:
-                item = msgspec.json.decode(raw, type=_Item)
-                base64.b64decode(item.value, validate=True)
-            except (msgspec.MsgspecError, ValueError) as exc:
+                item = _RAW_ITEM_DECODER.decode(raw)
+                decode_base64(item.value, "a value")
+            except MalformedInputError as exc:
                 key = _decode_key(raw)[:80]
                 self._on_item_skipped(f"item {key!r}: {exc}")
                 continue
@@ -347,8 +363,8 @@
 def _decode_key(raw: msgspec.Raw) -> str:
     """Returns the key of a possibly malformed item; empty if it has none."""
     try:
-        return msgspec.json.decode(raw, type=_Key).key
-    except (msgspec.MsgspecError, ValueError):
+        return _KEY_DECODER.decode(raw).key
+    except MalformedInputError:
         return ""
 
 
@@ -357,13 +373,9 @@
 
 
 def _make_entry(item: _Item, era: int, store_revision: int = 0) -> StoreEntry:
-    try:
-        value = base64.b64decode(item.value, validate=True)
-    except ValueError as exc:
-        raise StoreAnswerMalformedError(f"value of {item.key}: {exc}") from exc
     return StoreEntry(
         item.key,
-        value,
+        decode_base64(item.value, "a value", StoreAnswerMalformedError),
         item.created_rev,
         item.rev,
         item.lease,
--- a/src/radishwind/platform/routes.py
+++ b/src/radishwind/platform/routes.py
@@ -1,11 +1,14 @@
 """Decodes the configuration that the operator writes to the store."""
 
-from typing import Annotated
-
 import msgspec
 
 from radishwind.accounts import Account
 from radishwind.accounts import digest_key
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding.numbers import Int
+from radishwind.decoding.numbers import NonNegativeFloat
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.numbers import PositiveInt
 from radishwind.platform.errors import PlatformMalformedError
 from radishwind.routes.model import CallerLimits
 from radishwind.routes.model import Route
@@ -28,25 +31,26 @@
 #: The kind of routes whose responses are large.
 _LARGE_KIND = "download"
 
-_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+#: The largest configuration (bytes).
+MAX_CONFIG_BYTES = 32 << 20
 
 
 class _Part(msgspec.Struct, frozen=True):
     service: str
-    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    weight: NonNegativeFloat = 1.0
 
 
 class _Route(msgspec.Struct, frozen=True, rename="kebab"):
     name: str
     host: str
     prefix: str
-    timeout_ms: _Milliseconds
+    timeout_ms: NonNegativeFloat
     kind: str = "unsafe"
-    aim_ms: _Milliseconds = 0.0
-    priority: int = 0
+    aim_ms: NonNegativeFloat = 0.0
+    priority: Int = 0
     service: str | None = None
     split: tuple[_Part, ...] = ()
-    attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
+    attempts: PositiveInt = 1
     allowed_regions: tuple[str, ...] = ()
     public: bool = False
 
@@ -54,36 +58,38 @@
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
     name: str
     health_path: str = ""
-    max_conns: Annotated[int, msgspec.Meta(ge=1)] = 64
-    warmup_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    warmup_per_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    max_conns: PositiveInt = 64
+    warmup_s: NonNegativeFloat = 0.0
+    warmup_per_s: NonNegativeFloat | None = None
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
     # A client account; a rate of 0 means no limit.
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
-    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    priority: Int | None = None
+    rate_per_s: NonNegativeFloat = 0.0
+    burst: NonNegativeFloat = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: NonNegativeInt = 16 * 1024
+    max_body_bytes: NonNegativeInt = 64 * 1024 * 1024
+    header_timeout_ms: NonNegativeFloat = 3000.0
+    idle_timeout_ms: NonNegativeFloat = 15000.0
 
 
 class _Config(msgspec.Struct, frozen=True, rename="kebab"):
-    version: int
+    version: NonNegativeInt
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] = ()
 
 
-_decoder = msgspec.json.Decoder(_Config)
+_decoder = JsonDecoder[_Config](
+    _Config, "a configuration", MAX_CONFIG_BYTES, PlatformMalformedError
+)
 
 
 def decode_routes(data: bytes) -> RouteConfig:
@@ -96,10 +102,7 @@
       PlatformMalformedError: `data` is malformed; the message states where
         and why.
     """
-    try:
-        cfg = _decoder.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise PlatformMalformedError(f"configuration: {exc}") from exc
+    cfg = _decoder.decode(data)
     return RouteConfig(
         cfg.version,
         tuple(_make_route(route) for route in cfg.routes),
--- a/src/radishwind/probing/prober.py
+++ b/src/radishwind/probing/prober.py
@@ -10,6 +10,9 @@
 from radishwind.admission.admission import Admission
 from radishwind.admission.admission import Ticket
 from radishwind.core.clock import Clock
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import Float
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import SendError
 from radishwind.http.sender import Sender
@@ -41,7 +44,12 @@
     """The evaluated fields of a health response."""
 
     state: ServerState | None = None
-    warm: float | None = None
+    warm: Float | None = None
+
+
+_health_decoder = JsonDecoder[_Health](
+    _Health, "a health response", MAX_HEALTH_BYTES
+)
 
 
 class Prober:
@@ -138,8 +146,8 @@
         except (SendError, TimeoutError):
             return None
         try:
-            health = msgspec.json.decode(body, type=_Health)
-        except msgspec.MsgspecError:
+            health = _health_decoder.decode(body)
+        except MalformedInputError:
             health = _Health()
         is_healthy = (
             health.state is not None or response.status in _HEALTHY_STATUSES
--- a/src/radishwind/quarantine/quarantine.py
+++ b/src/radishwind/quarantine/quarantine.py
@@ -9,6 +9,9 @@
 
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
 from radishwind.membership.rumor_bus import RumorBus
 from radishwind.outcomes.model import NotRun
 from radishwind.quarantine.crash_detector import CrashSuspect
@@ -25,7 +28,9 @@
 #: Topic of the suspect reports on the rumor bus.
 TOPIC = "quarantine"
 
-_decoder = msgspec.json.Decoder(SuspectReport)
+_decoder = JsonDecoder[SuspectReport](
+    SuspectReport, "a suspect report", MAX_RUMOR_VALUE_BYTES
+)
 
 
 class QuarantineCheck(abc.ABC):
@@ -139,7 +144,7 @@
         service = key.partition("/")[0]
         try:
             self._apply(service, _decoder.decode(value))
-        except msgspec.MsgspecError as exc:
+        except MalformedInputError as exc:
             self._log.warning(
                 "Ignored a malformed suspect report.", reason=str(exc)
             )
--- a/src/radishwind/quarantine/suspect_registry.py
+++ b/src/radishwind/quarantine/suspect_registry.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from radishwind.decoding.numbers import NonNegativeInt
+
 #: Time for which a request stays a suspect after one crash (s).
 SUSPICION_S = 120.0
 
@@ -60,9 +62,9 @@
 
     fingerprint: str
     target: str
-    crashed_ms: int = 0
+    crashed_ms: NonNegativeInt = 0
     ran_alone: bool = False
-    cleared_ms: int = 0
+    cleared_ms: NonNegativeInt = 0
 
 
 class _Crash(msgspec.Struct, frozen=True):
--- a/src/radishwind/quotas/messages.py
+++ b/src/radishwind/quotas/messages.py
@@ -8,6 +8,11 @@
 
 import msgspec
 
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding import MsgpackDecoder
+from radishwind.decoding.numbers import Float
+from radishwind.decoding.sizes import MAX_DATAGRAM_BYTES
+
 #: Size limit of the items in one datagram, without the names of the nodes.
 _MAX_ITEMS_BYTES = 1_000
 
@@ -60,7 +65,7 @@
     node: _Name
     start_id: _Count
     sequence: _Count
-    sent_at: float
+    sent_at: Float
     items: tuple[LeaseRequestItem, ...]
 
 
@@ -101,7 +106,7 @@
     node: _Name
     start_id: _Count
     sequence: _Count
-    sent_at: float
+    sent_at: Float
     items: tuple[LeaseGrantItem, ...]
 
 
@@ -128,7 +133,9 @@
 _Item = TypeVar("_Item", LeaseRequestItem, LeaseGrantItem)
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(QuotaMessage)
+_decoder = MsgpackDecoder[QuotaMessage](
+    QuotaMessage, "a quota message", MAX_DATAGRAM_BYTES
+)
 
 
 def encode(message: QuotaMessage) -> bytes:
@@ -140,7 +147,7 @@
     """Returns the message in a datagram; `None` if it is malformed."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError:
+    except MalformedInputError:
         return None
 
 
--- a/src/radishwind/recency/messages.py
+++ b/src/radishwind/recency/messages.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding import MsgpackDecoder
+from radishwind.decoding.numbers import Int
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_DATAGRAM_BYTES
 from radishwind.recency.model import FreshnessProof
 
 
@@ -15,7 +20,7 @@
       query_id: identifies the query; unpredictable.
     """
 
-    query_id: int
+    query_id: Int
 
 
 class ProofReply(msgspec.Struct, frozen=True, array_like=True, tag=2, gc=False):
@@ -27,9 +32,9 @@
       age_ms: age of the proof (ms, rounded up); negative without a proof.
     """
 
-    query_id: int
-    version: int = 0
-    age_ms: int = -1
+    query_id: Int
+    version: NonNegativeInt = 0
+    age_ms: Int = -1
 
     def to_proof(self, queried_at: float) -> FreshnessProof | None:
         """Returns what this reply proves to the node that sent the query.
@@ -58,7 +63,9 @@
 RecencyMessage: TypeAlias = ProofQuery | ProofReply
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(RecencyMessage)
+_decoder = MsgpackDecoder[RecencyMessage](
+    RecencyMessage, "a recency message", MAX_DATAGRAM_BYTES
+)
 
 
 def encode(message: RecencyMessage) -> bytes:
@@ -70,5 +77,5 @@
     """Returns the message in a datagram; `None` if it is malformed."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError:
+    except MalformedInputError:
         return None
--- a/src/radishwind/routes/messages.py
+++ b/src/radishwind/routes/messages.py
@@ -10,16 +10,23 @@
 
 import msgspec
 
+from radishwind import decoding
 from radishwind.core.codes import ResultCode
-from radishwind.core.errors import RadishwindError
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding import MsgpackDecoder
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
+from radishwind.http.types import MAX_MESSAGE_BYTES
 from radishwind.routes.evacuation import EvacuatedDomains
+from radishwind.store.position import Era
 from radishwind.store.position import StorePosition
 
 #: Fast, and within a tenth of the best ratio on configurations.
 _COMPRESSION_LEVEL = 3
 
 
-class FeedMalformedError(RadishwindError):
+class FeedMalformedError(MalformedInputError):
     """A message or rumor of the route feed cannot be decoded."""
 
     code = ResultCode.PEER_MALFORMED
@@ -48,10 +55,10 @@
       have_emptied_era: era of the evacuated domains at the sender.
     """
 
-    have: int
-    have_emptied: int = 0
+    have: NonNegativeInt
+    have_emptied: NonNegativeInt = 0
     node: str = ""
-    have_emptied_era: int = 0
+    have_emptied_era: Era = 0
 
     @property
     def evacuation_position(self) -> StorePosition:
@@ -66,7 +73,9 @@
 FeedMessage: TypeAlias = RouteUpdate | UpdateRequest | NoUpdate
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(FeedMessage)
+_decoder = MsgpackDecoder[FeedMessage](
+    FeedMessage, "a route feed message", MAX_MESSAGE_BYTES, FeedMalformedError
+)
 
 
 def encode(message: FeedMessage) -> bytes:
@@ -80,12 +89,7 @@
     Raises:
       FeedMalformedError: `data` is not a valid message.
     """
-    try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as exc:
-        raise FeedMalformedError(
-            f"expected a route feed message: {exc}"
-        ) from exc
+    return _decoder.decode(data)
 
 
 class EvacuationRumor(msgspec.Struct, frozen=True, array_like=True):
@@ -98,9 +102,9 @@
       era: era of the store; 0 if it states none.
     """
 
-    revision: int
+    revision: NonNegativeInt
     names: tuple[str, ...] | None
-    era: int = 0
+    era: Era = 0
 
     @property
     def position(self) -> StorePosition:
@@ -108,6 +112,14 @@
         return StorePosition(self.era, self.revision)
 
 
+_rumor_decoder = JsonDecoder[EvacuationRumor](
+    EvacuationRumor,
+    "an evacuation rumor",
+    MAX_RUMOR_VALUE_BYTES,
+    FeedMalformedError,
+)
+
+
 def encode_rumor(domains: EvacuatedDomains, max_bytes: int) -> bytes:
     """Returns a rumor of `domains` of at most `max_bytes`, as JSON."""
     names = tuple(sorted(domains.names))
@@ -124,12 +136,7 @@
     Raises:
       FeedMalformedError: `value` is not a valid rumor.
     """
-    try:
-        return msgspec.json.decode(value, type=EvacuationRumor)
-    except msgspec.MsgspecError as exc:
-        raise FeedMalformedError(
-            f"expected an evacuation rumor: {exc}"
-        ) from exc
+    return _rumor_decoder.decode(value)
 
 
 def compress(raw: bytes) -> bytes:
@@ -144,13 +151,6 @@
       FeedMalformedError: `packed` is not valid, or its content is longer than
         `max_bytes`.
     """
-    decompressor = zlib.decompressobj()
-    try:
-        raw = decompressor.decompress(packed, max_bytes)
-    except zlib.error as exc:
-        raise FeedMalformedError(f"expected compressed bytes: {exc}") from exc
-    if not decompressor.eof:
-        raise FeedMalformedError(
-            f"expected a complete stream of at most {max_bytes} bytes"
-        )
-    return raw
+    return decoding.decompress(
+        packed, "a configuration", max_bytes, FeedMalformedError
+    )
--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -17,6 +17,10 @@
 
 from radishwind.core.clock import Clock
 from radishwind.core.errors import RadishwindError
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
 from radishwind.http.types import read_body
 from radishwind.http.types import Request
 from radishwind.http.types import Response
@@ -86,6 +90,11 @@
 _MSGPACK = (("Content-Type", "application/msgpack"),)
 
 
+_version_decoder = JsonDecoder[tuple[int, str]](
+    tuple[NonNegativeInt, str], "a version", MAX_RUMOR_VALUE_BYTES
+)
+
+
 class RouteFeed:
     """Keeps `ActiveRoutes` and `EvacuationState` up to date."""
 
@@ -344,8 +353,8 @@
 
     def _on_version_rumor(self, key: str, value: bytes) -> None:
         try:
-            version = msgspec.json.decode(value, type=tuple[int, str])[0]
-        except msgspec.MsgspecError as exc:
+            version = _version_decoder.decode(value)[0]
+        except MalformedInputError as exc:
             self._log.warning("A rumor is malformed.", reason=str(exc)[:120])
             return
         self.note_version(version)
--- a/src/radishwind/routing/chooser.py
+++ b/src/radishwind/routing/chooser.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from radishwind.decoding.numbers import Float
+from radishwind.decoding.numbers import Int
 from radishwind.membership.directory import Member
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
@@ -43,21 +45,21 @@
       limit_wait_ms: time until that limit allows a request (ms).
     """
 
-    slots: int
-    in_flight: int
-    queued: int
-    service_ms: float
+    slots: Int
+    in_flight: Int
+    queued: Int
+    service_ms: Float
     leaving: bool = False
-    warm_fraction: float = 1.0
-    pace: float = 1.0
-    base_pace: float = 1.0
-    pace_interval_ms: float = 0.0
-    pace_interval_left_ms: float = 0.0
-    normal_run_ms: float = 0.0
-    requests_left: int | None = None
-    link_free_kbps: int = 0
-    limit_per_s: float | None = None
-    limit_wait_ms: float = 0.0
+    warm_fraction: Float = 1.0
+    pace: Float = 1.0
+    base_pace: Float = 1.0
+    pace_interval_ms: Float = 0.0
+    pace_interval_left_ms: Float = 0.0
+    normal_run_ms: Float = 0.0
+    requests_left: Int | None = None
+    link_free_kbps: Int = 0
+    limit_per_s: Float | None = None
+    limit_wait_ms: Float = 0.0
 
     @property
     def is_limit_reached(self) -> bool:
--- a/src/radishwind/sidecar/era_notices.py
+++ b/src/radishwind/sidecar/era_notices.py
@@ -12,6 +12,10 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
 from radishwind.membership.rumor_bus import RumorBus
 from radishwind.store.base import Store
 from radishwind.store.base import StoreError
@@ -32,6 +36,8 @@
 _INITIAL_PAUSE_S = 0.2
 _MAX_PAUSE_S = 2.0
 
+_decoder = JsonDecoder[int](NonNegativeInt, "an era", MAX_RUMOR_VALUE_BYTES)
+
 
 class EraNotices:
     """The task that spreads the era of the store and checks rumors of it."""
@@ -106,8 +112,8 @@
 
     def _on_rumor(self, key: str, value: bytes) -> None:
         try:
-            era = msgspec.json.decode(value, type=int)
-        except msgspec.MsgspecError as exc:
+            era = _decoder.decode(value)
+        except MalformedInputError as exc:
             self._log.warning("A rumor is malformed.", reason=str(exc)[:120])
             return
         if not self._eras.era < era <= MAX_ERA:
--- a/src/radishwind/sidecar/secret_manager.py
+++ b/src/radishwind/sidecar/secret_manager.py
@@ -13,6 +13,11 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
+from radishwind.decoding.sizes import MAX_VALUE_BYTES
 from radishwind.membership.contact_records import (
     CONTACTS_KEY_PREFIX as CONTACTS_PREFIX,
 )
@@ -74,11 +79,17 @@
         return "SecretRecord(...)"
 
 
+_decoder = JsonDecoder[SecretRecord](SecretRecord, "a secret", MAX_VALUE_BYTES)
+_rumor_decoder = JsonDecoder[int](
+    NonNegativeInt, "a position", MAX_RUMOR_VALUE_BYTES
+)
+
+
 def decode_record(value: bytes) -> SecretRecord | None:
     """Returns the record encoded in `value`; `None` if it is malformed."""
     try:
-        record = msgspec.json.decode(value, type=SecretRecord)
-    except (msgspec.MsgspecError, ValueError):
+        record = _decoder.decode(value)
+    except MalformedInputError:
         return None
     return record if len(record.secret) == SECRET_BYTES else None
 
@@ -173,14 +184,14 @@
 
     def _on_rumor(self, key: str, value: bytes) -> None:
         try:
-            number = msgspec.json.decode(value, type=int)
-        except msgspec.MsgspecError as exc:
+            number = _rumor_decoder.decode(value)
+        except MalformedInputError as exc:
             self._log.warning(
                 "Ignored a malformed rumor of the secret's position.",
                 reason=str(exc)[:120],
             )
             return
-        position = StorePosition.from_number(max(0, number))
+        position = StorePosition.from_number(number)
         if position <= self._keyring.position:
             return
         self._rumored = max(self._rumored, position)
--- a/src/radishwind/sidecar/service_profile.py
+++ b/src/radishwind/sidecar/service_profile.py
@@ -17,6 +17,9 @@
 from radishwind.admission.concurrency_estimator import ConcurrencyEstimator
 from radishwind.admission.concurrency_estimator import Knee
 from radishwind.core.clock import Clock
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.sizes import MAX_VALUE_BYTES
 from radishwind.membership.rumor_bus import NullRumorBus
 from radishwind.membership.rumor_bus import RumorBus
 from radishwind.store.base import Put
@@ -91,11 +94,16 @@
         )
 
 
+_decoder = JsonDecoder[ServiceProfile](
+    ServiceProfile, "a profile", MAX_VALUE_BYTES
+)
+
+
 def decode_profile(value: bytes) -> ServiceProfile | None:
     """Returns the profile encoded in `value`; `None` if it is malformed."""
     try:
-        profile = msgspec.json.decode(value, type=ServiceProfile)
-    except (msgspec.MsgspecError, ValueError):
+        profile = _decoder.decode(value)
+    except MalformedInputError:
         return None
     if 0 < profile.period_s < MIN_INTERVAL_S:
         return None
--- a/src/radishwind/store/etcd_store.py
+++ b/src/radishwind/store/etcd_store.py
@@ -68,8 +68,8 @@
             "key": gateway.encode_bytes(key.encode()),
             "serializable": allow_stale,
         }
-        entries = gateway.parse_entries(await self._call("kv/range", body))
-        return entries[0] if entries else None
+        page = gateway.parse_page(await self._call("kv/range", body))
+        return page.entries[0] if page.entries else None
 
     async def list(
         self, prefix: str, limit: int = 0, *, allow_stale: bool = False
@@ -86,9 +86,9 @@
                 "limit": page_limit,
                 "serializable": allow_stale,
             }
-            page = gateway.parse_entries(await self._call("kv/range", body))
-            entries.extend(page)
-            if len(page) < page_limit or len(entries) == limit:
+            page = gateway.parse_page(await self._call("kv/range", body))
+            entries.extend(page.entries)
+            if page.key_count < page_limit or (limit and len(entries) >= limit):
                 return tuple(entries)
             start = _next_page_start(start, page)
 
@@ -209,14 +209,14 @@
             raise StoreUnavailableError(f"{name}: {exc}") from exc
 
 
-def _next_page_start(start: bytes, page: Sequence[StoreEntry]) -> bytes:
+def _next_page_start(start: bytes, page: gateway.Page) -> bytes:
     """Returns the key directly after the last one of `page`.
 
     Raises:
       StoreAnswerMalformedError: the page ends before its start key, so that
         reading on would never end.
     """
-    next_start = page[-1].key.encode() + b"\0"
+    next_start = page.last_key + b"\0"
     if next_start <= start:
         raise StoreAnswerMalformedError(
             "kv/range: expected keys in ascending order"
--- a/src/radishwind/store/gateway.py
+++ b/src/radishwind/store/gateway.py
@@ -6,9 +6,13 @@
 
 import base64
 from typing import Any
+from typing import NamedTuple
 
-import msgspec
-
+from radishwind.decoding import decode_base64
+from radishwind.decoding import decode_text
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import MAX_INT
 from radishwind.store.base import Compare
 from radishwind.store.base import Operation
 from radishwind.store.base import Put
@@ -18,10 +22,17 @@
 from radishwind.store.base import StoreUnavailableError
 from radishwind.store.base import WatchEvent
 
+#: Maximum size of an answer (bytes).
+MAX_ANSWER_BYTES = 32 << 20
+
 #: Maximum size of a message of a watch, which takes one line of the stream. A
 #: message contains the values of one transaction in base64.
 MAX_LINE_BYTES = 4 * 1024 * 1024
 
+_decoder = JsonDecoder[dict[str, Any]](
+    dict[str, Any], "a JSON object of etcd's gateway", MAX_ANSWER_BYTES
+)
+
 #: What parsing a malformed message may raise.
 _PARSE_ERRORS = (
     KeyError,
@@ -80,26 +91,39 @@
       StoreAnswerMalformedError: `content` is not a JSON object.
     """
     try:
-        message = msgspec.json.decode(content)
-    except (msgspec.MsgspecError, *_PARSE_ERRORS) as exc:
-        raise StoreAnswerMalformedError(
-            f"{what}: expected a JSON object of etcd's gateway, got {exc}"
-        ) from exc
-    if not isinstance(message, dict):
-        raise StoreAnswerMalformedError(
-            f"{what}: expected a JSON object, got {type(message).__name__}"
-        )
-    return message
+        return _decoder.decode(content)
+    except MalformedInputError as exc:
+        raise StoreAnswerMalformedError(f"{what}: {exc.args[0]}") from exc
+
+
+class Page(NamedTuple):
+    """The response to a range call.
+
+    Attributes:
+      entries: the entries; those whose key is no text are left out, since they
+        are of another program.
+      key_count: number of entries, including those left out.
+      last_key: key of the last one; empty if there is none.
+    """
 
+    entries: tuple[StoreEntry, ...]
+    key_count: int
+    last_key: bytes
 
-def parse_entries(message: dict[str, Any]) -> tuple[StoreEntry, ...]:
+
+def parse_page(message: dict[str, Any]) -> Page:
     """Returns the entries of the response to a range call.
 
     Raises:
       StoreAnswerMalformedError: an entry is malformed.
     """
     try:
-        return tuple(_parse_entry(kv) for kv in message.get("kvs", ()))
+        kvs = message.get("kvs", ())
+        entries = tuple(_parse_entry(kv) for kv in kvs)
+        last_key = _parse_bytes(kvs[-1], "key") if kvs else b""
+        return Page(
+            tuple(e for e in entries if e is not None), len(kvs), last_key
+        )
     except _PARSE_ERRORS as exc:
         raise StoreAnswerMalformedError(f"kv/range: {exc!r}") from exc
 
@@ -111,7 +135,7 @@
       StoreAnswerMalformedError: the header is missing or malformed.
     """
     try:
-        return int(message["header"]["revision"])
+        return _to_int(message["header"]["revision"])
     except _PARSE_ERRORS as exc:
         raise StoreAnswerMalformedError(f"header: {exc!r}") from exc
 
@@ -131,8 +155,8 @@
     """
     try:
         if default is None:
-            return int(message[name])
-        return int(message.get(name, default))
+            return _to_int(message[name])
+        return _to_int(message.get(name, default))
     except _PARSE_ERRORS as exc:
         raise StoreAnswerMalformedError(f"{name}: {exc!r}") from exc
 
@@ -157,25 +181,49 @@
             )
         if result.get("canceled", False):
             raise StoreUnavailableError("watch: canceled by the store")
-        return tuple(_parse_event(e) for e in result.get("events", ()))
+        events = [_parse_event(e) for e in result.get("events", ())]
+        return tuple(event for event in events if event is not None)
     except _PARSE_ERRORS as exc:
         raise StoreAnswerMalformedError(f"watch: {exc!r}") from exc
 
 
-def _parse_event(event: dict[str, Any]) -> WatchEvent:
+def _parse_event(event: dict[str, Any]) -> WatchEvent | None:
+    """Returns the event; `None` if its key is no text."""
     kv = event["kv"]
     if event.get("type", "PUT") == "DELETE":
-        key = base64.b64decode(kv["key"]).decode()
-        return WatchEvent(key, None, int(kv["mod_revision"]))
+        key = _parse_key(kv)
+        revision = _to_int(kv["mod_revision"])
+        return None if key is None else WatchEvent(key, None, revision)
     entry = _parse_entry(kv)
+    if entry is None:
+        return None
     return WatchEvent(entry.key, entry, entry.mod_revision)
 
 
-def _parse_entry(kv: dict[str, Any]) -> StoreEntry:
-    return StoreEntry(
-        base64.b64decode(kv["key"]).decode(),
-        base64.b64decode(kv.get("value", "")),
-        int(kv["create_revision"]),
-        int(kv["mod_revision"]),
-        int(kv.get("lease", 0)),
-    )
+def _parse_entry(kv: dict[str, Any]) -> StoreEntry | None:
+    """Returns the entry; `None` if its key is no text."""
+    key = _parse_key(kv)
+    value = _parse_bytes(kv, "value") if "value" in kv else b""
+    revisions = (_to_int(kv["create_revision"]), _to_int(kv["mod_revision"]))
+    lease = _to_int(kv.get("lease", 0))
+    return None if key is None else StoreEntry(key, value, *revisions, lease)
+
+
+def _parse_key(kv: dict[str, Any]) -> str | None:
+    raw = _parse_bytes(kv, "key")
+    try:
+        return decode_text(raw, "a key", MAX_LINE_BYTES)
+    except MalformedInputError:
+        return None
+
+
+def _parse_bytes(kv: dict[str, Any], name: str) -> bytes:
+    return decode_base64(kv[name], name, StoreAnswerMalformedError)
+
+
+def _to_int(value: Any) -> int:
+    """Returns a 64-bit integer, which the gateway writes as a string."""
+    number = int(value)
+    if abs(number) > MAX_INT:
+        raise ValueError("expected an integer of 64 bits")
+    return number
--- a/src/radishwind/store/position.py
+++ b/src/radishwind/store/position.py
@@ -5,12 +5,19 @@
 ordered by era first.
 """
 
+from typing import Annotated
 from typing import NamedTuple
+from typing import TypeAlias
+
+import msgspec
 
 #: Highest era and revision: a position has to fit in the version of a rumor.
 MAX_ERA = (1 << 16) - 1
 MAX_REVISION = (1 << 36) - 1
 
+#: An era that another program states.
+Era: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
+
 
 class StorePosition(NamedTuple):
     """A point in the history of the store; later ones compare as greater.
--- a/src/radishwind/target/announcement_handler.py
+++ b/src/radishwind/target/announcement_handler.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
 from radishwind.http.types import read_body
 from radishwind.http.types import Request
 from radishwind.http.types import Response
@@ -18,7 +18,9 @@
 #: The largest body of an announcement (bytes); a larger one is not read.
 MAX_ANNOUNCEMENT_BYTES = 4096
 
-_decoder = msgspec.json.Decoder(Announcement)
+_decoder = JsonDecoder[Announcement](
+    Announcement, "an announcement", MAX_ANNOUNCEMENT_BYTES
+)
 _NO_CONTENT = Response(204)
 
 
@@ -57,8 +59,8 @@
             is_new = self._server.accept_announcement(
                 announcement, self._clock.monotonic()
             )
-        except msgspec.MsgspecError as exc:
-            return _refused(str(exc))
+        except MalformedInputError as exc:
+            return _refused(str(exc.args[0]))
         except AnnouncementRefusedError as exc:
             self._log.warning("Refused an announcement.", reason=str(exc))
             return _refused(str(exc.args[0]))
--- a/src/radishwind/target/backend_server.py
+++ b/src/radishwind/target/backend_server.py
@@ -8,6 +8,7 @@
 
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
+from radishwind.decoding.numbers import NonNegativeFloat
 from radishwind.http.types import Address
 from radishwind.outcomes.model import NotRun
 
@@ -46,7 +47,7 @@
     address: str
     state: ServerState = ServerState.READY
     instance: str = ""
-    uptime_s: float | None = None
+    uptime_s: NonNegativeFloat | None = None
     health_path: str = ""
 
 
--- a/src/radishwind/target/leaving_records.py
+++ b/src/radishwind/target/leaving_records.py
@@ -15,13 +15,18 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.core.codes import ResultCode
+from radishwind.decoding import decode_text
+from radishwind.decoding import MalformedInputError
 from radishwind.http.types import read_body
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.directory import Directory
 from radishwind.membership.directory import Member
 from radishwind.membership.directory import MemberState
+from radishwind.membership.records import MAX_RUMOR_KEY_CHARS
 from radishwind.membership.rumor_bus import RumorBus
+from radishwind.outcomes.responses import problem_response
 from radishwind.peers.peer_client import PeerClient
 from radishwind.peers.peer_client import PeerError
 from radishwind.store.base import Put
@@ -190,12 +195,14 @@
         """Writes a record for a peer that the store turns away."""
         body = await read_body(request.body)
         try:
-            key = body.decode()
-        except UnicodeDecodeError as exc:
+            key = _decode_key(body)
+        except MalformedInputError as exc:
             self._log.warning(
                 "A leaving record of a peer is malformed.", reason=str(exc)
             )
-            return Response(400)
+            return problem_response(
+                ResultCode.PEER_MALFORMED, exc.args[0], "not-run"
+            )
         self._publish(key)
         is_stored = False
         with anyio.move_on_after(_PEER_WRITE_S):
@@ -273,3 +280,15 @@
 
     def _on_rumor(self, key: str, value: bytes) -> None:
         self._on_leaving(ServerProcess.from_key(key))
+
+
+def _decode_key(body: bytes) -> str:
+    """Returns the key in a message of a peer.
+
+    Raises:
+      MalformedInputError: it can't be the key of a rumor and of the store.
+    """
+    key = decode_text(body, "a leaving record", MAX_RUMOR_KEY_CHARS)
+    if not key or not key.isascii() or not key.isprintable():
+        raise MalformedInputError("expected a leaving record of plain text")
+    return key
--- a/src/radishwind/target/limit_records.py
+++ b/src/radishwind/target/limit_records.py
@@ -9,6 +9,10 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeFloat
+from radishwind.decoding.sizes import MAX_RUMOR_VALUE_BYTES
 from radishwind.membership.rumor_bus import RumorBus
 from radishwind.target.server_process import ServerProcess
 from radishwind.telemetry.part_logger import PartLogger
@@ -32,10 +36,12 @@
     """
 
     process: str
-    per_s: float | None = None
+    per_s: NonNegativeFloat | None = None
 
 
-_decoder = msgspec.json.Decoder(LimitRecord)
+_decoder = JsonDecoder[LimitRecord](
+    LimitRecord, "a limit record", MAX_RUMOR_VALUE_BYTES
+)
 
 
 class LimitRecords:
@@ -107,7 +113,7 @@
             return
         try:
             self._received = _decoder.decode(value)
-        except msgspec.MsgspecError as exc:
+        except MalformedInputError as exc:
             self._log.warning(
                 "A record of the server's limit is malformed.", reason=str(exc)
             )
--- a/src/radishwind/target/server_process.py
+++ b/src/radishwind/target/server_process.py
@@ -8,6 +8,9 @@
 
 _START_MARK = "@"
 
+#: Digits of a start time at most; more would exceed 64 bits.
+_MAX_START_DIGITS = 19
+
 
 class ServerProcess(msgspec.Struct, frozen=True):
     """One process of a server, from its start to its end.
@@ -32,7 +35,8 @@
     def from_key(cls, key: str) -> "ServerProcess":
         """Returns the process with the given key."""
         incarnation, mark, started = key.rpartition(_START_MARK)
-        if mark and started.isascii() and started.isdigit():
+        is_time = started.isascii() and started.isdigit()
+        if mark and is_time and len(started) <= _MAX_START_DIGITS:
             return cls(incarnation, int(started))
         return cls(key)
 
--- a/src/radishwind/telemetry/explain.py
+++ b/src/radishwind/telemetry/explain.py
@@ -13,13 +13,17 @@
 import pathlib
 from typing import Any
 
-import msgspec
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.sizes import MAX_LINE_BYTES
 
 #: Changes logged up to this long before the start of a request are included
 #: (s).
 CONTEXT_BEFORE_S = 3.0
 
-_decoder = msgspec.json.Decoder(dict[str, Any])
+_decoder = JsonDecoder[dict[str, Any]](
+    dict[str, Any], "a log line", MAX_LINE_BYTES
+)
 
 #: Fields of every line that are not shown to operators.
 _HIDDEN_FIELDS = frozenset(
@@ -96,7 +100,7 @@
         return None
     try:
         message = _decoder.decode(raw[start:])
-    except msgspec.MsgspecError:
+    except MalformedInputError:
         return None
     if "timestamp" not in message:
         return None
