Fail a connect to a host that can't be encoded as a connect

What would be seen: a node that starts ends (exit 1, UnicodeError) when a contact's host has an empty label or one of more than 63 characters.

Cause: the lookup encodes the host by idna, whose UnicodeError is no OSError; aiohttp and httpx have further errors for a malformed URL. The senders raise ConnectFailedError for all of them now, which every caller handles.

--- a/src/radishwind/http/aiohttp_sender.py
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -118,9 +118,13 @@
         session = self._session(
             connect_timeout_s, is_single_use=check is not None
         )
-        url = yarl.URL(
-            f"http://{address.host}:{address.port}{request.path}", encoded=True
-        )
+        try:
+            url = yarl.URL(
+                f"http://{address.host}:{address.port}{request.path}",
+                encoded=True,
+            )
+        except ValueError as exc:
+            raise ConnectFailedError(f"{address!r}: {exc}") from exc
         try:
             response = await session.request(
                 request.method,
@@ -132,6 +136,9 @@
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+            # The host can't be encoded for the lookup.
+            UnicodeError,
         ) as exc:
             raise ConnectFailedError(f"{address}: {exc}") from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
--- a/src/radishwind/http/httptools_sender.py
+++ b/src/radishwind/http/httptools_sender.py
@@ -103,7 +103,10 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = _Pool()
-        head = encode_request_head(request, address)
+        try:
+            head = encode_request_head(request, address)
+        except UnicodeError as exc:
+            raise ConnectFailedError(f"{address!r}: {exc}") from exc
         conn, idle_s = await self._acquire(pool, address, connect_timeout_s)
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -187,7 +190,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError) as exc:
+            # A host that can't be encoded for the lookup is a `ValueError`.
             is_counted.clear()
             pool.open -= 1
             self._wake_next(pool)
--- a/src/radishwind/http/httpx_sender.py
+++ b/src/radishwind/http/httpx_sender.py
@@ -68,18 +68,26 @@
         connect_timeout_s: float,
         check: ResponseCheck | None = None,
     ) -> Response:
-        outgoing = httpx.Request(
-            request.method,
-            f"http://{address.host}:{address.port}{request.path}",
-            headers=_single_use(request.headers)
-            if check is not None
-            else list(request.headers),
-            content=_content(request.body),
-            extensions={"timeout": {"connect": connect_timeout_s}},
-        )
+        try:
+            outgoing = httpx.Request(
+                request.method,
+                f"http://{address.host}:{address.port}{request.path}",
+                headers=_single_use(request.headers)
+                if check is not None
+                else list(request.headers),
+                content=_content(request.body),
+                extensions={"timeout": {"connect": connect_timeout_s}},
+            )
+        except httpx.InvalidURL as exc:
+            raise ConnectFailedError(f"{address!r}: {exc}") from exc
         try:
             response = await self._client.send(outgoing, stream=True)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+        except (
+            httpx.ConnectError,
+            httpx.ConnectTimeout,
+            # The host can't be encoded for the lookup.
+            UnicodeError,
+        ) as exc:
             raise ConnectFailedError(f"{address}: {exc!r}") from exc
         except httpx.HTTPError as exc:
             raise ExchangeBrokenError(f"{address}: {exc!r}") from exc
