Drop datagrams to addresses that the socket can't send to

What would be seen: every node of the fleet ends within a second (exit 1, ValueError) of one unsigned datagram with a member whose address is a host name or an IPv6 address.

Cause: PeerSocket.send passes the address on to uvloop, which raises a ValueError for a host that isn't an IP address of the socket's family, out of the gossip's timers; ports beyond 16 bits wrap around to another port. Such datagrams are dropped and counted, and the message goes by HTTP. A handler that raises is logged once and counted, too.

--- a/src/radishwind/peers/peer_socket.py
+++ b/src/radishwind/peers/peer_socket.py
@@ -13,13 +13,18 @@
 import enum
 from typing import TypeAlias
 
+from radishwind.core.clock import Clock
+from radishwind.core.clock import SystemClock
 from radishwind.http.types import Address
+from radishwind.telemetry.part_logger import PartLogger
 
 #: Maximum size of a datagram that is sent (bytes). It fits into an Ethernet
 #: frame of 1,500 bytes and is not fragmented: the loss of one fragment would
 #: lose the whole datagram.
 MAX_DATAGRAM_BYTES = 1_400
 
+_MAX_PORT = 65_535
+
 #: Called with the payload after the channel byte and with the sender; returns
 #: whether the payload could be decoded.
 DatagramHandler: TypeAlias = Callable[[bytes, Address], bool]
@@ -58,14 +63,15 @@
     Attributes:
       sent_count: number of datagrams sent.
       received_count: number of datagrams received and decoded.
-      malformed_count: number of datagrams that could not be decoded, and of
-        socket errors.
+      malformed_count: number of datagrams that could not be decoded or
+        handled, or not be sent to their address, and of socket errors.
     """
 
     def __init__(
         self,
         authenticator: DatagramAuthenticator | None = None,
         on_sent: DatagramSentCallback | None = None,
+        clock: Clock | None = None,
     ) -> None:
         """Creates an unbound socket.
 
@@ -73,7 +79,9 @@
           authenticator: signs and verifies datagrams; by default none is signed
             and all are accepted.
           on_sent: called for each datagram sent.
+          clock: times the log; the system's by default.
         """
+        self._log = PartLogger("peers", clock or SystemClock())
         self._authenticator = authenticator
         self._on_sent = on_sent
         self._transport: asyncio.DatagramTransport | None = None
@@ -96,20 +104,37 @@
     def send(
         self, channel: Channel, data: bytes, peers: Iterable[Address]
     ) -> bool:
-        """Sends `data` to each of `peers`; returns whether it was sent.
+        """Sends `data` to each of `peers`; returns whether it was sent to any.
 
-        Nothing is sent before `start`, after `close`, or if `data` is too long.
+        Nothing is sent before `start`, after `close`, or if `data` is too long,
+        and to no address that isn't an IP address of the socket's family.
         """
         if self._transport is None or self._transport.is_closing():
             return False
         if len(data) >= MAX_DATAGRAM_BYTES:
             return False
         datagram = bytes((channel,)) + data
+        is_sent = False
         for peer_datagram, peer in self._signed(datagram, peers):
-            self._transport.sendto(peer_datagram, (peer.host, peer.port))
+            if not self._send_to(peer_datagram, peer):
+                self.malformed_count += 1
+                continue
+            is_sent = True
             self.sent_count += 1
             if self._on_sent is not None:
                 self._on_sent(channel, peer, len(peer_datagram))
+        return is_sent
+
+    def _send_to(self, datagram: bytes, peer: Address) -> bool:
+        """Sends `datagram`; returns whether `peer` is such an address."""
+        # uvloop would send to another port, the rest modulo 2**16.
+        if self._transport is None or not 0 < peer.port <= _MAX_PORT:
+            return False
+        try:
+            self._transport.sendto(datagram, (peer.host, peer.port))
+        except (OSError, TypeError, ValueError):
+            # What uvloop raises for a host that is no such IP address.
+            return False
         return True
 
     def _signed(
@@ -125,7 +150,13 @@
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        sender = Address(*addr[:2])
+        try:
+            self._receive(data, Address(*addr[:2]))
+        except Exception as exc:
+            self._log.failure("A datagram could not be handled.", exc)
+            self.malformed_count += 1
+
+    def _receive(self, data: bytes, sender: Address) -> None:
         if self._authenticator is not None:
             verified = self._authenticator.verify(data, sender)
             if verified is None:
--- a/src/radishwind/sidecar/peer_side.py
+++ b/src/radishwind/sidecar/peer_side.py
@@ -80,7 +80,9 @@
         )
         self.signer = FleetSigner(self.keyring, self._start_ids)
         self.client = HttpPeerClient(sender, self.signer, traffic)
-        self.socket = PeerSocket(self.authenticator, traffic.record_datagram)
+        self.socket = PeerSocket(
+            self.authenticator, traffic.record_datagram, clock
+        )
 
     def wire(
         self,
