Leave odd entries out of gossip messages, not the whole message

What would be seen: one member record or rumor that a node can't read, such as one of a newer version, hides all others of the message, and the node that sent it counts as unreachable.

A message that can't be decoded as a whole is decoded without such entries; each kind of reason is logged. A message that is odd otherwise stays malformed.

--- a/src/radishwind/membership/envelope.py
+++ b/src/radishwind/membership/envelope.py
@@ -1,10 +1,18 @@
 """Envelope of a gossip datagram, which pairs requests with replies."""
 
+from typing import Any
+
 import msgspec
 
+from radishwind.decoding import MsgpackDecoder
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.decoding.sizes import MAX_DATAGRAM_BYTES
+from radishwind.membership.messages import convert_message
 from radishwind.membership.messages import Message
 from radishwind.membership.messages import MessageError
-from radishwind.membership.records import NonNegativeInt
+from radishwind.membership.odd_entries import ignore_odd_entry
+from radishwind.membership.odd_entries import OddEntryCallback
+from radishwind.membership.odd_entries import without_odd_entries
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -22,8 +30,19 @@
     message: Message
 
 
+class _RawEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    exchange_id: NonNegativeInt
+    is_reply: bool
+    message: Any
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Envelope)
+_decoder = MsgpackDecoder[Envelope](
+    Envelope, "a gossip envelope", MAX_DATAGRAM_BYTES, MessageError
+)
+_raw_decoder = MsgpackDecoder[_RawEnvelope](
+    _RawEnvelope, "a gossip envelope", MAX_DATAGRAM_BYTES, MessageError
+)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -31,13 +50,21 @@
     return _encoder.encode(envelope)
 
 
-def decode_envelope(data: bytes) -> Envelope:
-    """Returns the envelope decoded from `data`.
+def decode_envelope(
+    data: bytes, on_odd: OddEntryCallback = ignore_odd_entry
+) -> Envelope:
+    """Returns the envelope decoded from `data`, without odd entries in it.
+
+    Args:
+      data: MessagePack.
+      on_odd: called with the reason why an entry of the message is left out.
 
     Raises:
       MessageError: `data` isn't an envelope.
     """
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise MessageError(f"expected a gossip envelope: {exc}") from exc
+    except MessageError:
+        raw = _raw_decoder.decode(data)
+        kept = without_odd_entries(raw.message, on_odd)
+        return Envelope(raw.exchange_id, raw.is_reply, convert_message(kept))
--- a/src/radishwind/membership/messages.py
+++ b/src/radishwind/membership/messages.py
@@ -1,19 +1,25 @@
 """Gossip messages, encoded as JSON arrays for the peer listener."""
 
 from typing import Annotated
+from typing import Any
 from typing import TypeAlias
 
 import msgspec
 
 from radishwind.core.codes import ResultCode
-from radishwind.core.errors import RadishwindError
+from radishwind.decoding import convert
+from radishwind.decoding import JsonDecoder
+from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import NonNegativeInt
 from radishwind.membership.digest_tree import GROUP_COUNT
 from radishwind.membership.digest_tree import LEAF_COUNT
 from radishwind.membership.digest_tree import LEAVES_PER_GROUP
+from radishwind.membership.odd_entries import ignore_odd_entry
+from radishwind.membership.odd_entries import OddEntryCallback
+from radishwind.membership.odd_entries import without_odd_entries
 from radishwind.membership.records import AddressText
 from radishwind.membership.records import MAX_NAME_CHARS
 from radishwind.membership.records import MemberRecord
-from radishwind.membership.records import NonNegativeInt
 from radishwind.membership.records import Rumor
 
 #: Name of the control path that receives every gossip message.
@@ -27,7 +33,7 @@
 _Leaf: TypeAlias = Annotated[int, msgspec.Meta(ge=0, lt=LEAF_COUNT)]
 
 
-class MessageError(RadishwindError):
+class MessageError(MalformedInputError):
     """A message from a peer cannot be decoded."""
 
     code = ResultCode.PEER_MALFORMED
@@ -128,7 +134,12 @@
 )
 
 _encoder = msgspec.json.Encoder()
-_decoder: msgspec.json.Decoder[Message] = msgspec.json.Decoder(Message)
+_decoder = JsonDecoder[Message](
+    Message, "a gossip message", MAX_MESSAGE_BYTES, MessageError
+)
+_any_decoder = JsonDecoder[Any](
+    Any, "a gossip message", MAX_MESSAGE_BYTES, MessageError
+)
 
 
 def encode_message(message: Message) -> bytes:
@@ -136,17 +147,33 @@
     return _encoder.encode(message)
 
 
-def decode_message(data: bytes) -> Message:
-    """Returns the message decoded from `data`.
+def decode_message(
+    data: bytes, on_odd: OddEntryCallback = ignore_odd_entry
+) -> Message:
+    """Returns the message decoded from `data`, without odd entries in it.
+
+    Args:
+      data: JSON.
+      on_odd: called with the reason why an entry is left out.
 
     Raises:
       MessageError: `data` is too long or isn't a gossip message.
     """
-    if len(data) > MAX_MESSAGE_BYTES:
-        raise MessageError(
-            f"expected at most {MAX_MESSAGE_BYTES} bytes, got {len(data)}"
-        )
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise MessageError(f"expected a gossip message: {exc}") from exc
+    except MessageError:
+        kept = without_odd_entries(_any_decoder.decode(data), on_odd)
+        return convert_message(kept)
+
+
+def convert_message(message: Any) -> Message:
+    """Returns the message of these builtin types.
+
+    Raises:
+      MessageError: it isn't a gossip message.
+    """
+    kind: Any = Message
+    converted: Message = convert(
+        message, kind, "a gossip message", MessageError
+    )
+    return converted
--- a/src/radishwind/node/gossip_datagrams.py
+++ b/src/radishwind/node/gossip_datagrams.py
@@ -22,6 +22,7 @@
 from radishwind.membership.outgoing_message import OutgoingMessage
 from radishwind.peers.peer_socket import Channel
 from radishwind.peers.peer_socket import PeerSocket
+from radishwind.telemetry.part_logger import PartLogger
 
 #: Called with a message that another node began with; returns the reply.
 MessageHandler: TypeAlias = Callable[[Message], Message]
@@ -77,6 +78,7 @@
           on_round_trip: called with each round trip.
         """
         self._clock = clock
+        self._log = PartLogger("membership", clock)
         self._on_round_trip = on_round_trip
         self._socket = socket
         self._handle_message = handle_message
@@ -132,7 +134,7 @@
 
     def _receive(self, data: bytes, sender: Address) -> bool:
         try:
-            envelope = decode_envelope(data)
+            envelope = decode_envelope(data, self._log_odd_entry)
         except MessageError:
             return False
         if envelope.is_reply:
@@ -142,6 +144,9 @@
             self._send(Envelope(envelope.exchange_id, True, reply), sender)
         return True
 
+    def _log_odd_entry(self, reason: str) -> None:
+        self._log.warning("Left out an odd entry of a message.", reason=reason)
+
     def _receive_reply(self, envelope: Envelope, sender: Address) -> bool:
         pending = self._pending.get(envelope.exchange_id)
         if pending is None:
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -112,8 +112,9 @@
             self.gossip, allowlist, clock, options.refute_grace_s
         )
         self.rumor_bus = GossipRumorBus(self.gossip, clock, self._wake)
+        self._log = PartLogger("membership", clock)
         self._change_logger = MembershipChangeLogger(
-            settings.target, PartLogger("membership", clock).info
+            settings.target, self._log.info
         )
         self.gossip.table.add_member_listener(
             lambda old, new: self._change_logger.record_change(
@@ -288,7 +289,7 @@
             body = await self._client.call(
                 outgoing.address, GOSSIP_CONTROL_NAME, data, outgoing.timeout_s
             )
-            reply = decode_message(body)
+            reply = decode_message(body, self._log_odd_entry)
         except (PeerError, MessageError):
             self._contact_registry.mark_unreachable(outgoing.address)
             self._send_all(self.gossip.handle_failure(outgoing, self._now()))
@@ -308,10 +309,13 @@
         self._wake_if_due_sooner()
         return reply
 
+    def _log_odd_entry(self, reason: str) -> None:
+        self._log.warning("Left out an odd entry of a message.", reason=reason)
+
     async def _handle(self, request: Request) -> Response:
         body = await read_body(request.body)
         try:
-            message = decode_message(body)
+            message = decode_message(body, self._log_odd_entry)
         except MessageError as exc:
             return problem_response(exc.code, exc.args[0], "not-run")
         self.traffic.record_received(len(body))
