Move the backoff out of the store's budget

A supervisor of duties and the retries of listeners pause between attempts as the callers of the store do.

--- a/src/radishwind/claims/store_circuit_breaker.py
+++ b/src/radishwind/claims/store_circuit_breaker.py
@@ -2,7 +2,7 @@
 
 import random
 
-from radishwind.store.budgeted_store import Backoff
+from radishwind.core.backoff import Backoff
 
 #: Upper bound of the time the breaker is open after the first failure, and
 #: after any number of consecutive failures.
--- a/src/radishwind/config/change_acceptor.py
+++ b/src/radishwind/config/change_acceptor.py
@@ -29,8 +29,8 @@
 from radishwind.config.repository import ConfigRepository
 from radishwind.config.validation import FileFault
 from radishwind.config.validation import FileInvalidError
+from radishwind.core.backoff import Backoff
 from radishwind.core.clock import Clock
-from radishwind.store import Backoff
 from radishwind.store import Compare
 from radishwind.store import Put
 from radishwind.store import Store
--- a/src/radishwind/node/store_follower.py
+++ b/src/radishwind/node/store_follower.py
@@ -20,10 +20,10 @@
 from radishwind.config.watchers import is_watcher
 from radishwind.config.watchers import WATCHERS_PER_DOMAIN
 from radishwind.core import Clock
+from radishwind.core.backoff import Backoff
 from radishwind.membership.directory import Member
 from radishwind.node.config_periods import ConfigPeriods
 from radishwind.settings import NodeSettings
-from radishwind.store import Backoff
 from radishwind.store import Store
 from radishwind.store import StoreCompactedError
 from radishwind.store import StoreError
--- a/src/radishwind/store/__init__.py
+++ b/src/radishwind/store/__init__.py
@@ -13,14 +13,12 @@
 from radishwind.store.base import StoreUnavailableError
 from radishwind.store.base import TxnResult
 from radishwind.store.base import WatchEvent
-from radishwind.store.budgeted_store import Backoff
 from radishwind.store.budgeted_store import BudgetedStore
 from radishwind.store.budgeted_store import StoreBudget
 from radishwind.store.budgeted_store import TokenBucket
 from radishwind.store.etcd_store import EtcdStore
 
 __all__ = [
-    "Backoff",
     "BudgetedStore",
     "Compare",
     "Delete",
