Log unexpected errors with further fields and out of their groups

A task group hides the error of a task in an exception group, whose own place in the code says nothing. The line names the first error in it. Callers may add fields, and have each line written although it repeats.

--- a/src/radishwind/telemetry/part_logger.py
+++ b/src/radishwind/telemetry/part_logger.py
@@ -65,20 +65,37 @@
         """Logs a change in this process's view; never suppressed."""
         self._write("info", sentence, fields)
 
-    def failure(self, sentence: str, exc: BaseException) -> None:
+    def failure(
+        self,
+        sentence: str,
+        exc: BaseException,
+        *,
+        may_suppress: bool = True,
+        **fields: str | float | None,
+    ) -> None:
         """Logs an unexpected error: its type and where it was raised.
 
         The error's message is omitted, since it may contain data of a caller.
+        Of the errors in a group, the first one is logged.
+
+        Args:
+          sentence: what failed.
+          exc: the error.
+          may_suppress: whether the line is left out if it repeats soon.
+          **fields: further fields of the line.
         """
+        exc = first_error(exc)
         frames = traceback.extract_tb(exc.__traceback__)[-_MAX_FRAMES:]
-        self.error(
-            sentence,
-            kind=type(exc).__name__,
-            at=" < ".join(
+        fields = {
+            "kind": type(exc).__name__,
+            "at": " < ".join(
                 f"{pathlib.PurePath(f.filename).name}:{f.lineno} {f.name}"
                 for f in reversed(frames)
             ),
-        )
+            **fields,
+        }
+        write = self._log if may_suppress else self._write
+        write("error", sentence, fields)
 
     def _log(
         self, level: str, sentence: str, fields: dict[str, str | float | None]
@@ -111,6 +128,13 @@
         _log_with_eliot(message)
 
 
+def first_error(exc: BaseException) -> BaseException:
+    """Returns the first error in `exc` that is not a group itself."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
+
+
 def set_log_sink(sink: Callable[[LogMessage], None]) -> None:
     """Passes each further line with its timestamp to `sink`, not to eliot."""
     _sinks.append(sink)
