--- a/src/radishwind/entry/call_executor.py
+++ b/src/radishwind/entry/call_executor.py
@@ -21,6 +21,7 @@
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
 from radishwind.routing.placement import Placement
+from radishwind.supervision import Duty
 
 #: Refusals by the server itself, which the request has reached.
 _SERVER_REFUSALS = frozenset(
@@ -66,6 +67,10 @@
         self.counts = AttemptCounts()
         self._timer = HedgeTimer(clock)
 
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties that start the hedges."""
+        return self._timer.duties()
+
     async def run_hedges(self) -> None:
         """Starts the hedges that fall due, until cancelled."""
         await self._timer.run()
--- a/src/radishwind/entry/hedge_timer.py
+++ b/src/radishwind/entry/hedge_timer.py
@@ -15,7 +15,9 @@
 
 from radishwind.core.clock import Clock
 from radishwind.entry.race import Race
-from radishwind.telemetry.part_logger import PartLogger
+from radishwind.supervision import Duty
+from radishwind.supervision import run_together
+from radishwind.supervision import TaskPool
 
 
 class HedgeTimer:
@@ -23,13 +25,13 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._log = PartLogger("entry", clock)
         self._due: list[
             tuple[float, int, Race, Callable[[], Awaitable[None]]]
         ] = []
         self._order = itertools.count()
         self._wakes_at = -math.inf
         self._wake = anyio.Event()
+        self._hedges = TaskPool("entry.hedges")
 
     def add(
         self, due: float, race: Race, hedge: Callable[[], Awaitable[None]]
@@ -39,13 +41,19 @@
         if due < self._wakes_at:
             self._wake.set()
 
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties: to run hedges, and to start due ones."""
+        return (self._hedges.duty, Duty("entry.hedge_timer", self._run_timer))
+
     async def run(self) -> None:
-        """Starts hedges until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                for hedge in self._pop_due():
-                    tasks.start_soon(self._run_hedge, hedge)
-                await self._sleep()
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties())
+
+    async def _run_timer(self) -> None:
+        while True:
+            for hedge in self._pop_due():
+                self._hedges.start_soon(hedge)
+            await self._sleep()
 
     def _pop_due(self) -> list[Callable[[], Awaitable[None]]]:
         now = self._clock.monotonic()
@@ -63,11 +71,3 @@
         with anyio.move_on_after(self._wakes_at - self._clock.monotonic()):
             await self._wake.wait()
         self._wakes_at = -math.inf
-
-    async def _run_hedge(self, hedge: Callable[[], Awaitable[None]]) -> None:
-        try:
-            await hedge()
-        except Exception as exc:
-            # An error in one hedge must not stop the other hedges or the node;
-            # the first attempt continues.
-            self._log.failure("A hedge failed.", exc)
--- a/src/radishwind/entry/pipeline.py
+++ b/src/radishwind/entry/pipeline.py
@@ -33,6 +33,8 @@
 from radishwind.retries.policy import RetryPolicy
 from radishwind.routing.chooser import TargetChooser
 from radishwind.routing.placement import Placement
+from radishwind.supervision import Duty
+from radishwind.supervision import notify
 
 __all__ = ["AttemptResult", "AttemptRunner", "EntryPipeline"]
 
@@ -85,11 +87,15 @@
         """Number of calls, attempts and hedges since the start."""
         return self._executor.counts
 
-    async def run_hedges(self) -> None:
-        """Starts the hedges that fall due, until cancelled.
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties that start the hedges that fall due.
 
-        While this task does not run, no call is hedged.
+        While they do not run, no call is hedged.
         """
+        return self._executor.duties()
+
+    async def run_hedges(self) -> None:
+        """Runs the duties without supervision until cancelled."""
         await self._executor.run_hedges()
 
     async def handle(self, request: Request) -> Response:
@@ -99,7 +105,7 @@
             call = self._classifier.classify(request)
         except CallRejectedError as exc:
             for observer in self._observers:
-                observer.rejected(exc)
+                notify("entry.observers", observer.rejected, exc)
             refusal = NotRun(exc.code, exc.args[0], exc.retry_after_s)
             if exc.retry_after_s is None:
                 refusal = self._with_retry_time(refusal)
@@ -109,11 +115,15 @@
         except asyncio.CancelledError:
             elapsed_s = self._clock.monotonic() - arrived_at
             for observer in self._observers:
-                observer.disconnected(call, elapsed_s)
+                notify(
+                    "entry.observers", observer.disconnected, call, elapsed_s
+                )
             raise
         elapsed_s = self._clock.monotonic() - arrived_at
         for observer in self._observers:
-            observer.finished(call, outcome, elapsed_s)
+            notify(
+                "entry.observers", observer.finished, call, outcome, elapsed_s
+            )
         return self._respond(outcome)
 
     async def _run_within_quota(self, call: Call) -> Outcome:
--- a/src/radishwind/membership/gossip.py
+++ b/src/radishwind/membership/gossip.py
@@ -39,6 +39,7 @@
 from radishwind.membership.records import MemberRecord
 from radishwind.membership.records import Rumor
 from radishwind.membership.records import unique_members
+from radishwind.supervision import notify
 
 RumorListener: TypeAlias = Callable[[Rumor], None]
 
@@ -331,7 +332,7 @@
             return False
         self._dissemination.add((rumor.topic, rumor.key))
         for listener in self._rumor_listeners:
-            listener(rumor)
+            notify("membership.rumors", listener, rumor)
         return True
 
     def _compensate_pause(self, now: float) -> None:
--- a/src/radishwind/membership/membership_table.py
+++ b/src/radishwind/membership/membership_table.py
@@ -17,6 +17,7 @@
 from radishwind.membership.records import Liveness
 from radishwind.membership.records import MemberRecord
 from radishwind.membership.records import Rumor
+from radishwind.supervision import notify
 
 #: Called with the old record of a member (`None` if it is new) and the new one
 #: (`None` if the member was removed).
@@ -187,7 +188,7 @@
         self, old: MemberRecord | None, new: MemberRecord | None
     ) -> None:
         for listener in self._listeners:
-            listener(old, new)
+            notify("membership.listeners", listener, old, new)
 
     def _evict_first_to_expire(self) -> None:
         key = min(self._rumors, key=lambda k: self._rumors[k].expires_at_s)
--- a/src/radishwind/membership/rumor_bus.py
+++ b/src/radishwind/membership/rumor_bus.py
@@ -13,6 +13,7 @@
 from radishwind.membership.records import MAX_RUMOR_TTL_MS
 from radishwind.membership.records import MAX_RUMOR_VALUE_CHARS
 from radishwind.membership.records import Rumor
+from radishwind.supervision import notify
 
 #: Called with the key and the value of a rumor that is new to this node.
 RumorHandler: TypeAlias = Callable[[str, bytes], None]
@@ -83,11 +84,16 @@
         self._handlers.setdefault(topic, []).append(handler)
         for rumor in self._gossip.table.rumors():
             if rumor.topic == topic:
-                handler(rumor.key, rumor.value.encode())
+                _call(handler, rumor)
 
     def _on_rumor(self, rumor: Rumor) -> None:
         for handler in self._handlers.get(rumor.topic, ()):
-            handler(rumor.key, rumor.value.encode())
+            _call(handler, rumor)
+
+
+def _call(handler: RumorHandler, rumor: Rumor) -> None:
+    """Calls a handler; an error in it is logged and counted."""
+    notify("membership.rumors", handler, rumor.key, rumor.value.encode())
 
 
 def _validated_rumor(
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import anyio
-import anyio.abc
 import msgspec
 
 from radishwind.core import Clock
@@ -43,6 +42,10 @@
 from radishwind.settings import NodeSettings
 from radishwind.store import Store
 from radishwind.store import StoreEntry
+from radishwind.supervision import Duty
+from radishwind.supervision import run_contained
+from radishwind.supervision import run_together
+from radishwind.supervision import TaskPool
 from radishwind.telemetry.part_logger import PartLogger
 
 #: HTTP exchanges in flight at once; further messages are dropped.
@@ -143,7 +146,7 @@
             send=self._send_all,
         )
         self._wake_event = anyio.Event()
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._exchanges = TaskPool("membership.exchanges")
         self._in_flight = 0
         self._sleeps_until = 0.0
         self.traffic = GossipTraffic()
@@ -159,12 +162,17 @@
             GOSSIP_CONTROL_NAME, self._handle, MAX_MESSAGE_BYTES
         )
 
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties of membership."""
+        return (
+            self._exchanges.duty,
+            Duty("membership.search", self._search.run),
+            Duty("membership.timers", self._run_timers),
+        )
+
     async def run(self) -> None:
-        """Runs until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            tasks.start_soon(self._search.run)
-            await self._run_timers()
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties())
 
     def advertise(self, state: AdvertisedState) -> None:
         """Advertises that this node serves, drains or leaves."""
@@ -180,7 +188,12 @@
         with anyio.move_on_after(_LEFT_NOTICE_TIMEOUT_S):
             async with anyio.create_task_group() as tasks:
                 for outgoing in messages:
-                    tasks.start_soon(self._exchange, outgoing)
+                    tasks.start_soon(
+                        run_contained,
+                        "membership.left_notices",
+                        self._exchange,
+                        outgoing,
+                    )
 
     def report_unreachable(self, name: str) -> None:
         """Probes `name` soon, because its node accepted no connection."""
@@ -260,13 +273,17 @@
         for outgoing in messages:
             if self._datagrams is not None and self._datagrams.notify(outgoing):
                 continue
-            if self._tasks is None or self._in_flight >= _MAX_IN_FLIGHT:
+            if (
+                self._in_flight >= _MAX_IN_FLIGHT
+                or not self._exchanges.start_soon(
+                    self._exchange_counted, outgoing
+                )
+            ):
                 # Not reported as a failure of the peer, which has no part in
                 # it.
                 self.traffic.dropped += 1
                 continue
             self._in_flight += 1
-            self._tasks.start_soon(self._exchange_counted, outgoing)
 
     async def _exchange_counted(self, outgoing: OutgoingMessage) -> None:
         try:
--- a/src/radishwind/peers/keyring.py
+++ b/src/radishwind/peers/keyring.py
@@ -10,6 +10,8 @@
 from radishwind.core.clock import Clock
 from radishwind.store.position import StorePosition
 from radishwind.store.position import UNKNOWN_POSITION
+from radishwind.supervision import Duty
+from radishwind.supervision import Listeners
 from radishwind.telemetry.part_logger import PartLogger
 
 #: If accounts come into force while nodes run, unsigned messages are accepted
@@ -41,7 +43,7 @@
         self._older_valid_until = 0.0
         self._grace_until = 0.0
         self._accounts_known = False
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners: Listeners[()] = Listeners("peers.keyring")
         self.has_accounts = False
         self.position = UNKNOWN_POSITION
         self.may_be_outdated = False
@@ -52,7 +54,12 @@
 
         It is called when a secret is missing, possibly outdated, or updated.
         """
-        self._listeners.append(listener)
+        self._listeners.add(listener)
+
+    @property
+    def retries(self) -> Duty:
+        """The duty that calls again the listeners that failed."""
+        return self._listeners.retries
 
     def set_has_accounts(self, has_accounts: bool, *, with_grace: bool) -> None:
         """Sets whether there are client accounts.
@@ -101,8 +108,7 @@
         self._call_listeners()
 
     def _call_listeners(self) -> None:
-        for listener in self._listeners:
-            listener()
+        self._listeners.notify()
 
     @property
     def has_secret(self) -> bool:
--- a/src/radishwind/peers/peer_socket.py
+++ b/src/radishwind/peers/peer_socket.py
@@ -13,10 +13,8 @@
 import enum
 from typing import TypeAlias
 
-from radishwind.core.clock import Clock
-from radishwind.core.clock import SystemClock
 from radishwind.http.types import Address
-from radishwind.telemetry.part_logger import PartLogger
+from radishwind.supervision import notify
 
 #: Maximum size of a datagram that is sent (bytes). It fits into an Ethernet
 #: frame of 1,500 bytes and is not fragmented: the loss of one fragment would
@@ -25,6 +23,9 @@
 
 _MAX_PORT = 65_535
 
+#: Name of the handlers of datagrams in the log and in the metrics.
+_PART = "peers.datagrams"
+
 #: Called with the payload after the channel byte and with the sender; returns
 #: whether the payload could be decoded.
 DatagramHandler: TypeAlias = Callable[[bytes, Address], bool]
@@ -71,7 +72,6 @@
         self,
         authenticator: DatagramAuthenticator | None = None,
         on_sent: DatagramSentCallback | None = None,
-        clock: Clock | None = None,
     ) -> None:
         """Creates an unbound socket.
 
@@ -79,9 +79,7 @@
           authenticator: signs and verifies datagrams; by default none is signed
             and all are accepted.
           on_sent: called for each datagram sent.
-          clock: times the log; the system's by default.
         """
-        self._log = PartLogger("peers", clock or SystemClock())
         self._authenticator = authenticator
         self._on_sent = on_sent
         self._transport: asyncio.DatagramTransport | None = None
@@ -122,7 +120,7 @@
             is_sent = True
             self.sent_count += 1
             if self._on_sent is not None:
-                self._on_sent(channel, peer, len(peer_datagram))
+                notify(_PART, self._on_sent, channel, peer, len(peer_datagram))
         return is_sent
 
     def _send_to(self, datagram: bytes, peer: Address) -> bool:
@@ -150,10 +148,7 @@
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        try:
-            self._receive(data, Address(*addr[:2]))
-        except Exception as exc:
-            self._log.failure("A datagram could not be handled.", exc)
+        if not notify(_PART, self._receive, data, Address(*addr[:2])):
             self.malformed_count += 1
 
     def _receive(self, data: bytes, sender: Address) -> None:
--- a/src/radishwind/peers/tests/test_peer_socket.py
+++ b/src/radishwind/peers/tests/test_peer_socket.py
@@ -11,6 +11,9 @@
 from radishwind.http.types import Address
 from radishwind.peers.peer_socket import Channel
 from radishwind.peers.peer_socket import PeerSocket
+from radishwind.supervision import failure_log
+from radishwind.supervision import FailureLog
+from radishwind.supervision import set_failure_log
 from radishwind.telemetry import part_logger
 
 pytestmark = pytest.mark.anyio
@@ -25,15 +28,18 @@
 def lines(monkeypatch):
     found = []
     monkeypatch.setattr(part_logger, "_sinks", [found.append])
-    return found
+    kept = failure_log()
+    set_failure_log(FailureLog(ManualClock()))
+    yield found
+    set_failure_log(kept)
 
 
 class Pair:
     """Two sockets on loopback; `received` is what the second one got."""
 
     def __init__(self):
-        self.sender = PeerSocket(clock=ManualClock())
-        self.receiver = PeerSocket(clock=ManualClock())
+        self.sender = PeerSocket()
+        self.receiver = PeerSocket()
         self.received = []
         self._changed = anyio.Event()
         self.receiver.add_handler(Channel.GOSSIP, self._handle)
--- a/src/radishwind/recency/proof_renewer.py
+++ b/src/radishwind/recency/proof_renewer.py
@@ -7,7 +7,6 @@
 import random
 
 import anyio
-import anyio.abc
 
 from radishwind.core.clock import Clock
 from radishwind.http.types import Address
@@ -21,6 +20,9 @@
 from radishwind.recency.renewal_planner import RenewalPlanner
 from radishwind.recency.source_selector import SourceSelector
 from radishwind.routes.active_routes import ActiveRoutes
+from radishwind.supervision import Duty
+from radishwind.supervision import run_together
+from radishwind.supervision import TaskPool
 from radishwind.telemetry.part_logger import PartLogger
 
 #: A node without a configuration plans again after this time.
@@ -88,6 +90,7 @@
         self._woken = anyio.Event()
         self._planner: RenewalPlanner | None = None
         self._source = ""
+        self._reads = TaskPool("recency.reads")
         self._max_ages_s = max_ages_s or {"routes": schedule.max_age_s}
         self._fresh_uses: set[str] = set()
         self.freshness = ProvenFreshness(schedule, lambda: routes.version, rng)
@@ -127,18 +130,24 @@
         age_s = self.freshness.age_s(self._clock.monotonic())
         return {"": age_s} if age_s < math.inf else {}
 
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties; they idle before the first configuration."""
+        return (self._reads.duty, Duty("recency.renewal", self._run_renewals))
+
     async def run(self) -> None:
-        """Runs until cancelled; idle before the first configuration."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                self._woken = anyio.Event()
-                wait_s = _UNCONFIGURED_WAIT_S
-                if self._routes.cfg is not None:
-                    wait_s = self._renew(tasks)
-                with anyio.move_on_after(wait_s):
-                    await self._woken.wait()
-
-    def _renew(self, tasks: anyio.abc.TaskGroup) -> float:
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties())
+
+    async def _run_renewals(self) -> None:
+        while True:
+            self._woken = anyio.Event()
+            wait_s = _UNCONFIGURED_WAIT_S
+            if self._routes.cfg is not None:
+                wait_s = self._renew()
+            with anyio.move_on_after(wait_s):
+                await self._woken.wait()
+
+    def _renew(self) -> float:
         """Does what is due; returns after how long to continue (s)."""
         now = self._clock.monotonic()
         if self._planner is None:
@@ -153,7 +162,7 @@
         self._log_change(now)
         plan = self._planner.plan(now)
         if plan.reads_store:
-            tasks.start_soon(self._read, self._planner)
+            self._reads.start_soon(self._read, self._planner)
         for member in plan.queries:
             self.exchange.query(
                 member.name, member.address, self._clock.monotonic()
@@ -161,11 +170,15 @@
         return plan.next_plan_s
 
     async def _read(self, planner: RenewalPlanner) -> None:
-        proof = await self._read_store()
-        if proof is not None:
-            self._accept(proof, "store")
-        planner.read_ended(proof is not None, self._clock.monotonic())
-        self._wake()
+        is_proven = False
+        try:
+            proof = await self._read_store()
+            if proof is not None:
+                self._accept(proof, "store")
+                is_proven = True
+        finally:
+            planner.read_ended(is_proven, self._clock.monotonic())
+            self._wake()
 
     def _accept(self, proof: FreshnessProof, source: str) -> None:
         if not self.freshness.accept(proof):
--- a/src/radishwind/routes/active_routes.py
+++ b/src/radishwind/routes/active_routes.py
@@ -6,6 +6,8 @@
 from radishwind.core.clock import Clock
 from radishwind.routes.model import RouteConfig
 from radishwind.routes.route_table import RouteTable
+from radishwind.supervision import Duty
+from radishwind.supervision import Listeners
 from radishwind.telemetry.part_logger import PartLogger
 
 
@@ -23,7 +25,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._log = PartLogger("routes", clock)
-        self._listeners: list[Callable[[RouteConfig], None]] = []
+        self._listeners: Listeners[RouteConfig] = Listeners("routes.adoption")
         self.cfg: RouteConfig | None = None
         self.table = RouteTable(())
         self.accounts = AccountIndex()
@@ -43,7 +45,12 @@
 
     def subscribe(self, listener: Callable[[RouteConfig], None]) -> None:
         """Registers `listener`, called after each adoption."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
+
+    @property
+    def retries(self) -> Duty:
+        """The duty that calls again the listeners that failed."""
+        return self._listeners.retries
 
     def adopt(self, cfg: RouteConfig, raw: bytes, source: str) -> bool:
         """Adopts `cfg` if its version is higher than the one in force.
@@ -73,8 +80,7 @@
             routes=len(cfg.routes),
             accounts=len(cfg.accounts),
         )
-        for listener in self._listeners:
-            listener(cfg)
+        self._listeners.notify(cfg)
         return True
 
     def _update_accounts(self, cfg: RouteConfig) -> None:
--- a/src/radishwind/routes/evacuation.py
+++ b/src/radishwind/routes/evacuation.py
@@ -11,6 +11,8 @@
 
 from radishwind.core.clock import Clock
 from radishwind.store.position import StorePosition
+from radishwind.supervision import Duty
+from radishwind.supervision import Listeners
 from radishwind.telemetry.part_logger import PartLogger
 
 #: How long a domain stays evacuated that was so before the store came back from
@@ -64,7 +66,9 @@
         # (monotonic s).
         self._carried: frozenset[str] = frozenset()
         self._carried_until = 0.0
-        self._listeners: list[Callable[[EvacuatedDomains], None]] = []
+        self._listeners: Listeners[EvacuatedDomains] = Listeners(
+            "routes.evacuation"
+        )
         self.domains = EvacuatedDomains()
 
     @property
@@ -74,7 +78,12 @@
 
     def subscribe(self, listener: Callable[[EvacuatedDomains], None]) -> None:
         """Registers `listener`, called after each change of the names."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
+
+    @property
+    def retries(self) -> Duty:
+        """The duty that calls again the listeners that failed."""
+        return self._listeners.retries
 
     def adopt(self, domains: EvacuatedDomains, source: str) -> bool:
         """Adopts `domains` if their position is higher.
@@ -131,5 +140,4 @@
             source=source,
         )
         in_force = msgspec.structs.replace(self.domains, names=names)
-        for listener in self._listeners:
-            listener(in_force)
+        self._listeners.notify(in_force)
--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -12,7 +12,6 @@
 import random
 
 import anyio
-import anyio.abc
 import msgspec
 
 from radishwind.core.clock import Clock
@@ -53,6 +52,10 @@
 from radishwind.store.base import Store
 from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.store.watch_monitor import WatchMonitor
+from radishwind.supervision import Duty
+from radishwind.supervision import run_contained
+from radishwind.supervision import run_together
+from radishwind.supervision import TaskPool
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Name of the control path on the peer listener.
@@ -169,7 +172,7 @@
         self._behind_event = anyio.Event()
         # A version and its compressed configuration, made on the first use.
         self._compressed = (0, b"")
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._pushes = TaskPool("routes.pushes")
         rumor_bus.subscribe(VERSION_TOPIC, self._on_version_rumor)
         rumor_bus.subscribe(EVACUATION_TOPIC, self._on_evacuation_rumor)
         active_routes.subscribe(self._on_adopted)
@@ -179,16 +182,20 @@
         """State of this node's watch of the store."""
         return self._store_watcher.monitor
 
-    async def run(self) -> None:
-        """Runs until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            tasks.start_soon(
-                self._store_watcher.run,
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties of the feed."""
+        return (
+            self._pushes.duty,
+            *self._store_watcher.duties(
                 self._first_wait_s,
                 lambda: self._active_routes.cfg is not None,
-            )
-            await self._pull_when_behind()
+            ),
+            Duty("routes.pulls", self._pull_when_behind),
+        )
+
+    async def run(self) -> None:
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties())
 
     async def confirm(self) -> FreshnessProof | None:
         """Asks the store for its newest configuration, and adopts it if newer.
@@ -321,8 +328,8 @@
         )
 
     def _push_soon(self, update: RouteUpdate) -> None:
-        if self._tasks is not None and self._feed_peers.is_watcher():
-            self._tasks.start_soon(self._push, encode(update))
+        if self._pushes.is_running and self._feed_peers.is_watcher():
+            self._pushes.start_soon(self._push, encode(update))
 
     async def _push(self, data: bytes) -> None:
         """Pushes an encoded update to this watcher's share of the local nodes.
@@ -334,7 +341,14 @@
         async with anyio.create_task_group() as tasks:
             for member in self._feed_peers.push_recipients():
                 await limit.acquire()
-                tasks.start_soon(self._push_to, member, data, limit)
+                tasks.start_soon(
+                    run_contained,
+                    "routes.pushes",
+                    self._push_to,
+                    member,
+                    data,
+                    limit,
+                )
 
     async def _push_to(
         self, member: Member, data: bytes, limit: anyio.Semaphore
@@ -419,7 +433,13 @@
                 self._active_routes.version
             ):
                 done = anyio.Event()
-                tasks.start_soon(self._pull_from, member, done)
+                tasks.start_soon(
+                    run_contained,
+                    "routes.pulls",
+                    self._pull_from,
+                    member,
+                    done,
+                )
                 with anyio.move_on_after(_NEXT_PEER_WAIT_S):
                     await done.wait()
                 if self._is_up_to_date():
@@ -437,15 +457,15 @@
 
     async def _pull_from(self, member: Member, done: anyio.Event) -> None:
         """Requests an update from a peer; sets `done` at the end."""
-        request = encode(
-            UpdateRequest(
-                self._active_routes.version,
-                self._evacuation.domains.revision,
-                self._node_name,
-                self._evacuation.domains.era,
-            )
-        )
         try:
+            request = encode(
+                UpdateRequest(
+                    self._active_routes.version,
+                    self._evacuation.domains.revision,
+                    self._node_name,
+                    self._evacuation.domains.era,
+                )
+            )
             data = await self._peers.call(
                 member.address, CONTROL_NAME, request, _PEER_TIMEOUT_S
             )
--- a/src/radishwind/routes/store_watcher.py
+++ b/src/radishwind/routes/store_watcher.py
@@ -11,6 +11,7 @@
 import anyio
 import msgspec
 
+from radishwind.core.backoff import Backoff
 from radishwind.core.clock import Clock
 from radishwind.recency.model import FreshnessProof
 from radishwind.routes.evacuation import EvacuatedDomains
@@ -20,10 +21,11 @@
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreError
 from radishwind.store.base import WatchEvent
-from radishwind.store.budgeted_store import Backoff
 from radishwind.store.position import StorePosition
 from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.store.watch_monitor import WatchMonitor
+from radishwind.supervision import Duty
+from radishwind.supervision import run_together
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Source given with everything that is read from the store.
@@ -110,6 +112,7 @@
         self._unavailable_since = 0.0
         self._watch_scope: anyio.CancelScope | None = None
         self._replacement_reason = ""
+        self._has_waited = False
 
     def note_version(self, version: int) -> None:
         """Records that `version` exists, which the watch has to report."""
@@ -121,12 +124,12 @@
         self._position = UNKNOWN_POSITION
         self._replace_watch("the era of the store rose")
 
-    async def run(
+    def duties(
         self, first_wait_s: float, is_known: Callable[[], bool]
-    ) -> None:
-        """Reads once, then watches while this node is a watcher.
+    ) -> tuple[Duty, ...]:
+        """Returns the duties: to read and watch, and to check the watch.
 
-        Runs until cancelled.
+        The first reads once, then watches while this node is a watcher.
 
         Args:
           first_wait_s: the first read comes after a random time of up to this
@@ -134,15 +137,24 @@
           is_known: returns whether a configuration is in force; if a peer sent
             one during the wait, the read is skipped.
         """
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._replace_silent_watches)
-            await self._follow(first_wait_s, is_known)
+        return (
+            Duty("routes.watch", lambda: self._follow(first_wait_s, is_known)),
+            Duty("routes.watch_check", self._replace_silent_watches),
+        )
+
+    async def run(
+        self, first_wait_s: float, is_known: Callable[[], bool]
+    ) -> None:
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties(first_wait_s, is_known))
 
     async def _follow(
         self, first_wait_s: float, is_known: Callable[[], bool]
     ) -> None:
-        """Reads once, then watches while this node is a watcher; see `run`."""
-        await anyio.sleep(self._rng.random() * first_wait_s)
+        """Reads once, then watches while this node is a watcher."""
+        if not self._has_waited:
+            await anyio.sleep(self._rng.random() * first_wait_s)
+            self._has_waited = True
         may_skip_read = first_wait_s > 0
         while not is_known() or not may_skip_read:
             if await self._read_first():
@@ -285,6 +297,11 @@
             except StoreError as exc:
                 reason = str(exc)[:120]
                 self._record_result(failed=True, reason=reason)
+            except Exception:
+                # All keys are read anew, for what was not applied.
+                self._position = UNKNOWN_POSITION
+                self.monitor.record_end()
+                raise
         is_replaced = self._watch_scope.cancelled_caught
         self._log.info(
             "The watch of the store ended.",
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -1,5 +1,6 @@
 """Composes a node for the platform and runs it until it is stopped."""
 
+import asyncio
 import os
 import random
 import signal
@@ -11,6 +12,7 @@
 from radishwind.core.clock import Clock
 from radishwind.entry.request_log import RequestLog
 from radishwind.http.httptools_sender import HttptoolsSender
+from radishwind.http.httptools_server import HttptoolsServer
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.membership.allowlist import OpenAllowlist
@@ -62,6 +64,12 @@
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budgeted_store import BudgetedStore
 from radishwind.store.era_tracker import EraTracker
+from radishwind.supervision import Duty
+from radishwind.supervision import FailureLog
+from radishwind.supervision import handle_loop_errors
+from radishwind.supervision import set_failure_log
+from radishwind.supervision import StopSteps
+from radishwind.supervision import Supervisor
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.node_exposition import NodeExposition
 from radishwind.telemetry.part_logger import PartLogger
@@ -85,6 +93,10 @@
         self._output = output
         self._rng = random.Random(int.from_bytes(os.urandom(8), "big"))
         self._log = PartLogger("node", clock)
+        self._failures = FailureLog(clock)
+        self._supervisor = Supervisor(clock, self._rng, self._failures)
+        self._stop_steps = StopSteps()
+        self._servers: list[HttptoolsServer] = []
 
     def _build(self) -> None:
         """Wires the node; must be called in the running event loop."""
@@ -290,37 +302,74 @@
                 recency=self._recency.renewer,
                 classifier=self._entry.classifier,
                 watch=self._control.watch_monitor,
+                supervisor=self._supervisor,
+                failures=self._failures,
             ),
         )
 
     async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT; then finishes requests in progress."""
+        """Runs until SIGTERM or SIGINT; then finishes requests in progress.
+
+        An error that is no duty's stops the node in the same way; it is raised
+        at the end.
+        """
+        set_failure_log(self._failures)
+        handle_loop_errors(asyncio.get_running_loop())
         self._build()
         async with anyio.create_task_group() as tasks:
-            # Before the node listens, so that no signal drops a request.
-            await tasks.start(self._wait_for_signal)
-            await self._listen()
-            tasks.start_soon(self._membership.run)
-            tasks.start_soon(self._peers.run)
-            self._control.start(tasks)
-            tasks.start_soon(self._target.load_poller.run)
-            tasks.start_soon(self._loads.run)
-            tasks.start_soon(self._quotas.run)
-            tasks.start_soon(self._entry.pipeline.run_hedges)
-            tasks.start_soon(self._reloader.run)
-            self._log.change(
-                "Started.",
-                node=self._settings.node,
-                service=self._settings.service,
-                failure_domain=self._settings.failure_domain,
-            )
-            await self._stopping.wait()
+            try:
+                await self._start(tasks)
+                await self._stopping.wait()
+            except Exception as exc:
+                self._stop_after_error("run", exc)
             self._log.change("Shutting down; finishing requests in progress.")
-            await self._shut_down()
+            await self._stop_steps.run("shutdown", self._shut_down)
             tasks.cancel_scope.cancel()
         await self._close_senders()
-        self._log.change("Stopped.")
+        self._log_end()
         self._output.flush()
+        if self._stop_steps.first_error is not None:
+            raise self._stop_steps.first_error
+
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
+        # Before the node listens, so that no signal drops a request.
+        await tasks.start(self._wait_for_signal)
+        await self._listen()
+        self._supervisor.start(tasks, self._duties())
+        self._log.change(
+            "Started.",
+            node=self._settings.node,
+            service=self._settings.service,
+            failure_domain=self._settings.failure_domain,
+        )
+
+    def _duties(self) -> tuple[Duty, ...]:
+        return (
+            *self._membership.duties(),
+            *self._peers.duties(),
+            *self._control.duties(),
+            Duty("target.load_poller", self._target.load_poller.run),
+            Duty("loads.reports", self._loads.run),
+            Duty("quotas", self._quotas.run),
+            *self._entry.pipeline.duties(),
+            Duty("settings", self._reloader.run),
+            self._routes.retries,
+            self._evacuation.retries,
+            self._eras.retries,
+            self._peers.keyring.retries,
+        )
+
+    def _stop_after_error(self, name: str, exc: Exception) -> None:
+        """Stops the node because of an error that is no duty's."""
+        self._stop_steps.record(name, exc)
+        self._stopping.set()
+
+    def _log_end(self) -> None:
+        error = self._stop_steps.first_error
+        if error is None:
+            self._log.change("Stopped.")
+            return
+        self._log.failure("Stopped after an error.", error, may_suppress=False)
 
     async def _listen(self) -> None:
         await self._peers.socket.start(self._settings.peers)
@@ -333,12 +382,13 @@
             may_run_in_parallel=self._entry.classifier.is_idempotent,
         )
         max_pipelined = MAX_PIPELINED if self._switches.ahead else 0
-        self._servers = await open_listeners(
+        await open_listeners(
             self._settings,
             handlers,
             max_pipelined,
             self._log,
             self._links.meter,
+            self._servers,
         )
 
     async def _shut_down(self) -> None:
@@ -353,6 +403,7 @@
             notices=DepartureNotices(
                 self._advertise_leaving, self._membership.advertise_left
             ),
+            steps=self._stop_steps,
         )
         await shutdown.run(self._servers)
         self._peers.socket.close()
@@ -364,27 +415,31 @@
 
     async def _close_senders(self) -> None:
         """Closes the senders once no task uses them any more."""
-        await self._peer_sender.close()
-        await self._server_sender.close()
-        await self._check_sender.close()
-        await self._store.close()
+        steps = self._stop_steps
+        await steps.run("senders", self._peer_sender.close)
+        await steps.run("senders", self._server_sender.close)
+        await steps.run("senders", self._check_sender.close)
+        await steps.run("store", self._store.close)
 
     async def _wait_for_signal(
         self, *, task_status: anyio.abc.TaskStatus[None]
     ) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            task_status.started()
-            async for number in signals:
-                if number is signal.SIGHUP:
-                    self._reloader.check_now()
-                else:
-                    self._stopping.set()
+        try:
+            with anyio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            ) as signals:
+                task_status.started()
+                async for number in signals:
+                    if number is signal.SIGHUP:
+                        self._reloader.check_now()
+                    else:
+                        self._stopping.set()
+        except Exception as exc:
+            self._stop_after_error("signals", exc)
 
     def _apply_settings(self, changed: PlacedSettings) -> None:
         """Applies the settings that may change without a restart."""
-        previous, self._settings = self._settings, changed
+        previous = self._settings
         self._control.apply_settings(changed)
         self._log.change("Reloaded the settings.", service=changed.service)
         if (previous.server, previous.service) != (
@@ -393,6 +448,8 @@
         ):
             self._target.server.apply_settings(changed.server, changed.service)
             self._membership.set_service(changed.service)
+        # At last, so that after an error they are applied again.
+        self._settings = changed
 
     def _is_ready(self) -> bool:
         return self._routes.cfg is not None and not self._stopping.is_set()
--- a/src/radishwind/sidecar/control_side.py
+++ b/src/radishwind/sidecar/control_side.py
@@ -2,8 +2,6 @@
 
 import random
 
-import anyio.abc
-
 from radishwind.core.clock import Clock
 from radishwind.membership.ranking import ranks_among_first
 from radishwind.node.membership_tasks import MembershipTasks
@@ -33,13 +31,14 @@
 from radishwind.store.base import Store
 from radishwind.store.era_tracker import EraTracker
 from radishwind.store.watch_monitor import WatchMonitor
+from radishwind.supervision import Duty
 from radishwind.target.leaving_records import CONTROL_NAME as LEAVING_CONTROL
 from radishwind.target.leaving_records import LeavingRecords
 from radishwind.target.server_process import ServerProcess
 
 
 class ControlSide:
-    """The parts of the control plane, and their tasks.
+    """The parts of the control plane, and their duties.
 
     Attributes:
       heartbeats: handles heartbeats of the local backend server.
@@ -119,6 +118,7 @@
             ),
             on_proof=recency.renewer.accept_first_read,
         )
+        recency.connect(self._feed)
         eras.subscribe(self._feed.on_new_era)
         eras.subscribe(self._records.on_new_era)
         self._era_notices = EraNotices(
@@ -166,14 +166,16 @@
         )
         peers.add_control_handler(LEAVING_CONTROL, self._records.handle)
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts the tasks in `tasks`."""
-        tasks.start_soon(self._feed.run)
-        tasks.start_soon(self._era_notices.run)
-        self._recency.start(tasks, self._feed)
-        tasks.start_soon(self._records_loader.run)
-        tasks.start_soon(self._records.run)
-        tasks.start_soon(self._profile.run)
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties of the control side."""
+        return (
+            *self._feed.duties(),
+            Duty("store.era_notices", self._era_notices.run),
+            *self._recency.renewer.duties(),
+            Duty("leaving.load", self._records_loader.run, may_end=True),
+            Duty("leaving.records", self._records.run),
+            Duty("profile", self._profile.run),
+        )
 
     def announce_leaving(self, process: ServerProcess) -> None:
         """Announces that a process of the local server is leaving."""
--- a/src/radishwind/sidecar/era_notices.py
+++ b/src/radishwind/sidecar/era_notices.py
@@ -11,6 +11,7 @@
 import anyio
 import msgspec
 
+from radishwind.core.backoff import Backoff
 from radishwind.core.clock import Clock
 from radishwind.decoding import JsonDecoder
 from radishwind.decoding import MalformedInputError
@@ -19,7 +20,6 @@
 from radishwind.membership.rumor_bus import RumorBus
 from radishwind.store.base import Store
 from radishwind.store.base import StoreError
-from radishwind.store.budgeted_store import Backoff
 from radishwind.store.era_tracker import EraTracker
 from radishwind.store.position import MAX_ERA
 from radishwind.telemetry.part_logger import PartLogger
@@ -75,6 +75,8 @@
 
     async def run(self) -> None:
         """Asks the store after each rumor of a new era, until cancelled."""
+        # An earlier call may have failed at what woke it.
+        self._wake_up.set()
         while True:
             await self._wake_up.wait()
             self._wake_up = anyio.Event()
--- a/src/radishwind/sidecar/graceful_shutdown.py
+++ b/src/radishwind/sidecar/graceful_shutdown.py
@@ -26,6 +26,7 @@
 from radishwind.platform.responses import caller_response
 from radishwind.sidecar.control import Readiness
 from radishwind.sidecar.options import RETRY_AFTER_S
+from radishwind.supervision import StopSteps
 from radishwind.target.pipeline import TargetPipeline
 from radishwind.telemetry.part_logger import PartLogger
 
@@ -82,6 +83,7 @@
         attempts: RequestsInProgress,
         target: TargetPipeline,
         notices: DepartureNotices,
+        steps: StopSteps | None = None,
     ) -> None:
         """Wires the shutdown.
 
@@ -94,6 +96,7 @@
           attempts: attempts forwarded by other nodes in progress.
           target: the own target, which runs the attempts.
           notices: notify other nodes.
+          steps: runs the steps, so that an error in one cuts no other.
         """
         self._clock = clock
         self._grace_s = grace_s
@@ -102,25 +105,29 @@
         self._attempts = attempts
         self._target = target
         self._notices = notices
+        self._steps = steps or StopSteps()
         self._log = PartLogger("stop", clock)
 
     async def run(self, servers: Sequence[Server]) -> None:
         """Shuts the node down; returns once all `servers` are closed."""
         began = self._clock.monotonic()
-        self._callers.request_connection_close()
+        steps = self._steps
+        steps.call("callers", self._callers.request_connection_close)
         not_ready_before = self._readiness.not_ready_count
-        await self._wait_until_callers_rerouted(began)
+        await steps.run("rerouting", self._wait_until_callers_rerouted, began)
         self._log.change(
             "Callers are routed to other nodes; the target refuses new work.",
             after_s=round(self._elapsed_s(began), 3),
             told_not_ready=self._readiness.not_ready_count - not_ready_before,
             in_progress=self._callers.count,
         )
-        self._notices.advertise_leaving()
-        self._target.refuse_new_work()
-        self._attempts.request_connection_close()
+        steps.call("leaving", self._notices.advertise_leaving)
+        steps.call("target", self._target.refuse_new_work)
+        steps.call("attempts", self._attempts.request_connection_close)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._refuse_late_requests, began)
+            tasks.start_soon(
+                steps.run, "late_requests", self._refuse_late_requests, began
+            )
             await self._wait_until_finished(began)
             tasks.cancel_scope.cancel()
         self._log.change(
@@ -130,11 +137,13 @@
             after_s=round(self._clock.monotonic() - began, 3),
             callers=self._callers.count,
         )
-        await self._notices.advertise_left()
+        await steps.run("left", self._notices.advertise_left)
         remaining_s = self._grace_s * CLOSE_FRACTION - self._elapsed_s(began)
         async with anyio.create_task_group() as tasks:
             for server in servers:
-                tasks.start_soon(server.close, max(0.1, remaining_s))
+                tasks.start_soon(
+                    steps.run, "listeners", server.close, max(0.1, remaining_s)
+                )
 
     async def _wait_until_callers_rerouted(self, began: float) -> None:
         """Waits until the platform routes no more callers to this node."""
@@ -151,13 +160,14 @@
 
     async def _wait_until_finished(self, began: float) -> None:
         """Waits for requests in progress, limited by the grace period."""
+        steps = self._steps
         limit_s = self._grace_s * CLOSE_FRACTION - _ADVERTISE_LEFT_S
         with anyio.move_on_after(max(0.5, limit_s - self._elapsed_s(began))):
-            await self._callers.wait_quiet(QUIET_S)
-            await self._callers.wait_idle()
-            await self._target.wait_drained()
-            await self._attempts.wait_quiet(QUIET_S)
-            await self._attempts.wait_idle()
+            await steps.run("callers", self._callers.wait_quiet, QUIET_S)
+            await steps.run("callers", self._callers.wait_idle)
+            await steps.run("target", self._target.wait_drained)
+            await steps.run("attempts", self._attempts.wait_quiet, QUIET_S)
+            await steps.run("attempts", self._attempts.wait_idle)
 
     def _elapsed_s(self, began: float) -> float:
         return self._clock.monotonic() - began
--- a/src/radishwind/sidecar/leaving_records_loader.py
+++ b/src/radishwind/sidecar/leaving_records_loader.py
@@ -10,6 +10,7 @@
 import anyio
 
 from radishwind.core.clock import Clock
+from radishwind.supervision import run_contained
 from radishwind.target.leaving_records import LeavingRecords
 
 #: Longest wait for the store's records: of a node that found peers, which may
@@ -61,7 +62,7 @@
         began = self._clock.monotonic()
         is_loaded = self._first_start
         while not is_loaded:
-            is_loaded = await self._records.load()
+            is_loaded = await self._load()
             if is_loaded or self._has_timed_out(
                 self._clock.monotonic() - began
             ):
@@ -71,7 +72,11 @@
         self._on_loaded()
         while not is_loaded:
             await anyio.sleep(_LATE_RETRY_DELAY_S)
-            is_loaded = await self._records.load()
+            is_loaded = await self._load()
+
+    async def _load(self) -> bool:
+        """Loads the records; an error in it counts as a failed try."""
+        return bool(await run_contained("leaving.load", self._records.load))
 
     def _has_timed_out(self, elapsed_s: float) -> bool:
         is_alone = self._node_count() <= 1
--- a/src/radishwind/sidecar/listeners.py
+++ b/src/radishwind/sidecar/listeners.py
@@ -1,7 +1,5 @@
 """Opens the listeners of a node, each with its own limits."""
 
-from collections.abc import Sequence
-
 import msgspec
 
 from radishwind.http.byte_meter import ByteMeter
@@ -48,7 +46,8 @@
     max_pipelined: int,
     log: PartLogger,
     link_meter: ByteMeter,
-) -> Sequence[HttptoolsServer]:
+    servers: list[HttptoolsServer],
+) -> None:
     """Opens the listeners.
 
     Args:
@@ -57,9 +56,8 @@
       max_pipelined: pipelined requests of a caller that run in parallel.
       log: logs unexpected errors of handlers.
       link_meter: counts the bytes exchanged with other nodes.
-
-    Returns:
-      The open listeners.
+      servers: gets each listener once it is open, so that those can be closed
+        if a later one cannot be opened.
     """
     callers = ServerLimits(
         max_connections=MAX_CALLER_CONNECTIONS,
@@ -85,10 +83,8 @@
     if settings.metrics_port:
         address = Address(settings.host, settings.metrics_port)
         listeners.append((handlers.metrics, address, others))
-    servers = []
     for handler, listen, limits in listeners:
         meter = link_meter if limits is peers else NO_METER
         server = HttptoolsServer(limits, handlers.may_run_in_parallel, meter)
         await server.start(with_error_logging(handler, log), listen)
         servers.append(server)
-    return servers
--- a/src/radishwind/sidecar/load_report_exchange.py
+++ b/src/radishwind/sidecar/load_report_exchange.py
@@ -132,9 +132,9 @@
         """Updates the recipients if the members changed."""
         if not self._is_stale:
             return
-        self._is_stale = False
         members = self._directory.members()
         self._traffic.set_members(members)
         self._recipients.set_members(
             m for m in members if m.state is not MemberState.DEAD
         )
+        self._is_stale = False
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -22,6 +22,8 @@
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budgeted_store import BudgetedStore
 from radishwind.store.watch_monitor import WatchMonitor
+from radishwind.supervision import FailureLog
+from radishwind.supervision import Supervisor
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.node_exposition import NodeExposition
 
@@ -52,6 +54,8 @@
     recency: ProofRenewer
     classifier: RoutedClassifier
     watch: WatchMonitor
+    supervisor: Supervisor
+    failures: FailureLog
 
 
 def add_metrics(metrics: NodeExposition, sources: MetricSources) -> None:
@@ -60,6 +64,7 @@
     _add_control(metrics, sources)
     _add_recency(metrics, sources)
     _add_quotas(metrics, sources.quotas)
+    _add_supervision(metrics, sources)
 
 
 def _add_data_path(metrics: NodeExposition, sources: MetricSources) -> None:
@@ -218,6 +223,25 @@
     )
 
 
+def _add_supervision(metrics: NodeExposition, sources: MetricSources) -> None:
+    metrics.add_counter(
+        "radishwind_duty_failures_total",
+        "Errors contained, by the duty or listener that raised them.",
+        lambda: {
+            f'duty="{name}"': count
+            for name, count in sources.failures.counts.items()
+        },
+    )
+    metrics.add_gauge(
+        "radishwind_duty_running",
+        "1 while a duty runs, 0 during a pause after an error.",
+        lambda: {
+            f'duty="{status.name}"': int(status.is_running)
+            for status in sources.supervisor.statuses()
+        },
+    )
+
+
 def _add_recency(metrics: NodeExposition, sources: MetricSources) -> None:
     keys, recency = sources.keys, sources.recency
     metrics.add_counter(
--- a/src/radishwind/sidecar/peer_side.py
+++ b/src/radishwind/sidecar/peer_side.py
@@ -8,8 +8,6 @@
 import os
 import random
 
-import anyio
-
 from radishwind.config.model import ServiceRules
 from radishwind.core.clock import Clock
 from radishwind.http.sender import Sender
@@ -38,6 +36,7 @@
 from radishwind.sidecar.secret_manager import SecretManager
 from radishwind.store.base import Store
 from radishwind.store.base import StoreEntry
+from radishwind.supervision import Duty
 from radishwind.target.pipeline import TargetPipeline
 
 
@@ -80,9 +79,7 @@
         )
         self.signer = FleetSigner(self.keyring, self._start_ids)
         self.client = HttpPeerClient(sender, self.signer, traffic)
-        self.socket = PeerSocket(
-            self.authenticator, traffic.record_datagram, clock
-        )
+        self.socket = PeerSocket(self.authenticator, traffic.record_datagram)
 
     def wire(
         self,
@@ -153,11 +150,12 @@
         """Handles that the store came back from a copy."""
         self._secret_manager.on_new_era()
 
-    async def run(self) -> None:
-        """Obtains the secret when it is needed; runs until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._route_verifier.run)
-            await self._secret_manager.run()
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties: to verify the routes and to obtain the secret."""
+        return (
+            Duty("peers.route_check", self._route_verifier.run),
+            Duty("peers.secret", self._secret_manager.run),
+        )
 
     def refused_by_label(self) -> dict[str, int]:
         """Returns the number of refused messages by kind and reason.
--- a/src/radishwind/sidecar/quota_sharing.py
+++ b/src/radishwind/sidecar/quota_sharing.py
@@ -21,6 +21,7 @@
 from radishwind.routes.active_routes import ActiveRoutes
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.quota_channel import QuotaChannel
+from radishwind.supervision import notify
 
 #: Interval of the periodic work of borrower and lender.
 TICK_INTERVAL_S = 0.25
@@ -132,7 +133,6 @@
 
     def _update_members(self, gossip: Gossip, now: float) -> None:
         """Updates the nodes that lend; nodes that left are not counted."""
-        self._is_stale = False
         records = gossip.table.members
         lenders = [
             name for name, record in records.items() if _may_lend(record)
@@ -142,8 +142,12 @@
         )
         self._addresses.clear()
         for name in lenders:
-            self._addresses[name] = Address.parse(records[name].address)
+            notify("quotas.members", self._set_address, records[name])
         self._lender_map.update_members(lenders, known, now)
+        self._is_stale = False
+
+    def _set_address(self, record: MemberRecord) -> None:
+        self._addresses[record.name] = Address.parse(record.address)
 
     def _other_nodes(self) -> list[str]:
         return [
--- a/src/radishwind/sidecar/recency_side.py
+++ b/src/radishwind/sidecar/recency_side.py
@@ -2,8 +2,6 @@
 
 import random
 
-import anyio.abc
-
 from radishwind.core.clock import Clock
 from radishwind.core.freshness import AlwaysFresh
 from radishwind.core.freshness import Freshness
@@ -18,7 +16,7 @@
 
 
 class RecencySide:
-    """The freshness of the configuration, and the task that proves it.
+    """The freshness of the configuration, and the duty that proves it.
 
     Attributes:
       routes: whether the routes known here are fresh enough to deny others.
@@ -70,7 +68,6 @@
         if settings.revoke_s is not None:
             self.keys = proven.within(settings.revoke_s)
 
-    def start(self, tasks: anyio.abc.TaskGroup, feed: RouteFeed) -> None:
-        """Starts the task, which reads the store through `feed`."""
+    def connect(self, feed: RouteFeed) -> None:
+        """Reads the store through `feed`."""
         self.renewer.connect(feed.confirm, feed.note_version)
-        tasks.start_soon(self.renewer.run)
--- a/src/radishwind/sidecar/secret_manager.py
+++ b/src/radishwind/sidecar/secret_manager.py
@@ -12,6 +12,7 @@
 import anyio
 import msgspec
 
+from radishwind.core.backoff import Backoff
 from radishwind.core.clock import Clock
 from radishwind.decoding import JsonDecoder
 from radishwind.decoding import MalformedInputError
@@ -29,7 +30,6 @@
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreError
 from radishwind.store.base import TxnResult
-from radishwind.store.budgeted_store import Backoff
 from radishwind.store.position import StorePosition
 from radishwind.store.position import UNKNOWN_POSITION
 from radishwind.telemetry.part_logger import PartLogger
@@ -159,6 +159,8 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         await anyio.sleep(self._spread_s + _LISTING_S)
+        # An earlier call may have failed at what woke it.
+        self._wake_up.set()
         while True:
             await self._wake_up.wait()
             self._wake_up = anyio.Event()
--- a/src/radishwind/sidecar/settings_reloader.py
+++ b/src/radishwind/sidecar/settings_reloader.py
@@ -88,6 +88,8 @@
         self._on_changed = on_changed
         self._log = PartLogger("settings", clock)
         self._check_requested = asyncio.Event()
+        # Read from the file; an error hindered that they were applied.
+        self._unapplied: PlacedSettings | None = None
 
     def check_now(self) -> None:
         """Checks the file at once."""
@@ -111,5 +113,7 @@
                 reason=str(exc),
             )
             return
-        if changed is not None:
-            self._on_changed(changed)
+        self._unapplied = changed or self._unapplied
+        if self._unapplied is not None:
+            self._on_changed(self._unapplied)
+            self._unapplied = None
--- a/src/radishwind/store/era_tracker.py
+++ b/src/radishwind/store/era_tracker.py
@@ -6,6 +6,8 @@
 from radishwind.store.base import StoreAnswerLostError
 from radishwind.store.base import StoreAnswerMalformedError
 from radishwind.store.position import MAX_ERA
+from radishwind.supervision import Duty
+from radishwind.supervision import Listeners
 from radishwind.telemetry.part_logger import PartLogger
 
 
@@ -20,7 +22,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._log = PartLogger("store", clock)
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners: Listeners[()] = Listeners("store.eras")
         self._has_answered = False
         self.era = 0
         self.change_count = 0
@@ -28,7 +30,12 @@
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Registers `listener`, called when the store came back from a copy."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
+
+    @property
+    def retries(self) -> Duty:
+        """The duty that calls again the listeners that failed."""
+        return self._listeners.retries
 
     def observe(self, text: str | None) -> int:
         """Returns the era of an answer of the store.
@@ -58,8 +65,7 @@
                 era=era,
                 before=previous,
             )
-            for listener in self._listeners:
-                listener()
+            self._listeners.notify()
         return era
 
     def _parse(self, text: str | None) -> int:
--- a/src/radishwind/target/leaving_records.py
+++ b/src/radishwind/target/leaving_records.py
@@ -32,6 +32,7 @@
 from radishwind.store.base import Put
 from radishwind.store.base import Store
 from radishwind.store.base import StoreError
+from radishwind.supervision import run_contained
 from radishwind.target.server_process import ServerProcess
 from radishwind.telemetry.part_logger import PartLogger
 
@@ -140,13 +141,20 @@
     async def run(self) -> None:
         """Persists the announced records until cancelled."""
         while True:
-            await self._announced.wait()
-            self._announced = anyio.Event()
             while self._unpersisted:
                 process = self._unpersisted.popleft()
-                if not await self.persist(process, _PERSIST_S):
+                is_persisted = False
+                try:
+                    is_persisted = await self.persist(process, _PERSIST_S)
+                except Exception:
+                    # The others come first the next time.
+                    self._unpersisted.append(process)
+                    raise
+                if not is_persisted:
                     self._unpersisted.appendleft(process)
                     await anyio.sleep(_RETRY_DELAY_S)
+            await self._announced.wait()
+            self._announced = anyio.Event()
 
     async def persist(self, process: ServerProcess, within_s: float) -> bool:
         """Persists the record of a process; returns whether that succeeded.
@@ -165,8 +173,15 @@
         stored, failed = anyio.Event(), anyio.Event()
         with anyio.move_on_after(within_s):
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._store_or_fail, key, stored, failed)
-                tasks.start_soon(self._store_by_peers, key, stored, failed)
+                for write in (self._store_or_fail, self._store_by_peers):
+                    tasks.start_soon(
+                        run_contained,
+                        "leaving.writes",
+                        write,
+                        key,
+                        stored,
+                        failed,
+                    )
                 await stored.wait()
                 tasks.cancel_scope.cancel()
         took_s = round(self._clock.monotonic() - now, 3)
@@ -234,7 +249,9 @@
         self, key: str, stored: anyio.Event, failed: anyio.Event
     ) -> None:
         """Sets the event that tells whether this node could write a record."""
-        is_stored = await self._store_record(key)
+        is_stored = await run_contained(
+            "leaving.writes", self._store_record, key
+        )
         (stored if is_stored else failed).set()
 
     async def _store_by_peers(
@@ -251,7 +268,14 @@
         self._rng.shuffle(members)
         async with anyio.create_task_group() as tasks:
             for member in members[:_PEERS_ASKED]:
-                tasks.start_soon(self._ask_peer, member, key, stored)
+                tasks.start_soon(
+                    run_contained,
+                    "leaving.peer_writes",
+                    self._ask_peer,
+                    member,
+                    key,
+                    stored,
+                )
 
     async def _ask_peer(
         self, member: Member, key: str, stored: anyio.Event
--- a/src/radishwind/target/load_monitor.py
+++ b/src/radishwind/target/load_monitor.py
@@ -9,6 +9,7 @@
 
 from radishwind.core.clock import Clock
 from radishwind.routing.pace_statistics import PaceStatistics
+from radishwind.supervision import notify
 from radishwind.target.change_grid import ChangeGrid
 from radishwind.target.dialect import ServerLoad
 from radishwind.target.pace import Pace
@@ -192,7 +193,7 @@
             self._recent_paces.popleft()
         self._base_pace = min(pace for _, pace in self._recent_paces)
         for callback in self._subscribers:
-            callback()
+            notify("target.load_listeners", callback)
 
     def _record_change(self, now: float) -> None:
         """Records a change of pace; relearns the grid if it is discarded."""
@@ -264,7 +265,7 @@
 
     def _notify_use(self) -> None:
         for callback in self._use_subscribers:
-            callback()
+            notify("target.load_listeners", callback)
 
     def _is_check_deferred(self) -> bool:
         """Returns whether the server needs no checks before callers arrive."""
--- a/src/radishwind/target/load_poller.py
+++ b/src/radishwind/target/load_poller.py
@@ -85,11 +85,11 @@
         self._on_sent = on_sent
         self._on_response = on_response
         self._on_unreachable = on_unreachable
+        self._use_resumed = anyio.Event()
+        monitor.subscribe_use(lambda: self._use_resumed.set())
 
     async def run(self) -> None:
         """Sends health checks until cancelled."""
-        self._use_resumed = anyio.Event()
-        self._monitor.subscribe_use(lambda: self._use_resumed.set())
         while True:
             view = self._view()
             wait_s = self._monitor.next_check_s()
