Close aiohttp's listener without grace beside requests in progress

What would be seen: `AiohttpServer.close(0.0)` never returned while a request was in progress.

Cause: aiohttp takes a timeout of 0 for no limit.

Fix: the grace passed on is at least 10 ms. The new test runs with httptools and aiohttp; with aiohttp it was seen failing on the code before (TimeoutError after 10 s).

--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -29,6 +29,10 @@
 
 _SERVER_NAME = "radishwind"
 
+#: Shortest time that `close` waits for requests in progress (s); aiohttp takes
+#: 0 for no limit.
+_MIN_GRACE_S = 0.01
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -193,7 +197,7 @@
     async def close(self, grace_s: float) -> None:
         if self._runner is None:
             return
-        self._runner._shutdown_timeout = grace_s
+        self._runner._shutdown_timeout = max(grace_s, _MIN_GRACE_S)
         await self._runner.cleanup()
         self._runner = None
 
--- a/src/radishwind/http/tests/test_server_edges.py
+++ b/src/radishwind/http/tests/test_server_edges.py
@@ -240,6 +240,23 @@
     assert answer == b""
 
 
+async def test_close_without_grace_does_not_wait_for_requests_in_progress():
+    started = anyio.Event()
+
+    async def handle(request):
+        started.set()
+        await anyio.sleep_forever()
+
+    server = make_server(Chosen.library, LIMITS)
+    address = await server.start(handle, Address("127.0.0.1", 0))
+    stream = await anyio.connect_tcp(*address)
+    async with stream:
+        await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        with anyio.fail_after(10):
+            await started.wait()
+            await server.close(0.0)
+
+
 @pytest.mark.parametrize("one", list(HttpLibrary))
 async def test_all_libraries_transfer_a_streamed_body(one):
     body = b"abc" * 50_000
