Reset the connection of an HTTP/1.0 caller whose response breaks off

What callers would see: a 200 with an empty or short body that looked whole. It took a caller of HTTP/1.0 and a response of unknown length that broke off after its head was passed on (the server, or a node on the way, stopped within the body; the node's grace ended; the node was killed). With HTTP/1.1 the last chunk is missing, and a stated length is not reached; both are noticed.

Cause: the end of the connection delimits such a body, and `transport.abort()` closes in order (FIN) unless unread bytes were received; so does the kernel for a process that dies.

Fix: while such a response is sent, SO_LINGER with time 0 makes every close a reset, also that by the kernel.

--- a/src/radishwind/http/aiohttp_server.py
+++ b/src/radishwind/http/aiohttp_server.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+from aiohttp import HttpVersion11
 from aiohttp import web
 from aiohttp.web_protocol import RequestPayloadError
 from multidict import CIMultiDict
@@ -17,6 +18,7 @@
 from radishwind.http.rejections import body_too_large_error
 from radishwind.http.rejections import rejection_response
 from radishwind.http.rejections import sender_too_slow_error
+from radishwind.http.reset_on_close import set_reset_on_close
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
 from radishwind.http.server_connection import MayRunInParallel
@@ -311,17 +313,37 @@
     )
 
 
+def _transport(request: web.BaseRequest) -> asyncio.Transport:
+    """Returns the transport of the connection.
+
+    Raises:
+      ExchangeBrokenError: the connection is lost.
+    """
+    transport = request.transport
+    if transport is None:
+        raise ExchangeBrokenError("the caller has disconnected")
+    return transport
+
+
 async def _stream(
     request: web.BaseRequest, response: Response, body: BodyStream
 ) -> web.StreamResponse:
     headers = CIMultiDict(response.headers)
     headers.setdefault("Server", _SERVER_NAME)
     out = web.StreamResponse(status=response.status, headers=headers)
+    ends_with_connection = (
+        request.version < HttpVersion11 and "Content-Length" not in headers
+    )
     try:
+        if ends_with_connection:
+            set_reset_on_close(_transport(request), is_enabled=True)
         await out.prepare(request)
         async for piece in body:
             await out.write(piece)
         await out.write_eof()
+        if ends_with_connection:
+            await request.writer.drain()
+            set_reset_on_close(_transport(request), is_enabled=False)
     except BaseException as exc:
         # The connection to the caller is aborted, so that the caller does not
         # mistake a partial response for a complete one.
--- a/src/radishwind/http/hypercorn_server.py
+++ b/src/radishwind/http/hypercorn_server.py
@@ -11,14 +11,18 @@
 import anyio.abc
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
+import msgspec
 
+from radishwind.core.codes import ResultCode
 from radishwind.http.errors import ExchangeBrokenError
+from radishwind.http.problems import make_problem_response
 from radishwind.http.server import Handler
 from radishwind.http.server import Server
 from radishwind.http.server_limits import ServerLimits
 from radishwind.http.types import Address
 from radishwind.http.types import BodyStream
 from radishwind.http.types import get_header
+from radishwind.http.types import read_body
 from radishwind.http.types import Request
 from radishwind.http.types import Response
 from radishwind.http.types import SMALL_BODY_BYTES
@@ -102,6 +106,8 @@
     handler: Handler, scope: dict[str, Any], receive: _Receive, send: _Send
 ) -> None:
     response = await handler(await _read_request(scope, receive))
+    if scope["http_version"] == "1.0" and response.body_bytes is None:
+        response = await _complete(response)
     headers = [
         (key.lower().encode(), value.encode("utf-8", "surrogateescape"))
         for key, value in response.headers
@@ -122,6 +128,24 @@
     await _send_body(response, send)
 
 
+async def _complete(response: Response) -> Response:
+    """Returns `response` with its whole body.
+
+    The end of the connection would delimit a streamed body, and hypercorn
+    offers no way to reset the connection if the body is cut off.
+    """
+    try:
+        body = await read_body(response.body)
+    except ExchangeBrokenError:
+        return make_problem_response(
+            ResultCode.EXCHANGE_BROKEN,
+            502,
+            "The response was cut off, or is too large for HTTP/1.0.",
+            "unknown",
+        )
+    return msgspec.structs.replace(response, body=body, body_bytes=len(body))
+
+
 async def _send_body(response: Response, send: _Send) -> None:
     if isinstance(response.body, bytes):
         await send({"type": "http.response.body", "body": response.body})
--- a/src/radishwind/http/response_writer.py
+++ b/src/radishwind/http/response_writer.py
@@ -10,8 +10,10 @@
 from radishwind.http.heads import has_body
 from radishwind.http.heads import LAST_CHUNK
 from radishwind.http.heads import MalformedHeadError
+from radishwind.http.reset_on_close import set_reset_on_close
 from radishwind.http.types import abort_body
 from radishwind.http.types import BodyStream
+from radishwind.http.types import get_header
 from radishwind.http.types import Response
 
 
@@ -64,6 +66,13 @@
             self._transport.abort()
             return False
         body = response.body
+        ends_with_connection = (
+            isinstance(body, BodyStream)
+            and not accepts_chunks
+            and get_header(response.headers, "content-length") is None
+        )
+        if ends_with_connection:
+            set_reset_on_close(self._transport, is_enabled=True)
         if isinstance(body, bytes):
             bodiless = to_head or not has_body(response.status)
             self._send(head if bodiless else head + body)
@@ -71,7 +80,11 @@
             return False
         if not self._is_writable:
             await self._wait_writable()
-        return not self._is_lost
+        if self._is_lost:
+            return False
+        if ends_with_connection:
+            set_reset_on_close(self._transport, is_enabled=False)
+        return True
 
     async def _stream(
         self, head: bytes, body: BodyStream, is_chunked: bool
