Reject responses of ambiguous framing and of no final status in every sender

What callers would see: - aiohttp: the bytes of chunks ("5\r\nhello\r\n0...") as the body of a 200 for `Transfer-Encoding: xchunked` and the like; a coded body without its coding (the field is per hop and isn't passed on) for `gzip`; 101 with no body. - hypercorn-httpx: a chunked response that also states a shorter length is sent on by that length. - httptools, so the platform's node too: after a status of 000 to 099 the request waited until its deadline, since that counted as informational.

Fix: one check of the head, `verify_response_head`, for all three senders; `parse_framing` calls repeated or malformed lengths, and a length beside chunks, ambiguous in place of raising.

--- a/src/radishwind/http/aiohttp_sender.py
+++ b/src/radishwind/http/aiohttp_sender.py
@@ -11,7 +11,8 @@
 
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
-from radishwind.http.errors import ResponseMismatchError
+from radishwind.http.errors import InvalidResponseError
+from radishwind.http.heads import verify_response_head
 from radishwind.http.response_check import ResponseCheck
 from radishwind.http.response_check import verify_head
 from radishwind.http.sender import Sender
@@ -144,8 +145,10 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise ExchangeBrokenError(f"{address}: {exc!r}") from exc
         try:
-            verify_head(check, response.status, _decode_headers(response))
-        except ResponseMismatchError:
+            headers = _decode_headers(response)
+            verify_response_head(response.status, headers)
+            verify_head(check, response.status, headers)
+        except InvalidResponseError:
             response.close()
             raise
         return await _read_response(response)
--- a/src/radishwind/http/client_connection.py
+++ b/src/radishwind/http/client_connection.py
@@ -27,7 +27,7 @@
 from radishwind.http.heads import encode_chunk
 from radishwind.http.heads import has_body
 from radishwind.http.heads import LAST_CHUNK
-from radishwind.http.heads import parse_framing
+from radishwind.http.heads import verify_response_head
 from radishwind.http.incoming_body import IncomingBody
 from radishwind.http.response_check import ResponseCheck
 from radishwind.http.response_sequence import CloseReason
@@ -233,19 +233,16 @@
 
     def on_headers_complete(self) -> None:
         self._status = self._parser.get_status_code()
-        if self._status < 200 or self._response is None:
+        if self._is_informational() or self._response is None:
             return
         self._in_head = False
         self._head_bytes = 0
         self._framing.start()
         headers = decode_fields(self._fields)
-        framing = parse_framing(headers)
-        if not framing.is_unambiguous:
-            self._fail_with(
-                InvalidResponseError(
-                    "expected a chunked body or one with Content-Length"
-                )
-            )
+        try:
+            framing = verify_response_head(self._status, headers)
+        except InvalidResponseError as exc:
+            self._fail_with(exc)
             return
         verdict = self._sequence.judge(
             self._status, headers, framing, to_head=self._to_head
@@ -295,9 +292,12 @@
         if self._is_skipping:
             self._is_skipping = False
             self._in_head = True
-        elif self._status >= 200:
+        elif not self._is_informational():
             self._complete()
 
+    def _is_informational(self) -> bool:
+        return 100 <= self._status < 200
+
     # End of an exchange.
 
     def _resolve(self, response: Response) -> None:
--- a/src/radishwind/http/heads.py
+++ b/src/radishwind/http/heads.py
@@ -6,8 +6,10 @@
 """
 
 import http
+import re
 from typing import NamedTuple
 
+from radishwind.http.errors import InvalidResponseError
 from radishwind.http.types import Address
 from radishwind.http.types import Body
 from radishwind.http.types import Headers
@@ -23,6 +25,9 @@
 _BODILESS_STATUS = frozenset({204, 304})
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
+#: A length that fits into 64 bits.
+_LENGTH = re.compile("[0-9]{1,18}")
+
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -67,7 +72,9 @@
     for name, value in headers:
         lowered = name.lower()
         if lowered == "content-length":
-            length = int(value)
+            is_valid = length is None and _LENGTH.fullmatch(value) is not None
+            is_unambiguous = is_unambiguous and is_valid
+            length = int(value) if is_valid else 0
         elif lowered == "transfer-encoding":
             is_unambiguous = (
                 is_unambiguous and not is_chunked and value.lower() == "chunked"
@@ -85,11 +92,30 @@
         is_chunked,
         closes_connection,
         expects_continue,
-        is_unambiguous,
+        is_unambiguous and not (is_chunked and length is not None),
         host_count,
     )
 
 
+def verify_response_head(status: int, headers: Headers) -> Framing:
+    """Returns the framing of a final response.
+
+    Raises:
+      InvalidResponseError: receivers may differ on where its body ends, or it
+        has no status of a final response.
+    """
+    if status < 200:
+        raise InvalidResponseError(
+            f"expected the status of a final response, got {status}"
+        )
+    framing = parse_framing(headers)
+    if not framing.is_unambiguous:
+        raise InvalidResponseError(
+            "expected a chunked body or one with Content-Length"
+        )
+    return framing
+
+
 def encode_request_head(request: Request, address: Address) -> bytes:
     """Returns the encoded head of `request`, which frames its body.
 
--- a/src/radishwind/http/httpx_sender.py
+++ b/src/radishwind/http/httpx_sender.py
@@ -7,7 +7,8 @@
 
 from radishwind.http.errors import ConnectFailedError
 from radishwind.http.errors import ExchangeBrokenError
-from radishwind.http.errors import ResponseMismatchError
+from radishwind.http.errors import InvalidResponseError
+from radishwind.http.heads import verify_response_head
 from radishwind.http.response_check import ResponseCheck
 from radishwind.http.response_check import verify_head
 from radishwind.http.sender import Sender
@@ -92,12 +93,10 @@
         except httpx.HTTPError as exc:
             raise ExchangeBrokenError(f"{address}: {exc!r}") from exc
         try:
-            verify_head(
-                check,
-                response.status_code,
-                tuple(response.headers.multi_items()),
-            )
-        except ResponseMismatchError:
+            headers = tuple(response.headers.multi_items())
+            verify_response_head(response.status_code, headers)
+            verify_head(check, response.status_code, headers)
+        except InvalidResponseError:
             await response.aclose()
             raise
         return await _read_response(response)
