Answer a request whose streamed body is rejected

What callers saw: the connection closed without an answer in the middle of an upload (of more than 64 KB, or of unknown length beyond that) whose chunks were malformed, which was too large or too slow, though the handler had an answer.

Cause: the body aborted its connection whenever its reader ended early, also when the reader ended by the error that the connection itself had reported.

Fix: after such an error the connection is left to whoever reported it. The client's connection aborts itself; the listener writes the answer, and closes.

--- a/src/radishwind/http/incoming_body.py
+++ b/src/radishwind/http/incoming_body.py
@@ -95,7 +95,9 @@
                 await self._changed
             is_finished = True
         finally:
-            if not is_finished:
+            # After an error the connection ends by itself, or still gets the
+            # response to a request that was rejected.
+            if not is_finished and self._error is None:
                 self.abort()
 
     def abort(self) -> None:
--- a/src/radishwind/http/tests/test_uploads.py
+++ b/src/radishwind/http/tests/test_uploads.py
@@ -9,6 +9,7 @@
 from radishwind.http import Request
 from radishwind.http import Response
 from radishwind.http import ServerLimits
+from radishwind.http.errors import RequestRejectedError
 from radishwind.http.httptools_sender import HttptoolsSender
 from radishwind.http.httptools_server import HttptoolsServer
 from radishwind.http.types import is_resendable
@@ -92,3 +93,27 @@
         await sender.close()
 
     assert response.status == 200
+
+
+@pytest.mark.parametrize("field", [b""])
+async def test_malformed_chunk_ends_a_streamed_body_at_once(field):
+    errors = []
+
+    async def handle(request):
+        with pytest.raises(RequestRejectedError) as caught:
+            await read_body(request.body)
+        errors.append(caught.value)
+        raise caught.value
+
+    server = HttptoolsServer(ServerLimits(body_timeout_s=60.0, linger_s=0.1))
+    address = await server.start(handle, Address("127.0.0.1", 0))
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+    chunk = b"%x\r\n" % SIZE + b"x" * SIZE + b"\r\n"
+    async with await anyio.connect_tcp(*address) as stream:
+        await stream.send(head + field + b"\r\n" + chunk + b"no size\r\n")
+        with anyio.fail_after(10):
+            answer = await stream.receive()
+    await server.close(0.0)
+
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert len(errors) == 1
