Reject a malformed chunk of the last upload of a connection at once

What callers saw: an upload with `Connection: close`, of more than 64 KB, whose chunks were malformed got its answer (408) only after 10 s of silence, and its attempt stayed open at the server beside it for as long.

Cause: errors of the parser were ignored once no further request was wanted, which `Connection: close` implies; so were those within the body still due.

Fix: they are ignored only after the end of that body.

--- a/src/radishwind/http/request_reader.py
+++ b/src/radishwind/http/request_reader.py
@@ -160,7 +160,8 @@
         cause = exc.__context__
         if isinstance(cause, RequestRejectedError):
             raise cause
-        if not self._is_stopped:
+        # After the last request, what follows its body is not parsed.
+        if not self._is_stopped or self._body is not None:
             raise RequestRejectedError(str(exc)) from exc
 
     # Called by the parser.
--- a/src/radishwind/http/tests/test_uploads.py
+++ b/src/radishwind/http/tests/test_uploads.py
@@ -95,7 +95,7 @@
     assert response.status == 200
 
 
-@pytest.mark.parametrize("field", [b""])
+@pytest.mark.parametrize("field", [b"", b"Connection: close\r\n"])
 async def test_malformed_chunk_ends_a_streamed_body_at_once(field):
     errors = []
 
