Test responses that are cut between two nodes, as processes

A proxy before the peer listener of the node beside the server cuts each response to an attempt at each byte of its head and at drawn places of its body (small, buffered, streamed; with a length, in chunks, until close at the server), by close, by reset and by silence; nodes at both ends are killed and stopped within a body of 60 MB, with callers of HTTP/1.1 and HTTP/1.0.

The server's stand-in can send bodies of a size, and in chunks.

--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -96,9 +96,12 @@
         `unframed` (no length), `unframed-reset` (no length, truncated, then
         the connection is reset), `extra` (followed by a second response),
         `other` (carries the ID of another request), `unsigned` (carries no
-        signature), `encoded` (declares a content encoding), `lost` (the
-        request ran, but the connection is reset without a response).
+        signature), `encoded` (declares a content encoding), `chunked` (in
+        chunks instead of with a length), `lost` (the request ran, but the
+        connection is reset without a response).
       share: the fraction of responses with this fault.
+      body_bytes: the size of the body of a response (bytes); 0 for a short
+        one.
       fail: the fraction of requests answered with status 500.
       shed: the fraction of requests shed although the queue has room.
       endless: empty, or the part of a response that never ends, see
@@ -118,6 +121,7 @@
 
     answer: str = ""
     share: float = 1.0
+    body_bytes: int = 0
     fail: float = 0.0
     shed: float = 0.0
     endless: str = ""
@@ -407,7 +411,7 @@
         }
         if status == 200:
             headers["Response-Signature"] = f"{self.incarnation}.{request_id}"
-        body = b"done %s" % request_id.encode()
+        body = make_body(request_id, self.faults.body_bytes)
         return web.Response(status=status, headers=headers, body=body)
 
     async def _send_endless(
@@ -438,6 +442,9 @@
         if fault == "other":
             response.headers["Attempt-Id"] = "another"
             return response
+        if fault == "chunked":
+            response.enable_chunked_encoding()
+            return response
         if fault == "encoded":
             response.headers["Content-Encoding"] = "gzip"
             return response
@@ -457,6 +464,13 @@
         return response
 
 
+def make_body(request_id: str, size: int) -> bytes:
+    """Returns the body of a response, of at least its short size (bytes)."""
+    short = b"done %s" % request_id.encode()
+    count = size // len(short) + 1
+    return short if size <= len(short) else (count * short)[:size]
+
+
 def _encode_response(response: web.StreamResponse) -> bytes:
     """Returns the bytes of a response whose body is known."""
     assert isinstance(response, web.Response)
--- /dev/null
+++ b/tests/test_cut_responses_processes.py
@@ -0,0 +1,209 @@
+"""Two nodes as processes: no part of a response looks whole to a caller."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+
+import pytest
+
+from radishwind.http.types import Address
+from radishwind.standins.platform_fleet import Fleet
+from radishwind.standins.platform_fleet import HOST
+from radishwind.standins.platform_fleet import Place
+from radishwind.standins.platform_fleet import route
+from radishwind.standins.platform_server import make_body
+from radishwind.standins.platform_server import ServerFaults
+from tests.support.cutting_proxy import CutEnd
+from tests.support.cutting_proxy import CuttingProxy
+from tests.test_platform_processes import is_served
+from tests.test_platform_processes import wait_for
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+PLACES = [
+    Place("a-1", "127.0.34.11", "a", "front"),
+    Place("b-1", "127.0.34.12", "b", "back"),
+]
+
+#: Statuses that say that a request certainly did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+#: How a server sends its responses, and the size of their bodies (bytes).
+WAYS = {
+    "length": ServerFaults(),
+    "until-close": ServerFaults(answer="unframed"),
+    "chunked": ServerFaults(answer="chunked"),
+    "buffered": ServerFaults(body_bytes=200_000),
+    "buffered-chunked": ServerFaults(answer="chunked", body_bytes=200_000),
+    "streamed": ServerFaults(body_bytes=2_000_000),
+}
+
+#: Bytes of a head within which each place is cut, and places cut behind it.
+HEAD_BYTES = 330
+PLACES_IN_BODY = 16
+
+#: Least number of responses that are cut of each kind; others are shorter.
+MIN_CUTS = 20
+
+
+class Deployment:
+    """An entry node, a node beside a server, and the proxy between them."""
+
+    def __init__(self, fleet, proxy):
+        self.fleet = fleet
+        self.proxy = proxy
+        self.entry = fleet.instances["a-1"]
+        self.back = fleet.instances["b-1"]
+        self.numbers = itertools.count()
+
+    async def ask(self, prefix, method="POST", timeout_ms=1500):
+        """Sends a request; returns its ID and the response."""
+        name = f"r{next(self.numbers):06d}"
+        response = await self.fleet.ask(
+            self.entry, f"/{prefix}/x", method, timeout_ms, name
+        )
+        return name, response
+
+    def check(self, name, response, max_runs):
+        """Asserts what holds for each response, whatever was cut."""
+        server = self.back.server
+        assert server.runs[name] <= max_runs
+        if response.status == 200:
+            body = make_body(name, server.faults.body_bytes)
+            assert response.body == body
+        if server.runs[name]:
+            assert response.status not in NOT_RUN_STATUSES
+        assert response.status != 204
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    proxies = []
+
+    async def prepare(instance):
+        if instance.place.name != "b-1":
+            return
+        listen = Address(instance.place.host, instance.caller_address.port + 9)
+        proxy = CuttingProxy(listen, instance.peer_address)
+        await proxy.start()
+        proxies.append(proxy)
+        instance.configured_peer_address = listen
+
+    async with Fleet(PLACES, tmp_path, prepare) as fleet:
+        fleet.configure(
+            [
+                route("back", "unsafe"),
+                route("back", "safe", name="safe", prefix="/safe/"),
+            ]
+        )
+        await fleet.start(7, spell_s=0.0, work_s=0.001)
+        for path in ("/back/x", "/safe/x"):
+            for instance in fleet.instances.values():
+                await wait_for(
+                    lambda i=instance, p=path: is_served(fleet, i, p)
+                )
+        yield Deployment(fleet, proxies[0])
+        for proxy in proxies:
+            await proxy.close()
+
+
+def places_of(way, rng):
+    """Returns where to cut a response: within its head, its body, its end."""
+    size = max(WAYS[way].body_bytes, 12)
+    head = range(0, HEAD_BYTES, 1 if way == "length" else 9)
+    body = rng.choices(range(HEAD_BYTES, HEAD_BYTES + size), k=PLACES_IN_BODY)
+    return [*head, *body]
+
+
+@pytest.mark.parametrize("way", WAYS)
+async def test_response_cut_between_two_nodes_never_looks_whole(
+    deployment, way
+):
+    deployment.back.server.faults = WAYS[way]
+    rng = random.Random(5)
+    ends = itertools.cycle((CutEnd.CLOSE, CutEnd.RESET))
+    for size in places_of(way, rng):
+        cuts_before = deployment.proxy.cut_count
+        deployment.proxy.cut_next(size, next(ends))
+        name, response = await deployment.ask("back")
+        deployment.check(name, response, max_runs=1)
+        # An unsafe request whose response is cut is not answered otherwise.
+        if deployment.proxy.cut_count > cuts_before:
+            assert response.status in (0, 502)
+
+    assert deployment.proxy.cut_count > MIN_CUTS
+
+
+@pytest.mark.parametrize("way", ["length", "buffered"])
+async def test_safe_request_whose_response_is_cut_gets_a_whole_one(
+    deployment, way
+):
+    deployment.back.server.faults = WAYS[way]
+    for size in range(0, HEAD_BYTES, 29):
+        deployment.proxy.cut_next(size, CutEnd.CLOSE)
+        name, response = await deployment.ask("safe", "GET")
+        deployment.check(name, response, max_runs=2)
+    assert deployment.proxy.cut_count > 0
+
+
+async def test_response_that_goes_silent_ends_by_its_deadline(deployment):
+    for way in ("length", "buffered", "streamed"):
+        deployment.back.server.faults = WAYS[way]
+        for size in (0, 9, 100, 250, HEAD_BYTES + 5):
+            deployment.proxy.cut_next(size, CutEnd.SILENCE)
+            name, response = await deployment.ask("back", timeout_ms=300)
+            deployment.check(name, response, max_runs=1)
+
+
+async def read_slowly(instance, name, version, until):
+    """Reads a response until `until()` is true, then what is left of it.
+
+    Returns:
+      The response, and whether the connection was reset.
+    """
+    reader, writer = await asyncio.open_connection(*instance.caller_address)
+    request = (
+        f"POST /back/x HTTP/{version}\r\nHost: {HOST}\r\n"
+        f"Attempt-Id: {name}\r\nTimeout-Ms: 30000\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
+    writer.write(request.encode())
+    got, was_reset = b"", False
+    try:
+        async with asyncio.timeout(30):
+            got = await reader.readuntil(b"\r\n\r\n")
+            await until()
+            while piece := await reader.read(65536):
+                got += piece
+    except ConnectionResetError:
+        was_reset = True
+    with contextlib.suppress(ConnectionError):
+        writer.close()
+        await writer.wait_closed()
+    return got, was_reset
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+@pytest.mark.parametrize("ended", ["entry", "back"])
+async def test_body_cut_by_the_end_of_a_node_does_not_look_whole(
+    deployment, ended, number, version
+):
+    size = 60_000_000
+    deployment.back.server.faults = ServerFaults(body_bytes=size)
+    node = getattr(deployment, ended)
+
+    async def until_ended():
+        node.signal_node(number)
+        await node.node_ended()
+
+    got, was_reset = await read_slowly(
+        deployment.entry, "slow", version, until_ended
+    )
+
+    head, _, body = got.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert was_reset or b"Content-Length: %d" % size in head
+    assert len(body) < size
