Test that uploads cut on their way are not passed on between two nodes

Uploads with a length and in chunks, buffered and streamed, cut by close and by reset at drawn places and at each of the last eight bytes: 160 cut ones, none ran at the server behind the other node; the four whole ones ran once.

--- a/tests/support/cutting_proxy.py
+++ b/tests/support/cutting_proxy.py
@@ -70,7 +70,7 @@
         try:
             upstream = await asyncio.open_connection(*self._upstream)
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         link = _Link(self, (reader, writer), upstream)
         with contextlib.suppress(OSError, asyncio.CancelledError):
@@ -135,16 +135,17 @@
                     await self._end(end)
                     return
         except ConnectionResetError:
-            _reset(writer)
+            reset(writer)
 
     async def _end(self, end: CutEnd) -> None:
         if end is CutEnd.RESET:
-            _reset(self._client[1])
+            reset(self._client[1])
         elif end is CutEnd.SILENCE:
             await asyncio.Event().wait()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets the connection of `writer`."""
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     writer.transport.abort()
--- a/tests/test_cut_responses_processes.py
+++ b/tests/test_cut_responses_processes.py
@@ -17,6 +17,7 @@
 from radishwind.standins.platform_server import ServerFaults
 from tests.support.cutting_proxy import CutEnd
 from tests.support.cutting_proxy import CuttingProxy
+from tests.support.cutting_proxy import reset
 from tests.test_platform_processes import is_served
 from tests.test_platform_processes import wait_for
 
@@ -207,3 +208,54 @@
     assert head.startswith(b"HTTP/1.1 200")
     assert was_reset or b"Content-Length: %d" % size in head
     assert len(body) < size
+
+
+def uploads():
+    """Yields the framing field and the body of uploads, as sent."""
+    for size in (40, 100_000):
+        body = b"u" * size
+        yield f"Content-Length: {size}", body
+        half = size // 2
+        chunk = b"%x\r\n" % half + body[:half] + b"\r\n"
+        yield "Transfer-Encoding: chunked", 2 * chunk + b"0\r\n\r\n"
+
+
+async def upload(instance, name, field, body, end):
+    """Sends a request, and ends its connection unless `end` is `None`."""
+    reader, writer = await asyncio.open_connection(*instance.caller_address)
+    head = (
+        f"POST /back/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {name}\r\n"
+        f"Timeout-Ms: 1500\r\nConnection: close\r\n{field}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    with contextlib.suppress(ConnectionError):
+        await writer.drain()
+        if end is CutEnd.RESET:
+            reset(writer)
+        elif end is CutEnd.CLOSE:
+            writer.write_eof()
+        await reader.read()
+    writer.close()
+
+
+async def test_upload_that_is_cut_is_not_passed_on_as_a_whole_one(deployment):
+    rng = random.Random(9)
+    whole, cut = set(), set()
+    for field, body in uploads():
+        near = [len(body) - left for left in range(1, 9)]
+        for size in (*rng.sample(range(len(body)), 12), *near):
+            for end in (CutEnd.CLOSE, CutEnd.RESET):
+                name = f"cut{len(cut):04d}"
+                cut.add(name)
+                await upload(deployment.entry, name, field, body[:size], end)
+        name = f"whole{len(whole):04d}"
+        whole.add(name)
+        await upload(deployment.entry, name, field, body, None)
+    server = deployment.back.server
+
+    await wait_for(lambda: all_run(server, whole))
+    assert [name for name in cut if server.runs[name]] == []
+
+
+async def all_run(server, names):
+    return all(server.runs[name] == 1 for name in names)
