Let the stand-ins make odd records and count who reads them

Callers lost their requests when a node read an entry, an answer or a message that another program had made oddly, and nothing in the repository made such content: soak and fuzzing feed odd bytes to the parsers of requests only.

The stores mark odd entries and count each read of one, by node, so that a test can tell an entry that was harmless from one that nobody read. The server's stand-in states odd header fields on request.

--- a/src/radishwind/standins/platform_fleet.py
+++ b/src/radishwind/standins/platform_fleet.py
@@ -251,6 +251,7 @@
       store: the stand-in for the store.
       accounts: the client accounts that `configure` writes, in the format of
         the operator.
+      rewrite_config: changes each configuration before it is written.
     """
 
     def __init__(
@@ -270,6 +271,7 @@
         """
         self._bounds = bounds
         self.accounts: list[dict[str, Any]] = []
+        self.rewrite_config: Callable[[bytes], bytes] = bytes
         self._prepare_instance = prepare
         port = find_free_port_range(
             [p.host for p in places], _PORTS_PER_INSTANCE
@@ -352,7 +354,8 @@
         }
         if self.accounts:
             cfg["tenants"] = self.accounts
-        self.store.put("op/config", json.dumps(cfg).encode())
+        content = self.rewrite_config(json.dumps(cfg).encode())
+        self.store.put("op/config", content)
         return self._config_version
 
     async def until_ready(self, instance: Instance) -> None:
--- a/src/radishwind/standins/platform_server.py
+++ b/src/radishwind/standins/platform_server.py
@@ -117,6 +117,8 @@
       limit_per_s: the request limit that responses state (requests/s); `None`
         for none.
       health_notices: whether health responses state it too.
+      odd_fields: further header fields of all responses, health responses
+        included; they replace those of the same name.
     """
 
     answer: str = ""
@@ -132,6 +134,7 @@
     slow: float = 1.0
     limit_per_s: float | None = None
     health_notices: bool = True
+    odd_fields: tuple[tuple[str, str], ...] = ()
 
 
 class PlatformServerStandin:
@@ -152,6 +155,7 @@
       late_copies_sent: the number of late copies of responses sent.
       shed_count: the number of requests shed.
       endless_count: the number of responses without end begun.
+      odd_fields_count: the number of responses with odd fields.
       leave_acknowledged_at: when the node acknowledged the planned leave
         (monotonic s), set by the caller that makes it leave; `None` before.
       last_run_started_at: when the last run started (monotonic s); 0 before
@@ -181,6 +185,7 @@
         self.late_copies_sent = 0
         self.shed_count = 0
         self.endless_count = 0
+        self.odd_fields_count = 0
         random_name = f"i-{rng.getrandbits(32):08x}"
         self.incarnation = options.incarnation or random_name
         self.started_at_ms = clock.wall_ms()
@@ -234,10 +239,20 @@
             self.late_copies_sent += 1
             transport.write(copy)  # type: ignore[attr-defined]
         response = await handler(request)
+        if not response.prepared:
+            self._add_odd_fields(response)
         if self._rng.random() < self.faults.late_copies:
             self._late_copies[transport] = _encode_response(response)
         return response
 
+    def _add_odd_fields(self, response: web.StreamResponse) -> None:
+        odd_fields = self.faults.odd_fields
+        for name, _ in odd_fields:
+            response.headers.popall(name, None)
+        for name, value in odd_fields:
+            response.headers.add(name, value)
+        self.odd_fields_count += bool(odd_fields)
+
     async def send_heartbeats(self) -> None:
         """Sends heartbeats until cancelled."""
         async with aiohttp.ClientSession() as session:
--- a/src/radishwind/standins/platform_store.py
+++ b/src/radishwind/standins/platform_store.py
@@ -18,6 +18,7 @@
 from radishwind.core.clock import Clock
 from radishwind.standins.store_faults import FaultInjector
 from radishwind.standins.store_faults import never_respond
+from radishwind.standins.store_faults import node_of
 from radishwind.standins.store_faults import send_fault
 from radishwind.standins.store_faults import StoreFaults
 
@@ -73,6 +74,8 @@
       restored_count: how often the store came back from a copy.
       calls: the number of calls received, by name; a long-polling watch counts
         once.
+      call_times: when each call of a node was received (monotonic s), by the
+        address of the node, as of `StoreFaults.only`, and the name.
       revision: the current revision of the store.
       era: the current era, stated in all answers; `None` for a store that
         states none.
@@ -90,6 +93,12 @@
         self._delayed_transactions: set[asyncio.Task[None]] = set()
         self.restored_count = 0
         self.calls: collections.Counter[str] = collections.Counter()
+        self.call_times: dict[tuple[str, str], list[float]] = (
+            collections.defaultdict(list)
+        )
+        # What is odd about the items that other programs wrote, by key and
+        # revision.
+        self._odd_items: dict[tuple[str, int], str] = {}
         self.revision = 1
         self.era: int | None = 1
 
@@ -149,6 +158,21 @@
         self._notify_watches()
         return self.revision
 
+    def put_odd(self, key: str, value: bytes, oddity: str) -> int:
+        """Writes an item as another program would; its reads are counted.
+
+        Args:
+          key: the key.
+          value: the value.
+          oddity: what is odd about the item.
+
+        Returns:
+          The revision of the item.
+        """
+        revision = self.put(key, value)
+        self._odd_items[key, revision] = oddity
+        return revision
+
     def value(self, key: str) -> bytes | None:
         """Returns the value of an item; `None` if the key is absent."""
         item = self._items.get(key)
@@ -207,7 +231,11 @@
         """Returns a handler that applies the faults around `handler`."""
 
         async def handle(request: web.Request) -> web.StreamResponse:
-            self.calls[request.path.split("/")[2]] += 1
+            name = request.path.split("/")[2]
+            self.calls[name] += 1
+            self.call_times[node_of(request), name].append(
+                self._clock.monotonic()
+            )
             self._injector.record_connection(request)
             if self.faults.delay_ms:
                 await asyncio.sleep(self.faults.delay_ms / 1000)
@@ -222,7 +250,7 @@
                 response.headers["Store-Era"] = str(era)
             if self._injector.is_mute(request):
                 return await never_respond()
-            return response
+            return self._injector.spoil(request, response)
 
         return handle
 
@@ -247,6 +275,7 @@
         item = self._items.get(request.query["key"])
         if item is None:
             return web.json_response({"current-rev": self.revision}, status=404)
+        self._record_reads(request, [item])
         return web.json_response({**item, "current-rev": self.revision})
 
     async def _handle_range(self, request: web.Request) -> web.Response:
@@ -256,6 +285,7 @@
             k for k in self._items if k.startswith(prefix) and k > after
         )
         page = [self._items[k] for k in keys[:MAX_PAGE_ITEMS]]
+        self._record_reads(request, page)
         return web.json_response(
             {
                 "items": page,
@@ -282,10 +312,20 @@
             if events and self._injector.loses_watch_answer(request):
                 return await never_respond()
             if events or left_s <= 0:
+                self._record_reads(request, events)
                 response = {"events": events, "current-rev": self.revision}
                 return web.json_response(response)
             await _wait_at_most(self._change_event, left_s)
 
+    def _record_reads(
+        self, request: web.Request, items: list[dict[str, Any]]
+    ) -> None:
+        places = [(item["key"], item["rev"]) for item in items]
+        self._injector.record_reads(
+            request,
+            {p[0]: self._odd_items[p] for p in places if p in self._odd_items},
+        )
+
     async def _handle_transaction(
         self, request: web.Request
     ) -> web.StreamResponse:
--- a/src/radishwind/standins/store.py
+++ b/src/radishwind/standins/store.py
@@ -5,7 +5,9 @@
 """
 
 import base64
+import collections
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 from typing import Any
 from typing import NoReturn
 
@@ -23,6 +25,7 @@
 
 FAULTS_PATH = "/standin/faults"
 COUNTERS_PATH = "/standin/counters"
+ODD_ENTRY_PATH = "/standin/odd-entry"
 
 #: The kind of call of each path.
 _KINDS = {
@@ -54,6 +57,8 @@
       mute_watches: whether the open watches report nothing from then on; new
         ones do.
       lapse_leases: the IDs of leases to end at once; `[-1]` for all.
+      odd_answer: if not empty, the body of each answer, whose call is executed,
+        and of each further message of a watch.
     """
 
     down: str = ""
@@ -63,6 +68,21 @@
     lose_prefix: str = ""
     mute_watches: bool = False
     lapse_leases: tuple[int, ...] = ()
+    odd_answer: str = ""
+
+
+class OddEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry that another program wrote; reads of it are counted.
+
+    Attributes:
+      oddity: what is odd about it.
+      key: the key, in base64.
+      value: the value, in base64.
+    """
+
+    oddity: str
+    key: bytes
+    value: bytes
 
 
 class StoreStandin:
@@ -71,6 +91,8 @@
     Attributes:
       state: the keys, revisions and leases.
       calls: the number of calls received, by kind; a watch counts once.
+      odd_reads: how often odd entries were read, by what is odd about them.
+      odd_answers: the number of odd answers given.
       open_watches: the number of open watches.
       muted_watches: the number of watches that report nothing any more.
     """
@@ -78,6 +100,10 @@
     def __init__(self, clock: Clock) -> None:
         self.state = StoreState(clock)
         self.calls: dict[str, int] = {}
+        self.odd_reads: collections.Counter[str] = collections.Counter()
+        self.odd_answers = 0
+        # What is odd about entries, by key (base64) and revision.
+        self._odd_entries: dict[tuple[str, str], str] = {}
         self.open_watches = 0
         self.muted_watches = 0
         self._mute_event = anyio.Event()
@@ -111,6 +137,8 @@
             return _make_response(200, self._read_counters())
         if request.path == FAULTS_PATH:
             return await self._handle_faults(request)
+        if request.path == ODD_ENTRY_PATH:
+            return await self._handle_odd_entry(request)
         kind = _KINDS.get(request.path)
         if kind is None:
             return _make_error(404, 5, "not found")
@@ -128,6 +156,9 @@
             return _make_error(400, 3, repr(exc))
         if self._should_lose_response(kind, call):
             return Response(200, (), _BrokenBody())
+        if self._faults.odd_answer:
+            self.odd_answers += 1
+            return Response(200, (), self._faults.odd_answer.encode())
         return response
 
     def _should_lose_response(self, kind: str, call: dict[str, Any]) -> bool:
@@ -144,7 +175,9 @@
 
     def _execute(self, kind: str, body: dict[str, Any]) -> Response:
         if kind != "watch":
-            return _make_response(200, self.state.handlers[kind](body))
+            message = self.state.handlers[kind](body)
+            self._record_reads(message.get("kvs", ()))
+            return _make_response(200, message)
         create = body["create_request"]
         key = base64.b64decode(create["key"])
         end = base64.b64decode(create["range_end"])
@@ -177,10 +210,28 @@
         self.set_faults(faults)
         return _make_response(200, faults)
 
+    async def _handle_odd_entry(self, request: Request) -> Response:
+        body = await read_body(request.body)
+        try:
+            entry = msgspec.json.decode(body, type=OddEntry)
+        except msgspec.MsgspecError as exc:
+            return _make_error(400, 3, str(exc))
+        kv = self.state.put(entry.key, entry.value)
+        self._odd_entries[kv["key"], kv["mod_revision"]] = entry.oddity
+        return _make_response(200, kv)
+
+    def _record_reads(self, kvs: Iterable[dict[str, Any]]) -> None:
+        for kv in kvs:
+            oddity = self._odd_entries.get((kv["key"], kv["mod_revision"]))
+            if oddity is not None:
+                self.odd_reads[oddity] += 1
+
     def _read_counters(self) -> dict[str, Any]:
         return {
             "calls": self.calls,
             "watching": self.open_watches,
+            "odd_reads": dict(self.odd_reads),
+            "odd_answers": self.odd_answers,
             "revision": self.state.revision,
         }
 
@@ -204,6 +255,12 @@
         yield _encode_line({"result": header})
         muted = self._mute_event
         while not self._faults.down:
+            if self._faults.odd_answer:
+                self.odd_answers += 1
+                changed = self._faults_changed
+                yield self._faults.odd_answer.encode() + b"\n"
+                await changed.wait()
+                continue
             if muted.is_set():
                 self.muted_watches += 1
                 await anyio.sleep_forever()
@@ -212,6 +269,7 @@
             if changes:
                 start = changes[-1].revision + 1
                 events = [c.message for c in changes]
+                self._record_reads(event["kv"] for event in events)
                 result = {"header": self.state.header(), "events": events}
                 yield _encode_line({"result": result})
                 continue
--- a/src/radishwind/standins/store_faults.py
+++ b/src/radishwind/standins/store_faults.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import collections
+from collections.abc import Mapping
 
 from aiohttp import web
 import msgspec
 
+from radishwind.standins.odd_answers import spoil_answer
+
 
 class StoreFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The faults in force until they are replaced.
@@ -27,6 +30,7 @@
         applied, if its conditions still hold (s).
       lose_watch_answers: the number of next watch responses with events that
         are lost.
+      odd_answer: empty, or what is odd about the answers, see `OddAnswer`.
     """
 
     down: str = ""
@@ -37,6 +41,7 @@
     lose_answers: int = 0
     late_s: float = 0.0
     lose_watch_answers: int = 0
+    odd_answer: str = ""
 
 
 class FaultInjector:
@@ -88,19 +93,19 @@
         """Records the connection of a call, so that faults can affect it."""
         self._drop_closed_connections()
         if request.transport is not None:
-            self._connections[request.transport] = _node_of(request)
+            self._connections[request.transport] = node_of(request)
 
     def is_down_for(self, request: web.Request) -> bool:
         """Returns whether the call is to be refused now."""
         faults = self._faults
         if not faults.down:
             return False
-        nodes = {_node_of(request), request.remote}
+        nodes = {node_of(request), request.remote}
         return not faults.only or bool(nodes & set(faults.only))
 
     async def refuse(self, request: web.Request) -> web.StreamResponse:
         """Refuses a call as the faults in force say."""
-        self.injected[self._faults.down, _node_of(request)] += 1
+        self.injected[self._faults.down, node_of(request)] += 1
         return await send_fault(request, self._faults.down)
 
     def is_mute(self, request: web.Request) -> bool:
@@ -112,7 +117,7 @@
         if self._watch_answers_to_lose <= 0:
             return False
         self._watch_answers_to_lose -= 1
-        self.injected["lost watch answer", _node_of(request)] += 1
+        self.injected["lost watch answer", node_of(request)] += 1
         return True
 
     def loses_answer(self, request: web.Request) -> bool:
@@ -120,9 +125,32 @@
         if self._answers_to_lose <= 0:
             return False
         self._answers_to_lose -= 1
-        self.injected["lost answer", _node_of(request)] += 1
+        self.injected["lost answer", node_of(request)] += 1
         return True
 
+    def spoil(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        """Returns the response as `odd_answer` says, and counts it."""
+        is_whole = isinstance(response, web.Response) and not response.prepared
+        if not self._faults.odd_answer or not is_whole:
+            return response
+        self.injected["odd answer", node_of(request)] += 1
+        assert isinstance(response, web.Response)
+        return spoil_answer(response, self._faults.odd_answer)
+
+    def record_reads(
+        self, request: web.Request, items: Mapping[str, str]
+    ) -> None:
+        """Counts the odd items that a node reads.
+
+        Args:
+          request: the call of the node.
+          items: what is odd about each, by key.
+        """
+        for oddity in items.values():
+            self.injected[f"odd record {oddity}", node_of(request)] += 1
+
     def _drop_closed_connections(self) -> None:
         for transport in list(self._connections):
             if transport.is_closing():
@@ -144,7 +172,7 @@
     return web.Response(status=503)
 
 
-def _node_of(request: web.Request) -> str:
+def node_of(request: web.Request) -> str:
     """Returns the address by which the node that sent `request` is known.
 
     Each node of a deployment calls the store at an address of its own; their
--- a/src/radishwind/standins/store_state.py
+++ b/src/radishwind/standins/store_state.py
@@ -140,6 +140,13 @@
         for lease_id in list(self._leases):
             self.end_lease(lease_id)
 
+    def put(self, key: bytes, value: bytes) -> dict[str, Any]:
+        """Writes an entry; returns it in the format of the gateway."""
+        encoded = (base64.b64encode(x).decode() for x in (key, value))
+        put = dict(zip(("key", "value"), encoded, strict=True))
+        self._txn({"success": [{"request_put": put}]})
+        return self._kv(key)
+
     def header(self) -> dict[str, Any]:
         """Returns the header of a response."""
         return {"revision": str(self._revision)}
