Let the soak write odd records and watch every node's end

Callers lost the requests on nodes that ended by themselves, and no soak had shown it: it fed odd bytes to callers' parsers only, looked at an exit status only where a fault itself had ended the node, and counted a request without an answer as a status of 0 among others.

A series of its own now writes odd entries to the store and takes them away again, at times with a node that starts beside, adds nested unknown fields to sound configurations, sends odd datagrams, calls and heartbeats, spoils settings with SIGHUP or without, and lets servers and the store answer oddly.

New checks: a watcher per node reports each end that no fault asked for, with the exit status and the last log line; a request on an open connection that ends without an answer is a violation unless the node was killed meanwhile; a malformed heartbeat must be refused, and none answered with 500; the store calls of a node stay within its StoreBudget in any 5 s, its watch calls within that and one for each change.

Causes in the nodes' logs: the decoder of the configuration, of the store's answers and of the settings file (RecursionError), and the peer socket (ValueError for a host name, OSError 22 for an address of port 0).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,11 +12,19 @@
 from radishwind.standins.platform_fleet import Instance
 from radishwind.standins.platform_server import ENDLESS_SUFFIX
 from tests.soak.account_keys import AccountKeys
+from tests.soak.node_exits import UnansweredRequest
 from tests.soak.server_notices import ServerNotices
 
 #: Response statuses that guarantee that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
 
+#: Timeout of a request (s), far beyond the time limit that it states.
+_TIMEOUT_S = 6.0
+
+#: Time after which callers close idle connections (s): less than four fifths of
+#: the idle timeout of the configuration.
+_IDLE_S = 10.0
+
 
 @dataclasses.dataclass(slots=True)
 class CallerResults:
@@ -28,6 +36,7 @@
       violations: guarantees that a response violated by itself.
       statuses: number of responses by status; 0 stands for no response.
       notices: what responses stated of servers.
+      unanswered: the requests whose connection ended without an answer.
     """
 
     accounts: AccountKeys | None = None
@@ -37,6 +46,9 @@
         default_factory=collections.Counter
     )
     notices: ServerNotices = dataclasses.field(default_factory=ServerNotices)
+    unanswered: list[UnansweredRequest] = dataclasses.field(
+        default_factory=list
+    )
 
 
 async def send_load(
@@ -56,9 +68,11 @@
       stop: ends the load when set.
     """
     rng = random.Random(seed)
-    timeout = aiohttp.ClientTimeout(total=1.5)
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    # Kept until the node closes them; callers give up idle ones earlier.
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=_IDLE_S)
     async with (
-        aiohttp.ClientSession(timeout=timeout) as session,
+        aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
         asyncio.TaskGroup() as tasks,
     ):
         while not stop.is_set():
@@ -101,17 +115,33 @@
     suffix = ENDLESS_SUFFIX if request_id[0] == "0" else "/x"
     url = f"http://{instance.caller_address}/{service}{suffix}"
     status = 0
+    has_head = False
+    sent_at = loop.time()
     try:
         async with session.request(method, url, headers=headers) as response:
+            has_head = True
             body = await response.read()
             status = response.status
             results.notices.record_response(
                 instance.place.name, response.headers, loop.time()
             )
             _check_response(results, request_id, response, body)
-    except (aiohttp.ClientError, TimeoutError):
+    except aiohttp.ClientConnectorError:
+        # Nothing was sent.
+        status = 0
+    except (aiohttp.ClientError, TimeoutError) as exc:
         # Without a response nothing is guaranteed; `statuses` counts it as 0.
         status = 0
+        if not has_head:
+            results.unanswered.append(
+                UnansweredRequest(
+                    request_id,
+                    instance.place.name,
+                    sent_at,
+                    loop.time(),
+                    repr(exc),
+                )
+            )
     results.statuses[status] += 1
     return status
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -24,6 +24,9 @@
 from tests.soak.account_keys import AccountKeys
 from tests.soak.config_checks import ConfigurationChecks
 from tests.soak.loopback_proxy import LoopbackProxy
+from tests.soak.node_exits import is_planned
+from tests.soak.node_exits import NodeExits
+from tests.soak.odd_items import OddItems
 from tests.soak.server_notices import ServerNotices
 
 PLACES = tuple(
@@ -35,9 +38,6 @@
 #: Interval at which a starting node is checked (s).
 _POLL_INTERVAL_S = 0.02
 
-#: Exit code of a node ended by SIGKILL, which is expected, as is 0.
-_KILLED_EXIT_CODE = -signal.SIGKILL
-
 
 async def _do_nothing() -> None:
     """Does nothing after a leave was acknowledged."""
@@ -79,7 +79,9 @@
       fleet: instances and the store stand-in.
       links: proxies by instance name.
       servers: every server that has run, with those that were replaced.
-      unexpected_exits: descriptions of nodes that ended with a wrong exit code.
+      exits: the ends of nodes.
+      odd_items: the odd entries in the store.
+      odd_violations: guarantees violated by the answers to odd calls.
       reserved: names of the instances whose processes a fault controls.
       injected: how often each fault that is counted took effect.
     """
@@ -99,7 +101,10 @@
         self.fleet = Fleet(list(PLACES), folder, self._insert_proxies, bounds)
         self.links: dict[str, InstanceLinks] = {}
         self.servers: list[PlatformServerStandin] = []
-        self.unexpected_exits: list[str] = []
+        self.exits = NodeExits()
+        self.odd_items = OddItems(self.fleet.store)
+        self.odd_violations: list[str] = []
+        self._watchers: list[asyncio.Task[None]] = []
         self.reserved: set[str] = set()
         self.injected: collections.Counter[str] = collections.Counter()
 
@@ -128,6 +133,9 @@
         self.configure()
         await self.fleet.start(seed, work_s=0.02, heartbeat_s=0.4)
         self.servers += [i.server for i in self.instances() if i.server]
+        self._watchers = [
+            asyncio.create_task(self.exits.watch(i)) for i in self.instances()
+        ]
 
     def configure(self, **library_options: object) -> int:
         """Writes the routes and the current accounts to the store.
@@ -231,13 +239,13 @@
         """Kills all nodes at the same moment, and starts them again."""
         for instance in self.instances():
             self.record_disturbance(instance)
-            instance.signal_node(signal.SIGKILL)
-        for instance in self.instances():
-            await instance.node_ended()
+        await asyncio.gather(
+            *(self.exits.end(i, signal.SIGKILL) for i in self.instances())
+        )
         self.injected["kill of all nodes"] += 1
         await asyncio.sleep(self.rng.random())
         for instance in self.instances():
-            await instance.start_node()
+            await self.exits.start(instance)
             self.record_disturbance(instance)
 
     async def drill_store(self) -> None:
@@ -264,21 +272,15 @@
     async def restart_node(self, instance: Instance, stop_signal: int) -> None:
         """Ends the node of `instance` by a signal and starts it again."""
         self.record_disturbance(instance)
-        instance.signal_node(signal.Signals(stop_signal))
-        exit_code = await instance.node_ended()
+        exit_code = await self.exits.end(instance, stop_signal)
         # Until the interpreter runs our code, a signal has its default action.
         ended_before_code_ran = (
             exit_code == -stop_signal and not instance.has_logged_since_start
         )
-        if (
-            exit_code not in (0, _KILLED_EXIT_CODE)
-            and not ended_before_code_ran
-        ):
-            self.unexpected_exits.append(
-                f"{instance.place.name} ended with {exit_code}"
-            )
+        if not is_planned(exit_code) and not ended_before_code_ran:
+            self.exits.record(instance, exit_code)
         await asyncio.sleep(self.rng.random())
-        await instance.start_node()
+        await self.exits.start(instance)
         self.record_disturbance(instance)
 
     async def reload_node(self, instance: Instance) -> None:
@@ -286,21 +288,23 @@
         if instance.has_logged_since_start:
             instance.signal_node(signal.SIGHUP)
             return
-        instance.signal_node(signal.SIGHUP)
-        ended = asyncio.ensure_future(instance.node_ended())
+        ended = asyncio.ensure_future(self.exits.end(instance, signal.SIGHUP))
+        # Until the task has run, the signal isn't sent.
+        await asyncio.sleep(0)
         while not ended.done() and not instance.has_logged_since_start:  # noqa: ASYNC110
             await asyncio.sleep(_POLL_INTERVAL_S)
         if not ended.done():
             ended.cancel()
+            self.exits.expect_none(instance)
             return
         if ended.result() != -signal.SIGHUP or instance.has_logged_since_start:
-            self.unexpected_exits.append(
-                f"{instance.place.name} ended with {ended.result()}"
-            )
+            self.exits.record(instance, ended.result())
         self.record_disturbance(instance)
-        await instance.start_node()
+        await self.exits.start(instance)
 
     async def close(self) -> None:
+        for watcher in self._watchers:
+            watcher.cancel()
         for links in self.links.values():
             for proxy in links.all():
                 await proxy.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,9 +14,11 @@
 from tests.soak.deployment import Deployment
 from tests.soak.deployment import LeaveAnnouncement
 from tests.soak.loopback_proxy import LinkMode
+from tests.soak.odd_faults import ODD_FAULTS
+from tests.soak.reservation import inject_exclusively
 
-#: Number of concurrent series of faults, beside one of limited servers and one
-#: of servers that send late copies of responses.
+#: Number of concurrent series of faults, beside one of limited servers, one of
+#: servers that send late copies of responses, and one of odd records.
 SERIES_COUNT = 3
 
 _RESPONSE_FAULTS = ("reset", "cut", "unframed-reset", "extra", "other", "lost")
@@ -38,6 +40,8 @@
             tasks.create_task(
                 _inject_series(deployment, rng, (send_late_copies,))
             )
+            rng = random.Random(seed * 100 + SERIES_COUNT + 2)
+            tasks.create_task(_inject_series(deployment, rng, ODD_FAULTS))
     except TimeoutError:
         pass
     await _clear_faults(deployment)
@@ -69,6 +73,8 @@
     have ended.
     """
     deployment.fleet.store.faults = StoreFaults()
+    deployment.fleet.rewrite_config = bytes
+    deployment.odd_items.remove_all()
     for links in deployment.links.values():
         for proxy in links.all():
             proxy.mode = LinkMode.OPEN
@@ -80,48 +86,14 @@
             instance.server.faults = ServerFaults()
 
 
-def _choose_unreserved(
-    deployment: Deployment, rng: random.Random
-) -> Instance | None:
-    """Returns a random instance whose processes no other fault controls.
-
-    Returns `None` if fewer than three are left, so that at least two instances
-    keep running.
-    """
-    unreserved = [
-        i
-        for i in deployment.instances()
-        if i.place.name not in deployment.reserved
-    ]
-    if len(unreserved) < 3:
-        return None
-    return rng.choice(unreserved)
-
-
-async def _inject_exclusively(
-    deployment: Deployment,
-    rng: random.Random,
-    fault: Callable[[Instance], Awaitable[None]],
-) -> str:
-    instance = _choose_unreserved(deployment, rng)
-    if instance is None:
-        return "nothing"
-    deployment.reserved.add(instance.place.name)
-    try:
-        await fault(instance)
-    finally:
-        deployment.reserved.discard(instance.place.name)
-    return instance.place.name
-
-
 async def kill_node(deployment: Deployment, rng: random.Random) -> str:
-    return await _inject_exclusively(
+    return await inject_exclusively(
         deployment, rng, lambda i: deployment.restart_node(i, signal.SIGKILL)
     )
 
 
 async def stop_node(deployment: Deployment, rng: random.Random) -> str:
-    return await _inject_exclusively(
+    return await inject_exclusively(
         deployment, rng, lambda i: deployment.restart_node(i, signal.SIGTERM)
     )
 
@@ -134,7 +106,7 @@
         instance.signal_node(signal.SIGCONT)
         deployment.record_disturbance(instance)
 
-    return await _inject_exclusively(deployment, rng, pause)
+    return await inject_exclusively(deployment, rng, pause)
 
 
 async def reload_node(deployment: Deployment, rng: random.Random) -> str:
@@ -156,7 +128,7 @@
         await asyncio.sleep(1.5 * rng.random())
         await deployment.restart_server(instance)
 
-    return await _inject_exclusively(deployment, rng, crash)
+    return await inject_exclusively(deployment, rng, crash)
 
 
 async def drain_server(deployment: Deployment, rng: random.Random) -> str:
@@ -166,7 +138,7 @@
         announcement = LeaveAnnouncement.HEARTBEAT
     elif draw < 0.8:
         announcement = LeaveAnnouncement.DEREGISTRATION
-    return await _inject_exclusively(
+    return await inject_exclusively(
         deployment,
         rng,
         lambda i: deployment.restart_server_gracefully(i, announcement),
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -13,6 +13,7 @@
 from tests.soak.callers import send_request
 from tests.soak.deployment import Deployment
 from tests.soak.faults import inject
+from tests.soak.store_calls import find_excess
 
 #: Requests per second at each node: with six nodes a sixth of the capacity of
 #: the servers, so that refusals are not caused by the load alone.
@@ -67,7 +68,10 @@
     return (
         violations
         + results.violations
-        + deployment.unexpected_exits
+        + deployment.odd_violations
+        + deployment.exits.violations
+        + deployment.exits.find_unanswered(results.unanswered)
+        + find_excess(deployment.fleet, deployment.exits)
         + _find_run_violations(deployment, results)
     )
 
@@ -80,6 +84,13 @@
         "late copies": sum(s.late_copies_sent for s in servers),
         "shed": sum(s.shed_count for s in servers),
         "endless": sum(s.endless_count for s in servers),
+        "odd fields": sum(s.odd_fields_count for s in servers),
+        "odd records read": sum(
+            count
+            for (name, _), count in deployment.fleet.store.injected.items()
+            if name.startswith("odd record")
+        ),
+        "odd answers": deployment.fleet.store.injected_count("odd answer"),
     }
 
 
