Show which odd messages end a node or get status 500, in tests that fail

Callers lose the requests on a node that ends while it handles what another program sent: calls and datagrams between nodes, heartbeats, answers of the store, header fields of backend servers.

--- a/src/radishwind/standins/odd_messages.py
+++ b/src/radishwind/standins/odd_messages.py
@@ -140,7 +140,9 @@
     good = {"key": "k" * 300, "process": "i-1@1", "version": 1}
     return [
         *make_odd_texts(rng, json.dumps(good).encode()),
-        OddContent("long-key", json.dumps(good).encode()),
+        OddContent("long-object", json.dumps(good).encode()),
+        OddContent("long-key", b"k" * 300 + b"@1"),
+        OddContent("huge-start", b"i-1@" + b"9" * 150),
         OddContent("array", b'["push","odd",0,[],[]]'),
         OddContent(
             "member",
