Refuse malformed heartbeats with status 400

It gets 400 now.

test_odd_heartbeats_are_refused_and_change_nothing and test_heartbeat_with_an_odd_unknown_field_is_no_failure were seen failing before: 112 and 25 variants with 503 and nothing else.

--- a/src/radishwind/outcomes/responses.py
+++ b/src/radishwind/outcomes/responses.py
@@ -8,6 +8,7 @@
 from radishwind.outcomes.model import Outcome
 
 _STATUS_BY_CODE = {
+    ResultCode.PLATFORM_MALFORMED: 400,
     ResultCode.REQUEST_MALFORMED: 400,
     ResultCode.REQUEST_TOO_LARGE: 413,
     ResultCode.SERVICE_UNKNOWN: 404,
