Handle the signals of both programs until their processes are gone

Callers would see requests without an answer, each time a node is sent a signal that it does not handle: SIGQUIT, SIGXCPU, SIGUSR1, SIGUSR2 or one of a timer ended both programs with every request on them, SIGHUP the library's node, with a negative exit status and no log line. A second SIGTERM at the end of a planned stop gave -15 instead of 0: the handlers ended with the task group, before the event loop and the interpreter.

Cause: each program opened anyio's signal receiver for two or three signals as a task of the node, so the default actions held before and after it.

Now radishwind.process handles all of them for both programs, with handlers that are installed before the imports and belong to the process: a signal to stop starts the planned stop, one to reload is passed on, the others are logged. Before the exit the signals are ignored by the system, since the interpreter removes Python's handlers during its own end. A planned stop cannot be changed by a further signal.

Ruled out: uvloop's add_signal_handler, which resets the action to the default when the loop closes.

--- a/src/radishwind/cli/node.py
+++ b/src/radishwind/cli/node.py
@@ -2,11 +2,13 @@
 
 import sys
 
-import anyio
 import typer
 
 from radishwind.cli.options import settings_command
 from radishwind.core.clock import SystemClock
+from radishwind.process.early_exit import STDERR_FD
+from radishwind.process.runner import ProcessRunner
+from radishwind.process.signals import ProcessSignals
 from radishwind.settings import NodeSettings
 
 
@@ -14,12 +16,11 @@
     from radishwind.node.app import Node
     from radishwind.telemetry import start_logging
 
+    signals = ProcessSignals(STDERR_FD)
+    signals.install()
     start_logging(sys.stderr)
-
-    async def main() -> None:
-        await Node(settings, SystemClock()).run()
-
-    anyio.run(main, backend_options={"use_uvloop": True})
+    clock = SystemClock()
+    ProcessRunner(signals, clock).run(lambda: Node(settings, clock))
 
 
 def add_to(app: typer.Typer) -> None:
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -2,11 +2,9 @@
 
 import os
 import random
-import signal
 from typing import Any
 
 import anyio
-import anyio.abc
 
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
@@ -36,6 +34,7 @@
 from radishwind.peers import HttpPeerClient
 from radishwind.peers import PeerListener
 from radishwind.peers.attempts import is_forwarded_attempt
+from radishwind.process.runnable_node import RunnableNode
 from radishwind.quarantine.isolating_runner import IsolatingRunner
 from radishwind.retries import BudgetedRetryPolicy
 from radishwind.routing.placement import UnrestrictedPlacement
@@ -55,7 +54,7 @@
 _QUIET_PERIOD_S = 0.5
 
 
-class Node:
+class Node(RunnableNode):
     """A node: three listeners, the data path and the control tasks."""
 
     def __init__(self, settings: NodeSettings, clock: Clock) -> None:
@@ -189,7 +188,6 @@
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT, then drains and stops."""
         async with anyio.create_task_group() as tasks:
             callers, peers, admin = self._servers
             self._claims.start(tasks)
@@ -205,7 +203,6 @@
             tasks.start_soon(self._entry.run_hedges)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._target_side.run)
-            tasks.start_soon(self._wait_for_signal)
             await callers.start(
                 with_error_logging(self._callers.handle, self._log),
                 self._settings.caller_listen,
@@ -241,12 +238,12 @@
         for server in self._servers:
             await server.close(1.0)
 
-    async def _wait_for_signal(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                self._stopping.set()
+    def request_stop(self) -> None:
+        self._stopping.set()
+
+    def reload(self) -> bool:
+        # The configuration comes from the store.
+        return False
 
     def _handle_ready_changed(self, ready: bool) -> None:
         """Advertises whether the local backend server takes new work."""
--- a/src/radishwind/sidecar/__main__.py
+++ b/src/radishwind/sidecar/__main__.py
@@ -3,9 +3,9 @@
 from radishwind.sidecar.startup import install_startup_signal_handlers
 from radishwind.sidecar.startup import skip_unneeded_imports
 
-install_startup_signal_handlers()
+signals = install_startup_signal_handlers()
 skip_unneeded_imports()
 
 from radishwind.sidecar.program import main  # noqa: E402
 
-main()
+main(signals)
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import random
-import signal
 
 import anyio
 import anyio.abc
@@ -23,6 +22,7 @@
 from radishwind.peers.attempts import is_forwarded_attempt
 from radishwind.platform import PlatformDialect
 from radishwind.platform import PlatformStore
+from radishwind.process.runnable_node import RunnableNode
 from radishwind.routes.active_routes import ActiveRoutes
 from radishwind.routes.evacuation import EvacuationState
 from radishwind.routes.model import RouteConfig
@@ -75,7 +75,7 @@
 from radishwind.telemetry.part_logger import PartLogger
 
 
-class SidecarNode:
+class SidecarNode(RunnableNode):
     """One node: its listeners, the data path, and the control tasks."""
 
     def __init__(
@@ -308,7 +308,7 @@
         )
 
     async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT; then finishes requests in progress.
+        """Runs until `request_stop`; then finishes requests in progress.
 
         An error that is no duty's stops the node in the same way; it is raised
         at the end.
@@ -332,8 +332,6 @@
             raise self._stop_steps.first_error
 
     async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
-        # Before the node listens, so that no signal drops a request.
-        await tasks.start(self._wait_for_signal)
         await self._listen()
         self._supervisor.start(tasks, self._duties())
         self._log.change(
@@ -421,21 +419,12 @@
         await steps.run("senders", self._check_sender.close)
         await steps.run("store", self._store.close)
 
-    async def _wait_for_signal(
-        self, *, task_status: anyio.abc.TaskStatus[None]
-    ) -> None:
-        try:
-            with anyio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-            ) as signals:
-                task_status.started()
-                async for number in signals:
-                    if number is signal.SIGHUP:
-                        self._reloader.check_now()
-                    else:
-                        self._stopping.set()
-        except Exception as exc:
-            self._stop_after_error("signals", exc)
+    def request_stop(self) -> None:
+        self._stopping.set()
+
+    def reload(self) -> bool:
+        self._reloader.check_now()
+        return True
 
     def _apply_settings(self, changed: PlacedSettings) -> None:
         """Applies the settings that may change without a restart."""
--- a/src/radishwind/sidecar/program.py
+++ b/src/radishwind/sidecar/program.py
@@ -1,19 +1,19 @@
 """Starts the process: settings, log, event loop."""
 
-import asyncio
 import gc
 import os
 import pathlib
 import sys
 
 import msgspec
-import uvloop
 
 from radishwind.core.clock import BootClock
 from radishwind.core.errors import RadishwindError
 from radishwind.http.types import Address
 from radishwind.platform.boot import decode_settings
 from radishwind.platform.boot import PATH_VARIABLE
+from radishwind.process.runner import ProcessRunner
+from radishwind.process.signals import ProcessSignals
 from radishwind.settings.loader import SettingError
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.app import SidecarNode
@@ -38,8 +38,12 @@
 _GC_THRESHOLD_ALLOCATIONS = 20_000
 
 
-def main() -> None:
-    """Runs a node with the settings file named in the environment."""
+def main(signals: ProcessSignals) -> None:
+    """Runs a node with the settings file named in the environment.
+
+    Args:
+      signals: the installed signal handlers.
+    """
     output = start_bounded_logging(sys.stdout)
     try:
         file = SettingsFile(pathlib.Path(_settings_path()), _decode_settings)
@@ -51,9 +55,10 @@
     gc.freeze()
     gc.enable()
     gc.set_threshold(_GC_THRESHOLD_ALLOCATIONS, 10, 10)
-    node = SidecarNode(settings, BootClock(), file, output, switches)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(node.run())
+    clock = BootClock()
+    ProcessRunner(signals, clock).run(
+        lambda: SidecarNode(settings, clock, file, output, switches)
+    )
 
 
 def _settings_path() -> str:
--- a/src/radishwind/sidecar/startup.py
+++ b/src/radishwind/sidecar/startup.py
@@ -5,8 +5,9 @@
 
 import gc
 import os
-import signal
-from types import FrameType
+
+from radishwind.process.early_exit import STDOUT_FD
+from radishwind.process.signals import ProcessSignals
 
 
 def skip_unneeded_imports() -> None:
@@ -21,19 +22,13 @@
     gc.disable()
 
 
-def install_startup_signal_handlers() -> None:
-    """Installs the signal handlers in force until the node has its own.
+def install_startup_signal_handlers() -> ProcessSignals:
+    """Installs the signal handlers in force until the process has ended.
 
-    A signal to stop ends the process with exit code 0, since no request is in
-    progress yet. A signal to reload would end the process by default; it is
-    ignored, since the settings are read later, or checked again within a
-    second.
+    Until the node receives them, a signal to stop ends the process with exit
+    code 0, since no request is in progress yet. A signal to reload is ignored,
+    since the settings are read later, or checked again within a second.
     """
-    signal.signal(signal.SIGTERM, _exit)
-    signal.signal(signal.SIGINT, _exit)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
-
-def _exit(number: int, frame: FrameType | None) -> None:
-    # An exception could be swallowed if the signal arrives during a callback.
-    os._exit(0)
+    signals = ProcessSignals(STDOUT_FD)
+    signals.install()
+    return signals
--- /dev/null
+++ b/tests/test_process_end_processes.py
@@ -0,0 +1,118 @@
+"""How the processes of both programs end, with requests on open connections.
+
+Guards against a signal, a shortage of the system or the reader of the log that
+ends a node with the requests on it, and against an end without its cause.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+
+import pytest
+
+from tests.support.end_programs import KeptConnections
+from tests.support.end_programs import open_program
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+PROGRAMS = ["platform", "library"]
+
+#: Signals that end a process by default, and that no node needs.
+MEANINGLESS = [
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGPROF,
+]
+
+#: Prints a line once the command line of a node is being imported.
+IMPORTING_NODE = """
+import sys, time, types
+def main():
+    print("began", flush=True)
+    time.sleep(30)
+sys.modules["radishwind.cli"] = types.SimpleNamespace(main=main)
+sys.argv = ["radishwind", "node"]
+import radishwind.__main__
+radishwind.__main__.main()
+"""
+
+
+@pytest.fixture(params=PROGRAMS)
+async def program(request, tmp_path):
+    async with open_program(request.param, "127.0.33.1", tmp_path) as running:
+        yield running
+
+
+async def send_until_ended(program, number):
+    """Sends a signal again and again until the process has ended."""
+    while program.exit_status is None:
+        program.send(number)
+        await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    "number",
+    [signal.SIGTERM, signal.SIGINT, signal.SIGQUIT, signal.SIGXCPU],
+    ids=lambda number: number.name,
+)
+async def test_signal_to_stop_loses_no_request(program, number):
+    async with KeptConnections(program) as connections:
+        program.send(number)
+        await connections.wait_closed()
+
+        assert await program.ended() == 0
+        assert connections.lost == []
+
+
+async def test_signals_without_meaning_end_no_node(program):
+    async with KeptConnections(program) as connections:
+        for number in [*MEANINGLESS, *[signal.SIGHUP] * 20]:
+            program.send(number)
+            await connections.wait_answered(1)
+        await connections.wait_answered(24)
+        assert program.exit_status is None
+
+        program.send(signal.SIGTERM)
+        await connections.wait_closed()
+        assert await program.ended() == 0
+        assert connections.lost == []
+
+
+@pytest.mark.parametrize(
+    "number",
+    [signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGUSR1],
+    ids=lambda number: number.name,
+)
+async def test_signals_during_a_stop_leave_it_a_success(program, number):
+    async with KeptConnections(program) as connections:
+        program.send(signal.SIGTERM)
+        await send_until_ended(program, number)
+        await connections.wait_closed()
+
+        assert await program.ended() == 0
+        assert connections.lost == []
+
+
+async def start_importing_node():
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        IMPORTING_NODE,
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    assert (await process.stdout.readline()).strip() == b"began"
+    return process
+
+
+async def test_signals_during_the_imports_of_the_command_end_it_with_success():
+    process = await start_importing_node()
+
+    for number in (signal.SIGHUP, *MEANINGLESS):
+        process.send_signal(number)
+    process.send_signal(signal.SIGTERM)
+
+    assert await process.wait() == 0
