Never block the library's node on the reader of its log

Callers of `radishwind node` would see requests without an answer, and a node that no longer answers its peers, whenever the reader of its standard error stalls: the whole node stands still in a write to a full pipe.

Cause: the log went to standard error by eliot's file destination, a blocking write in the event loop. The platform's node has a bounded output of its own (telemetry/bounded_output.py); the library's did not use it.

The fix has eliot write to that output too, with its fields unchanged: lines are buffered up to 256 KB, then dropped and counted.

Evidence: test_stalled_reader_of_the_log_stops_no_node[library] failed on the old code: the node was never ready, since the pipe was full before it started.

--- a/src/radishwind/cli/node.py
+++ b/src/radishwind/cli/node.py
@@ -10,11 +10,11 @@
 from radishwind.process.runner import ProcessRunner
 from radishwind.process.signals import ProcessSignals
 from radishwind.settings import NodeSettings
+from radishwind.telemetry.bounded_output import start_logging
 
 
 def _run(settings: NodeSettings) -> None:
     from radishwind.node.app import Node
-    from radishwind.telemetry import start_logging
 
     signals = ProcessSignals(STDERR_FD)
     signals.install()
--- a/src/radishwind/telemetry/__init__.py
+++ b/src/radishwind/telemetry/__init__.py
@@ -6,6 +6,5 @@
 """
 
 from radishwind.telemetry.part_logger import PartLogger
-from radishwind.telemetry.part_logger import start_logging
 
-__all__ = ["PartLogger", "start_logging"]
+__all__ = ["PartLogger"]
--- a/src/radishwind/telemetry/bounded_output.py
+++ b/src/radishwind/telemetry/bounded_output.py
@@ -81,3 +81,12 @@
     output = BoundedOutput(stream.fileno())
     set_log_sink(output.write)
     return output
+
+
+def start_logging(stream: TextIO) -> BoundedOutput:
+    """The same through eliot, which adds its own fields to each line."""
+    import eliot
+
+    output = BoundedOutput(stream.fileno())
+    eliot.add_destinations(output.write)
+    return output
--- a/src/radishwind/telemetry/part_logger.py
+++ b/src/radishwind/telemetry/part_logger.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable
 import pathlib
 import traceback
-from typing import TextIO
 from typing import TypeAlias
 
 from radishwind.core.clock import Clock
@@ -140,13 +139,6 @@
     _sinks.append(sink)
 
 
-def start_logging(stream: TextIO) -> None:
-    """Writes each log line to `stream` as a JSON object, through eliot."""
-    import eliot
-
-    eliot.to_file(stream)
-
-
 def _log_with_eliot(message: LogMessage) -> None:
     import eliot
 
--- a/tests/support/end_programs.py
+++ b/tests/support/end_programs.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import sys
 from typing import Any
 
 import aiohttp
@@ -70,10 +71,11 @@
 class PlatformProgram(Program):
     """`python -m radishwind.sidecar`."""
 
-    def __init__(self, fleet: PlatformFleet) -> None:
+    def __init__(self, fleet: PlatformFleet, python: tuple[str, ...]) -> None:
         self._fleet = fleet
         self._pidfd = -1
         self.instance = next(iter(fleet.instances.values()))
+        self.instance.python = python
 
     async def start(self) -> None:
         self._fleet.configure([route("s", "unsafe")])
@@ -114,13 +116,16 @@
 class LibraryProgram(Program):
     """`radishwind node`."""
 
-    def __init__(self, fleet: processes.Fleet) -> None:
+    def __init__(self, fleet: processes.Fleet, python: tuple[str, ...]) -> None:
         self._fleet = fleet
+        self._python = python
 
     async def start(self) -> None:
         service_ms = str(WORK_S * 1000)
         self._fleet.start_backend("bollettino-1", "--service-ms", service_ms)
-        self._fleet.start_node("bollettino-1", "bollettino", "genova-a")
+        self._fleet.start_node(
+            *("bollettino-1", "bollettino", "genova-a"), python=self._python
+        )
         self._fleet.apply("inventory", INVENTORY)
         url, _ = self.request
         processes.wait_until(
@@ -147,18 +152,34 @@
 
 
 @contextlib.asynccontextmanager
-async def open_program(name: str, host: str, folder: pathlib.Path):
-    """Yields the program `platform` or `library`, started."""
+async def open_program(
+    name: str,
+    host: str,
+    folder: pathlib.Path,
+    shell: str = "",
+):
+    """Yields a program, started.
+
+    Args:
+      name: `platform` or `library`.
+      host: the address of the instance.
+      folder: where its files are kept.
+      shell: what a shell does before it executes the program.
+    """
+    python = ("bash", "-c", f'{shell or ":"}; exec "$0" "$@"', sys.executable)
     async with contextlib.AsyncExitStack() as stack:
         program: Program
         if name == "platform":
             places = [Place("a-1", host, "a", "s")]
             program = PlatformProgram(
-                await stack.enter_async_context(PlatformFleet(places, folder))
+                await stack.enter_async_context(PlatformFleet(places, folder)),
+                python,
             )
             stack.callback(program.close)
         else:
-            program = LibraryProgram(stack.enter_context(processes.Fleet()))
+            program = LibraryProgram(
+                stack.enter_context(processes.Fleet()), python
+            )
         await program.start()
         yield program
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -121,11 +121,16 @@
 class Process:
     """A `radishwind` process, which is only ever signaled by its process ID."""
 
-    def __init__(self, *arguments: str, **environ: str) -> None:
+    def __init__(
+        self,
+        *arguments: str,
+        python: tuple[str, ...] = (sys.executable,),
+        **environ: str,
+    ) -> None:
         # A file, since a pipe that is not read would fill up and block it.
         self._log = tempfile.TemporaryFile()  # noqa: SIM115
         self._popen = subprocess.Popen(
-            [sys.executable, "-m", "radishwind", *arguments],
+            [*python, "-m", "radishwind", *arguments],
             env={**os.environ, "PYTHONPATH": SRC, **environ},
             stderr=self._log,
         )
@@ -206,7 +211,12 @@
         )
 
     def start_node(
-        self, target: str, service: str, domain: str, *options: str
+        self,
+        target: str,
+        service: str,
+        domain: str,
+        *options: str,
+        python: tuple[str, ...] = (sys.executable,),
     ) -> None:
         ports = self.ports.setdefault(target, find_free_ports(4))
         self.processes[f"node {target}"] = Process(
@@ -216,6 +226,7 @@
             *("--peer-listen", f"127.0.0.1:{ports[2]}"),
             *("--admin-listen", f"127.0.0.1:{ports[3]}"),
             *options,
+            python=python,
         )
 
     def caller_url(self, target: str) -> str:
--- a/tests/test_process_end_processes.py
+++ b/tests/test_process_end_processes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import fcntl
 import os
 import signal
 import sys
@@ -46,6 +47,19 @@
         yield running
 
 
+@pytest.fixture(params=PROGRAMS)
+def program_name(request):
+    return request.param
+
+
+async def stop(program, connections):
+    """Stops the node as planned; no request may be lost."""
+    program.send(signal.SIGTERM)
+    await connections.wait_closed()
+    assert await program.ended() == 0
+    assert connections.lost == []
+
+
 async def send_until_ended(program, number):
     """Sends a signal again and again until the process has ended."""
     while program.exit_status is None:
@@ -75,10 +89,7 @@
         await connections.wait_answered(24)
         assert program.exit_status is None
 
-        program.send(signal.SIGTERM)
-        await connections.wait_closed()
-        assert await program.ended() == 0
-        assert connections.lost == []
+        await stop(program, connections)
 
 
 @pytest.mark.parametrize(
@@ -116,3 +127,41 @@
     process.send_signal(signal.SIGTERM)
 
     assert await process.wait() == 0
+
+
+def open_log_pipe(folder):
+    """Returns the path of a pipe, and a descriptor that holds it open."""
+    path = folder / "log"
+    os.mkfifo(path)
+    return path, os.open(path, os.O_RDWR | os.O_NONBLOCK)
+
+
+async def test_stalled_reader_of_the_log_stops_no_node(program_name, tmp_path):
+    path, fd = open_log_pipe(tmp_path)
+    fcntl.fcntl(fd, fcntl.F_SETPIPE_SZ, 4096)
+    os.write(fd, b"x" * 4096)
+    shell = f'exec >"{path}" 2>&1'
+    try:
+        async with (
+            open_program(
+                program_name, "127.0.33.2", tmp_path, shell
+            ) as program,
+            KeptConnections(program) as connections,
+        ):
+            await connections.wait_answered(24)
+            await stop(program, connections)
+    finally:
+        os.close(fd)
+
+
+async def test_closed_reader_of_the_log_stops_no_node(program_name, tmp_path):
+    path, fd = open_log_pipe(tmp_path)
+    shell = f'exec >"{path}" 2>&1'
+    async with (
+        open_program(program_name, "127.0.33.3", tmp_path, shell) as program,
+        KeptConnections(program) as connections,
+    ):
+        os.close(fd)
+        program.send(signal.SIGHUP)
+        await connections.wait_answered(24)
+        await stop(program, connections)
