Name the cause of the end and the exit status in the last log line

Operators could not tell why a node had ended: the users' record of nodes that ended by themselves has neither a status nor a last line. An error that ended the platform's node left a traceback on standard error only, invalid settings a text there, a crash in an extension nothing at all, and a planned stop the same "Stopped." as any other return.

Now both programs write "process: Ended." as the last line of the log, with the status and the cause: the first signal to stop, or the type of the error, where it arose and a reason without data of callers. Errors at import and signals during the imports are written without the log, which isn't set up yet. faulthandler writes the stacks of a crash to standard error.

--- a/src/radishwind/cli/app.py
+++ b/src/radishwind/cli/app.py
@@ -1,7 +1,7 @@
 """Assembles the commands and maps errors to exit codes."""
 
+import contextlib
 import sys
-import traceback
 
 import typer
 
@@ -17,7 +17,9 @@
 from radishwind.cli import standins
 from radishwind.cli import status
 from radishwind.core.codes import ResultCode
-from radishwind.core.errors import RadishwindError
+from radishwind.process.exit_status import describe_error
+from radishwind.process.exit_status import exit_status_for
+from radishwind.telemetry.part_logger import first_error
 
 app = typer.Typer(
     help="radishwind: a load balancer for servers whose load shifts in "
@@ -26,17 +28,6 @@
     pretty_exceptions_enable=False,
 )
 
-#: Exit codes by result code, from sysexits.h where one fits.
-_EXIT_CODES = {
-    ResultCode.SETTING_INVALID: 78,
-    ResultCode.FILE_INVALID: 65,
-    ResultCode.CHANGE_CONFLICT: 75,
-    ResultCode.CHANGE_UNSETTLED: 74,
-    ResultCode.STORE_UNAVAILABLE: 69,
-    ResultCode.STORE_ANSWER_LOST: 74,
-    ResultCode.ADMIN_UNAVAILABLE: 69,
-}
-_DEFAULT_EXIT_CODE = 70
 _INTERRUPTED_EXIT_CODE = 130
 
 inventory.add_to(app)
@@ -61,7 +52,7 @@
     except typer.TyperException as exc:
         _exit_for_usage_error(exc)
     except Exception as exc:
-        _exit_for_error(_first_error(exc))
+        _exit_for_error(first_error(exc))
     else:
         sys.exit(status_code if isinstance(status_code, int) else 0)
 
@@ -72,30 +63,17 @@
     if type(exc).__name__ == "NoArgsIsHelpError":
         print(exc.format_message())
         sys.exit(exc.exit_code)
-    _exit_with(ResultCode.SETTING_INVALID, exc.format_message())
+    code = ResultCode.SETTING_INVALID
+    _exit_with(code, f"RW-{int(code)}: {exc.format_message()}")
 
 
 def _exit_for_error(exc: BaseException) -> None:
-    if isinstance(exc, RadishwindError):
-        print(f"radishwind: {exc}", file=sys.stderr)
-        sys.exit(_EXIT_CODES.get(exc.code, _DEFAULT_EXIT_CODE))
-    if isinstance(exc, OSError):
-        _exit_with(ResultCode.SETTING_INVALID, f"the system refused: {exc}")
-    frame = traceback.extract_tb(exc.__traceback__)[-1]
-    _exit_with(
-        ResultCode.INTERNAL_ERROR,
-        f"{type(exc).__name__} at {frame.name}, line {frame.lineno}; "
-        "please report it",
-    )
+    code, text = describe_error(exc)
+    _exit_with(code, text)
 
 
 def _exit_with(code: ResultCode, text: str) -> None:
-    print(f"radishwind: RW-{int(code)}: {text}", file=sys.stderr)
-    sys.exit(_EXIT_CODES.get(code, _DEFAULT_EXIT_CODE))
-
-
-def _first_error(exc: BaseException) -> BaseException:
-    """Returns the first error within the exception groups of task groups."""
-    while isinstance(exc, BaseExceptionGroup):
-        exc = exc.exceptions[0]
-    return exc
+    # The exit status holds even if nobody reads the standard error any more.
+    with contextlib.suppress(OSError):
+        print(f"radishwind: {text}", file=sys.stderr)
+    sys.exit(exit_status_for(code))
--- a/src/radishwind/cli/node.py
+++ b/src/radishwind/cli/node.py
@@ -1,5 +1,6 @@
 """`radishwind node`: runs the node of one backend server."""
 
+import faulthandler
 import sys
 
 import typer
@@ -18,9 +19,14 @@
 
     signals = ProcessSignals(STDERR_FD)
     signals.install()
-    start_logging(sys.stderr)
+    faulthandler.enable()
     clock = SystemClock()
-    ProcessRunner(signals, clock).run(lambda: Node(settings, clock))
+    runner = ProcessRunner(signals, clock, start_logging(sys.stderr))
+    try:
+        runner.run(lambda: Node(settings, clock))
+    except BaseException as exc:
+        runner.log_error(exc)
+        raise
 
 
 def add_to(app: typer.Typer) -> None:
--- a/src/radishwind/process/early_exit.py
+++ b/src/radishwind/process/early_exit.py
@@ -8,6 +8,9 @@
 STDOUT_FD = 1
 STDERR_FD = 2
 
+#: The exit status of the interpreter for an uncaught error.
+EXIT_UNCAUGHT = 1
+
 #: Characters of the reason that are written.
 _MAX_REASON_CHARS = 300
 
--- a/src/radishwind/sidecar/program.py
+++ b/src/radishwind/sidecar/program.py
@@ -1,17 +1,22 @@
 """Starts the process: settings, log, event loop."""
 
+import contextlib
+import faulthandler
 import gc
 import os
 import pathlib
 import sys
+import traceback
 
 import msgspec
 
 from radishwind.core.clock import BootClock
+from radishwind.core.clock import Clock
 from radishwind.core.errors import RadishwindError
 from radishwind.http.types import Address
 from radishwind.platform.boot import decode_settings
 from radishwind.platform.boot import PATH_VARIABLE
+from radishwind.process.early_exit import STDERR_FD
 from radishwind.process.runner import ProcessRunner
 from radishwind.process.signals import ProcessSignals
 from radishwind.settings.loader import SettingError
@@ -19,6 +24,7 @@
 from radishwind.sidecar.app import SidecarNode
 from radishwind.sidecar.settings_reloader import SettingsFile
 from radishwind.sidecar.switches import read_switches
+from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.bounded_output import start_bounded_logging
 
 #: Environment variable with the port of the metrics; 0 for none.
@@ -33,6 +39,9 @@
 #: Exit code for invalid settings (sysexits.h: EX_CONFIG).
 _EXIT_CONFIG = 78
 
+#: Exit code for an error of the running node (EX_SOFTWARE).
+_EXIT_SOFTWARE = 70
+
 #: Allocations before a collection of the youngest generation. Requests create
 #: few reference cycles, and a collection pauses all requests.
 _GC_THRESHOLD_ALLOCATIONS = 20_000
@@ -44,21 +53,37 @@
     Args:
       signals: the installed signal handlers.
     """
+    faulthandler.enable()
+    clock = BootClock()
     output = start_bounded_logging(sys.stdout)
+    runner = ProcessRunner(signals, clock, output)
     try:
-        file = SettingsFile(pathlib.Path(_settings_path()), _decode_settings)
-        settings = file.load()
-        switches = read_switches(os.environ)
+        node = _load_node(clock, output)
     except RadishwindError as exc:
-        print(f"radishwind: {exc}", file=sys.stderr)
-        sys.exit(_EXIT_CONFIG)
+        _print(f"radishwind: {exc}\n")
+        sys.exit(runner.log_error(exc, _EXIT_CONFIG))
     gc.freeze()
     gc.enable()
     gc.set_threshold(_GC_THRESHOLD_ALLOCATIONS, 10, 10)
-    clock = BootClock()
-    ProcessRunner(signals, clock).run(
-        lambda: SidecarNode(settings, clock, file, output, switches)
-    )
+    try:
+        runner.run(lambda: node)
+    except BaseException as exc:
+        _print("".join(traceback.format_exception(exc)))
+        sys.exit(runner.log_error(exc, _EXIT_SOFTWARE))
+
+
+def _load_node(clock: Clock, output: BoundedOutput) -> SidecarNode:
+    file = SettingsFile(pathlib.Path(_settings_path()), _decode_settings)
+    settings = file.load()
+    switches = read_switches(os.environ)
+    return SidecarNode(settings, clock, file, output, switches)
+
+
+def _print(text: str) -> None:
+    """Writes `text` to the standard error, if its reader accepts it at once."""
+    with contextlib.suppress(OSError):
+        os.set_blocking(STDERR_FD, False)
+        os.write(STDERR_FD, text.encode(errors="replace"))
 
 
 def _settings_path() -> str:
--- a/src/radishwind/telemetry/bounded_output.py
+++ b/src/radishwind/telemetry/bounded_output.py
@@ -7,10 +7,12 @@
 
 import collections
 import os
+import select
 from typing import TextIO
 
 import msgspec
 
+from radishwind.core.clock import Clock
 from radishwind.telemetry.part_logger import LogMessage
 from radishwind.telemetry.part_logger import set_log_sink
 
@@ -71,6 +73,14 @@
             if written < len(line):
                 self._buffer.appendleft(line[written:])
 
+    def flush_within(self, limit_s: float, clock: Clock) -> None:
+        """Writes the buffered lines; gives up after `limit_s` (s)."""
+        deadline = clock.monotonic() + limit_s
+        self.flush()
+        while self._buffer and (left_s := deadline - clock.monotonic()) > 0:
+            select.select([], [self._fd], [], left_s)
+            self.flush()
+
     def _add(self, line: bytes) -> None:
         self._buffer.append(line)
         self._buffered_bytes += len(line)
--- a/src/radishwind/telemetry/tests/test_bounded_output.py
+++ b/src/radishwind/telemetry/tests/test_bounded_output.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from radishwind.core.clock import ManualClock
+from radishwind.core.clock import SystemClock
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.bounded_output import MAX_BUFFERED_BYTES
 
@@ -70,3 +72,30 @@
     output.write({"n": 2})
 
     assert output.dropped == 2
+
+
+def test_flush_within_a_limit_writes_what_the_reader_takes(pipe):
+    output = BoundedOutput(pipe[1])
+    for number in range(400):
+        output.write({"n": number, "text": "x" * 400})
+    data = b""
+
+    def read_some():
+        nonlocal data
+        data += os.read(pipe[0], 1 << 20)
+        return 0.0
+
+    clock = ManualClock()
+    clock.monotonic = read_some
+    output.flush_within(1.0, clock)
+    data += os.read(pipe[0], 1 << 20)
+
+    assert json.loads(data.splitlines()[-1])["n"] == 399
+
+
+def test_flush_within_a_limit_gives_up_on_a_stalled_reader(pipe):
+    output = BoundedOutput(pipe[1])
+    while not output.dropped:
+        output.write({"text": "x" * 1000})
+
+    output.flush_within(0.01, SystemClock())
--- a/tests/test_process_end_processes.py
+++ b/tests/test_process_end_processes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import fcntl
+import json
 import os
 import signal
 import sys
@@ -14,6 +15,7 @@
 
 from tests.support.end_programs import KeptConnections
 from tests.support.end_programs import open_program
+from tests.support.processes import WAIT_LIMIT_S
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
@@ -60,6 +62,18 @@
     assert connections.lost == []
 
 
+def check_last_line(program, status, cause):
+    line = program.last_line()
+    assert line["text"] == "process: Ended."
+    assert (line["status"], line["cause"]) == (status, cause)
+
+
+async def until_logged(program, sentence):
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while sentence not in program.log():  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+
+
 async def send_until_ended(program, number):
     """Sends a signal again and again until the process has ended."""
     while program.exit_status is None:
@@ -79,6 +93,7 @@
 
         assert await program.ended() == 0
         assert connections.lost == []
+        check_last_line(program, 0, number.name)
 
 
 async def test_signals_without_meaning_end_no_node(program):
@@ -100,11 +115,14 @@
 async def test_signals_during_a_stop_leave_it_a_success(program, number):
     async with KeptConnections(program) as connections:
         program.send(signal.SIGTERM)
+        # Of signals that are pending together, no order is kept.
+        await until_logged(program, "Received a signal to stop.")
         await send_until_ended(program, number)
         await connections.wait_closed()
 
         assert await program.ended() == 0
         assert connections.lost == []
+        check_last_line(program, 0, "SIGTERM")
 
 
 async def start_importing_node():
@@ -113,6 +131,7 @@
         "-c",
         IMPORTING_NODE,
         stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
     )
     assert (await process.stdout.readline()).strip() == b"began"
@@ -127,6 +146,8 @@
     process.send_signal(signal.SIGTERM)
 
     assert await process.wait() == 0
+    line = json.loads(await process.stderr.readline())
+    assert (line["status"], line["cause"]) == (0, "SIGTERM")
 
 
 def open_log_pipe(folder):
@@ -165,3 +186,49 @@
         program.send(signal.SIGHUP)
         await connections.wait_answered(24)
         await stop(program, connections)
+
+
+async def test_crash_leaves_a_traceback(program):
+    program.send(signal.SIGABRT)
+
+    assert await program.ended() == -signal.SIGABRT
+    assert "Fatal Python error: Aborted" in program.log()
+
+
+async def run_second_node(program):
+    """Runs a node on the ports of the one that runs, until it has ended."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", "radishwind.sidecar"),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+        env={
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(sys.path),
+            "RADISHWIND_BOOT": str(program.instance.settings_path),
+        },
+    )
+    stdout, stderr = await process.communicate()
+    return process.returncode, json.loads(stdout.splitlines()[-1]), stderr
+
+
+async def test_error_of_a_node_is_its_last_line(tmp_path):
+    async with open_program("platform", "127.0.33.4", tmp_path) as program:
+        status, line, stderr = await run_second_node(program)
+
+    assert status == 70
+    assert line["text"] == "process: Ended."
+    assert (line["status"], line["cause"]) == (70, "OSError")
+    assert "at" in line
+    assert b"Traceback" in stderr
+
+
+async def test_invalid_settings_are_the_last_line(tmp_path):
+    async with open_program("platform", "127.0.33.5", tmp_path) as program:
+        program.instance.settings_path.write_text("node = ")
+        status, line, stderr = await run_second_node(program)
+
+    assert status == 78
+    assert line["text"] == "process: Ended."
+    assert (line["status"], line["cause"]) == (78, "PlatformMalformedError")
+    assert stderr.startswith(b"radishwind: RW-")
