Check the numbers and names of settings, and test the bounds of others

What would be seen: a settings file whose ip can't be looked up, or whose name is longer than the messages between nodes carry, ends the node when it joins or publishes (ValueError); a bound of nan takes part in every comparison.

Cause: the values were taken as they came and refused only where they were used. The settings file is refused as a whole instead; a bound that isn't a finite number has its default, like one that isn't a number at all. The metrics port takes ASCII digits only, and a log line needs a time.

Tests of the bounds of heartbeats, configurations, a server's incarnation and a peer's leaving record are added, too.

--- a/src/radishwind/platform/boot.py
+++ b/src/radishwind/platform/boot.py
@@ -12,6 +12,7 @@
 from radishwind.decoding.numbers import NonNegativeFloat
 from radishwind.http.types import Address
 from radishwind.platform.errors import PlatformMalformedError
+from radishwind.platform.heartbeats import MAX_NAME_CHARS
 from radishwind.settings.placed_settings import PlacedSettings
 
 #: The environment variable with the path of the settings file.
@@ -21,6 +22,8 @@
 _WHAT = "a settings file"
 
 
+# As in the messages between nodes.
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
 
@@ -45,10 +48,10 @@
     # `ip` is the address of the instance, `zone` its failure domain, `zones`
     # all failure domains with their regions. `app-addr` is the address of the
     # local backend server; `provider` is the platform's store.
-    node: str
+    node: _Name
     ip: str
-    zone: str
-    service: str
+    zone: _Name
+    service: _Name
     app_addr: str
     listen: _Listen
     provider: _Provider
@@ -80,6 +83,7 @@
 
 
 def _make_settings(file: _File, metrics_port: int) -> PlacedSettings:
+    own = Address.parse(f"{file.ip}:{file.port_range[0]}")
     texts = _split_bounds(file.bounds)
     bounds = _parse_numbers(texts)
     is_strict = _parse_flag(texts, "strict-revoke")
@@ -89,8 +93,8 @@
         failure_domain=file.zone,
         failure_domains=tuple(sorted(file.zones)),
         region_of=file.zones,
-        host=file.ip,
-        peer_port=file.port_range[0],
+        host=own.host,
+        peer_port=own.port,
         callers=Address.parse(file.listen.outbound),
         ready=Address.parse(file.listen.ready),
         control=Address.parse(file.listen.control),
--- a/src/radishwind/platform/tests/test_malformed_input.py
+++ b/src/radishwind/platform/tests/test_malformed_input.py
@@ -24,6 +24,7 @@
 from radishwind.platform import decode_settings
 from radishwind.platform import PlatformDialect
 from radishwind.platform.errors import PlatformMalformedError
+from radishwind.platform.header_fields import SERVER_INCARNATION
 from radishwind.platform.heartbeats import decode_heartbeat
 from radishwind.routes import messages as route_messages
 from radishwind.target.server_process import ServerProcess
@@ -51,6 +52,25 @@
     "seq": 4,
     "born": 1_700_000_000_000,
 }
+SETTINGS = """
+node = "n"
+ip = "127.0.0.1"
+zone = "a"
+service = "s"
+app-addr = "127.0.0.1:9"
+port-range = [7600, 7700]
+heartbeat-ms = 1500
+bounds = ["config-ms = 2000", "strict-revoke = true"]
+[listen]
+outbound = "127.0.0.1:1"
+inbound = "127.0.0.1:2"
+ready = "127.0.0.1:3"
+control = "127.0.0.1:4"
+[provider]
+address = "127.0.0.1:5"
+[limits]
+link-mbps = 1.5
+"""
 ROUTES = {
     "version": 7,
     "routes": [
@@ -236,3 +256,116 @@
     load_message.decode(data)
     with contextlib.suppress(route_messages.FeedMalformedError):
         route_messages.decode(data)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"address": "127.0.0.1:0"},
+        {"address": "a..b:80"},
+        {"address": "x" * 64 + ":80"},
+        {"address": "\u00fc:80"},
+        {"address": "127.0.0.1:\u0669"},
+        {"seq": 2**63},
+        {"seq": 10**400},
+        {"seq": -1},
+        {"born": 2**63},
+        {"born": 0},
+        {"slots": 10**400},
+        {"service": ""},
+        {"service": "s" * 64},
+        {"warmup-left-ms": 1e300},
+    ],
+    ids=str,
+)
+def test_heartbeat_beyond_the_bounds_is_refused(odd):
+    with pytest.raises(PlatformMalformedError):
+        decode_call(json.dumps({**HEARTBEAT, **odd}).encode())
+
+
+@pytest.mark.parametrize("number", [2**53 + 1, 2**63 - 1])
+def test_heartbeat_within_the_bounds_is_accepted(number):
+    fields = {**HEARTBEAT, "seq": number, "born": number, "unknown": 10**300}
+
+    heartbeat = decode_call(json.dumps(fields).encode())
+
+    assert (heartbeat.sequence, heartbeat.started_ms) == (number, number)
+    process = ServerProcess(heartbeat.incarnation, number)
+    assert ServerProcess.from_key(process.key) == process
+
+
+@pytest.mark.parametrize("version", [0, 2**53 + 1, 2**63 - 1])
+def test_configuration_of_any_version_within_64_bits_is_accepted(version):
+    raw = json.dumps({**ROUTES, "version": version}).encode()
+
+    assert decode_routes(raw).version == version
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"version": -1},
+        {"version": 2**63},
+        {"version": 10**400},
+        {"version": 1.5},
+        {"routes": [{**ROUTES["routes"][0], "timeout-ms": 1e300}]},
+        {"routes": [{**ROUTES["routes"][0], "priority": 2**64}]},
+        {"routes": [{**ROUTES["routes"][0], "attempts": 2**64}]},
+        {"tenants": [{"name": "t", "burst": 1e300}]},
+        {"limits": {"idle-timeout-ms": 1e300}},
+    ],
+    ids=str,
+)
+def test_configuration_beyond_the_bounds_is_refused(odd):
+    with pytest.raises(PlatformMalformedError):
+        decode_routes(json.dumps({**ROUTES, **odd}).encode())
+
+
+def test_deeply_nested_unknown_fields_of_a_configuration_are_ignored():
+    nested = "[" * 100_000 + "]" * 100_000
+    cfg = {**ROUTES, "unknown": "@"}
+    cfg["routes"] = [{**ROUTES["routes"][0], "unknown": "@"}]
+    raw = json.dumps(cfg).replace('"@"', nested).encode()
+
+    assert decode_routes(raw) == decode_routes(json.dumps(ROUTES).encode())
+
+
+@pytest.mark.parametrize(
+    "incarnation", ["i" * 129, "i/1", "i\n", "\u00fc", "\udcff"], ids=ascii
+)
+def test_odd_incarnation_of_a_response_is_not_taken(incarnation):
+    fields = ((SERVER_INCARNATION, incarnation),)
+
+    metadata = PlatformDialect().parse_health_response(Response(200, fields))
+
+    assert metadata.incarnation == ""
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('node = "n"', 'node = ""'),
+        ('node = "n"', f'node = "{"n" * 64}"'),
+        ('ip = "127.0.0.1"', 'ip = "a b"'),
+        ('ip = "127.0.0.1"', 'ip = "a..b"'),
+        ("[7600, 7700]", "[99999, 99999]"),
+        ("[7600, 7700]", "[-1, 7700]"),
+        ("link-mbps = 1.5", "link-mbps = nan"),
+        ("link-mbps = 1.5", "link-mbps = inf"),
+        ("127.0.0.1:5", "127.0.0.1:99999"),
+        ("heartbeat-ms = 1500", "heartbeat-ms = 1" + "0" * 30),
+    ],
+)
+def test_settings_beyond_the_bounds_are_refused(old, new):
+    assert decode_settings(SETTINGS).node == "n"
+    assert old in SETTINGS
+
+    with pytest.raises(PlatformMalformedError):
+        decode_settings(SETTINGS.replace(old, new))
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "1e999"])
+def test_bound_that_is_no_finite_number_has_its_default(value):
+    text = SETTINGS.replace("config-ms = 2000", f"config-ms = {value}")
+
+    assert decode_settings(text).config_s == 2.0
--- a/src/radishwind/sidecar/program.py
+++ b/src/radishwind/sidecar/program.py
@@ -117,7 +117,8 @@
       SettingError: the value is not a port.
     """
     text = os.environ.get(METRICS_VARIABLE, "0")
-    if not text.isdigit() or int(text) > _MAX_PORT:
+    is_number = text.isascii() and text.isdigit() and len(text) <= 5
+    if not is_number or int(text) > _MAX_PORT:
         raise SettingError(
             f"{METRICS_VARIABLE}: expected a port from 0 to {_MAX_PORT}, "
             f"got {text[:40]!r}"
--- a/src/radishwind/target/tests/test_leaving_records.py
+++ b/src/radishwind/target/tests/test_leaving_records.py
@@ -206,3 +206,17 @@
         tasks.cancel_scope.cancel()
 
     assert store.keys == [PREFIX + PROCESS.key]
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b"i" * 161, b"i\n", "\u00fc".encode()], ids=ascii
+)
+async def test_odd_record_of_a_peer_is_refused_and_not_published(body):
+    store, rumor_bus = MemoryStore(), RecordingRumorBus()
+    made = records(Network(), rumor_bus, 0, store)
+
+    response = await made.handle(Request("POST", "/x", (), body, len(body)))
+
+    assert response.status == 400
+    assert rumor_bus.published == []
+    assert store.keys == []
--- a/src/radishwind/telemetry/explain.py
+++ b/src/radishwind/telemetry/explain.py
@@ -102,7 +102,8 @@
         message = _decoder.decode(raw[start:])
     except MalformedInputError:
         return None
-    if "timestamp" not in message:
+    timestamp = message.get("timestamp")
+    if not isinstance(timestamp, int | float):
         return None
     prefix = raw[:start].decode("utf-8", "replace").split()
     fields = {
@@ -112,7 +113,7 @@
     }
     node = prefix[-1] if prefix else default_node
     text = str(message.get("text", ""))
-    return LogLine(float(message["timestamp"]), node, text, fields)
+    return LogLine(float(timestamp), node, text, fields)
 
 
 def _started_at(line: LogLine) -> float:
--- a/tests/test_decoders_fuzz.py
+++ b/tests/test_decoders_fuzz.py
@@ -26,10 +26,10 @@
 from radishwind.config import pull
 from radishwind.config import records
 from radishwind.config.model import Service
+from radishwind.core.clock import ManualClock
 from radishwind.core.errors import RadishwindError
 from radishwind.decoding import JsonDecoder
 from radishwind.decoding import MsgpackDecoder
-from radishwind.entry.call import CallRejectedError
 from radishwind.http.types import Address
 from radishwind.http.types import Request
 from radishwind.http.types import Response
@@ -42,9 +42,11 @@
 from radishwind.node import node_telemetry
 from radishwind.peers import attempts
 from radishwind.peers import fleet_security
+from radishwind.peers.keyring import Keyring
 from radishwind.platform import boot
 from radishwind.platform import decode_caller_fields
 from radishwind.platform import decode_routes
+from radishwind.platform import header_fields
 from radishwind.platform import heartbeats
 from radishwind.platform import platform_store
 from radishwind.platform import PlatformDialect
@@ -59,6 +61,8 @@
 from radishwind.sidecar import secret_manager
 from radishwind.sidecar import service_profile
 from radishwind.store import gateway
+from radishwind.store.era_tracker import EraTracker
+from radishwind.store.position import StorePosition
 from radishwind.target import announcement_handler
 from radishwind.target import leaving_records
 from radishwind.target import limit_records
@@ -232,10 +236,11 @@
     dialect = PlatformDialect()
     text = text_of(data)
     names = (
-        "Server-Load",
-        "Server-Limit",
-        "Server-Warmup",
-        "Server-Incarnation",
+        header_fields.LOAD,
+        header_fields.LIMIT,
+        header_fields.WARMUP,
+        header_fields.SERVER_INCARNATION,
+        header_fields.LEAVING,
     )
     response = Response(200, tuple((name, text) for name in names))
     return dialect.parse_health_response(response)
@@ -248,9 +253,27 @@
 
 def caller_fields(data: bytes) -> Any:
     text = text_of(data)
-    names = ("Timeout", "X-Request-Id", "Request-Id", "Host", "Authorization")
-    with contextlib.suppress(CallRejectedError):
-        return decode_caller_fields(tuple((n, text) for n in names), "own")
+    names = (
+        header_fields.TIMEOUT,
+        header_fields.REQUEST_ID,
+        header_fields.KEY,
+        header_fields.ACCOUNT,
+        "Host",
+    )
+    fields = tuple((name, text) for name in names)
+    return decode_caller_fields(fields, "own", accounts=True)
+
+
+def start_field(data: bytes) -> Any:
+    """Feeds the field by which a peer states which process answers."""
+    keyring = Keyring(ManualClock())
+    keyring.has_accounts = True
+    keyring.update_secret(b"s" * 32, StorePosition(1, 1))
+    signer = fleet_security.FleetSigner(
+        keyring, fleet_security.StartIds(b"i" * fleet_security.START_ID_BYTES)
+    )
+    fields = ((fleet_security.START_FIELD, text_of(data)),)
+    return signer.should_sign_again(Address("h", 1), Response(401, fields))
 
 
 def as_json(value: Any) -> bytes:
@@ -438,6 +461,11 @@
         ),
         b"i-1@1700000000000",
     ),
+    "era of the store": (
+        lambda data: EraTracker(ManualClock()).observe(text_of(data)),
+        b"5",
+    ),
+    "start of a peer's process": (start_field, b"00" * 8),
     "signature": (
         lambda data: fleet_security._decode_field(text_of(data)),
         b"A" * fleet_security._FIELD_CHARS,
