Read the store less often for what it doesn't have or has malformed

What would be seen: no lost request, but a store whose calls the nodes use up. A rumor of a version that nobody has, which needs no signature as long as there are no client accounts, makes every node list all of the operator's keys up to seven times a second for good; so does a configuration that some nodes refuse. A node that needs a freshness proof reads a malformed configuration again every 0.1 s, since each answer resets the pause.

The reads of the store back off up to 30 s, and up to 5 s for a malformed configuration; peers are asked as often as before, and a newer rumor is followed at once.

--- a/src/radishwind/routes/route_feed.py
+++ b/src/radishwind/routes/route_feed.py
@@ -14,6 +14,7 @@
 import anyio
 import msgspec
 
+from radishwind.core.backoff import Backoff
 from radishwind.core.clock import Clock
 from radishwind.core.errors import RadishwindError
 from radishwind.decoding import JsonDecoder
@@ -79,6 +80,10 @@
 #: and then requests the version.
 _PUSH_WAIT_S = 0.15
 
+#: Longest pause between reads of a store that doesn't have what a rumor
+#: named (s).
+_MAX_READ_PAUSE_S = 30.0
+
 #: Another peer is requested from after this time without an answer (s).
 _NEXT_PEER_WAIT_S = 0.1
 
@@ -167,6 +172,11 @@
         self._rng = rng
         self._first_wait_s = first_wait_s
         self._log = PartLogger("routes", clock)
+        self._clock = clock
+        # While the store doesn't have what a rumor named, it is read less and
+        # less often (monotonic, s).
+        self._read_backoff = Backoff(rng, 2 * _PUSH_WAIT_S, _MAX_READ_PAUSE_S)
+        self._next_read_at = 0.0
         self._known_version = 0
         self._known_evacuation = UNKNOWN_POSITION
         self._behind_event = anyio.Event()
@@ -215,6 +225,7 @@
         self._store_watcher.note_version(version)
         if version > self._known_version:
             self._known_version = version
+            self._next_read_at = 0.0
             self._behind_event.set()
 
     async def handle(self, request: Request) -> Response:
@@ -387,11 +398,14 @@
             return
         if rumor.position > self._known_evacuation:
             self._known_evacuation = rumor.position
+            self._next_read_at = 0.0
             self._behind_event.set()
 
     async def _pull_when_behind(self) -> None:
         while True:
             if not self._is_behind():
+                self._read_backoff.record_success()
+                self._next_read_at = 0.0
                 await self._wait_until_notified()
                 if not self._is_behind():
                     continue
@@ -449,8 +463,16 @@
             return True
         if self._active_routes.cfg is None:
             return False
-        await self._store_watcher.read()
-        return not self._is_behind()
+        if self._clock.monotonic() < self._next_read_at:
+            return False
+        has_answered = await self._store_watcher.read()
+        if not self._is_behind():
+            return True
+        if has_answered:
+            # Nobody has what a rumor named, or this node can't adopt it.
+            pause_s = self._read_backoff.record_failure()
+            self._next_read_at = self._clock.monotonic() + pause_s
+        return False
 
     def _is_up_to_date(self) -> bool:
         return self._active_routes.cfg is not None and not self._is_behind()
--- a/src/radishwind/routes/store_watcher.py
+++ b/src/radishwind/routes/store_watcher.py
@@ -35,6 +35,9 @@
 _INITIAL_PAUSE_S = 0.1
 _MAX_PAUSE_S = 1.0
 
+#: Longest pause between reads of a configuration that is malformed (s).
+_MAX_MALFORMED_PAUSE_S = 5.0
+
 #: Interval at which a node checks whether it should watch the store (s).
 DUTY_CHECK_INTERVAL_S = 0.5
 
@@ -100,6 +103,11 @@
         self._evacuation = evacuation
         self._log = PartLogger("routes", clock)
         self._backoff = Backoff(rng, _INITIAL_PAUSE_S, _MAX_PAUSE_S)
+        # Not reset by an answer, unlike `_backoff`.
+        self._malformed_backoff = Backoff(
+            rng, _INITIAL_PAUSE_S, _MAX_MALFORMED_PAUSE_S
+        )
+        self._is_malformed = False
         self._clock = clock
         self.monitor = WatchMonitor(clock)
         self._position = UNKNOWN_POSITION
@@ -159,7 +167,10 @@
         while not is_known() or not may_skip_read:
             if await self._read_first():
                 break
-            await anyio.sleep(self._backoff.record_failure())
+            backoff = self._backoff
+            if self._is_malformed:
+                backoff = self._malformed_backoff
+            await anyio.sleep(backoff.record_failure())
             if is_known():
                 break
         while True:
@@ -253,6 +264,7 @@
         domains = EvacuatedDomains(domains_at.revision, names, domains_at.era)
         self._on_evacuation(domains, STORE_SOURCE)
         version = self._on_config(config[0].value, STORE_SOURCE)
+        self._is_malformed = not version
         if not allow_stale:
             self._record_confirmed(config[0].store_position, version)
         if self.monitor.is_open:
--- a/src/radishwind/routes/tests/test_confirm.py
+++ b/src/radishwind/routes/tests/test_confirm.py
@@ -7,6 +7,7 @@
 
 from radishwind.core import ManualClock
 from radishwind.recency import FreshnessProof
+from radishwind.routes import store_watcher
 from radishwind.routes.evacuation import EvacuationState
 from radishwind.routes.store_watcher import OperatorKeys
 from radishwind.routes.store_watcher import StoreWatcher
@@ -220,3 +221,28 @@
     assert await node.watcher.confirm() is None
     node.store.write(b"9")
     assert (await node.watcher.confirm()).version == 9
+
+
+class EnoughPausesError(Exception):
+    """Ends a loop that would go on."""
+
+
+async def test_malformed_configuration_is_read_less_and_less_often(
+    node, monkeypatch
+):
+    pauses = []
+
+    async def sleep(pause_s):
+        pauses.append(pause_s)
+        if len(pauses) == 40:
+            raise EnoughPausesError
+
+    monkeypatch.setattr(store_watcher.anyio, "sleep", sleep)
+    node.watcher._on_proof = lambda proof: None
+    node.store.write(b"malformed")
+
+    with pytest.raises(EnoughPausesError):
+        await node.watcher._follow(0.0, lambda: False)
+
+    assert node.store.calls == ["list"] * (len(pauses) - 1)
+    assert sum(pauses) / len(pauses) > 1.0
--- a/src/radishwind/routes/tests/test_route_feed.py
+++ b/src/radishwind/routes/tests/test_route_feed.py
@@ -328,3 +328,29 @@
 
     assert made._peers.max_in_flight == MAX_CONCURRENT_PUSHES
     assert made._peers.pushed >= 10
+
+
+@pytest.mark.parametrize("version", [8, 2**63 - 1])
+async def test_rumor_of_a_version_that_nobody_has_costs_few_reads(version):
+    store = Store()
+    made, active_routes = feed(store, Directory("own"), 0.0)
+    active_routes.adopt(decode(b"7"), b"7", "test")
+    made.note_version(version)
+
+    for _ in range(1_000):
+        assert not await made._pull()
+        made._clock.advance(0.1)
+
+    assert 1 <= store.reads < 20
+
+
+async def test_newer_version_is_read_at_once_after_one_that_nobody_has():
+    store = Store()
+    made, active_routes = feed(store, Directory("own"), 0.0)
+    active_routes.adopt(decode(b"7"), b"7", "test")
+    for version in range(8, 12):
+        made.note_version(version)
+        before = store.reads
+        await made._pull()
+        await made._pull()
+        assert store.reads == before + 1
