Bound the numbers of evacuations and ledgers that peers send

What would be seen: a node that pulls from a peer ends by itself (exit 1, ValueError of a rumor's version) when the reply names an evacuation of an era above 16 bits: the node publishes what it adopts, and its position doesn't fit in a rumor.

The numbers of evacuated domains and of burn ledgers have bounds now, and a test walks the types of all decoders of the tree for numbers without. The settings file is read by the same package.

--- a/src/radishwind/burn/ledger.py
+++ b/src/radishwind/burn/ledger.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.decoding.numbers import NonNegativeFloat
+from radishwind.decoding.numbers import NonNegativeInt
 from radishwind.entry.call import Call
 from radishwind.entry.observer import CallObserver
 from radishwind.http.types import is_server_error
@@ -32,10 +34,10 @@
       slow: of these, above the latency objective.
     """
 
-    minute: int
-    requests: int = 0
-    failed: int = 0
-    slow: int = 0
+    minute: NonNegativeInt
+    requests: NonNegativeInt = 0
+    failed: NonNegativeInt = 0
+    slow: NonNegativeInt = 0
 
     def add(self, other: "MinuteCounts") -> None:
         """Adds the counts of `other`."""
@@ -56,9 +58,9 @@
     """
 
     service: str
-    latency_target: float
-    success_target: float
-    latency_objective_ms: int
+    latency_target: NonNegativeFloat
+    success_target: NonNegativeFloat
+    latency_objective_ms: NonNegativeInt
     minutes: list[MinuteCounts]
 
 
--- a/src/radishwind/routes/evacuation.py
+++ b/src/radishwind/routes/evacuation.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from radishwind.core.clock import Clock
+from radishwind.decoding.numbers import NonNegativeInt
+from radishwind.store.position import Era
 from radishwind.store.position import StorePosition
 from radishwind.supervision import Duty
 from radishwind.supervision import Listeners
@@ -29,9 +31,9 @@
       era: era of the store; 0 if it states none.
     """
 
-    revision: int = 0
+    revision: NonNegativeInt = 0
     names: frozenset[str] = frozenset()
-    era: int = 0
+    era: Era = 0
 
     @property
     def position(self) -> StorePosition:
--- a/src/radishwind/routes/tests/test_evacuation.py
+++ b/src/radishwind/routes/tests/test_evacuation.py
@@ -433,3 +433,13 @@
 )
 def test_only_keys_of_a_failure_domain_mark_it_as_evacuated(key, name):
     assert evacuated_domain(key) == name
+
+
+@pytest.mark.parametrize(
+    "odd", [{"era": 2**16}, {"era": -1}, {"revision": 2**63}]
+)
+def test_evacuations_of_a_position_beyond_the_bounds_are_refused(odd):
+    domains = msgspec.structs.replace(evacuated(20, "b"), **odd)
+
+    with pytest.raises(messages.FeedMalformedError):
+        messages.decode(messages.encode(messages.RouteUpdate(b"", domains)))
--- a/src/radishwind/sidecar/settings_reloader.py
+++ b/src/radishwind/sidecar/settings_reloader.py
@@ -9,6 +9,8 @@
 from radishwind.core.clock import Clock
 from radishwind.core.codes import ResultCode
 from radishwind.core.errors import RadishwindError
+from radishwind.decoding import decode_text
+from radishwind.decoding.toml_decoder import MAX_TOML_BYTES
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.telemetry.part_logger import PartLogger
 
@@ -58,11 +60,14 @@
 
     def _read(self) -> str:
         try:
-            return self._path.read_text()
-        except (OSError, UnicodeDecodeError) as exc:
+            content = self._path.read_bytes()
+        except OSError as exc:
             raise SettingsUnreadableError(
                 f"expected a settings file, got {exc}"
             ) from exc
+        return decode_text(
+            content, "a settings file", MAX_TOML_BYTES, SettingsUnreadableError
+        )
 
 
 class SettingsReloader:
--- a/tests/test_decoders_fuzz.py
+++ b/tests/test_decoders_fuzz.py
@@ -7,6 +7,7 @@
 
 import base64
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import importlib
 import json
@@ -17,6 +18,7 @@
 import zlib
 
 import msgspec
+from msgspec import inspect
 import pytest
 
 import radishwind
@@ -643,8 +645,8 @@
     assert set(found) == ALLOWED_CALLS
 
 
-def decoders_of_the_tree() -> dict[int, str]:
-    """Returns the name of each decoder of a module, by its identity."""
+def decoders_of_the_tree() -> dict[str, Any]:
+    """Returns each decoder of a module, by its name."""
     found = {}
     for path in sorted(SOURCES.rglob("*.py")):
         name = path.relative_to(SOURCES).as_posix()
@@ -656,7 +658,7 @@
         module = importlib.import_module(".".join(("radishwind", *words)))
         for attribute, value in vars(module).items():
             if isinstance(value, JsonDecoder | MsgpackDecoder):
-                found[id(value)] = f"{module.__name__}.{attribute}"
+                found[f"{module.__name__}.{attribute}"] = value
     return found
 
 
@@ -680,5 +682,44 @@
             decode_any(owner.decode if owner is not None else decode, data)
 
     found = decoders_of_the_tree()
-    assert [name for key, name in found.items() if key not in fed] == []
+    assert [name for name, one in found.items() if id(one) not in fed] == []
     assert len(found) > 40
+
+
+def numbers_without_bounds(
+    kind: Any, path: str, seen: set[type]
+) -> Iterator[str]:
+    """Yields the fields within a type that take any number."""
+    if isinstance(kind, inspect.IntType | inspect.FloatType):
+        low = kind.ge if kind.ge is not None else kind.gt
+        high = kind.le if kind.le is not None else kind.lt
+        if low is None or high is None:
+            yield path
+        return
+    inner: list[tuple[str, Any]] = []
+    if isinstance(kind, inspect.StructType):
+        if kind.cls in seen:
+            return
+        seen.add(kind.cls)
+        inner = [(f"{kind.cls.__name__}.{f.name}", f.type) for f in kind.fields]
+    elif isinstance(kind, inspect.UnionType):
+        inner = [(path, one) for one in kind.types]
+    elif isinstance(kind, inspect.TupleType):
+        inner = [(path, one) for one in kind.item_types]
+    elif isinstance(kind, inspect.DictType):
+        inner = [(path, kind.key_type), (path, kind.value_type)]
+    elif isinstance(kind, inspect.CollectionType):
+        inner = [(path, kind.item_type)]
+    for where, one in inner:
+        yield from numbers_without_bounds(one, where, seen)
+
+
+def test_every_number_that_is_decoded_has_bounds():
+    kinds = {n: one._decoder.type for n, one in decoders_of_the_tree().items()}
+    kinds["boot"] = boot._File
+    found = [
+        f"{name} {path}"
+        for name, kind in kinds.items()
+        for path in numbers_without_bounds(inspect.type_info(kind), "", set())
+    ]
+    assert found == []
