Leave odd fields out of the log lines that the commands read

What operators would see: explain and losses end with a traceback (TypeError, ValueError or OverflowError) at a line of a log whose time or numbers are something else. Such a line, or field, is left out.

--- a/src/radishwind/telemetry/explain.py
+++ b/src/radishwind/telemetry/explain.py
@@ -12,9 +12,11 @@
 import dataclasses
 import pathlib
 from typing import Any
+from typing import TypeGuard
 
 from radishwind.decoding import JsonDecoder
 from radishwind.decoding import MalformedInputError
+from radishwind.decoding.numbers import MAX_FLOAT
 from radishwind.decoding.sizes import MAX_LINE_BYTES
 
 #: Changes logged up to this long before the start of a request are included
@@ -30,6 +32,9 @@
     {"timestamp", "task_uuid", "task_level", "message_type", "level", "text"}
 )
 
+#: Fields that are numbers; left out of a line in which they are something else.
+_NUMBER_FIELDS = frozenset({"elapsed_ms", "held_back", "code", "aim_left_ms"})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogLine:
@@ -103,19 +108,25 @@
     except MalformedInputError:
         return None
     timestamp = message.get("timestamp")
-    if not isinstance(timestamp, int | float):
+    if not _is_number(timestamp):
         return None
     prefix = raw[:start].decode("utf-8", "replace").split()
     fields = {
         k: v
         for k, v in message.items()
-        if k not in _HIDDEN_FIELDS and v not in (None, "")
+        if k not in _HIDDEN_FIELDS
+        and v not in (None, "")
+        and (k not in _NUMBER_FIELDS or _is_number(v))
     }
     node = prefix[-1] if prefix else default_node
     text = str(message.get("text", ""))
     return LogLine(float(timestamp), node, text, fields)
 
 
+def _is_number(value: Any) -> TypeGuard[float]:
+    return isinstance(value, int | float) and abs(value) <= MAX_FLOAT
+
+
 def _started_at(line: LogLine) -> float:
     return line.at - float(line.fields.get("elapsed_ms", 0.0)) / 1000
 
--- a/src/radishwind/telemetry/tests/test_losses.py
+++ b/src/radishwind/telemetry/tests/test_losses.py
@@ -1,8 +1,11 @@
 """Classification of lost requests by their log lines."""
 
+import json
+
 import pytest
 
 from radishwind.telemetry.explain import LogLine
+from radishwind.telemetry.explain import read_log
 from radishwind.telemetry.losses import classify_loss
 from radishwind.telemetry.losses import Loss
 from radishwind.telemetry.losses import summarize_losses
@@ -72,3 +75,20 @@
     assert summary.rows[0].mean_ms == 200.0
     assert summary.held_back == 5
     assert summary.by_second[9] == {Loss.QUEUE: 1}
+
+
+@pytest.mark.parametrize("odd", ["x", [], {}, 10**400, "nan"], ids=ascii)
+@pytest.mark.parametrize(
+    "name", ["timestamp", "elapsed_ms", "held_back", "code", "aim_left_ms"]
+)
+def test_odd_line_of_a_log_hides_no_other(tmp_path, name, odd):
+    good = {"timestamp": 7.5, "text": "entry: Answered a request: done."}
+    good |= {"request": "x", "code": 3002, "elapsed_ms": 8.0}
+    path = tmp_path / "node.log"
+    path.write_text(
+        "".join(f"{json.dumps(x)}\n" for x in ({**good, name: odd}, good))
+    )
+
+    summary = summarize_losses(read_log(path))
+
+    assert Loss.REFUSED in {row.loss for row in summary.rows}
