Keep the bound of a member's incarnation

Widening the integers of the messages between nodes to 64 bits included incarnations, which need no more than the time in ms. A forged higher one would be passed on to nodes of earlier versions, which refuse the whole message that has it. The bound is 2**53 again; versions and revisions keep the 64 bits.

--- a/src/radishwind/membership/records.py
+++ b/src/radishwind/membership/records.py
@@ -36,6 +36,10 @@
     str, msgspec.Meta(max_length=MAX_RUMOR_VALUE_CHARS)
 ]
 
+#: Above the time of a start in ms. Earlier versions refuse a whole message that
+#: has a higher one.
+_Incarnation: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 #: Approximate length of the JSON around the values of a member record and of
 #: a rumor (bytes).
 _MEMBER_OVERHEAD_BYTES = 36
@@ -82,7 +86,7 @@
     service: _Name
     failure_domain: _Name
     address: AddressText
-    incarnation: NonNegativeInt
+    incarnation: _Incarnation
     advertised: AdvertisedState = AdvertisedState.SERVING
     liveness: Liveness = Liveness.ALIVE
 
