Keep the library's node running when a duty in the background fails

As on the platform's node, one error in a task of Node.run ended the node and the requests on it. Its duties run under the supervisor now, each by itself: watch, confirmation and check of the watch, pulls, reports, notices, search, timers, hedges, probes, the claims' writer, batches, queue and calls. The adoption of a configuration is called again until it succeeds. The claim writer and the queue of updates look at what is waiting before they wait, so that a restart leaves nothing behind. Errors that are no duty's stop the node gracefully, and a failing step of the stop doesn't cut the others.

The status document has `duties` and `errors_contained`; new metrics radishwind.duty.failures and radishwind.duty.running.

Test with real processes: in each of 13 nodes another step fails while requests run on kept connections.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -48,6 +48,8 @@
 from radishwind.store import Store
 from radishwind.store import TxnResult
 from radishwind.store.position import StorePosition
+from radishwind.supervision import Duty
+from radishwind.supervision import run_together
 
 _ANSWER = b'{"booking": "7f31c6", "state": "confirmed"}' * 4
 _RULES = ServiceRules()
@@ -121,8 +123,8 @@
     async def write(self, compare: Compare, put: Put) -> TxnResult:
         return await self._store.transact((compare,), (put,))
 
-    async def run(self) -> None:
-        """Has nothing to do."""
+    def duties(self) -> tuple[Duty, ...]:
+        return ()
 
 
 WAYS = ("no claims", "results singly", "results grouped", "both grouped")
@@ -166,7 +168,8 @@
         paced = PacedStore(store, writes_per_s)
         async with anyio.create_task_group() as tasks:
             claims = self._claims(paced, grouped=way == "both grouped")
-            claims.start(tasks)
+            tasks.start_soon(run_together, claims.duties())
+            await anyio.wait_all_tasks_blocked()
             spent = await self._timed(claims, paced, way, workers, repeats)
             tasks.cancel_scope.cancel()
         await sender.close()
--- a/src/radishwind/claims/at_most_once_guard.py
+++ b/src/radishwind/claims/at_most_once_guard.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 import anyio
-import anyio.abc
 import msgspec
 
 from radishwind.claims.claim_cache import ClaimCache
@@ -26,6 +25,8 @@
 from radishwind.outcomes.model import NotRun
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
+from radishwind.supervision import Duty
+from radishwind.supervision import TaskPool
 
 #: Retry delay while the node starts or an earlier request with the key runs.
 _RETRY_AFTER_S = 1.0
@@ -93,17 +94,16 @@
         self._max_body_bytes = max_body_bytes
         self._duplicate_wait_s = duplicate_wait_s
         self._running: dict[tuple[str, str], anyio.Event] = {}
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._jobs = TaskPool("claims.calls")
         self._running_count = 0
         self._idle = anyio.Event()
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts the registry and runs the keyed calls in `tasks` from now on.
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties: to run the keyed calls, and the registry.
 
-        Keyed calls are refused before.
+        Keyed calls are refused while the first does not run.
         """
-        self._tasks = tasks
-        tasks.start_soon(self._registry.run)
+        return (self._jobs.duty, *self._registry.duties())
 
     @property
     def running_count(self) -> int:
@@ -119,14 +119,14 @@
     async def run(self, call: Call, execute: Execute) -> Outcome:
         if call.key is None or call.idempotent:
             return await execute(call)
-        if self._tasks is None:
+        if not self._jobs.is_running:
             return NotRun(
                 ResultCode.CLAIM_UNAVAILABLE,
                 "The node is starting.",
                 _RETRY_AFTER_S,
             )
         job = _Job(call, execute, anyio.Event())
-        self._tasks.start_soon(self._run_job, job)
+        self._jobs.start_soon(self._run_job, job)
         try:
             await job.completed.wait()
         except BaseException:
--- a/src/radishwind/claims/claim_registry.py
+++ b/src/radishwind/claims/claim_registry.py
@@ -33,6 +33,7 @@
 from radishwind.store.base import StoreEntry
 from radishwind.store.base import StoreError
 from radishwind.store.base import StoreUnavailableError
+from radishwind.supervision import Duty
 
 #: Attempts to claim a key, if its claim is changed or released meanwhile.
 _MAX_ATTEMPTS = 3
@@ -160,9 +161,9 @@
         self._breaker.record_success()
         return outcome
 
-    async def run(self) -> None:
-        """Runs the background work until cancelled."""
-        await self._writer.run()
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties of the writer."""
+        return self._writer.duties()
 
     def release(self, claim: OwnedClaim) -> None:
         """Releases a claim under which nothing ran."""
--- a/src/radishwind/claims/claim_update_queue.py
+++ b/src/radishwind/claims/claim_update_queue.py
@@ -175,11 +175,11 @@
     async def run(self) -> None:
         """Writes the queued updates until cancelled."""
         while True:
-            await self._wake.wait()
-            self._wake = anyio.Event()
             while self.pending_count:
                 has_responded = await self.flush()
                 await anyio.sleep(self._pause_s(has_responded))
+            await self._wake.wait()
+            self._wake = anyio.Event()
 
     def _pause_s(self, has_responded: bool) -> float:
         """Returns the pause before the next flush (s).
--- a/src/radishwind/claims/claim_writer.py
+++ b/src/radishwind/claims/claim_writer.py
@@ -11,6 +11,9 @@
 from radishwind.store.base import StoreAnswerLostError
 from radishwind.store.base import StoreError
 from radishwind.store.base import TxnResult
+from radishwind.supervision import Duty
+from radishwind.supervision import run_together
+from radishwind.supervision import TaskPool
 
 #: Maximum number of claims per transaction. Stores allow about 128 operations
 #: per transaction.
@@ -37,8 +40,8 @@
         """
 
     @abc.abstractmethod
-    async def run(self) -> None:
-        """Runs the background work of the writer until cancelled."""
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties of the writer."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -91,6 +94,7 @@
         self._in_flight = 0
         self._batch_length = MAX_BATCH_LENGTH
         self._wake = anyio.Event()
+        self._batches = TaskPool("claims.batches")
 
     async def write(self, compare: Compare, put: Put) -> TxnResult:
         if self._in_flight < self._max_in_flight and not self._pending:
@@ -108,15 +112,28 @@
         assert pending.result is not None
         return pending.result
 
+    def duties(self) -> tuple[Duty, ...]:
+        return (
+            self._batches.duty,
+            Duty("claims.writes", self._start_batches),
+        )
+
     async def run(self) -> None:
-        """Writes the batches until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                await self._wake.wait()
-                self._wake = anyio.Event()
-                while self._pending and self._in_flight < self._max_in_flight:
-                    self._in_flight += 1
-                    tasks.start_soon(self._write_batch, self._next_batch())
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties())
+
+    async def _start_batches(self) -> None:
+        while True:
+            while (
+                self._batches.is_running
+                and self._pending
+                and self._in_flight < self._max_in_flight
+            ):
+                batch = self._next_batch()
+                self._in_flight += 1
+                self._batches.start_soon(self._write_batch, batch)
+            await self._wake.wait()
+            self._wake = anyio.Event()
 
     async def _write_single(self, compare: Compare, put: Put) -> TxnResult:
         self._in_flight += 1
--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -1,10 +1,13 @@
 """Assembles a node and runs it until a signal stops it."""
 
+import asyncio
 import os
 import random
 from typing import Any
 
 import anyio
+import anyio.abc
+import msgspec
 
 from radishwind.config.index import ConfigIndex
 from radishwind.config.model import Configuration
@@ -39,6 +42,11 @@
 from radishwind.retries import BudgetedRetryPolicy
 from radishwind.routing.placement import UnrestrictedPlacement
 from radishwind.settings import NodeSettings
+from radishwind.supervision import FailureLog
+from radishwind.supervision import handle_loop_errors
+from radishwind.supervision import set_failure_log
+from radishwind.supervision import StopSteps
+from radishwind.supervision import Supervisor
 from radishwind.telemetry.part_logger import PartLogger
 
 #: Maximum number of connections to each peer or the server, and to the store.
@@ -65,6 +73,9 @@
         self._index = ConfigIndex(Configuration())
         self._stopping = anyio.Event()
         self._log = PartLogger("node", clock)
+        self._failures = FailureLog(clock)
+        self._supervisor = Supervisor(clock, self._rng, self._failures)
+        self._stop_steps = StopSteps()
         self._build_control()
         self._build_data_path()
         self._build_admin()
@@ -169,7 +180,12 @@
         self._admin.add_status(self._claims.status)
         self._target_side.add_to(self._admin)
         self._target_side.add_metrics(self._telemetry)
-        add_metrics(self._telemetry, self._entry, self._membership)
+        add_metrics(
+            self._telemetry,
+            self._entry,
+            self._membership,
+            self._supervisor,
+        )
         self._telemetry.add_to(self._admin, self._peers)
         self._config = make_config(
             settings=self._settings,
@@ -188,55 +204,89 @@
         self._servers = [make_server(library) for _ in range(3)]
 
     async def run(self) -> None:
+        """Runs until `request_stop`, then drains and stops.
+
+        An error that is no duty's stops the node in the same way; it is raised
+        at the end.
+        """
+        set_failure_log(self._failures)
+        handle_loop_errors(asyncio.get_running_loop())
         async with anyio.create_task_group() as tasks:
-            callers, peers, admin = self._servers
-            self._claims.start(tasks)
-            await peers.start(
-                with_error_logging(self._attempts.handle, self._log),
-                self._settings.peer_listen,
-            )
-            await admin.start(
-                with_error_logging(self._admin.handle, self._log),
-                self._settings.admin_listen,
-            )
-            tasks.start_soon(self._config.run)
-            tasks.start_soon(self._entry.run_hedges)
-            tasks.start_soon(self._membership.run)
-            tasks.start_soon(self._target_side.run)
-            await callers.start(
-                with_error_logging(self._callers.handle, self._log),
-                self._settings.caller_listen,
-            )
-            self._log.info(
-                "Receives callers.", address=str(self._settings.caller_listen)
-            )
-            await self._stopping.wait()
+            try:
+                await self._start(tasks)
+                await self._stopping.wait()
+            except Exception as exc:
+                self._stop_after_error("run", exc)
             self._log.info("Stops as planned; finishes what is in progress.")
-            await self._stop()
+            await self._stop_steps.run("shutdown", self._stop)
             tasks.cancel_scope.cancel()
         # Only now, because the tasks use these connections until they end.
-        await self._sender.close()
-        await self._probe_sender.close()
-        await self._stores.close()
+        await self._stop_steps.run("senders", self._sender.close)
+        await self._stop_steps.run("senders", self._probe_sender.close)
+        await self._stop_steps.run("store", self._stores.close)
+        error = self._stop_steps.first_error
+        if error is not None:
+            self._log.failure(
+                "Stopped after an error.", error, may_suppress=False
+            )
+            raise error
         self._log.info("Stopped.")
 
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Opens the listeners and starts the duties in `tasks`."""
+        callers, peers, admin = self._servers
+        self._supervisor.start(tasks, self._claims.duties())
+        await peers.start(
+            with_error_logging(self._attempts.handle, self._log),
+            self._settings.peer_listen,
+        )
+        await admin.start(
+            with_error_logging(self._admin.handle, self._log),
+            self._settings.admin_listen,
+        )
+        self._supervisor.start(
+            tasks,
+            (
+                *self._config.duties(),
+                *self._entry.duties(),
+                *self._membership.duties(),
+                *self._target_side.duties(),
+            ),
+        )
+        await callers.start(
+            with_error_logging(self._callers.handle, self._log),
+            self._settings.caller_listen,
+        )
+        self._log.info(
+            "Receives callers.", address=str(self._settings.caller_listen)
+        )
+
+    def _stop_after_error(self, name: str, exc: Exception) -> None:
+        """Stops the node because of an error that is no duty's."""
+        self._stop_steps.record(name, exc)
+        self._stopping.set()
+
     async def _stop(self) -> None:
         """Advertises that the node leaves, refuses new work, then drains."""
-        self._membership.advertise(AdvertisedState.LEAVING)
-        self._callers.request_connection_close()
-        self._attempts.request_connection_close()
+        steps = self._stop_steps
+        callers, attempts = self._callers, self._attempts
+        steps.call(
+            "leaving", self._membership.advertise, AdvertisedState.LEAVING
+        )
+        steps.call("callers", callers.request_connection_close)
+        steps.call("attempts", attempts.request_connection_close)
         await anyio.sleep(self._settings.leave_notice_s)
-        self._target.refuse_new_work()
-        await self._servers[0].stop_listening()
+        steps.call("target", self._target.refuse_new_work)
+        await steps.run("listeners", self._servers[0].stop_listening)
         with anyio.move_on_after(self._settings.stop_grace_s):
-            await self._target.wait_drained()
-            await self._claims.wait_drained()
-            await self._callers.wait_idle()
-            await self._attempts.wait_idle()
-            await self._attempts.wait_quiet(_QUIET_PERIOD_S)
-        await self._membership.advertise_left()
+            await steps.run("target", self._target.wait_drained)
+            await steps.run("claims", self._claims.wait_drained)
+            await steps.run("callers", callers.wait_idle)
+            await steps.run("attempts", attempts.wait_idle)
+            await steps.run("attempts", attempts.wait_quiet, _QUIET_PERIOD_S)
+        await steps.run("left", self._membership.advertise_left)
         for server in self._servers:
-            await server.close(1.0)
+            await steps.run("listeners", server.close, 1.0)
 
     def request_stop(self) -> None:
         self._stopping.set()
@@ -264,6 +314,8 @@
                 str(int(code)): count
                 for code, count in self._peers.refused_by_code.items()
             },
+            "duties": msgspec.to_builtins(self._supervisor.statuses()),
+            "errors_contained": self._supervisor.error_counts(),
         }
 
     def _handle_adopted(self, index: ConfigIndex) -> None:
--- a/src/radishwind/node/claims.py
+++ b/src/radishwind/node/claims.py
@@ -5,8 +5,6 @@
 import random
 from typing import Any
 
-import anyio.abc
-
 from radishwind.claims.at_most_once_guard import AtMostOnceGuard
 from radishwind.claims.claim_cache import ClaimCache
 from radishwind.claims.claim_registry import ClaimRegistry
@@ -19,6 +17,7 @@
 from radishwind.leases.shared_lease import SharedLease
 from radishwind.settings.node_settings import NodeSettings
 from radishwind.store.base import Store
+from radishwind.supervision import Duty
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,10 +35,12 @@
     updates: ClaimUpdateQueue
     cache: ClaimCache
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Runs the guarded calls and the claim updates in `tasks`."""
-        self.guard.start(tasks)
-        tasks.start_soon(self.updates.run)
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties: to run guarded calls, and to write claims."""
+        return (
+            *self.guard.duties(),
+            Duty("claims.updates", self.updates.run),
+        )
 
     async def wait_drained(self) -> None:
         """Returns once all guarded calls ended and their results are stored."""
--- a/src/radishwind/node/config_tasks.py
+++ b/src/radishwind/node/config_tasks.py
@@ -45,6 +45,10 @@
 from radishwind.peers import PeerError
 from radishwind.settings import NodeSettings
 from radishwind.store import Store
+from radishwind.supervision import Duty
+from radishwind.supervision import Listeners
+from radishwind.supervision import run_contained
+from radishwind.supervision import run_together
 
 RUMOR_TOPIC = "config"
 _RUMOR_KEY = "newest"
@@ -117,7 +121,8 @@
         self._rng = rng
         self._directory = directory
         self._rumor_bus = rumor_bus
-        self._on_adopted = on_adopted
+        self._adoption: Listeners[ConfigIndex] = Listeners("config.adoption")
+        self._adoption.add(on_adopted)
         self._log = log
         self._periods = periods
         self._report_sender, self._report_receiver = (
@@ -159,13 +164,19 @@
         """Whether this node is one of those that watch the store."""
         return self._follower.is_watching
 
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties that keep the configuration up to date."""
+        return (
+            *self._follower.duties(),
+            Duty("config.pulls", self._pull_periodically),
+            Duty("config.reports", self._pull_reported),
+            Duty("config.notices", self._notify_members),
+            self._adoption.retries,
+        )
+
     async def run(self) -> None:
-        """Runs until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._follower.start(tasks)
-            tasks.start_soon(self._pull_periodically)
-            tasks.start_soon(self._pull_reported)
-            tasks.start_soon(self._notify_members)
+        """Runs the duties without supervision until cancelled."""
+        await run_together(self.duties())
 
     async def handle_control(self, request: Request) -> Response:
         """Answers a peer's pull."""
@@ -215,7 +226,7 @@
 
     def _handle_adopted(self, snapshot: Snapshot, source: Source) -> None:
         self.index = ConfigIndex(snapshot.cfg)
-        self._on_adopted(self.index)
+        self._adoption.notify(self.index)
         self._log(f"Revision {snapshot.revision} is in force.")
         self._adopted_event.set()
         if source is not Source.STORE:
@@ -302,7 +313,12 @@
             count = min(self._periods.notified_members, len(members))
             async with anyio.create_task_group() as tasks:
                 for member in self._rng.sample(members, count):
-                    tasks.start_soon(self.pull, member.address)
+                    tasks.start_soon(
+                        run_contained,
+                        "config.notices",
+                        self.pull,
+                        member.address,
+                    )
 
 
 def _json(content: bytes) -> Response:
--- a/src/radishwind/node/metrics.py
+++ b/src/radishwind/node/metrics.py
@@ -3,14 +3,16 @@
 from radishwind.entry import EntryPipeline
 from radishwind.node.membership_tasks import MembershipTasks
 from radishwind.node.node_telemetry import NodeTelemetry
+from radishwind.supervision import Supervisor
 
 
 def add_metrics(
     telemetry: NodeTelemetry,
     entry: EntryPipeline,
     membership: MembershipTasks,
+    supervisor: Supervisor,
 ) -> None:
-    """Registers the counters and gauges of entry pipeline and membership."""
+    """Registers the metrics of entry pipeline, membership and duties."""
     telemetry.counter(
         "attempts",
         "{attempt}",
@@ -21,6 +23,18 @@
             "hedges": entry.counts.hedges,
         },
     )
+    telemetry.counter(
+        "duty.failures",
+        "{error}",
+        "Errors contained, by the duty or listener that raised them.",
+        supervisor.error_counts,
+    )
+    telemetry.gauge(
+        "duty.running",
+        "{duty}",
+        "1 while a duty runs, 0 during a pause after an error.",
+        lambda: {s.name: int(s.is_running) for s in supervisor.statuses()},
+    )
     telemetry.gauge(
         "peers",
         "{member}",
--- a/src/radishwind/node/node_telemetry.py
+++ b/src/radishwind/node/node_telemetry.py
@@ -23,6 +23,7 @@
 from radishwind.peers import PeerError
 from radishwind.peers import PeerListener
 from radishwind.settings import NodeSettings
+from radishwind.supervision import run_contained
 
 #: Maximum number of peers called at once for their ledgers, and the timeout of
 #: each call (s).
@@ -143,6 +144,8 @@
                     continue
                 address = member.address
                 tasks.start_soon(
+                    run_contained,
+                    "burn.ledgers",
                     gather,
                     lambda a=address: self._client.call(
                         a, _BURN_CONTROL_NAME, b"{}", _LEDGER_TIMEOUT_S
--- a/src/radishwind/node/store_follower.py
+++ b/src/radishwind/node/store_follower.py
@@ -9,7 +9,6 @@
 import random
 
 import anyio
-import anyio.abc
 
 from radishwind.config.adopter import Source
 from radishwind.config.config_exchange import ConfigExchange
@@ -30,6 +29,7 @@
 from radishwind.store import WatchEvent
 from radishwind.store.position import StorePosition
 from radishwind.store.watch_monitor import WatchMonitor
+from radishwind.supervision import Duty
 
 
 class StoreFollower:
@@ -53,7 +53,7 @@
         log: Callable[[str], None],
         periods: ConfigPeriods,
     ) -> None:
-        """Creates the follower; `start` starts its tasks.
+        """Creates the follower; its duties do the work.
 
         Args:
           settings: settings of the node.
@@ -82,11 +82,13 @@
         self.monitor = WatchMonitor(clock)
         self.is_watching = False
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Follows the store in `tasks` until they are cancelled."""
-        tasks.start_soon(self._follow)
-        tasks.start_soon(self._confirm_watch)
-        tasks.start_soon(self._check_watch)
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duties: to follow the store, and to check the watch."""
+        return (
+            Duty("config.watch", self._follow),
+            Duty("config.watch_confirmation", self._confirm_watch),
+            Duty("config.watch_check", self._check_watch),
+        )
 
     async def _follow(self) -> None:
         await anyio.sleep(
--- a/src/radishwind/node/target_side.py
+++ b/src/radishwind/node/target_side.py
@@ -16,6 +16,7 @@
 from radishwind.probing import Prober
 from radishwind.quarantine import Quarantine
 from radishwind.settings import NodeSettings
+from radishwind.supervision import Duty
 from radishwind.target import AnnouncementHandler
 from radishwind.target import BackendServer
 from radishwind.target import ExchangeRecorder
@@ -90,9 +91,9 @@
         """Whether the server has announced itself and takes new work."""
         return self._server.is_ready
 
-    async def run(self) -> None:
-        """Probes the server until cancelled."""
-        await self._prober.run()
+    def duties(self) -> tuple[Duty, ...]:
+        """Returns the duty that probes the server."""
+        return (Duty("target.probes", self._prober.run),)
 
     def add_to(self, admin: AdminListener) -> None:
         """Registers the paths and status fields with the admin listener."""
--- a/src/radishwind/sidecar/app.py
+++ b/src/radishwind/sidecar/app.py
@@ -303,7 +303,6 @@
                 classifier=self._entry.classifier,
                 watch=self._control.watch_monitor,
                 supervisor=self._supervisor,
-                failures=self._failures,
             ),
         )
 
--- a/src/radishwind/sidecar/metrics.py
+++ b/src/radishwind/sidecar/metrics.py
@@ -22,7 +22,6 @@
 from radishwind.sidecar.target_side import SidecarTarget
 from radishwind.store.budgeted_store import BudgetedStore
 from radishwind.store.watch_monitor import WatchMonitor
-from radishwind.supervision import FailureLog
 from radishwind.supervision import Supervisor
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.node_exposition import NodeExposition
@@ -55,7 +54,6 @@
     classifier: RoutedClassifier
     watch: WatchMonitor
     supervisor: Supervisor
-    failures: FailureLog
 
 
 def add_metrics(metrics: NodeExposition, sources: MetricSources) -> None:
@@ -229,7 +227,7 @@
         "Errors contained, by the duty or listener that raised them.",
         lambda: {
             f'duty="{name}"': count
-            for name, count in sources.failures.counts.items()
+            for name, count in sources.supervisor.error_counts().items()
         },
     )
     metrics.add_gauge(
--- a/src/radishwind/supervision/supervisor.py
+++ b/src/radishwind/supervision/supervisor.py
@@ -54,6 +54,13 @@
             for name, is_running in self._is_running.items()
         )
 
+    def error_counts(self) -> dict[str, int]:
+        """Returns the number of errors contained, by name.
+
+        A duty has a count from its start on.
+        """
+        return {**dict.fromkeys(self._is_running, 0), **self._failures.counts}
+
     def start(self, tasks: anyio.abc.TaskGroup, duties: Iterable[Duty]) -> None:
         """Runs `duties` in `tasks` until they are cancelled."""
         for duty in duties:
--- a/tests/support/claim_cluster.py
+++ b/tests/support/claim_cluster.py
@@ -48,6 +48,7 @@
 from radishwind.standins.store import StoreStandin
 from radishwind.store import EtcdStore
 from radishwind.store import Store
+from radishwind.supervision import run_together
 from radishwind.target import TargetPipeline
 from tests.support.in_process_sender import InProcessSender
 from tests.support.targets import make_target_pipeline
@@ -242,9 +243,7 @@
 
     async def main(self) -> None:
         with self._scope:
-            async with anyio.create_task_group() as tasks:
-                self.claims.guard.start(tasks)
-                await anyio.sleep_forever()
+            await run_together(self.claims.guard.duties())
 
     def crash(self) -> None:
         self._scope.cancel()
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import json
 import os
@@ -124,7 +125,7 @@
     def __init__(
         self,
         *arguments: str,
-        python: tuple[str, ...] = (sys.executable,),
+        python: Sequence[str] = (sys.executable,),
         **environ: str,
     ) -> None:
         # A file, since a pipe that is not read would fill up and block it.
@@ -216,7 +217,7 @@
         service: str,
         domain: str,
         *options: str,
-        python: tuple[str, ...] = (sys.executable,),
+        python: Sequence[str] = (sys.executable,),
     ) -> None:
         ports = self.ports.setdefault(target, find_free_ports(4))
         self.processes[f"node {target}"] = Process(
--- a/tests/test_supervision_processes.py
+++ b/tests/test_supervision_processes.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import pathlib
 import signal
 import sys
@@ -16,6 +17,7 @@
 from radishwind.standins.platform_fleet import HOST
 from radishwind.standins.platform_fleet import Place
 from radishwind.standins.platform_fleet import route
+from tests.support import processes
 from tests.test_platform_processes import is_served
 from tests.test_platform_processes import log_lines
 from tests.test_platform_processes import wait_for
@@ -23,6 +25,7 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 ROOT = pathlib.Path(__file__).parents[1]
+ONDA = ROOT / "examples/onda"
 FAULTY_NODE = str(ROOT / "tests/support/faulty_node.py")
 
 #: Kept connections to each node, and the pause between the requests on one.
@@ -71,6 +74,30 @@
 }
 
 
+#: By duty of the library's node, the step that fails while the node serves.
+LIBRARY_STEPS = {
+    "membership.timers": "membership.gossip:Gossip.tick",
+    "membership.exchanges": "node.membership_tasks:MembershipTasks._exchange",
+    "config.pulls": "config.config_exchange:ConfigExchange.pull_from",
+    "config.adoption": "node.target_side:TargetSide.apply_config",
+    "entry.hedge_timer": "entry.hedge_timer:HedgeTimer._pop_due",
+    "target.probes": "probing.prober:Prober.tick",
+}
+
+#: Likewise for a step that fails from the start of the node.
+LIBRARY_FIRST_STEPS = {
+    "membership.search": "node.peer_search:PeerSearch.run",
+    "config.watch": "node.store_follower:StoreFollower._follow",
+    "config.watch_confirmation": (
+        "node.store_follower:StoreFollower._confirm_watch"
+    ),
+    "config.watch_check": "node.store_follower:StoreFollower._check_watch",
+    "config.reports": "node.config_tasks:ConfigTasks._pull_reported",
+    "config.notices": "node.config_tasks:ConfigTasks._notify_members",
+    "claims.updates": "claims.claim_update_queue:ClaimUpdateQueue.run",
+}
+
+
 class Callers:
     """Sends requests on kept connections until it is stopped.
 
@@ -221,3 +248,104 @@
             instance.signal_node(signal.SIGTERM)
         for duty, instance in duties.items():
             assert await instance.node_ended() == 0, duty
+
+
+def write_rules(folder, deadline_ms):
+    rules = json.loads((ONDA / "rules.json").read_text())
+    rules["defaults"]["deadline_ms"] = deadline_ms
+    file = folder / f"rules-{deadline_ms}.json"
+    file.write_text(json.dumps(rules))
+    return file
+
+
+def library_targets():
+    targets = json.loads((ONDA / "inventory.json").read_text())["targets"]
+    return {t["name"]: (t["service"], t["failure_domain"]) for t in targets}
+
+
+def until_status(fleet, targets, description, check):
+    """Waits until `check` holds for the status of each duty's node."""
+    for duty, target in targets.items():
+        processes.wait_until(
+            lambda d=duty, t=target: check(d, fleet.status(t)),
+            f"{description}: {duty}",
+        )
+
+
+async def test_failing_duty_costs_no_request_of_a_library_node(tmp_path):
+    steps = {**LIBRARY_STEPS, **LIBRARY_FIRST_STEPS}
+    files = {duty: tmp_path / f"fail-{duty}" for duty in steps}
+    places_by_target = library_targets()
+    targets = dict(zip(steps, places_by_target, strict=True))
+    with processes.Fleet() as fleet:
+        for duty in LIBRARY_FIRST_STEPS:
+            files[duty].touch()
+        for duty, target in targets.items():
+            fleet.start_backend(target)
+            python = python_with_faulty_step(steps[duty], files[duty])
+            fleet.start_node(target, *places_by_target[target], python=python)
+        await asyncio.to_thread(
+            fleet.apply, "inventory", ONDA / "inventory.json"
+        )
+        urls = {
+            duty: f"{fleet.caller_url(target)}/{places_by_target[target][0]}/x"
+            for duty, target in targets.items()
+        }
+        for duty, url in urls.items():
+            await asyncio.to_thread(
+                processes.wait_until,
+                lambda url=url: processes.fetch(url)[0] == 200,
+                f"answers beside {duty}",
+            )
+        callers = Callers()
+        async with asyncio.TaskGroup() as tasks:
+            for duty, url in urls.items():
+                for _ in range(CONNECTIONS):
+                    tasks.create_task(callers.send(duty, url, {}))
+            await asyncio.to_thread(
+                fail_and_recover,
+                fleet,
+                targets,
+                files,
+                tmp_path,
+            )
+            callers.stop()
+
+        assert callers.lost == []
+        assert {d for d, s in callers.statuses.items() if 200 in s} == set(
+            steps
+        )
+        for duty, target in targets.items():
+            process = fleet.processes[f"node {target}"]
+            lines = [json.loads(x) for x in process.log().splitlines()]
+            of_duty = [x for x in lines if x.get("duty") == duty]
+            assert {x["kind"] for x in of_duty} == {"InjectedError"}, duty
+            process.send(signal.SIGTERM)
+            assert process.wait() == 0, duty
+
+
+def fail_and_recover(fleet, targets, files, folder):
+    for file in files.values():
+        file.touch()
+    fleet.apply("rules", write_rules(folder, 1900))
+    until_status(
+        fleet,
+        targets,
+        "an error",
+        lambda duty, status: status["errors_contained"].get(duty, 0) > 0,
+    )
+    for file in files.values():
+        file.unlink()
+    until_status(
+        fleet,
+        targets,
+        "all duties run",
+        lambda duty, status: all(d["is_running"] for d in status["duties"]),
+    )
+    fleet.apply("rules", write_rules(folder, 1800))
+    until_status(
+        fleet,
+        targets,
+        "the newest configuration",
+        lambda duty, status: status["config_revision"] == 3,
+    )
