--- a/tests/test_odd_entries_processes.py
+++ b/tests/test_odd_entries_processes.py
@@ -27,6 +27,7 @@
 from radishwind.standins.odd_messages import make_odd_datagrams
 from radishwind.standins.odd_records import make_odd_documents
 from radishwind.standins.odd_records import nested_arrays
+from radishwind.standins.odd_records import with_unknown_field
 from tests.support.processes import fetch
 from tests.support.processes import Fleet
 from tests.support.processes import wait_until
@@ -278,9 +279,12 @@
     target = NODES[0][0]
     good = {"target": target, "address": "127.0.0.1:9", "started": "x"}
     statuses = {}
+    url = fleet.admin_url(target) + "/v1/server"
     for content in make_odd_documents(random.Random(SEED), good):
-        url = fleet.admin_url(target) + "/v1/server"
         statuses[content.name] = post(url, content.data)
+    # As deep as the longest body that is read can nest.
+    nested = with_unknown_field(json.dumps(good).encode(), nested_arrays(1900))
+    statuses["nested"] = post(url, nested)
 
     assert {k: v for k, v in statuses.items() if v == 500} == {}
     assert_serves_and_adopts(fleet)
