Treat a watch whose answer is cut within its head as a failed store call

What callers would see: the node ends (library's program, `radishwind node`), and with it every request on it, when the connection to the store breaks after the request for the watch was sent and before the head of its answer arrived: a store or a proxy before it that restarts, a kept connection that it has closed meanwhile, or a head that breaks off.

Cause: `EtcdStore.watch` translated only a timeout of that step. The `ExchangeBrokenError` is no `StoreError`, so the follower of the store didn't catch it, and the task group of the node ended. All other calls translate it.

Seen failing: test_cut_watch_yields_only_whole_events_and_ends_in_error, with each of the three libraries, with the fix taken out.

--- a/src/radishwind/store/etcd_store.py
+++ b/src/radishwind/store/etcd_store.py
@@ -139,10 +139,8 @@
         try:
             with anyio.fail_after(self._timeout_s):
                 response = await self._send("watch", payload)
-        except TimeoutError as exc:
-            raise StoreUnavailableError(
-                "watch: no response within the timeout"
-            ) from exc
+        except (ExchangeBrokenError, TimeoutError) as exc:
+            raise StoreUnavailableError(f"watch: no response: {exc!r}") from exc
         if response.status != 200:
             abort_body(response.body)
             raise StoreUnavailableError(
