--- a/src/radishwind/target/tests/test_load_poller.py
+++ b/src/radishwind/target/tests/test_load_poller.py
@@ -1,6 +1,8 @@
 """Which responses a health check accepts, and what a failed one means."""
 
 import pytest
+from tests.support.cutting_proxy import CutEnd
+from tests.support.cutting_server import CuttingServer
 
 from radishwind.core import ManualClock
 from radishwind.http.errors import ConnectFailedError
@@ -93,3 +95,19 @@
     poller = Poller(FailingSender(error))
     await poller.check()
     assert poller.unreachable_count == is_unreachable
+
+
+async def test_health_response_cut_at_any_byte_states_nothing():
+    sender = HttptoolsSender(1)
+    poller = Poller(sender)
+    raw = HEALTHY.replace(b"Length: 0", b"Length: 4") + b"fine"
+    async with CuttingServer(raw) as server:
+        for _ in server.cuts():
+            await poller.check(server.address)
+        assert poller.responses == []
+        assert poller.monitor.load is None
+
+        server.size, server.end = len(raw), CutEnd.CLOSE
+        await poller.check(server.address)
+        assert poller.monitor.load.in_flight == 1
+    await sender.close()
