Show with processes that a watch cut within its head ends no node

A proxy before the store's stand-in closes the connection of a watch before its answer and within its first nine bytes; `radishwind node` must be running and watch again.

--- a/tests/support/cutting_proxy.py
+++ b/tests/support/cutting_proxy.py
@@ -1,4 +1,4 @@
-"""A proxy before the peer listener of a node that cuts its responses."""
+"""A proxy before a listener that cuts some of its responses."""
 
 import asyncio
 import contextlib
@@ -11,8 +11,8 @@
 _CHUNK_BYTES = 65536
 _NO_LINGER = struct.pack("ii", 1, 0)
 
-#: The field by which a request is a forwarded attempt.
-_ATTEMPT = b"radishwind-node-attempt:"
+#: In the head of each forwarded attempt, in lower case.
+ATTEMPT = b"radishwind-node-attempt:"
 
 
 class CutEnd(enum.StrEnum):
@@ -24,15 +24,20 @@
 
 
 class CuttingProxy(asyncio.DatagramProtocol):
-    """Forwards connections and datagrams to a peer listener.
+    """Forwards connections and datagrams.
 
     Attributes:
       cut_count: number of responses cut so far.
+      mark: what the head of a request contains whose response may be cut, in
+        lower case.
     """
 
-    def __init__(self, listen: Address, upstream: Address) -> None:
+    def __init__(
+        self, listen: Address, upstream: Address, mark: bytes = ATTEMPT
+    ) -> None:
         self._listen = listen
         self._upstream = upstream
+        self.mark = mark
         self._cut: tuple[int, CutEnd] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.cut_count = 0
@@ -54,7 +59,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut_next(self, size: int, end: CutEnd) -> None:
-        """Cuts the response to the next attempt after `size` bytes."""
+        """Cuts the response to the next marked request after `size` bytes."""
         self._cut = size, end
 
     def datagram_received(self, data: bytes, addr: object) -> None:
@@ -113,7 +118,7 @@
     async def _forward(self) -> None:
         reader, writer = self._client[0], self._upstream[1]
         while data := await reader.read(_CHUNK_BYTES):
-            if _ATTEMPT in data.lower():
+            if self._proxy.mark in data.lower():
                 self._cut = self._proxy.take_cut()
             writer.write(data)
             await writer.drain()
--- a/tests/test_cut_responses_processes.py
+++ b/tests/test_cut_responses_processes.py
@@ -1,4 +1,4 @@
-"""Two nodes as processes: no part of a response looks whole to a caller."""
+"""Nodes as processes: no part of a response looks whole, and none ends one."""
 
 import asyncio
 import contextlib
@@ -15,9 +15,11 @@
 from radishwind.standins.platform_fleet import route
 from radishwind.standins.platform_server import make_body
 from radishwind.standins.platform_server import ServerFaults
+from tests.support import processes
 from tests.support.cutting_proxy import CutEnd
 from tests.support.cutting_proxy import CuttingProxy
 from tests.support.cutting_proxy import reset
+from tests.support.processes import find_free_ports
 from tests.test_platform_processes import is_served
 from tests.test_platform_processes import wait_for
 
@@ -149,6 +151,27 @@
     assert deployment.proxy.cut_count > 0
 
 
+@pytest.mark.parametrize("size", [0, 9])
+async def test_store_that_cuts_the_head_of_a_watch_does_not_end_the_node(size):
+    listen = Address("127.0.0.1", find_free_ports(1)[0])
+    with processes.Fleet() as fleet:
+        upstream = Address.parse(fleet.store)
+        proxy = CuttingProxy(listen, upstream, b"post /v3/watch ")
+        await proxy.start()
+        fleet.store = str(listen)
+        fleet.start_node("x-1", "x", "a")
+        node = fleet.processes["node x-1"]
+        for count in (1, 2):
+            proxy.cut_next(size, CutEnd.CLOSE)
+
+            async def is_cut(count=count):
+                assert node.running(), node.log()
+                return proxy.cut_count == count
+
+            await wait_for(is_cut)
+        await proxy.close()
+
+
 async def test_response_that_goes_silent_ends_by_its_deadline(deployment):
     for way in ("length", "buffered", "streamed"):
         deployment.back.server.faults = WAYS[way]
