Start a log line anew after one that the disk took in part

Operators would see two log lines run together, and a reader of JSON lines would drop both, possibly the last line of the process among them: a disk that fills up takes a part of a line, the rest is dropped, and the next line that fits was appended to the part.

The output now remembers that a line is torn and begins the next one with a line break. test_line_after_a_torn_one_starts_anew failed on the old code (the line could not be parsed) and passes.

--- a/src/radishwind/telemetry/bounded_output.py
+++ b/src/radishwind/telemetry/bounded_output.py
@@ -32,6 +32,7 @@
         self._buffer: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._unreported = 0
+        self._is_line_torn = False
         self.dropped = 0
         os.set_blocking(fd, False)
 
@@ -70,7 +71,8 @@
                 self._buffered_bytes = 0
                 return
             self._buffered_bytes -= written
-            if written < len(line):
+            self._is_line_torn = written < len(line)
+            if self._is_line_torn:
                 self._buffer.appendleft(line[written:])
 
     def flush_within(self, limit_s: float, clock: Clock) -> None:
@@ -82,6 +84,9 @@
             self.flush()
 
     def _add(self, line: bytes) -> None:
+        if self._is_line_torn and not self._buffer:
+            # The rest of that line was lost, since it couldn't be written.
+            line = b"\n" + line
         self._buffer.append(line)
         self._buffered_bytes += len(line)
 
--- a/src/radishwind/telemetry/tests/test_bounded_output.py
+++ b/src/radishwind/telemetry/tests/test_bounded_output.py
@@ -1,5 +1,6 @@
 """Log output never blocks; dropped lines are counted."""
 
+import errno
 import json
 import os
 
@@ -99,3 +100,23 @@
         output.write({"text": "x" * 1000})
 
     output.flush_within(0.01, SystemClock())
+
+
+def test_line_after_a_torn_one_starts_anew(tmp_path, monkeypatch):
+    path = tmp_path / "log"
+    write = os.write
+    accepted_bytes = iter((10, None, 1000))
+
+    def write_to_full_disk(fd, data):
+        count = next(accepted_bytes, 1000)
+        if count is None:
+            raise OSError(errno.ENOSPC, "no space")
+        return write(fd, data[:count])
+
+    with path.open("wb") as file:
+        output = BoundedOutput(file.fileno())
+        monkeypatch.setattr(os, "write", write_to_full_disk)
+        output.write({"text": "a line that is torn"})
+        output.write({"text": "whole"})
+
+    assert json.loads(path.read_text().splitlines()[-1]) == {"text": "whole"}
