Log fields that are not Unicode text, instead of raising an error

A log line with such a field raised UnicodeEncodeError out of the logger, into whatever logged it: a duty in the background, a request, or the last line of the process. The name of a settings file that is not UTF-8 is such a field, as are messages of the system that quote file names.

The output now escapes these characters. Fields of any other kind were encoded before, too large integers and NaN among them.

test_field_that_is_no_unicode_text_is_logged_without_an_error failed on the old code with that error and passes.

--- a/src/radishwind/telemetry/bounded_output.py
+++ b/src/radishwind/telemetry/bounded_output.py
@@ -38,7 +38,7 @@
 
     def write(self, message: LogMessage) -> None:
         """Writes one message as a line, or buffers it."""
-        line = msgspec.json.encode(message, enc_hook=str) + b"\n"
+        line = _encode(message) + b"\n"
         self.flush()
         if self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.dropped += 1
@@ -91,6 +91,22 @@
         self._buffered_bytes += len(line)
 
 
+def _encode(message: LogMessage) -> bytes:
+    """Returns a message as JSON; no message raises an error."""
+    try:
+        return msgspec.json.encode(message, enc_hook=str)
+    except UnicodeEncodeError:
+        # Such as the name of a file that is not UTF-8.
+        escaped = {key: _escape(value) for key, value in message.items()}
+        return msgspec.json.encode(escaped, enc_hook=str)
+
+
+def _escape(value: str | float | None) -> str | float | None:
+    if not isinstance(value, str):
+        return value
+    return value.encode(errors="backslashreplace").decode()
+
+
 def start_bounded_logging(stream: TextIO) -> BoundedOutput:
     """Writes the log lines of this process to `stream` as JSON lines."""
     output = BoundedOutput(stream.fileno())
--- a/src/radishwind/telemetry/tests/test_bounded_output.py
+++ b/src/radishwind/telemetry/tests/test_bounded_output.py
@@ -102,6 +102,16 @@
     output.flush_within(0.01, SystemClock())
 
 
+def test_field_that_is_no_unicode_text_is_logged_without_an_error(pipe):
+    output = BoundedOutput(pipe[1])
+
+    output.write({"text": "a: b.", "path": "caf\udce9"})
+
+    line = json.loads(os.read(pipe[0], 65536))
+    assert line["text"] == "a: b."
+    assert "caf" in line["path"]
+
+
 def test_line_after_a_torn_one_starts_anew(tmp_path, monkeypatch):
     path = tmp_path / "log"
     write = os.write
