Test that a shortage of descriptors ends no node of either program

With 70 descriptors and 140 idle connections, all descriptors of the process are in use; the requests on its open connections are answered (refused, where no connection to the server can be opened), and a planned stop afterwards loses none.

--- a/tests/test_process_end_processes.py
+++ b/tests/test_process_end_processes.py
@@ -9,9 +9,11 @@
 import json
 import os
 import signal
+import socket
 import sys
 
 import pytest
+import yarl
 
 from tests.support.end_programs import KeptConnections
 from tests.support.end_programs import open_program
@@ -30,6 +32,9 @@
     signal.SIGPROF,
 ]
 
+#: Descriptors of a process that is short of them.
+MAX_FDS = 70
+
 #: Prints a line once the command line of a node is being imported.
 IMPORTING_NODE = """
 import sys, time, types
@@ -188,6 +193,26 @@
         await stop(program, connections)
 
 
+async def test_shortage_of_descriptors_ends_no_node(program_name, tmp_path):
+    async with (
+        open_program(
+            *(program_name, "127.0.33.6", tmp_path), f"ulimit -n {MAX_FDS}"
+        ) as program,
+        KeptConnections(program) as connections,
+    ):
+        url = yarl.URL(program.request[0])
+        idle = [socket.socket() for _ in range(2 * MAX_FDS)]
+        for sock in idle:
+            sock.setblocking(False)
+            sock.connect_ex((url.host, url.port))
+        program.send(signal.SIGHUP)
+        await connections.wait_answered(200)
+        for sock in idle:
+            sock.close()
+        await connections.wait_answered(24)
+        await stop(program, connections)
+
+
 async def test_crash_leaves_a_traceback(program):
     program.send(signal.SIGABRT)
 
