Change the routes until each duty of a node has failed in the test

test_failing_duty_costs_no_request_of_a_platform_node[watching] failed once on: no failure of routes.pulls was seen, no node had ended. A node pulls a version only if a rumor of it arrives before its own watch reports it; with one change that is a matter of order, and then the step that is to fail isn't run. The test changes the routes with each check until every duty has failed, so it demands as much as before. Passes with the other cases (31 s).

--- a/tests/test_supervision_processes.py
+++ b/tests/test_supervision_processes.py
@@ -155,11 +155,18 @@
     return {labels.split('"')[1]: float(v) for labels, _, v in samples}
 
 
-async def until_each(duties, check):
-    """Waits until `check` holds for the node of each duty."""
+async def until_each(duties, check, on_poll=lambda: None):
+    """Waits until `check` holds for the node of each duty.
+
+    Args:
+      duties: the nodes by duty.
+      check: tells whether it holds for a duty and its node.
+      on_poll: called before each round of checks.
+    """
     left = dict(duties)
 
     async def is_done():
+        on_poll()
         for duty, instance in list(left.items()):
             if instance.exit_status is not None:
                 continue
@@ -227,8 +234,12 @@
                     tasks.create_task(callers.send(duty, url, fields))
             for file in files.values():
                 file.touch()
-            fleet.configure([route("s", "safe")])
-            await until_each(duties, has_failed)
+            # A node pulls a version only if it hears of it before it gets it.
+            await until_each(
+                duties,
+                has_failed,
+                lambda: fleet.configure([route("s", "safe")]),
+            )
             for file in files.values():
                 file.unlink()
             await until_each(duties, all_duties_run)
