Apply the inventory before the nodes of the test of duties start

With all 13 nodes of the library's program in one fleet the test failed once in three runs: `inventory apply` took over its 30 s while 26 processes started beside a load average of 42. The same steps now fail in two fleets, one for steps that fail while serving and one for those that fail from the start, and the inventory is applied before their nodes start.

--- a/tests/test_supervision_processes.py
+++ b/tests/test_supervision_processes.py
@@ -283,21 +283,27 @@
         )
 
 
-async def test_failing_duty_costs_no_request_of_a_library_node(tmp_path):
-    steps = {**LIBRARY_STEPS, **LIBRARY_FIRST_STEPS}
+@pytest.mark.parametrize(
+    ("steps", "fails_at_start"),
+    [(LIBRARY_STEPS, False), (LIBRARY_FIRST_STEPS, True)],
+    ids=["serving", "starting"],
+)
+async def test_failing_duty_costs_no_request_of_a_library_node(
+    tmp_path, steps, fails_at_start
+):
     files = {duty: tmp_path / f"fail-{duty}" for duty in steps}
     places_by_target = library_targets()
-    targets = dict(zip(steps, places_by_target, strict=True))
+    targets = dict(zip(steps, places_by_target, strict=False))
     with processes.Fleet() as fleet:
-        for duty in LIBRARY_FIRST_STEPS:
-            files[duty].touch()
+        await asyncio.to_thread(
+            fleet.apply, "inventory", ONDA / "inventory.json"
+        )
         for duty, target in targets.items():
             fleet.start_backend(target)
             python = python_with_faulty_step(steps[duty], files[duty])
+            if fails_at_start:
+                files[duty].touch()
             fleet.start_node(target, *places_by_target[target], python=python)
-        await asyncio.to_thread(
-            fleet.apply, "inventory", ONDA / "inventory.json"
-        )
         urls = {
             duty: f"{fleet.caller_url(target)}/{places_by_target[target][0]}/x"
             for duty, target in targets.items()
