--- a/src/radishwind/node/app.py
+++ b/src/radishwind/node/app.py
@@ -42,6 +42,7 @@
 from radishwind.retries import BudgetedRetryPolicy
 from radishwind.routing.placement import UnrestrictedPlacement
 from radishwind.settings import NodeSettings
+from radishwind.supervision import Duty
 from radishwind.supervision import FailureLog
 from radishwind.supervision import handle_loop_errors
 from radishwind.supervision import set_failure_log
@@ -244,15 +245,7 @@
             with_error_logging(self._admin.handle, self._log),
             self._settings.admin_listen,
         )
-        self._supervisor.start(
-            tasks,
-            (
-                *self._config.duties(),
-                *self._entry.duties(),
-                *self._membership.duties(),
-                *self._target_side.duties(),
-            ),
-        )
+        self._supervisor.start(tasks, self._duties())
         await callers.start(
             with_error_logging(self._callers.handle, self._log),
             self._settings.caller_listen,
@@ -261,6 +254,15 @@
             "Receives callers.", address=str(self._settings.caller_listen)
         )
 
+    def _duties(self) -> tuple[Duty, ...]:
+        """Returns the duties, without those of claims, which start first."""
+        return (
+            *self._config.duties(),
+            *self._entry.duties(),
+            *self._membership.duties(),
+            *self._target_side.duties(),
+        )
+
     def _stop_after_error(self, name: str, exc: Exception) -> None:
         """Stops the node because of an error that is no duty's."""
         self._stop_steps.record(name, exc)
