Refuse TOML keys whose parts take the parser seconds

Callers of a node would get no answer for seconds: a settings file of 10 KB with one dotted key of 5,000 parts, with SIGHUP, takes the parser 4.3 s on this machine beside other work, since its time grows with the square of the parts, and the event loop waits.

A dotted key has 128 parts at most; they are counted before the parser runs, in one pass. Long arrays of numbers and addresses and comments of dots are read as before.

The test of the header fields also states odd Instance-Id fields, which passes on both.

--- a/src/radishwind/decoding/tests/test_decoders.py
+++ b/src/radishwind/decoding/tests/test_decoders.py
@@ -18,6 +18,7 @@
 from radishwind.decoding import MalformedInputError
 from radishwind.decoding import MsgpackDecoder
 from radishwind.decoding import parse_strict_json
+from radishwind.decoding import parse_toml
 from radishwind.decoding.numbers import Float
 from radishwind.decoding.numbers import Int
 from radishwind.decoding.numbers import MAX_FLOAT
@@ -197,3 +198,20 @@
     ):
         with pytest.raises(MalformedInputError):
             act()
+
+
+@pytest.mark.parametrize("part", ["a.", "a . ", '"a".', "1.", "'a' .\t"])
+def test_dotted_toml_key_that_would_block_the_event_loop_is_refused(part):
+    text = part * 5_000 + "a = 1"
+
+    with pytest.raises(MalformedInputError, match="dotted keys of 128 parts"):
+        decode_toml(text, Document, "a file")
+
+
+def test_toml_with_many_dots_elsewhere_is_read():
+    text = (
+        "# " + "." * 300 + "\n" + "x = [" + "1.5, " * 300 + "]\n"
+        "y = [" + '"127.0.0.1:9", ' * 300 + "]\n" + "a.b.c = 1.5\n"
+    )
+
+    assert parse_toml(text, "a file")["a"] == {"b": {"c": 1.5}}
--- a/src/radishwind/decoding/toml_decoder.py
+++ b/src/radishwind/decoding/toml_decoder.py
@@ -14,6 +14,13 @@
 #: Size of the longest file accepted (bytes).
 MAX_TOML_BYTES = 1 << 20
 
+#: Maximum number of parts of a dotted key. The time that the parser takes for
+#: one grows with their square, and blocks the event loop.
+MAX_KEY_PARTS = 128
+
+#: Characters that end a dotted key.
+_KEY_ENDS = frozenset("\n,={}[]#")
+
 _T = TypeVar("_T")
 
 
@@ -47,6 +54,23 @@
     try:
         size_bytes = len(text.encode())
         check_size(what, size_bytes, MAX_TOML_BYTES, error)
+        _check_keys(text)
         return tomllib.loads(text)
     except DECODE_ERRORS as exc:
         raise malformed(what, exc, error) from exc
+
+
+def _check_keys(text: str) -> None:
+    """Checks the length of dotted keys, before they are parsed.
+
+    Raises:
+      ValueError: a key has too many parts.
+    """
+    parts = 0
+    for part in text.split("."):
+        is_key_part = part.strip() and _KEY_ENDS.isdisjoint(part)
+        parts = parts + 1 if is_key_part else 1
+        if parts > MAX_KEY_PARTS:
+            raise ValueError(
+                f"expected dotted keys of {MAX_KEY_PARTS} parts at most"
+            )
--- a/src/radishwind/standins/odd_records.py
+++ b/src/radishwind/standins/odd_records.py
@@ -220,7 +220,7 @@
         OddContent(
             "tables", b"x = " + b"{a=" * 5_000 + b"1" + b"}" * 5_000 + b"\n"
         ),
-        OddContent("dotted", b"a." * 5_000 + b"a = 1\n" + good, is_sound=True),
+        OddContent("dotted", b"a." * 5_000 + b"a = 1\n" + good),
         OddContent("number", b"x = 1" + b"0" * 6_000 + b"\n" + good),
         OddContent("empty", b""),
         OddContent("truncated", good[:cut]),
@@ -247,5 +247,6 @@
         *((("Warmup-Ms", value),) for value in values),
         *((("Server-Limit", value),) for value in ("nan", "-1", "\u00b2", "[")),
         *((("X-Unknown", value),) for value in values),
+        *((("Instance-Id", value),) for value in ("", "[" * 3_000, "\u00b2")),
         (("Server-Load", "0,0,6,100"), ("Server-Load", "\u00b2")),
     ]
--- a/tests/test_odd_messages_processes.py
+++ b/tests/test_odd_messages_processes.py
@@ -20,6 +20,7 @@
 from radishwind.standins.odd_messages import make_odd_datagrams
 from radishwind.standins.odd_records import make_odd_heartbeats
 from radishwind.standins.odd_records import make_odd_response_fields
+from radishwind.standins.odd_records import make_odd_settings
 from radishwind.standins.platform_fleet import Fleet
 from radishwind.standins.platform_fleet import Place
 from radishwind.standins.platform_fleet import route
@@ -170,6 +171,34 @@
     return fleet.store.injected_count("odd answer") >= count
 
 
+@pytest.mark.parametrize(
+    "name",
+    [s.name for s in make_odd_settings(random.Random(SEED), b"x = 1\n")],
+)
+async def test_odd_settings_file_ends_no_node(fleet, name):
+    instance = fleet.instances["a-1"]
+    good = instance.settings_path.read_bytes()
+    (odd,) = (
+        settings
+        for settings in make_odd_settings(random.Random(SEED), good)
+        if settings.name == name
+    )
+    instance.settings_path.write_bytes(odd.data)
+    instance.signal_node(signal.SIGHUP)
+    if not odd.is_sound:
+        await wait_for(lambda: refuses_settings(instance))
+    assert await serves(fleet, instance, "/s/x")
+    instance.settings_path.write_bytes(good)
+    instance.signal_node(signal.SIGHUP)
+
+    await assert_serves_and_adopts(fleet)
+
+
+async def refuses_settings(instance):
+    assert instance.exit_status is None, "the node ended"
+    return "The settings file is invalid" in instance.log_path.read_text()
+
+
 async def test_odd_header_fields_of_servers_take_no_server_away(fleet):
     rng = random.Random(SEED)
     for fields in make_odd_response_fields():
