--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from tests.soak.deployment import INSTANCE_COUNT
 from tests.soak.run_soak import run_soak
 
 
@@ -16,6 +17,9 @@
     seed: int = typer.Option(0, help="The first seed; 0 for a fresh one."),
     count: int = typer.Option(1, help="How many seeds, one after the other."),
     length_s: float = typer.Option(20.0, help="How long faults come (s)."),
+    instances: int = typer.Option(
+        INSTANCE_COUNT, help="How many instances, with a node each; 6 at least."
+    ),
     logs: str = typer.Option("", help="Where logs of failed seeds stay."),
 ) -> None:
     """Ends with 1 if a promise was broken; prints the seed and what it was."""
@@ -27,7 +31,9 @@
         if logs:
             folder = pathlib.Path(logs) / str(current_seed)
             folder.mkdir(parents=True, exist_ok=True)
-        violations = asyncio.run(run_soak(current_seed, length_s, folder))
+        violations = asyncio.run(
+            run_soak(current_seed, length_s, folder, instances)
+        )
         took_s = time.monotonic() - started_at
         print(
             f"seed {current_seed}: {len(violations)} broken, {took_s:.0f} s",
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -29,11 +29,27 @@
 from tests.soak.odd_items import OddItems
 from tests.soak.server_notices import ServerNotices
 
-PLACES = tuple(
-    Place(f"{domain}-{number}", f"127.0.{host}.{number}", domain, service)
-    for domain, host in (("a", 21), ("b", 22))
-    for number, service in ((1, "library"), (2, "library"), (3, "sessions"))
-)
+#: The number of instances of a short run.
+INSTANCE_COUNT = 6
+
+#: Of three instances of a failure domain, the services of their servers.
+_SERVICES = ("library", "library", "sessions")
+_DOMAINS = (("a", 21), ("b", 22))
+
+
+def make_places(count: int) -> list[Place]:
+    """Returns the places of `count` instances in two failure domains."""
+    return [
+        Place(
+            f"{domain}-{number + 1}",
+            f"127.0.{host}.{number + 1}",
+            domain,
+            _SERVICES[number % len(_SERVICES)],
+        )
+        for index, (domain, host) in enumerate(_DOMAINS)
+        for number in range((count + 1 - index) // len(_DOMAINS))
+    ]
+
 
 #: Interval at which a starting node is checked (s).
 _POLL_INTERVAL_S = 0.02
@@ -92,13 +108,15 @@
         rng: random.Random,
         notices: ServerNotices,
         accounts: AccountKeys | None = None,
+        instance_count: int = INSTANCE_COUNT,
     ) -> None:
         self.rng = rng
         self._notices = notices
         self.accounts = accounts
         self.config_checks = ConfigurationChecks(accounts)
         bounds = accounts.bounds if accounts else ()
-        self.fleet = Fleet(list(PLACES), folder, self._insert_proxies, bounds)
+        places = make_places(instance_count)
+        self.fleet = Fleet(places, folder, self._insert_proxies, bounds)
         self.links: dict[str, InstanceLinks] = {}
         self.servers: list[PlatformServerStandin] = []
         self.exits = NodeExits()
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -12,6 +12,7 @@
 from tests.soak.callers import send_load
 from tests.soak.callers import send_request
 from tests.soak.deployment import Deployment
+from tests.soak.deployment import INSTANCE_COUNT
 from tests.soak.faults import inject
 from tests.soak.store_calls import find_excess
 
@@ -31,7 +32,10 @@
 
 
 async def run_soak(
-    seed: int, length_s: float, folder: pathlib.Path
+    seed: int,
+    length_s: float,
+    folder: pathlib.Path,
+    instance_count: int = INSTANCE_COUNT,
 ) -> list[str]:
     """Runs the load and the faults of one seed.
 
@@ -39,6 +43,7 @@
       seed: seed of the load and the faults.
       length_s: how long faults are injected (s).
       folder: directory of the settings and logs of the nodes.
+      instance_count: the number of instances.
 
     Returns:
       The violated guarantees; empty if all held.
@@ -47,7 +52,9 @@
     # Odd seeds run without accounts, so that nodes without them are covered.
     accounts = None if seed % 2 else AccountKeys(rng)
     results = CallerResults(accounts)
-    deployment = Deployment(folder, rng, results.notices, accounts)
+    deployment = Deployment(
+        folder, rng, results.notices, accounts, instance_count
+    )
     async with deployment.fleet:
         await deployment.start(seed)
         stop = asyncio.Event()
