Wait for the final response after an informational one with aiohttp

Cause: bytes that arrive while no response is due close the connection. The 1xx has an empty body that is complete, so that the final response counted as such bytes.

Fix: an informational response doesn't count as the last one.

--- a/src/radishwind/http/strict_response_handler.py
+++ b/src/radishwind/http/strict_response_handler.py
@@ -11,6 +11,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+_FIRST_FINAL_STATUS = 200
+
 
 class StrictResponseHandler(ResponseHandler):
     """Treats resets and unsolicited bytes as errors of the connection."""
@@ -20,6 +22,13 @@
         self._payload = None
         super().set_response_params(**params)
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        message, _ = data
+        if message.code < _FIRST_FINAL_STATUS:
+            # The final response is still due.
+            self._payload = None
+        super().feed_data(data, size)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
--- a/src/radishwind/http/tests/test_cut_responses.py
+++ b/src/radishwind/http/tests/test_cut_responses.py
@@ -192,6 +192,33 @@
     assert got == {size: expected(message, end, size) for size in sizes}
 
 
+@pytest.mark.parametrize("name", MESSAGES)
+async def test_response_that_arrives_in_two_parts_is_read_whole(library, name):
+    message = MESSAGES[name]
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        place = int(head.split(b" ", 2)[1][1:])
+        writer.write(message.raw[:place])
+        await writer.drain()
+        # The sender reads the first part before the second is sent.
+        await asyncio.sleep(0.01)
+        writer.write(message.raw[place:])
+        writer.close()
+
+    server = CuttingServer(message.raw, close)
+    server.serve = serve
+    async with (
+        serving(server, library, 512) as (sender, address),
+        asyncio.TaskGroup() as tasks,
+    ):
+        asked = [
+            tasks.create_task(ask(sender, address, f"/{place}", message.method))
+            for place in range(1, len(message.raw))
+        ]
+    assert {task.result() for task in asked} == {message.body}
+
+
 @pytest.mark.parametrize("end", [close, reset])
 @pytest.mark.parametrize("name", LARGE)
 async def test_large_response_cut_anywhere_breaks_the_exchange(
--- a/src/radishwind/http/tests/test_senders.py
+++ b/src/radishwind/http/tests/test_senders.py
@@ -126,9 +126,10 @@
         tasks.cancel_scope.cancel()
 
 
-async def test_connection_of_a_cancelled_exchange_is_not_reused(library):
+@pytest.mark.parametrize("start", [b"", b"HTTP/1.1 2", OK[:30], OK[:-1]])
+async def test_connection_of_a_cancelled_exchange_is_not_reused(library, start):
     async with (
-        raw_server([b"", OK]) as (server, address),
+        raw_server([start, OK]) as (server, address),
         sending(library) as sender,
     ):
         with anyio.move_on_after(0.2):
