Test second responses of servers that are cut, and heads that go silent

The proxy stands before the server now too: every other response on a kept connection is cut within its head (at each byte) or body by close and by reset, and heads go silent until the deadline.

--- a/tests/test_cut_responses_processes.py
+++ b/tests/test_cut_responses_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import random
 import signal
@@ -16,6 +17,7 @@
 from radishwind.standins.platform_server import make_body
 from radishwind.standins.platform_server import ServerFaults
 from tests.support import processes
+from tests.support.cutting_proxy import ATTEMPT
 from tests.support.cutting_proxy import CutEnd
 from tests.support.cutting_proxy import CuttingProxy
 from tests.support.cutting_proxy import reset
@@ -52,11 +54,12 @@
 
 
 class Deployment:
-    """An entry node, a node beside a server, and the proxy between them."""
+    """An entry node, a node beside a server, and proxies before both."""
 
-    def __init__(self, fleet, proxy):
+    def __init__(self, fleet, proxy, server_proxy):
         self.fleet = fleet
         self.proxy = proxy
+        self.server_proxy = server_proxy
         self.entry = fleet.instances["a-1"]
         self.back = fleet.instances["b-1"]
         self.numbers = itertools.count()
@@ -69,6 +72,12 @@
         )
         return name, response
 
+    async def reaches_server_by_proxy(self):
+        self.server_proxy.cut_next(0, CutEnd.CLOSE)
+        await self.ask("safe", "GET")
+        self.server_proxy.take_cut()
+        return self.server_proxy.cut_count > 0
+
     def check(self, name, response, max_runs):
         """Asserts what holds for each response, whatever was cut."""
         server = self.back.server
@@ -88,11 +97,16 @@
     async def prepare(instance):
         if instance.place.name != "b-1":
             return
-        listen = Address(instance.place.host, instance.caller_address.port + 9)
-        proxy = CuttingProxy(listen, instance.peer_address)
-        await proxy.start()
-        proxies.append(proxy)
-        instance.configured_peer_address = listen
+        host, port = instance.caller_address
+        for offset, upstream, mark in (
+            (8, instance.peer_address, ATTEMPT),
+            (9, instance.server_address, b"attempt-id:"),
+        ):
+            proxy = CuttingProxy(Address(host, port + offset), upstream, mark)
+            await proxy.start()
+            proxies.append(proxy)
+        instance.configured_peer_address = Address(host, port + 8)
+        instance.configured_server_address = Address(host, port + 9)
 
     async with Fleet(PLACES, tmp_path, prepare) as fleet:
         fleet.configure(
@@ -107,7 +121,13 @@
                 await wait_for(
                     lambda i=instance, p=path: is_served(fleet, i, p)
                 )
-        yield Deployment(fleet, proxies[0])
+        running = Deployment(fleet, *proxies)
+        server = running.back.server
+        server.options = dataclasses.replace(
+            server.options, address=running.back.configured_server_address
+        )
+        await wait_for(running.reaches_server_by_proxy)
+        yield running
         for proxy in proxies:
             await proxy.close()
 
@@ -139,6 +159,43 @@
     assert deployment.proxy.cut_count > MIN_CUTS
 
 
+@pytest.mark.parametrize("way", ["length", "chunked", "streamed"])
+async def test_second_response_of_a_server_that_is_cut_never_looks_whole(
+    deployment, way
+):
+    proxy = deployment.server_proxy
+    rng = random.Random(6)
+    ends = itertools.cycle((CutEnd.CLOSE, CutEnd.RESET))
+    for size in places_of(way, rng):
+        # The first response keeps the connection for the second.
+        deployment.back.server.faults = ServerFaults()
+        _, response = await deployment.ask("back")
+        assert response.status == 200
+        deployment.back.server.faults = WAYS[way]
+        cuts_before = proxy.cut_count
+        proxy.cut_next(size, next(ends))
+        name, response = await deployment.ask("back")
+        deployment.check(name, response, max_runs=1)
+        if proxy.cut_count > cuts_before:
+            assert response.status in (0, 502)
+
+    assert proxy.cut_count > MIN_CUTS
+
+
+async def test_head_of_a_server_that_goes_silent_ends_by_the_deadline(
+    deployment,
+):
+    cuts_before = deployment.server_proxy.cut_count
+    for size in (1, 9, 40, 100):
+        deployment.server_proxy.cut_next(size, CutEnd.SILENCE)
+        name, response = await deployment.ask("back", timeout_ms=400)
+        deployment.check(name, response, max_runs=1)
+    assert deployment.server_proxy.cut_count == cuts_before + 4
+    await wait_for(
+        lambda: is_served(deployment.fleet, deployment.entry, "/back/x")
+    )
+
+
 @pytest.mark.parametrize("way", ["length", "buffered"])
 async def test_safe_request_whose_response_is_cut_gets_a_whole_one(
     deployment, way
