Log warnings of libraries and ignored errors instead of printing them

Callers would see requests without an answer while the reader of a node's standard error stalls: what asyncio, uvloop and other libraries warn of, and errors that the interpreter cannot raise, went to standard error by a blocking write in the event loop. Nor was it structured, or in the log of the platform's node at all.

Both programs now write a log line with the library, the type of the error and where it arose, without the text, which may be data of callers.

test_warnings_and_ignored_errors_are_log_lines_without_their_text names a module that the old code doesn't have; without the call of log_stray_errors its program prints the texts to standard error and nothing to the log.

--- a/src/radishwind/process/runner.py
+++ b/src/radishwind/process/runner.py
@@ -13,6 +13,7 @@
 from radishwind.process.signals import ProcessSignals
 from radishwind.process.signals import RELOAD_SIGNAL
 from radishwind.process.signals import STOP_SIGNALS
+from radishwind.process.stray_errors import log_stray_errors
 from radishwind.telemetry.bounded_output import BoundedOutput
 from radishwind.telemetry.part_logger import first_error
 from radishwind.telemetry.part_logger import PartLogger
@@ -51,6 +52,7 @@
         Args:
           make_node: returns the node; called in the event loop.
         """
+        log_stray_errors(self._log)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(self._run_node(make_node))
         stop_signal = self._signals.stop_signal
