Start a node whose standard descriptors are closed

Operators who start a node with closed descriptors (`>&- 2>&-`) saw it end at once, again and again, with exit status 1 and nothing written: sys.stdout and sys.stderr are None then, and opening the log raised an AttributeError. With that alone cured, the first connection would get the number of the standard output, and callers would read log lines in their responses.

--- a/src/radishwind/cli/node.py
+++ b/src/radishwind/cli/node.py
@@ -1,7 +1,6 @@
 """`radishwind node`: runs the node of one backend server."""
 
 import faulthandler
-import sys
 
 import typer
 
@@ -19,9 +18,9 @@
 
     signals = ProcessSignals(STDERR_FD)
     signals.install()
-    faulthandler.enable()
+    faulthandler.enable(STDERR_FD)
     clock = SystemClock()
-    runner = ProcessRunner(signals, clock, start_logging(sys.stderr))
+    runner = ProcessRunner(signals, clock, start_logging(STDERR_FD))
     try:
         runner.run(lambda: Node(settings, clock))
     except BaseException as exc:
--- a/src/radishwind/process/early_exit.py
+++ b/src/radishwind/process/early_exit.py
@@ -15,6 +15,20 @@
 _MAX_REASON_CHARS = 300
 
 
+def open_standard_descriptors() -> None:
+    """Opens those of the standard descriptors that are closed.
+
+    Otherwise a connection would get the number of one, and the log would be
+    written to it.
+    """
+    for fd in (0, STDOUT_FD, STDERR_FD):
+        try:
+            os.fstat(fd)
+        except OSError:
+            # The lowest free number, which is `fd`.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def write_last_line(fd: int, status: int, cause: str, reason: str = "") -> None:
     """Writes the last log line to `fd`, if its reader accepts it at once.
 
--- a/src/radishwind/process/tests/test_stray_errors.py
+++ b/src/radishwind/process/tests/test_stray_errors.py
@@ -6,7 +6,7 @@
 import sys
 
 PROGRAM = """
-import logging, sys
+import logging
 from radishwind.core.clock import SystemClock
 from radishwind.process.stray_errors import log_stray_errors
 from radishwind.telemetry.bounded_output import start_bounded_logging
@@ -16,7 +16,7 @@
     def __del__(self):
         raise KeyError("a secret")
 
-start_bounded_logging(sys.stdout)
+start_bounded_logging(1)
 log_stray_errors(PartLogger("process", SystemClock()))
 logging.getLogger("asyncio").warning("socket.send() raised: a secret")
 try:
--- a/src/radishwind/sidecar/program.py
+++ b/src/radishwind/sidecar/program.py
@@ -17,6 +17,7 @@
 from radishwind.platform.boot import decode_settings
 from radishwind.platform.boot import PATH_VARIABLE
 from radishwind.process.early_exit import STDERR_FD
+from radishwind.process.early_exit import STDOUT_FD
 from radishwind.process.runner import ProcessRunner
 from radishwind.process.signals import ProcessSignals
 from radishwind.settings.loader import SettingError
@@ -53,9 +54,9 @@
     Args:
       signals: the installed signal handlers.
     """
-    faulthandler.enable()
+    faulthandler.enable(STDERR_FD)
     clock = BootClock()
-    output = start_bounded_logging(sys.stdout)
+    output = start_bounded_logging(STDOUT_FD)
     runner = ProcessRunner(signals, clock, output)
     try:
         node = _load_node(clock, output)
--- a/src/radishwind/sidecar/startup.py
+++ b/src/radishwind/sidecar/startup.py
@@ -6,6 +6,7 @@
 import gc
 import os
 
+from radishwind.process.early_exit import open_standard_descriptors
 from radishwind.process.early_exit import STDOUT_FD
 from radishwind.process.signals import ProcessSignals
 
@@ -29,6 +30,7 @@
     code 0, since no request is in progress yet. A signal to reload is ignored,
     since the settings are read later, or checked again within a second.
     """
+    open_standard_descriptors()
     signals = ProcessSignals(STDOUT_FD)
     signals.install()
     return signals
--- a/src/radishwind/telemetry/bounded_output.py
+++ b/src/radishwind/telemetry/bounded_output.py
@@ -8,7 +8,6 @@
 import collections
 import os
 import select
-from typing import TextIO
 
 import msgspec
 
@@ -107,17 +106,17 @@
     return value.encode(errors="backslashreplace").decode()
 
 
-def start_bounded_logging(stream: TextIO) -> BoundedOutput:
-    """Writes the log lines of this process to `stream` as JSON lines."""
-    output = BoundedOutput(stream.fileno())
+def start_bounded_logging(fd: int) -> BoundedOutput:
+    """Writes the log lines of this process to `fd` as JSON lines."""
+    output = BoundedOutput(fd)
     set_log_sink(output.write)
     return output
 
 
-def start_logging(stream: TextIO) -> BoundedOutput:
+def start_logging(fd: int) -> BoundedOutput:
     """The same through eliot, which adds its own fields to each line."""
     import eliot
 
-    output = BoundedOutput(stream.fileno())
+    output = BoundedOutput(fd)
     eliot.add_destinations(output.write)
     return output
--- a/tests/test_process_end_processes.py
+++ b/tests/test_process_end_processes.py
@@ -193,6 +193,18 @@
         await stop(program, connections)
 
 
+async def test_closed_standard_descriptors_end_no_node(program_name, tmp_path):
+    async with (
+        open_program(
+            *(program_name, "127.0.33.7", tmp_path), "exec <&- >&- 2>&-"
+        ) as program,
+        KeptConnections(program) as connections,
+    ):
+        program.send(signal.SIGHUP)
+        await connections.wait_answered(24)
+        await stop(program, connections)
+
+
 async def test_shortage_of_descriptors_ends_no_node(program_name, tmp_path):
     async with (
         open_program(
