--- a/tests/test_cut_responses_processes.py
+++ b/tests/test_cut_responses_processes.py
@@ -72,6 +72,16 @@
         )
         return name, response
 
+    async def move_server_behind_proxy(self):
+        """Starts another server, which states the address of its proxy."""
+        options = dataclasses.replace(
+            self.back.server.options,
+            address=self.back.configured_server_address,
+        )
+        await self.back.crash_server()
+        await self.back.start_server(options, seed=8)
+        await wait_for(self.reaches_server_by_proxy)
+
     async def reaches_server_by_proxy(self):
         self.server_proxy.cut_next(0, CutEnd.CLOSE)
         await self.ask("safe", "GET")
@@ -122,11 +132,7 @@
                     lambda i=instance, p=path: is_served(fleet, i, p)
                 )
         running = Deployment(fleet, *proxies)
-        server = running.back.server
-        server.options = dataclasses.replace(
-            server.options, address=running.back.configured_server_address
-        )
-        await wait_for(running.reaches_server_by_proxy)
+        await running.move_server_behind_proxy()
         yield running
         for proxy in proxies:
             await proxy.close()
