Contain errors of single pulls that an operator's request causes

One unforeseen error cancelled the pulls from the other members and answered 500. The pulls run contained, like those of the duties. Not tested by itself.

--- a/src/radishwind/node/config_admin.py
+++ b/src/radishwind/node/config_admin.py
@@ -17,6 +17,7 @@
 from radishwind.node.config_tasks import ConfigTasks
 from radishwind.node.node_telemetry import NodeTelemetry
 from radishwind.store import BudgetedStore
+from radishwind.supervision import run_contained
 
 #: Members pulled from for one report. Of any others, the report has the
 #: revision that they last advertised.
@@ -142,5 +143,5 @@
 
         async with anyio.create_task_group() as tasks:
             for member in behind[:_MAX_PULLS]:
-                tasks.start_soon(pull, member)
+                tasks.start_soon(run_contained, "config.pulls", pull, member)
         return revisions
