Fail a test in which an error was contained unnoticed

Listeners and short tasks contain errors now, also those of the fakes and the assertions of a test. A fixture of all tests compares the failure log of the process before and after; a test that expects errors sets a log of its own. A scratch test with a failing listener was seen to fail by it.

--- a/conftest.py
+++ b/conftest.py
@@ -5,6 +5,8 @@
 import eliot
 import pytest
 
+from radishwind.supervision import failure_log
+
 # Without a destination eliot keeps messages for the first one that is added,
 # which would be that of another test.
 eliot.add_destinations(lambda message: None)
@@ -48,3 +50,15 @@
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+def no_contained_errors():
+    """Fails a test in which an error was contained unnoticed.
+
+    A test that expects errors sets a failure log of its own.
+    """
+    log = failure_log()
+    before = dict(log.counts)
+    yield
+    assert log.counts == before, f"expected no errors: {log.last_errors}"
