Expect the end of the process as the last line of the log

Two tests stated that the last line of a node that is stopped is 'node: Stopped.'. The line after it now names the cause and the exit status of the process. The tests expect both lines, in this order, and the cause and the status of the last, so they demand more than before.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -134,8 +134,8 @@
     stopped.signal_node(signal.SIGTERM)
     await stopped.node_ended()
 
-    texts = [
-        json.loads(x)["text"] for x in stopped.log_path.read_text().splitlines()
-    ]
+    lines = [json.loads(x) for x in stopped.log_path.read_text().splitlines()]
+    texts = [line["text"] for line in lines]
     assert "node: Started." in texts
-    assert texts[-1] == "node: Stopped."
+    assert texts[-2:] == ["node: Stopped.", "process: Ended."]
+    assert (lines[-1]["status"], lines[-1]["cause"]) == (0, "SIGTERM")
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -243,7 +243,10 @@
 
     assert (await asked).status == 200
     assert await stopped.node_ended() == 0
-    assert log_lines(stopped)[-1]["text"] == "node: Stopped."
+    stopped_line, last_line = log_lines(stopped)[-2:]
+    assert stopped_line["text"] == "node: Stopped."
+    assert last_line["text"] == "process: Ended."
+    assert (last_line["status"], last_line["cause"]) == (0, "SIGTERM")
 
 
 async def test_nodes_serve_during_a_long_store_outage(fleet):
