Release the slot of a run whatever its records raise

No natural cause is known.

The records are contained, as those of other observers, so that the caller gets the response; the slot is released after them, and a streamed body that nobody will read is aborted.

--- a/src/radishwind/target/pipeline.py
+++ b/src/radishwind/target/pipeline.py
@@ -15,6 +15,7 @@
 from radishwind.entry.nested_routes import LocalConcurrency
 from radishwind.entry.pipeline import AttemptResult
 from radishwind.http.sender import Sender
+from radishwind.http.types import abort_body
 from radishwind.http.types import Body
 from radishwind.http.types import BodyStream
 from radishwind.http.types import is_server_error
@@ -23,6 +24,7 @@
 from radishwind.outcomes.model import Outcome
 from radishwind.outcomes.model import Unknown
 from radishwind.routing.chooser import LoadReport
+from radishwind.supervision import notify
 from radishwind.target.backend_server import BackendServer
 from radishwind.target.exchange_base import Exchange
 from radishwind.target.exchange_recorder import ExchangeRecorder
@@ -34,6 +36,9 @@
 from radishwind.target.send_limiter import SendLimiter
 from radishwind.target.server_exchange import ServerExchange
 
+#: Name of the records of runs in the log and in the metrics.
+_RECORDS = "target.runs"
+
 #: Weight of the newest run in the mean service time.
 _SMOOTHING = 0.1
 
@@ -161,10 +166,17 @@
         """Runs `call` on the backend server."""
         run = _RunRecord()
         outcome = await self._run(call, run)
-        self._outcomes[_outcome_label(outcome)] += 1
-        load = msgspec.structs.replace(
-            self.load_report(), normal_run_ms=round(run.normal_run_s * 1000, 1)
-        )
+        try:
+            self._outcomes[_outcome_label(outcome)] += 1
+            load = msgspec.structs.replace(
+                self.load_report(),
+                normal_run_ms=round(run.normal_run_s * 1000, 1),
+            )
+        except BaseException:
+            # Nobody will read the body, which holds the slot until its end.
+            if isinstance(outcome, Done):
+                abort_body(outcome.response.body)
+            raise
         return AttemptResult(outcome, load)
 
     def start_deferred(self) -> None:
@@ -234,26 +246,37 @@
         """Runs `call` in the slot of `ticket` and releases the slot."""
         began = self._clock.monotonic()
         outcome: Outcome | None = None
-        factor = self._pace().factor
+        factor = 1.0
         in_flight_at_start = self._admission.in_flight
-        self._concurrency.run_started(began, is_retry=call.is_retry)
+        is_counted = False
 
         def ended() -> None:
-            self._concurrency.run_ended(
-                self._clock.monotonic(), is_retry=call.is_retry
-            )
+            # The slot is released whatever the records of the run say to it.
+            if is_counted:
+                notify(
+                    _RECORDS,
+                    self._concurrency.run_ended,
+                    self._clock.monotonic(),
+                    is_retry=call.is_retry,
+                )
             if _is_success(outcome):
                 took_s = self._clock.monotonic() - began
                 run.normal_run_s = took_s / factor
-                self._on_run(
-                    CompletedRun(
-                        in_flight_at_start, call.normal_run_s * factor, took_s
-                    )
+                completed = CompletedRun(
+                    in_flight_at_start, call.normal_run_s * factor, took_s
                 )
-            self._record_run_time(call, outcome, began)
+                notify(_RECORDS, self._on_run, completed)
+            notify(_RECORDS, self._record_run_time, call, outcome, began)
             self._finish(ticket, outcome, began)
 
         try:
+            factor = self._pace().factor
+            is_counted = notify(
+                _RECORDS,
+                self._concurrency.run_started,
+                began,
+                is_retry=call.is_retry,
+            )
             outcome = await self._send(call, ticket)
         except BaseException:
             ended()
--- a/src/radishwind/target/tests/test_pipeline.py
+++ b/src/radishwind/target/tests/test_pipeline.py
@@ -21,6 +21,9 @@
 from radishwind.outcomes import Done
 from radishwind.outcomes import NotRun
 from radishwind.outcomes import Unknown
+from radishwind.supervision import failure_log
+from radishwind.supervision import FailureLog
+from radishwind.supervision import set_failure_log
 from radishwind.target.backend_server import ServerState
 
 ADDRESS = Address("127.0.0.1", 9000)
@@ -225,3 +228,57 @@
             tasks.start_soon(target.pipeline.wait_drained)
             await anyio.wait_all_tasks_blocked()
             target.admission.release(probe, 1.0, 0.0)
+
+
+RUN_STEPS = [
+    ("_pace", False),
+    ("_on_run", True),
+    ("_record_run_time", True),
+    ("load_report", False),
+]
+
+
+@pytest.mark.parametrize("is_streamed", [False, True])
+@pytest.mark.parametrize(("step", "is_contained"), RUN_STEPS)
+async def test_slot_is_free_again_after_an_error_in_a_step_of_a_run(
+    monkeypatch, step, is_contained, is_streamed
+):
+    def fail(*args):
+        raise ZeroDivisionError
+
+    log = failure_log()
+    set_failure_log(FailureLog(ManualClock()))
+    target = Target()
+    body = Stream() if is_streamed else b"ok"
+    target.response = Response(200, (), body)
+    with monkeypatch.context() as patch:
+        patch.setattr(target.pipeline, step, fail)
+        if is_contained:
+            outcome = await target.run()
+            if is_streamed:
+                async for _ in outcome.response.body:
+                    pass
+        else:
+            with pytest.raises(ZeroDivisionError):
+                await target.run()
+    set_failure_log(log)
+
+    assert target.admission.in_flight == 0
+    target.response = Response(200, (), b"ok", 2)
+    assert isinstance(await target.run(), Done)
+
+
+async def test_slot_is_free_again_after_an_error_at_the_start_of_a_run(
+    monkeypatch,
+):
+    def fail(*args, **kwargs):
+        raise ZeroDivisionError
+
+    log = failure_log()
+    set_failure_log(FailureLog(ManualClock()))
+    target = Target()
+    monkeypatch.setattr(type(target.pipeline._concurrency), "run_started", fail)
+    assert isinstance(await target.run(), Done)
+    set_failure_log(log)
+
+    assert target.admission.in_flight == 0
