Read the settings only from a regular file, up to the limit of its size

Callers would get no answer while a pipe without a writer stood in the place of the settings file: the read waits in the event loop, and not even the graceful stop runs. Found by the review, on a real node. A longer file was read whole before its size was checked.

The new test didn't end before (20 s).

--- a/src/radishwind/sidecar/settings_reloader.py
+++ b/src/radishwind/sidecar/settings_reloader.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+import errno
+import os
 import pathlib
+import stat
 
 import anyio
 
@@ -60,7 +63,7 @@
 
     def _read(self) -> str:
         try:
-            content = self._path.read_bytes()
+            content = _read_regular_file(self._path, MAX_TOML_BYTES + 1)
         except OSError as exc:
             raise SettingsUnreadableError(
                 f"expected a settings file, got {exc}"
@@ -70,6 +73,19 @@
         )
 
 
+def _read_regular_file(path: pathlib.Path, max_bytes: int) -> bytes:
+    """Returns the first bytes of a file, without waiting for a writer of it.
+
+    Raises:
+      OSError: it can't be read or isn't a regular file.
+    """
+    fd = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    with open(fd, "rb") as file:
+        if not stat.S_ISREG(os.fstat(fd).st_mode):
+            raise OSError(errno.EINVAL, "not a regular file")
+        return file.read(max_bytes)
+
+
 class SettingsReloader:
     """Reloads a changed settings file, with or without a signal.
 
--- a/src/radishwind/sidecar/tests/test_settings_reloader.py
+++ b/src/radishwind/sidecar/tests/test_settings_reloader.py
@@ -1,5 +1,7 @@
 """Changed settings are applied; malformed ones leave the old in force."""
 
+import os
+
 import pytest
 
 from radishwind.core import ManualClock
@@ -49,3 +51,19 @@
     reloader.check()
 
     assert applied == []
+
+
+def test_file_that_is_no_regular_file_neither_blocks_nor_changes_anything(
+    path,
+):
+    applied = []
+    reloader = make_reloader(path, applied)
+
+    path.unlink()
+    os.mkfifo(path)
+    reloader.check()
+    path.unlink()
+    path.mkdir()
+    reloader.check()
+
+    assert applied == []
