Let no request run ahead if it can't be told whether it may

An error in that decision came out of the parser as 400 (request malformed, not run) with its own text. It is logged and counted now, and the request waits for its turn. Found by the review; no natural cause is known. Not tested by itself.

--- a/src/radishwind/sidecar/listeners.py
+++ b/src/radishwind/sidecar/listeners.py
@@ -9,6 +9,7 @@
 from radishwind.http.server_connection import MayRunInParallel
 from radishwind.http.server_limits import ServerLimits
 from radishwind.http.types import Address
+from radishwind.http.types import Request
 from radishwind.node.error_logging import with_error_logging
 from radishwind.settings.placed_settings import PlacedSettings
 from radishwind.sidecar.options import CALLER_IDLE_TIMEOUT_S
@@ -16,6 +17,7 @@
 from radishwind.sidecar.options import MAX_OTHER_CONNECTIONS
 from radishwind.sidecar.options import MAX_PEER_CONNECTIONS
 from radishwind.sidecar.options import PEER_IDLE_TIMEOUT_S
+from radishwind.supervision import failure_log
 from radishwind.telemetry.part_logger import PartLogger
 
 
@@ -40,6 +42,19 @@
     may_run_in_parallel: MayRunInParallel
 
 
+def without_errors(may_run_in_parallel: MayRunInParallel) -> MayRunInParallel:
+    """Returns the same decision; an error in it lets no request run ahead."""
+
+    def decide(request: Request) -> bool:
+        try:
+            return may_run_in_parallel(request)
+        except Exception as exc:
+            failure_log().record("callers.pipelining", exc)
+            return False
+
+    return decide
+
+
 async def open_listeners(
     settings: PlacedSettings,
     handlers: Handlers,
@@ -85,6 +100,8 @@
         listeners.append((handlers.metrics, address, others))
     for handler, listen, limits in listeners:
         meter = link_meter if limits is peers else NO_METER
-        server = HttptoolsServer(limits, handlers.may_run_in_parallel, meter)
+        server = HttptoolsServer(
+            limits, without_errors(handlers.may_run_in_parallel), meter
+        )
         await server.start(with_error_logging(handler, log), listen)
         servers.append(server)
