Contain the cancellation of what a request, a duty or a task waits for

In a pool of short tasks it cancelled all others, and a proof of recency whose read couldn't start was never read again. Found by the review with injected cancellations; no natural cause is known.

A duty also starts again after an error that is no Exception; only KeyboardInterrupt and SystemExit end the process. The four tests of contained cancellations and such errors were seen failing before.

--- a/src/radishwind/recency/proof_renewer.py
+++ b/src/radishwind/recency/proof_renewer.py
@@ -161,8 +161,10 @@
             )
         self._log_change(now)
         plan = self._planner.plan(now)
-        if plan.reads_store:
-            self._reads.start_soon(self._read, self._planner)
+        if plan.reads_store and not self._reads.start_soon(
+            self._read, self._planner
+        ):
+            self._planner.read_ended(False, now)
         for member in plan.queries:
             self.exchange.query(
                 member.name, member.address, self._clock.monotonic()
--- a/src/radishwind/supervision/__init__.py
+++ b/src/radishwind/supervision/__init__.py
@@ -5,6 +5,8 @@
 in one of many short tasks, stays with it.
 """
 
+from radishwind.supervision.cancellation import is_cancelled
+from radishwind.supervision.cancellation import StrayCancellationError
 from radishwind.supervision.containment import notify
 from radishwind.supervision.containment import run_contained
 from radishwind.supervision.duty import Duty
@@ -25,10 +27,12 @@
     "FailureLog",
     "Listeners",
     "StopSteps",
+    "StrayCancellationError",
     "Supervisor",
     "TaskPool",
     "failure_log",
     "handle_loop_errors",
+    "is_cancelled",
     "notify",
     "run_contained",
     "run_together",
--- a/src/radishwind/supervision/containment.py
+++ b/src/radishwind/supervision/containment.py
@@ -1,10 +1,12 @@
 """Contains errors in listeners and in short tasks."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import ParamSpec
 from typing import TypeVar
 
+from radishwind.supervision.cancellation import is_cancelled
 from radishwind.supervision.failure_log import failure_log
 
 _P = ParamSpec("_P")
@@ -57,6 +59,11 @@
     """
     try:
         return await work(*args, **kwargs)
+    except asyncio.CancelledError as exc:
+        if is_cancelled():
+            raise
+        failure_log().record(name, exc)
+        return None
     except Exception as exc:
         failure_log().record(name, exc)
         return None
--- a/src/radishwind/supervision/supervisor.py
+++ b/src/radishwind/supervision/supervisor.py
@@ -1,8 +1,6 @@
 """Starts duties, and starts them again after an error."""
 
-import asyncio
 from collections.abc import Iterable
-import math
 import random
 
 import anyio
@@ -10,11 +8,15 @@
 
 from radishwind.core.backoff import Backoff
 from radishwind.core.clock import Clock
+from radishwind.supervision.cancellation import is_cancelled
 from radishwind.supervision.duty import Duty
 from radishwind.supervision.duty import DutyEndedError
 from radishwind.supervision.duty import DutyStatus
 from radishwind.supervision.failure_log import FailureLog
 
+#: Errors that end the process wherever they are raised.
+_ENDS_PROCESS = (KeyboardInterrupt, SystemExit)
+
 #: Bounds of the pause before a duty is started again (s). The longest one
 #: keeps a duty that always fails from loading the node or the store.
 INITIAL_PAUSE_S = 0.1
@@ -87,21 +89,13 @@
         self._is_running[duty.name] = True
         try:
             await duty.run()
-        except asyncio.CancelledError as exc:
-            if _is_cancelled():
-                raise
-            # The duty waited for something else that was cancelled.
-            return exc
         except Exception as exc:
             return exc
+        except BaseException as exc:
+            # A cancellation may be that of something the duty waited for.
+            if isinstance(exc, _ENDS_PROCESS) or is_cancelled():
+                raise
+            return exc
         finally:
             self._is_running[duty.name] = False
         return None if duty.may_end else DutyEndedError()
-
-
-def _is_cancelled() -> bool:
-    """Returns whether the current task itself is cancelled."""
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
-        return True
-    return anyio.current_effective_deadline() == -math.inf
--- a/src/radishwind/supervision/tests/test_containment.py
+++ b/src/radishwind/supervision/tests/test_containment.py
@@ -160,3 +160,47 @@
     assert lines[0]["kind"] == "RecursionError"
     assert SECRET not in json.dumps(lines)
     assert capfd.readouterr().err == ""
+
+
+async def wait_for_what_is_cancelled():
+    future = asyncio.get_running_loop().create_future()
+    future.cancel()
+    await future
+
+
+async def test_cancellation_of_what_a_short_task_waits_for_is_contained(
+    failures,
+):
+    assert await run_contained("t", wait_for_what_is_cancelled) is None
+    assert failures.counts == {"t": 1}
+
+
+async def test_task_whose_wait_is_cancelled_cancels_no_other_of_its_pool(
+    failures,
+):
+    pool = TaskPool("p")
+    ended = anyio.Event()
+
+    async def work():
+        await anyio.lowlevel.checkpoint()
+        ended.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(pool.duty.run)
+        while not pool.is_running:
+            await anyio.lowlevel.checkpoint()
+        pool.start_soon(wait_for_what_is_cancelled)
+        pool.start_soon(work)
+        with anyio.fail_after(5):
+            await ended.wait()
+        assert pool.is_running
+        tasks.cancel_scope.cancel()
+    assert failures.counts == {"p": 1}
+
+
+async def test_contained_task_that_is_cancelled_ends(failures):
+    with anyio.move_on_after(0) as scope:
+        await run_contained("t", anyio.sleep_forever)
+
+    assert scope.cancelled_caught
+    assert failures.counts == {}
--- a/src/radishwind/supervision/tests/test_supervisor.py
+++ b/src/radishwind/supervision/tests/test_supervisor.py
@@ -235,3 +235,16 @@
     await run_until(supervisor, faulty.runs_steadily, Duty("d", faulty.run))
 
     assert faulty.run_count == 2
+
+
+class OddError(BaseException):
+    """An error that isn't an `Exception`."""
+
+
+async def test_duty_runs_again_after_an_error_that_is_no_exception(
+    supervisor, pauses, failures
+):
+    faulty = FaultyDuty(OddError(), asyncio.CancelledError())
+    await run_until(supervisor, faulty.runs_steadily, Duty("d", faulty.run))
+
+    assert failures.counts == {"d": 2}
