--- a/src/radishwind/membership/contact_records.py
+++ b/src/radishwind/membership/contact_records.py
@@ -46,7 +46,7 @@
 
 
 class _RawContactRecord(msgspec.Struct, frozen=True):
-    # Decoded one by one, so that an odd contact doesn't hide the others.
+    # Decoded one by one, so that a malformed contact doesn't hide the others.
     contacts: tuple[msgspec.Raw, ...] = ()
 
 
--- a/src/radishwind/membership/envelope.py
+++ b/src/radishwind/membership/envelope.py
@@ -7,12 +7,12 @@
 from radishwind.decoding import MsgpackDecoder
 from radishwind.decoding.numbers import NonNegativeInt
 from radishwind.decoding.sizes import MAX_DATAGRAM_BYTES
+from radishwind.membership.malformed_entries import ignore_malformed_entry
+from radishwind.membership.malformed_entries import MalformedEntryCallback
+from radishwind.membership.malformed_entries import without_malformed_entries
 from radishwind.membership.messages import convert_message
 from radishwind.membership.messages import Message
 from radishwind.membership.messages import MessageError
-from radishwind.membership.odd_entries import ignore_odd_entry
-from radishwind.membership.odd_entries import OddEntryCallback
-from radishwind.membership.odd_entries import without_odd_entries
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -51,13 +51,13 @@
 
 
 def decode_envelope(
-    data: bytes, on_odd: OddEntryCallback = ignore_odd_entry
+    data: bytes, on_malformed: MalformedEntryCallback = ignore_malformed_entry
 ) -> Envelope:
-    """Returns the envelope decoded from `data`, without odd entries in it.
+    """Returns the envelope decoded from `data`, less malformed entries.
 
     Args:
       data: MessagePack.
-      on_odd: called with the reason why an entry of the message is left out.
+      on_malformed: called with the reason why an entry is left out.
 
     Raises:
       MessageError: `data` isn't an envelope.
@@ -66,5 +66,5 @@
         return _decoder.decode(data)
     except MessageError:
         raw = _raw_decoder.decode(data)
-        kept = without_odd_entries(raw.message, on_odd)
+        kept = without_malformed_entries(raw.message, on_malformed)
         return Envelope(raw.exchange_id, raw.is_reply, convert_message(kept))
--- a/src/radishwind/membership/messages.py
+++ b/src/radishwind/membership/messages.py
@@ -14,9 +14,9 @@
 from radishwind.membership.digest_tree import GROUP_COUNT
 from radishwind.membership.digest_tree import LEAF_COUNT
 from radishwind.membership.digest_tree import LEAVES_PER_GROUP
-from radishwind.membership.odd_entries import ignore_odd_entry
-from radishwind.membership.odd_entries import OddEntryCallback
-from radishwind.membership.odd_entries import without_odd_entries
+from radishwind.membership.malformed_entries import ignore_malformed_entry
+from radishwind.membership.malformed_entries import MalformedEntryCallback
+from radishwind.membership.malformed_entries import without_malformed_entries
 from radishwind.membership.records import AddressText
 from radishwind.membership.records import MAX_NAME_CHARS
 from radishwind.membership.records import MemberRecord
@@ -148,13 +148,13 @@
 
 
 def decode_message(
-    data: bytes, on_odd: OddEntryCallback = ignore_odd_entry
+    data: bytes, on_malformed: MalformedEntryCallback = ignore_malformed_entry
 ) -> Message:
-    """Returns the message decoded from `data`, without odd entries in it.
+    """Returns the message decoded from `data`, without malformed entries in it.
 
     Args:
       data: JSON.
-      on_odd: called with the reason why an entry is left out.
+      on_malformed: called with the reason why an entry is left out.
 
     Raises:
       MessageError: `data` is too long or isn't a gossip message.
@@ -162,7 +162,9 @@
     try:
         return _decoder.decode(data)
     except MessageError:
-        kept = without_odd_entries(_any_decoder.decode(data), on_odd)
+        kept = without_malformed_entries(
+            _any_decoder.decode(data), on_malformed
+        )
         return convert_message(kept)
 
 
--- a/src/radishwind/membership/tests/test_odd_entries.py
+++ b/src/radishwind/membership/tests/test_malformed_entries.py
@@ -1,4 +1,4 @@
-"""An odd entry of a gossip message hides no other one."""
+"""A malformed entry of a gossip message hides no other one."""
 
 import msgspec
 import pytest
@@ -43,7 +43,7 @@
 
 
 def odd_message(message):
-    """Returns the builtin types of `message` with odd entries around it."""
+    """Returns the builtin types of `message` with malformed entries in it."""
     raw = msgspec.to_builtins(message)
     raw[3] = (*ODD_MEMBERS, *raw[3], ODD_MEMBERS[0])
     raw[4] = (*ODD_RUMORS, *raw[4], ODD_RUMORS[0])
@@ -51,7 +51,7 @@
 
 
 @pytest.mark.parametrize("kind", [Push, Ping, SyncPage])
-def test_odd_entries_hide_no_good_ones(kind):
+def test_malformed_entries_hide_no_good_ones(kind):
     message = kind("n-0", 3, (MEMBER,), (RUMOR,))
     odd = odd_message(message)
     reasons = []
--- a/src/radishwind/node/gossip_datagrams.py
+++ b/src/radishwind/node/gossip_datagrams.py
@@ -134,7 +134,7 @@
 
     def _receive(self, data: bytes, sender: Address) -> bool:
         try:
-            envelope = decode_envelope(data, self._log_odd_entry)
+            envelope = decode_envelope(data, self._log_malformed_entry)
         except MessageError:
             return False
         if envelope.is_reply:
@@ -144,8 +144,10 @@
             self._send(Envelope(envelope.exchange_id, True, reply), sender)
         return True
 
-    def _log_odd_entry(self, reason: str) -> None:
-        self._log.warning("Left out an odd entry of a message.", reason=reason)
+    def _log_malformed_entry(self, reason: str) -> None:
+        self._log.warning(
+            "Left out a malformed entry of a message.", reason=reason
+        )
 
     def _receive_reply(self, envelope: Envelope, sender: Address) -> bool:
         pending = self._pending.get(envelope.exchange_id)
--- a/src/radishwind/node/membership_tasks.py
+++ b/src/radishwind/node/membership_tasks.py
@@ -306,7 +306,7 @@
             body = await self._client.call(
                 outgoing.address, GOSSIP_CONTROL_NAME, data, outgoing.timeout_s
             )
-            reply = decode_message(body, self._log_odd_entry)
+            reply = decode_message(body, self._log_malformed_entry)
         except (PeerError, MessageError):
             self._contact_registry.mark_unreachable(outgoing.address)
             self._send_all(self.gossip.handle_failure(outgoing, self._now()))
@@ -326,13 +326,15 @@
         self._wake_if_due_sooner()
         return reply
 
-    def _log_odd_entry(self, reason: str) -> None:
-        self._log.warning("Left out an odd entry of a message.", reason=reason)
+    def _log_malformed_entry(self, reason: str) -> None:
+        self._log.warning(
+            "Left out a malformed entry of a message.", reason=reason
+        )
 
     async def _handle(self, request: Request) -> Response:
         body = await read_body(request.body)
         try:
-            message = decode_message(body, self._log_odd_entry)
+            message = decode_message(body, self._log_malformed_entry)
         except MessageError as exc:
             return problem_response(exc.code, exc.args[0], "not-run")
         self.traffic.record_received(len(body))
