--- a/review/lab-2/lab2.py
+++ b/review/lab-2/lab2.py
@@ -206,6 +206,11 @@
         )
         self._beats = asyncio.create_task(self._send_heartbeats())
 
+    def stop_heartbeats(self) -> None:
+        """Sends no more heartbeats; goes on serving."""
+        if self._beats is not None:
+            self._beats.cancel()
+
     async def stop(self) -> None:
         """Ends at once, as a crash does."""
         if self._beats is not None:
@@ -299,7 +304,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        """Runs a request in the usual way; drops it if its caller leaves."""
+        """Reads a request and runs it in a free slot."""
         await read_body(reader, message)
         async with self._gate:
             self.note(message, has_run=True)
@@ -320,6 +325,10 @@
 
     async def tell(self, method: str) -> int:
         """Tells the node of this machine of itself; returns the status."""
+        return await self.post(self.make_call(method))
+
+    def make_call(self, method: str) -> bytes:
+        """Returns a call to the node as of now."""
         self._sequence += 1
         ip, port = self.machine.address(_APP)
         said = {
@@ -335,7 +344,11 @@
         }
         path = f"/-/Instances.{method}/{self.incarnation}"
         fields = {"Host": "control", "Content-Type": "application/json"}
-        raw = encode(f"POST {path} HTTP/1.1", fields, json.dumps(said).encode())
+        body = json.dumps(said).encode()
+        return encode(f"POST {path} HTTP/1.1", fields, body)
+
+    async def post(self, raw: bytes) -> int:
+        """Sends a call to the node of this machine; returns the status."""
         answer = await exchange(self.machine.address(_CONTROL), raw, 1.0)
         return answer.status
 
@@ -381,6 +394,11 @@
 
     def start_node(self, command: list[str]) -> None:
         """Starts the program of the deploy file."""
+        if self.process is not None:
+            # Only the first start of the whole system is marked as such.
+            text = self.settings_path.read_text()
+            text = text.replace("bootstrap = true", "bootstrap = false")
+            self.settings_path.write_text(text)
         environ = {
             k: os.environ[k]
             for k in ("PATH", "HOME", "LANG")
@@ -446,7 +464,6 @@
         self.folder = tempfile.TemporaryDirectory()
         self.bounds: tuple[str, ...] = BOUNDS
         self.store = PlatformStoreStandin(SystemClock())
-        self._store_ip = f"127.{net[0]}.{net[1]}.1"
         self._runner: web.AppRunner | None = None
         self._leases: asyncio.Task[None] | None = None
         self._version = 100
@@ -464,8 +481,6 @@
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
-        store = (self._store_ip, base_port + _STORE)
-        await web.TCPSite(self._runner, *store).start()
         self._leases = asyncio.create_task(self.store.run())
         self.configure(routes, **more)
         folder = pathlib.Path(self.folder.name)
@@ -473,7 +488,9 @@
             machine.base_port = base_port
             machine.settings_path = folder / f"{machine.name}.toml"
             machine.log_path = folder / f"{machine.name}.log"
-            machine.settings_path.write_text(self._settings(machine, store))
+            # The stand-in knows a node by the address at which it is called.
+            await web.TCPSite(self._runner, *machine.address(_STORE)).start()
+            machine.settings_path.write_text(self._settings(machine))
             machine.server = Server(machine, self.record)
             await machine.server.start()
             machine.start_node(self.command)
@@ -511,7 +528,7 @@
         self.store.put("op/config", json.dumps(cfg).encode())
         self.record.add(f"the operator writes version {self._version}")
 
-    def _settings(self, machine: Machine, store: tuple[str, int]) -> str:
+    def _settings(self, machine: Machine) -> str:
         def at(which: int) -> str:
             return ":".join(map(str, machine.address(which)))
 
@@ -555,7 +572,7 @@
 zones = 0
 regions = 0
 [provider]
-address = "{store[0]}:{store[1]}"
+address = "{at(_STORE)}"
 form = "kv"
 writes-per-s = 400
 reads-per-s = 2000
